--- /dev/null
+++ b/pimentosail/allowance/allowance.cpp
@@ -0,0 +1,140 @@
+#include "pimentosail/allowance/allowance.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace pimentosail
+{
+
+namespace
+{
+
+constexpr Duration LoanLife = std::chrono::seconds(2);
+// A host asks for what it spends in this time.
+constexpr double LoanSeconds = 0.5;
+constexpr double SpendRateGain = 0.2;
+constexpr Duration ShortestRetry = Milliseconds(50);
+constexpr Duration LongestRetry = std::chrono::seconds(60);
+constexpr int64_t SpareSlots = 2;
+
+} // namespace
+
+void AllowanceOwner::fill(Bucket &bucket, const AllowanceTerms &terms, Time now)
+{
+    const double seconds = toSeconds(now - bucket.filledAt);
+    bucket.level = std::min(terms.burstTokens, bucket.level + seconds * terms.tokensPerSecond);
+    bucket.filledAt = now;
+}
+
+int64_t AllowanceOwner::lendSlots(Bucket &bucket, const LoanRequest &request, const AllowanceTerms &terms, Time now)
+{
+    int64_t others = 0;
+    for (auto loan = bucket.slots.begin(); loan != bucket.slots.end();) {
+        if (loan->second.end <= now) {
+            loan = bucket.slots.erase(loan);
+            continue;
+        }
+        others += loan->first == request.host ? 0 : loan->second.slots;
+        ++loan;
+    }
+    const int64_t slots = std::clamp<int64_t>(terms.concurrent - others, 0, request.wantedSlots);
+    bucket.slots[request.host] = {slots, now + LoanLife};
+    return slots;
+}
+
+Loan AllowanceOwner::lend(const LoanRequest &request, const AllowanceTerms &terms, Time now)
+{
+    this->open(request.team, now);
+    Bucket &bucket = this->buckets.at(request.team);
+    fill(bucket, terms, now);
+    bucket.level = std::min(terms.burstTokens, bucket.level + static_cast<double>(request.returnedTokens));
+    Loan loan;
+    loan.life = LoanLife;
+    loan.slots = lendSlots(bucket, request, terms, now);
+    if (bucket.level < static_cast<double>(request.neededTokens)) {
+        const double missing = static_cast<double>(request.neededTokens) - bucket.level;
+        const Duration wait = terms.tokensPerSecond > 0 ? fromSeconds(std::min(missing / terms.tokensPerSecond, toSeconds(LongestRetry))) : LongestRetry;
+        loan.retryAfter = std::max(wait, ShortestRetry);
+        return loan;
+    }
+    loan.tokens = std::min<int64_t>(std::max(request.wantedTokens, request.neededTokens), static_cast<int64_t>(bucket.level));
+    bucket.level -= static_cast<double>(loan.tokens);
+    if (loan.slots < request.wantedSlots) {
+        loan.retryAfter = ShortestRetry;
+    }
+    return loan;
+}
+
+void AllowanceOwner::open(const std::string &team, Time now)
+{
+    const auto [found, created] = this->buckets.try_emplace(team);
+    if (created) {
+        found->second.filledAt = now;
+    }
+}
+
+void AllowanceOwner::forget(const std::string &team)
+{
+    this->buckets.erase(team);
+}
+
+bool AllowanceClient::take(const std::string &team, int64_t tokens, Time now)
+{
+    Account &account = this->accounts[team];
+    if (now >= account.loanEnd || account.tokens < tokens || account.inFlight >= account.slots) {
+        return false;
+    }
+    const double seconds = std::max(toSeconds(now - account.lastTake), 0.001);
+    const double rate = static_cast<double>(tokens) / seconds;
+    account.tokensPerSecond += SpendRateGain * (rate - account.tokensPerSecond);
+    account.lastTake = now;
+    account.tokens -= tokens;
+    account.spent += tokens;
+    ++account.inFlight;
+    return true;
+}
+
+LoanRequest AllowanceClient::prepare(const std::string &team, const std::string &host, int64_t tokens, Time now)
+{
+    Account &account = this->accounts[team];
+    LoanRequest request;
+    request.team = team;
+    request.host = host;
+    request.returnedTokens = account.tokens;
+    request.neededTokens = tokens;
+    request.wantedTokens = tokens + static_cast<int64_t>(account.tokensPerSecond * LoanSeconds);
+    request.wantedSlots = account.inFlight + 1 + SpareSlots;
+    account.tokens = 0;
+    account.loanEnd = now;
+    return request;
+}
+
+void AllowanceClient::receive(const std::string &team, const Loan &loan, Time now)
+{
+    Account &account = this->accounts[team];
+    account.tokens += loan.tokens;
+    account.slots = loan.slots;
+    account.loanEnd = now + loan.life;
+}
+
+void AllowanceClient::finish(const std::string &team, int64_t unusedTokens)
+{
+    Account &account = this->accounts[team];
+    account.inFlight = std::max<int64_t>(0, account.inFlight - 1);
+    account.tokens += unusedTokens;
+    account.spent -= unusedTokens;
+}
+
+int64_t AllowanceClient::inFlight(const std::string &team) const
+{
+    const auto found = this->accounts.find(team);
+    return found == this->accounts.end() ? 0 : found->second.inFlight;
+}
+
+int64_t AllowanceClient::spent(const std::string &team) const
+{
+    const auto found = this->accounts.find(team);
+    return found == this->accounts.end() ? 0 : found->second.spent;
+}
+
+} // namespace pimentosail
--- /dev/null
+++ b/pimentosail/base/boundedring.h
@@ -0,0 +1,92 @@
+// A bounded first-in first-out ring that joins two threads. A full ring refuses, it never grows.
+//
+//     BoundedRing<Event> ring(1024);
+//     if (!ring.tryPush(event)) { /* overloaded */ }
+//     std::optional<Event> next = ring.pop(Milliseconds(100));
+//
+// All functions are thread-safe.
+#pragma once
+
+#include <condition_variable>
+#include <deque>
+#include <mutex>
+#include <optional>
+#include <utility>
+
+#include "pimentosail/base/clock.h"
+
+namespace pimentosail
+{
+
+template<typename T>
+class BoundedRing
+{
+public:
+    // Creates a ring that holds at most `ringCapacity` items.
+    explicit BoundedRing(size_t ringCapacity)
+        : capacity(ringCapacity)
+    {
+    }
+
+    // Adds `item`; returns false and drops it if the ring is full or closed.
+    bool tryPush(T item)
+    {
+        const std::lock_guard lock(this->mutex);
+        if (this->closed || this->items.size() >= this->capacity) {
+            return false;
+        }
+        this->items.push_back(std::move(item));
+        this->changed.notify_one();
+        return true;
+    }
+
+    // Adds `item` although the ring may be full; for events whose loss would break an invariant and whose
+    // number is bounded elsewhere. Returns false only if the ring is closed.
+    bool push(T item)
+    {
+        const std::lock_guard lock(this->mutex);
+        if (this->closed) {
+            return false;
+        }
+        this->items.push_back(std::move(item));
+        this->changed.notify_one();
+        return true;
+    }
+
+    // Removes the oldest item, waiting at most `wait`. Returns nothing on a timeout or once closed and empty.
+    std::optional<T> pop(Duration wait)
+    {
+        std::unique_lock lock(this->mutex);
+        this->changed.wait_for(lock, wait, [this] { return this->closed || !this->items.empty(); });
+        if (this->items.empty()) {
+            return std::nullopt;
+        }
+        T item = std::move(this->items.front());
+        this->items.pop_front();
+        return item;
+    }
+
+    // Refuses further items and wakes all waiting readers.
+    void close()
+    {
+        const std::lock_guard lock(this->mutex);
+        this->closed = true;
+        this->changed.notify_all();
+    }
+
+    // Returns the number of items waiting.
+    size_t size() const
+    {
+        const std::lock_guard lock(this->mutex);
+        return this->items.size();
+    }
+
+private:
+    mutable std::mutex mutex;
+    std::condition_variable changed;
+    std::deque<T> items;
+    size_t capacity;
+    bool closed = false;
+};
+
+} // namespace pimentosail
--- /dev/null
+++ b/pimentosail/base/error.h
@@ -0,0 +1,121 @@
+// The closed list of error kinds and the answer that each one gives to a caller.
+//
+// Every failure that can reach a caller, an operator or a peer is one of the kinds below. A failure that
+// prevents construction is returned as `Result<T>`; one that ends a request is thrown as `Failure`.
+//
+//     throw Failure(ErrorKind::UnknownModel, "model 'x' is not served here");
+//     answerFor(ErrorKind::Overloaded).httpStatus;  // 503
+#pragma once
+
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <tl/expected.hpp>
+
+namespace pimentosail
+{
+
+// All kinds of error. The order is part of no protocol; the names are (see `errorName`).
+enum class ErrorKind {
+    BadRequest,
+    Unauthorized,
+    NotAllowed,
+    UnknownModel,
+    UnknownService,
+    NotFound,
+    BodyTooLarge,
+    RequestTimeout,
+    AllowanceExceeded,
+    Overloaded,
+    DeadlineUnreachable,
+    NoTarget,
+    TargetFull,
+    NotOwner,
+    Quarantined,
+    IdempotencyMismatch,
+    InProgress,
+    OutcomeUnknown,
+    RecordsUnavailable,
+    KeyValueUnavailable,
+    ShuttingDown,
+    TargetLost,
+    PeerLost,
+    Incomplete,
+    Preempted,
+    Conflict,
+    InvalidConfiguration,
+    Cancelled,
+    Internal,
+};
+
+// What a caller is told for an error kind.
+struct ErrorAnswer {
+    ErrorKind kind;
+    std::string_view name;
+    int httpStatus;
+    // True if the kind alone proves that the request was not run.
+    bool notRun;
+    // Seconds for the Retry-After header; 0 sends none.
+    int retryAfterSeconds;
+};
+
+// Returns the answer of `kind`. Never fails.
+const ErrorAnswer &answerFor(ErrorKind kind);
+
+// Returns the stable snake_case name of `kind`.
+std::string_view errorName(ErrorKind kind);
+
+// Returns the kind called `name`, or `ErrorKind::Internal` for an unknown name.
+ErrorKind errorKindFromName(std::string_view name);
+
+// An error with its message. `notRun` is true only when it is certain that no target ran the request.
+struct Error {
+    ErrorKind kind = ErrorKind::Internal;
+    std::string message;
+    bool notRun = false;
+
+    Error() = default;
+    Error(ErrorKind errorKind, std::string text)
+        : kind(errorKind)
+        , message(std::move(text))
+        , notRun(answerFor(errorKind).notRun)
+    {
+    }
+    Error(ErrorKind errorKind, std::string text, bool provedNotRun)
+        : kind(errorKind)
+        , message(std::move(text))
+        , notRun(provedNotRun)
+    {
+    }
+};
+
+// The value of a factory function, or the reason why there is none.
+template<typename T>
+using Result = tl::expected<T, Error>;
+
+// Builds the error branch of a `Result`.
+inline tl::unexpected<Error> failed(ErrorKind kind, std::string message)
+{
+    return tl::unexpected<Error>(Error(kind, std::move(message)));
+}
+
+// The exception that carries an `Error` through a call chain.
+class Failure : public std::runtime_error
+{
+public:
+    explicit Failure(Error failure)
+        : std::runtime_error(failure.message)
+        , error(std::move(failure))
+    {
+    }
+    Failure(ErrorKind kind, const std::string &message)
+        : Failure(Error(kind, message))
+    {
+    }
+
+    Error error;
+};
+
+} // namespace pimentosail
--- /dev/null
+++ b/pimentosail/base/hash.h
@@ -0,0 +1,32 @@
+// Stable hashes, equal on every host, and rendezvous hashing over named members.
+//
+//     std::string owner = rendezvousOwner("target/w-3", memberNames);
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace pimentosail
+{
+
+// Returns the 64-bit XXH3 hash of `data` under `seed`.
+uint64_t stableHash(std::string_view data, uint64_t seed = 0);
+
+// Returns a hash of two hashes; the order matters.
+uint64_t combineHashes(uint64_t first, uint64_t second);
+
+// Returns the member with the highest rendezvous weight for `key`, or an empty string if there is none.
+std::string rendezvousOwner(std::string_view key, const std::vector<std::string> &members);
+
+// Returns the members ordered by falling rendezvous weight for `key`.
+std::vector<std::string> rendezvousOrder(std::string_view key, std::vector<std::string> members);
+
+// Returns a random identifier of 16 hexadecimal digits, unique across processes.
+std::string randomId();
+
+// Returns the lower-case hexadecimal SHA-256 digest of `data`.
+std::string sha256Hex(std::string_view data);
+
+} // namespace pimentosail
--- /dev/null
+++ b/pimentosail/decision/prompttable.cpp
@@ -0,0 +1,58 @@
+#include "pimentosail/decision/prompttable.h"
+
+#include <algorithm>
+
+namespace pimentosail
+{
+
+PromptRecord &PromptTable::touch(uint64_t key)
+{
+    const auto found = this->records.find(key);
+    if (found != this->records.end()) {
+        this->order.splice(this->order.begin(), this->order, found->second);
+        return *found->second;
+    }
+    if (this->records.size() >= this->capacity) {
+        this->records.erase(this->order.back().key);
+        this->order.pop_back();
+    }
+    this->order.emplace_front();
+    this->order.front().key = key;
+    this->records.emplace(key, this->order.begin());
+    return this->order.front();
+}
+
+PromptRecord *PromptTable::find(uint64_t key)
+{
+    const auto found = this->records.find(key);
+    return found == this->records.end() ? nullptr : &*found->second;
+}
+
+void PromptTable::noteLocation(PromptRecord &record, TargetIndex target, int64_t tokens, Time now)
+{
+    CacheLocation *slot = nullptr;
+    for (CacheLocation &location : record.locations) {
+        if (location.target == target) {
+            slot = &location;
+        }
+    }
+    if (slot == nullptr) {
+        slot = &*std::min_element(record.locations.begin(), record.locations.end(), [](const CacheLocation &left, const CacheLocation &right) {
+            return (left.target == NoTarget ? Time(-1) : left.lastUsed) < (right.target == NoTarget ? Time(-1) : right.lastUsed);
+        });
+    }
+    *slot = {target, static_cast<int32_t>(tokens), now};
+}
+
+void PromptTable::forgetTarget(TargetIndex target)
+{
+    for (PromptRecord &record : this->order) {
+        for (CacheLocation &location : record.locations) {
+            if (location.target == target) {
+                location = CacheLocation();
+            }
+        }
+    }
+}
+
+} // namespace pimentosail
--- /dev/null
+++ b/pimentosail/decision/scheduler.cpp
@@ -0,0 +1,574 @@
+#include "pimentosail/decision/scheduler.h"
+
+#include <algorithm>
+
+#include "pimentosail/base/hash.h"
+#include "pimentosail/base/statelog.h"
+
+namespace pimentosail
+{
+
+namespace
+{
+
+constexpr size_t MaxRecentDecisions = 256;
+// Pools up to this size are searched whole; larger ones by a sample.
+constexpr size_t FullSearchTargets = 24;
+constexpr size_t SampledTargets = 12;
+// A batch request counts as standard once this part of its time is left.
+constexpr double BatchBoostFraction = 0.2;
+constexpr int MaxPreemptions = 3;
+constexpr int64_t MinLimitForReserve = 4;
+constexpr size_t MaxPumpScan = 64;
+constexpr double SlotSecondsGain = 0.05;
+// Background copies wait at most this long before a new one is not worth its place in the queue.
+constexpr Duration MaxExportWait = std::chrono::seconds(20);
+// Smallest expected saving, in seconds of prefill, that pays for an export.
+constexpr double MinExportGain = 0.02;
+constexpr Duration UnknownStoreLife = std::chrono::hours(24 * 7);
+
+} // namespace
+
+Scheduler::Scheduler(Options schedulerOptions, Policy routingPolicy)
+    : options(schedulerOptions)
+    , policy(std::move(routingPolicy))
+    , prompts(schedulerOptions.maxPrompts)
+{
+    this->recent.reserve(MaxRecentDecisions);
+}
+
+TargetIndex Scheduler::describeTarget(const TargetDescription &description, Time now)
+{
+    return this->table.describe(description, now);
+}
+
+void Scheduler::setModels(std::vector<Model> newModels)
+{
+    this->models = std::move(newModels);
+}
+
+StoreIndex Scheduler::describeStore(const std::string &name)
+{
+    const auto found = std::find(this->storeNames.begin(), this->storeNames.end(), name);
+    if (found != this->storeNames.end()) {
+        return static_cast<StoreIndex>(found - this->storeNames.begin());
+    }
+    this->storeNames.push_back(name);
+    this->links.emplace_back();
+    return static_cast<StoreIndex>(this->storeNames.size() - 1);
+}
+
+std::vector<Command> Scheduler::handle(const Event &event, Time now)
+{
+    Commands out;
+    std::visit([&](const auto &typed) { this->on(typed, now, out); }, event);
+    return out;
+}
+
+const Model *Scheduler::findModel(const std::string &name) const
+{
+    for (const Model &model : this->models) {
+        if (model.name == name) {
+            return &model;
+        }
+    }
+    return nullptr;
+}
+
+Priority Scheduler::effectivePriority(const RequestInfo &request, Time now) const
+{
+    if (request.priority != Priority::Batch) {
+        return request.priority;
+    }
+    const Duration left = request.finishDeadline - now;
+    const Duration needed = fromSeconds(this->slotSeconds * 4);
+    const Duration total = request.finishDeadline - request.firstTokenDeadline;
+    const Duration window = std::max(needed, fromSeconds(BatchBoostFraction * toSeconds(total)));
+    return left < window ? Priority::Standard : Priority::Batch;
+}
+
+bool Scheduler::hasSlot(TargetIndex target, const RequestInfo &request, Priority priority, Time now) const
+{
+    const Target &state = this->table.at(target);
+    const int64_t limit = this->table.limit(target, now);
+    if (this->table.inFlight(target) >= limit) {
+        return false;
+    }
+    if (request.suspect && state.suspectsInFlight > 0) {
+        return false;
+    }
+    const bool isReserved = this->options.batchReserve && priority == Priority::Batch && limit >= MinLimitForReserve;
+    return !isReserved || this->table.inFlight(target) + 1 < limit;
+}
+
+std::vector<TargetIndex> Scheduler::consideredTargets(const RequestInfo &request, const std::vector<TargetIndex> &serving) const
+{
+    if (serving.size() <= FullSearchTargets) {
+        return serving;
+    }
+    std::vector<TargetIndex> result;
+    const auto add = [&result](TargetIndex target) {
+        if (std::find(result.begin(), result.end(), target) == result.end()) {
+            result.push_back(target);
+        }
+    };
+    const PromptRecord *record = const_cast<PromptTable &>(this->prompts).find(request.promptKey);
+    if (record != nullptr) {
+        for (const CacheLocation &location : record->locations) {
+            if (location.target != NoTarget) {
+                add(location.target);
+            }
+        }
+    }
+    for (size_t index = 0; index < SampledTargets; ++index) {
+        add(serving[combineHashes(request.id, index) % serving.size()]);
+    }
+    return result;
+}
+
+std::vector<TargetIndex> Scheduler::candidatesFor(const RequestInfo &request, Time now) const
+{
+    const Model *model = this->findModel(request.model);
+    const int64_t version = model == nullptr ? 0 : model->version;
+    const Priority priority = this->effectivePriority(request, now);
+    std::vector<TargetIndex> result;
+    const auto addUsable = [&](TargetIndex target) {
+        const bool avoided = std::find(request.avoid.begin(), request.avoid.end(), target) != request.avoid.end();
+        if (!avoided && this->table.why(target, version, now) == TargetState::Usable && this->hasSlot(target, request, priority, now)) {
+            result.push_back(target);
+        }
+    };
+    if (request.pinned != NoTarget) {
+        addUsable(request.pinned);
+        return result;
+    }
+    const std::vector<TargetIndex> &serving = this->table.serving(request.model);
+    for (const TargetIndex target : this->consideredTargets(request, serving)) {
+        addUsable(target);
+    }
+    if (result.empty() && serving.size() > FullSearchTargets) {
+        for (const TargetIndex target : serving) {
+            addUsable(target);
+        }
+    }
+    return result;
+}
+
+bool Scheduler::cannotMeetDeadline(const RequestInfo &request, Duration predicted, Time now) const
+{
+    return this->options.earlyRefusal && !request.resumed && now + predicted > request.firstTokenDeadline;
+}
+
+bool Scheduler::tryDispatch(const RequestInfo &request, Time now, Commands &out)
+{
+    const std::vector<TargetIndex> candidates = this->candidatesFor(request, now);
+    if (candidates.empty()) {
+        return false;
+    }
+    PromptRecord *record = this->prompts.find(request.promptKey);
+    const LinkState *link = nullptr;
+    if (record != nullptr && record->copy.store != NoStore) {
+        link = &this->links.at(static_cast<size_t>(record->copy.store)).at(static_cast<size_t>(record->copy.tier));
+    }
+    const Model *model = this->findModel(request.model);
+    const double bytesPerToken = model == nullptr ? 0 : static_cast<double>(model->cacheBytesPerToken);
+    const PolicyInput input{this->table, candidates, record, link, bytesPerToken};
+    const std::optional<Choice> choice = choosePlacement(this->policy, input, request, now);
+    if (!choice) {
+        return false;
+    }
+    if (this->cannotMeetDeadline(request, choice->predicted, now)) {
+        ++this->tally.refusedDeadline;
+        out.push_back(Refuse{request.id, Error(ErrorKind::DeadlineUnreachable, "the first token cannot come before its deadline")});
+        return true;
+    }
+    this->dispatch(request, *choice, now, out);
+    return true;
+}
+
+void Scheduler::dispatch(const RequestInfo &request, const Choice &choice, Time now, Commands &out)
+{
+    Target &target = this->table.at(choice.target);
+    const bool forward = target.description.remote;
+    Running entry;
+    entry.request = request;
+    entry.choice = choice;
+    entry.dispatchedAt = now;
+    entry.pendingTokens = request.promptTokens - std::min(choice.source.tokens, request.promptTokens);
+    const int64_t limit = this->table.limit(choice.target, now);
+    if (this->table.inFlight(choice.target) >= limit) {
+        reportViolation("target_limit", target.description.name + " has " + std::to_string(this->table.inFlight(choice.target)) + " of " + std::to_string(limit));
+    }
+    if (forward) {
+        ++target.remoteInFlight;
+        target.remoteQueuedTokens += entry.pendingTokens;
+        ++this->tally.forwarded;
+    } else {
+        ++target.inFlight;
+        target.recentPeak = std::max(target.recentPeak, target.inFlight);
+        target.batchInFlight += request.priority == Priority::Batch ? 1 : 0;
+        target.suspectsInFlight += request.suspect ? 1 : 0;
+        target.pendingTokens += entry.pendingTokens;
+        target.probing = target.consecutiveFailures > 0;
+        ++this->tally.dispatched;
+        this->tally.promptTokens += request.promptTokens;
+    }
+    this->tally.imports += choice.source.kind == SourceKind::StoreImport ? 1 : 0;
+    this->running.emplace(request.id, std::move(entry));
+    const TargetDescription &description = target.description;
+    out.push_back(
+        Dispatch{request.id, choice.target, choice.source, choice.predicted, forward, description.name, description.address, description.owner, target.report.boot});
+}
+
+bool Scheduler::preemptFor(const RequestInfo &request, Time now, Commands &out)
+{
+    if (!this->options.preemption || request.priority != Priority::Interactive) {
+        return false;
+    }
+    Running *victim = nullptr;
+    for (auto &[id, entry] : this->running) {
+        const bool sameModel = entry.request.model == request.model && !this->table.at(entry.choice.target).description.remote;
+        const bool usable = this->table.why(entry.choice.target, 0, now) == TargetState::Usable;
+        const bool eligible = this->effectivePriority(entry.request, now) == Priority::Batch && entry.request.preemptions < MaxPreemptions;
+        if (!sameModel || !usable || !eligible || entry.preempting) {
+            continue;
+        }
+        // The attempt that began last has the least to lose.
+        if (victim == nullptr || entry.dispatchedAt > victim->dispatchedAt) {
+            victim = &entry;
+        }
+    }
+    if (victim == nullptr) {
+        return false;
+    }
+    victim->preempting = true;
+    ++this->tally.preempted;
+    out.push_back(Preempt{victim->request.id});
+    return true;
+}
+
+std::optional<Error> Scheduler::refusalFor(const RequestInfo &request, Time now) const
+{
+    const std::vector<TargetIndex> &serving = this->table.serving(request.model);
+    int64_t slots = 0;
+    int64_t batchHeld = 0;
+    for (const TargetIndex target : serving) {
+        if (this->table.why(target, 0, now) == TargetState::Usable) {
+            slots += this->table.limit(target, now);
+            batchHeld += this->table.at(target).batchInFlight;
+        }
+    }
+    if (this->waiting.size() >= this->options.maxQueue) {
+        return Error(ErrorKind::Overloaded, "the queue is full");
+    }
+    if (slots == 0 || request.resumed || !this->options.earlyRefusal) {
+        return std::nullopt;
+    }
+    int64_t ahead = 0;
+    for (const auto &[id, entry] : this->waiting) {
+        ahead += entry.request.model == request.model && entry.request.priority >= request.priority ? 1 : 0;
+    }
+    const bool mayPreempt = this->options.preemption && request.priority == Priority::Interactive && batchHeld > ahead;
+    const Duration wait = fromSeconds(this->slotSeconds * static_cast<double>(ahead + 1) / static_cast<double>(slots));
+    if (!mayPreempt && now + wait > request.firstTokenDeadline) {
+        return Error(ErrorKind::DeadlineUnreachable, "the queue is too long for the first-token deadline");
+    }
+    return std::nullopt;
+}
+
+void Scheduler::on(const RequestArrived &event, Time now, Commands &out)
+{
+    RequestInfo request = event.request;
+    if (this->findModel(request.model) == nullptr) {
+        out.push_back(Refuse{request.id, Error(ErrorKind::UnknownModel, "model '" + request.model + "' is not configured")});
+        return;
+    }
+    if (request.pinned == NoTarget && !request.resumed) {
+        PromptRecord &record = this->prompts.touch(request.promptKey);
+        if (record.lastSeen >= Time(0)) {
+            this->returns.addGap(request.team, now - record.lastSeen);
+        } else {
+            this->returns.addNew(request.team);
+        }
+        record.lastSeen = now;
+    }
+    if (this->tryDispatch(request, now, out)) {
+        return;
+    }
+    if (request.pinned != NoTarget) {
+        ++this->tally.refusedFull;
+        out.push_back(Refuse{request.id, Error(ErrorKind::TargetFull, "target '" + this->table.at(request.pinned).description.name + "' takes no more work now")});
+        return;
+    }
+    if (const std::optional<Error> refusal = this->refusalFor(request, now)) {
+        ++this->tally.refusedDeadline;
+        out.push_back(Refuse{request.id, *refusal});
+        return;
+    }
+    this->preemptFor(request, now, out);
+    const RequestId id = request.id;
+    this->waiting.emplace(id, Waiting{std::move(request), now});
+}
+
+void Scheduler::on(const FirstTokenSeen &event, Time now, Commands & /*out*/)
+{
+    const auto found = this->running.find(event.id);
+    if (found == this->running.end() || found->second.firstTokenSeen) {
+        return;
+    }
+    Running &entry = found->second;
+    entry.firstTokenSeen = true;
+    Target &target = this->table.at(entry.choice.target);
+    const Duration actual = now - entry.dispatchedAt;
+    const int64_t cached = event.cachedTokens >= 0 ? event.cachedTokens : entry.choice.source.tokens;
+    const int64_t computed = entry.request.promptTokens - std::min(cached, entry.request.promptTokens);
+    if (target.description.remote) {
+        target.remoteQueuedTokens = std::max<int64_t>(0, target.remoteQueuedTokens - entry.pendingTokens);
+    } else {
+        target.pendingTokens -= entry.pendingTokens;
+        this->tally.computedTokens += computed;
+        this->table.firstToken(entry.choice.target, entry.choice.predicted, actual, computed, now);
+        const bool cacheWasGone = entry.choice.source.kind == SourceKind::TargetCache && event.cachedTokens >= 0 && event.cachedTokens < entry.choice.source.tokens / 2;
+        if (cacheWasGone) {
+            if (PromptRecord *record = this->prompts.find(entry.request.promptKey)) {
+                PromptTable::noteLocation(*record, entry.choice.target, 0, now);
+            }
+        }
+    }
+    entry.pendingTokens = 0;
+    this->rememberDecision({event.id, target.description.name, entry.choice.source.kind, entry.choice.predicted, actual});
+}
+
+void Scheduler::release(Running &entry)
+{
+    Target &target = this->table.at(entry.choice.target);
+    if (target.description.remote) {
+        target.remoteInFlight = std::max<int64_t>(0, target.remoteInFlight - 1);
+        target.remoteQueuedTokens = std::max<int64_t>(0, target.remoteQueuedTokens - entry.pendingTokens);
+        return;
+    }
+    target.inFlight = std::max<int64_t>(0, target.inFlight - 1);
+    target.batchInFlight = std::max<int64_t>(0, target.batchInFlight - (entry.request.priority == Priority::Batch ? 1 : 0));
+    target.suspectsInFlight = std::max<int64_t>(0, target.suspectsInFlight - (entry.request.suspect ? 1 : 0));
+    target.pendingTokens = std::max<int64_t>(0, target.pendingTokens - entry.pendingTokens);
+}
+
+void Scheduler::on(const AttemptEnded &event, Time now, Commands &out)
+{
+    const auto found = this->running.find(event.id);
+    if (found == this->running.end()) {
+        return;
+    }
+    Running entry = std::move(found->second);
+    this->running.erase(found);
+    this->release(entry);
+    const TargetIndex target = entry.choice.target;
+    switch (event.outcome) {
+    case AttemptOutcome::Finished:
+        this->table.succeeded(target);
+        this->slotSeconds += SlotSecondsGain * (toSeconds(now - entry.dispatchedAt) - this->slotSeconds);
+        this->consider(entry, now, out);
+        break;
+    case AttemptOutcome::TargetFailed:
+        this->table.failed(target, now);
+        break;
+    case AttemptOutcome::TargetDied:
+        this->table.failed(target, now);
+        this->table.failed(target, now);
+        this->table.at(target).evictedBefore = now;
+        break;
+    case AttemptOutcome::TargetRefused:
+        if (this->table.at(target).description.remote) {
+            this->table.at(target).remoteSlots = 0;
+        }
+        break;
+    case AttemptOutcome::Preempted:
+    case AttemptOutcome::Cancelled:
+        this->table.at(target).probing = false;
+        break;
+    }
+    this->pump(now, out);
+}
+
+void Scheduler::consider(const Running &finished, Time now, Commands &out)
+{
+    const RequestInfo &request = finished.request;
+    const Model *model = this->findModel(request.model);
+    if (model == nullptr || request.pieces.empty()) {
+        return;
+    }
+    const int64_t tokens = static_cast<int64_t>(request.pieces.size()) * model->pieceTokens;
+    PromptRecord &record = this->prompts.touch(request.promptKey);
+    PromptTable::noteLocation(record, finished.choice.target, tokens, now);
+    const Target &target = this->table.at(finished.choice.target);
+    const bool copied = record.copy.store != NoStore && record.copy.tokens >= tokens;
+    if (!this->options.exports || copied || record.copy.exporting || this->storeNames.empty() || target.description.remote) {
+        return;
+    }
+    const double computeSeconds = static_cast<double>(tokens) / this->table.prefillRate(finished.choice.target);
+    const auto bytes = static_cast<double>(tokens) * static_cast<double>(model->cacheBytesPerToken);
+    const Duration targetLife = target.evictedBefore >= Time(0) ? now - target.evictedBefore : UnknownStoreLife;
+    const size_t store = request.promptKey % this->storeNames.size();
+    double bestGain = 0;
+    std::optional<Tier> bestTier;
+    for (size_t index = 0; index < TierCount; ++index) {
+        const LinkState &link = this->links.at(store).at(index);
+        if (!link.usable || link.wait > MaxExportWait) {
+            continue;
+        }
+        const Duration storeLife = link.evictionAge >= Duration(0) ? link.evictionAge : UnknownStoreLife;
+        const double needed = this->copyValue(request.team, Duration(0), storeLife, request.knownReturn)
+            - this->copyValue(request.team, Duration(0), std::min(targetLife, storeLife), request.knownReturn);
+        const double importSeconds = bytes / link.bytesPerSecond;
+        const double gain = needed * (computeSeconds - std::min(importSeconds, computeSeconds));
+        if (gain > bestGain) {
+            bestGain = gain;
+            bestTier = static_cast<Tier>(index);
+        }
+    }
+    if (!bestTier && !this->options.valueExports) {
+        bestTier = Tier::Disk;
+    }
+    if (!bestTier || (this->options.valueExports && bestGain < MinExportGain * computeSeconds)) {
+        return;
+    }
+    ++this->tally.exports;
+    record.copy = {static_cast<StoreIndex>(store), *bestTier, static_cast<int32_t>(tokens), true};
+    out.push_back(Export{request.promptKey, request.team, finished.choice.target, static_cast<StoreIndex>(store), *bestTier, request.pieces, tokens, bestGain / bytes});
+}
+
+double Scheduler::copyValue(const std::string &team, Duration age, Duration horizon, std::optional<Duration> knownReturn) const
+{
+    if (knownReturn) {
+        return *knownReturn >= age && *knownReturn <= age + horizon ? 1.0 : 0.0;
+    }
+    return this->returns.returnProbability(team, age, horizon);
+}
+
+void Scheduler::on(const RequestWithdrawn &event, Time now, Commands &out)
+{
+    this->waiting.erase(event.id);
+    this->on(AttemptEnded{event.id, AttemptOutcome::Cancelled}, now, out);
+}
+
+void Scheduler::on(const TargetReported &event, Time now, Commands &out)
+{
+    this->table.report(event.target, event.report, now);
+    this->pump(now, out);
+}
+
+void Scheduler::on(const RemoteTargetReported &event, Time now, Commands &out)
+{
+    Target &target = this->table.at(event.target);
+    target.reportedAt = now;
+    target.remoteInFlight = event.inFlight;
+    target.remoteQueuedTokens = event.queuedTokens;
+    target.remoteSlots = event.usableSlots;
+    target.report.cold = event.cold;
+    if (event.evictionAge >= Duration(0)) {
+        target.evictedBefore = std::max(target.evictedBefore, now - event.evictionAge);
+    }
+    this->pump(now, out);
+}
+
+void Scheduler::on(const TargetUnreachable &event, Time now, Commands & /*out*/)
+{
+    Target &target = this->table.at(event.target);
+    const bool first = target.consecutiveFailures == 0;
+    this->table.failed(event.target, now);
+    if (first) {
+        logStateChange("target_unreachable", {{"target", target.description.name}});
+    }
+}
+
+void Scheduler::on(const StoreCopyChanged &event, Time /*now*/, Commands & /*out*/)
+{
+    PromptRecord *record = this->prompts.find(event.promptKey);
+    if (record == nullptr) {
+        return;
+    }
+    if (event.tokens <= 0) {
+        record->copy = StoreCopy();
+        return;
+    }
+    record->copy = {event.store, event.tier, static_cast<int32_t>(event.tokens), false};
+}
+
+void Scheduler::on(const LinkReported &event, Time /*now*/, Commands & /*out*/)
+{
+    this->links.at(static_cast<size_t>(event.store)).at(static_cast<size_t>(event.tier)) = {event.usable, event.wait, event.bytesPerSecond, event.evictionAge};
+}
+
+void Scheduler::on(const ClockTicked & /*event*/, Time now, Commands &out)
+{
+    this->pump(now, out);
+    std::vector<RequestId> expired;
+    for (const auto &[id, entry] : this->waiting) {
+        const Time deadline = entry.request.resumed ? entry.request.finishDeadline : entry.request.firstTokenDeadline;
+        if (now >= std::min(deadline, entry.request.finishDeadline)) {
+            expired.push_back(id);
+        }
+    }
+    for (const RequestId id : expired) {
+        const RequestInfo &request = this->waiting.at(id).request;
+        const bool hasTargets = !this->table.serving(request.model).empty();
+        ++(hasTargets ? this->tally.refusedDeadline : this->tally.refusedNoTarget);
+        const ErrorKind kind = hasTargets ? ErrorKind::DeadlineUnreachable : ErrorKind::NoTarget;
+        out.push_back(Refuse{id, Error(kind, "no target took the request before its deadline", !request.resumed)});
+        this->waiting.erase(id);
+    }
+}
+
+void Scheduler::pump(Time now, Commands &out)
+{
+    if (this->waiting.empty()) {
+        return;
+    }
+    struct Key {
+        Priority priority;
+        Time deadline;
+        RequestId id;
+    };
+    std::vector<Key> order;
+    order.reserve(this->waiting.size());
+    for (const auto &[id, entry] : this->waiting) {
+        order.push_back({this->effectivePriority(entry.request, now), entry.request.firstTokenDeadline, id});
+    }
+    const size_t scan = std::min(MaxPumpScan, order.size());
+    std::partial_sort(order.begin(), order.begin() + static_cast<ptrdiff_t>(scan), order.end(), [](const Key &left, const Key &right) {
+        if (left.priority != right.priority) {
+            return left.priority > right.priority;
+        }
+        return left.deadline != right.deadline ? left.deadline < right.deadline : left.id < right.id;
+    });
+    for (size_t index = 0; index < scan; ++index) {
+        const auto found = this->waiting.find(order[index].id);
+        const RequestInfo request = found->second.request;
+        if (this->tryDispatch(request, now, out)) {
+            this->waiting.erase(request.id);
+        }
+    }
+}
+
+std::vector<RequestId> Scheduler::inFlightOn(TargetIndex target) const
+{
+    std::vector<RequestId> result;
+    for (const auto &[id, entry] : this->running) {
+        if (entry.choice.target == target) {
+            result.push_back(id);
+        }
+    }
+    return result;
+}
+
+void Scheduler::rememberDecision(const DecisionRecord &record)
+{
+    if (this->recent.size() < MaxRecentDecisions) {
+        this->recent.push_back(record);
+    } else {
+        this->recent[this->nextRecent] = record;
+    }
+    this->nextRecent = (this->nextRecent + 1) % MaxRecentDecisions;
+}
+
+} // namespace pimentosail
--- /dev/null
+++ b/pimentosail/decision/storecontents.cpp
@@ -0,0 +1,106 @@
+#include "pimentosail/decision/storecontents.h"
+
+#include <algorithm>
+
+namespace pimentosail
+{
+
+namespace
+{
+
+// Number of copies compared to find one worth little.
+constexpr size_t EvictionSample = 24;
+constexpr double EvictionAgeGain = 0.1;
+
+} // namespace
+
+StoreContents::StoreContents(int64_t memoryBytes, int64_t diskBytes)
+{
+    this->tiers.at(static_cast<size_t>(Tier::Memory)).capacity = memoryBytes;
+    this->tiers.at(static_cast<size_t>(Tier::Disk)).capacity = diskBytes;
+}
+
+std::optional<uint64_t> StoreContents::worst(const TierState &tier, Time now, const ValueOfCopy &valueOf)
+{
+    std::optional<uint64_t> worstKey;
+    double worstValue = 0;
+    const size_t samples = std::min(EvictionSample, tier.keys.size());
+    for (size_t index = 0; index < samples; ++index) {
+        const uint64_t key = tier.keys.size() <= EvictionSample ? tier.keys[index] : tier.keys[this->random() % tier.keys.size()];
+        const double value = valueOf(this->copies.at(key), now);
+        if (!worstKey || value < worstValue) {
+            worstKey = key;
+            worstValue = value;
+        }
+    }
+    return worstKey;
+}
+
+StoreAdmission StoreContents::admit(const StoredCopy &copy, Time now, const ValueOfCopy &valueOf)
+{
+    TierState &tier = this->tiers.at(static_cast<size_t>(copy.tier));
+    StoreAdmission admission;
+    if (copy.bytes > tier.capacity) {
+        return admission;
+    }
+    this->remove(copy.promptKey);
+    const double value = valueOf(copy, now);
+    while (tier.used + copy.bytes > tier.capacity) {
+        const std::optional<uint64_t> victim = this->worst(tier, now, valueOf);
+        if (!victim || valueOf(this->copies.at(*victim), now) >= value) {
+            return admission;
+        }
+        const Duration age = now - this->copies.at(*victim).lastUsed;
+        tier.evictionAge = tier.evictionAge < Duration(0) ? age : tier.evictionAge + fromSeconds(EvictionAgeGain * toSeconds(age - tier.evictionAge));
+        this->remove(*victim);
+        admission.evicted.push_back(*victim);
+    }
+    this->positions[copy.promptKey] = tier.keys.size();
+    tier.keys.push_back(copy.promptKey);
+    tier.used += copy.bytes;
+    this->copies[copy.promptKey] = copy;
+    admission.admitted = true;
+    return admission;
+}
+
+const StoredCopy *StoreContents::find(uint64_t promptKey) const
+{
+    const auto found = this->copies.find(promptKey);
+    return found == this->copies.end() ? nullptr : &found->second;
+}
+
+void StoreContents::used(uint64_t promptKey, Time now)
+{
+    const auto found = this->copies.find(promptKey);
+    if (found != this->copies.end()) {
+        found->second.lastUsed = now;
+    }
+}
+
+void StoreContents::remove(uint64_t promptKey)
+{
+    const auto found = this->copies.find(promptKey);
+    if (found == this->copies.end()) {
+        return;
+    }
+    TierState &tier = this->tiers.at(static_cast<size_t>(found->second.tier));
+    tier.used -= found->second.bytes;
+    const size_t position = this->positions.at(promptKey);
+    this->positions[tier.keys.back()] = position;
+    tier.keys[position] = tier.keys.back();
+    tier.keys.pop_back();
+    this->positions.erase(promptKey);
+    this->copies.erase(found);
+}
+
+void StoreContents::clear()
+{
+    this->copies.clear();
+    this->positions.clear();
+    for (TierState &tier : this->tiers) {
+        tier.used = 0;
+        tier.keys.clear();
+    }
+}
+
+} // namespace pimentosail
--- /dev/null
+++ b/pimentosail/decision/targettable.cpp
@@ -0,0 +1,240 @@
+#include "pimentosail/decision/targettable.h"
+
+#include <algorithm>
+#include <array>
+
+#include "pimentosail/base/statelog.h"
+
+namespace pimentosail
+{
+
+namespace
+{
+
+constexpr Duration ReportTooOldAfter = std::chrono::seconds(5);
+constexpr int FailuresBeforeExclusion = 2;
+constexpr Duration FirstExclusion = std::chrono::seconds(1);
+constexpr Duration LongestExclusion = std::chrono::seconds(30);
+constexpr int MaxExclusionDoublings = 5;
+// The limit doubles with each step of the ramp after a cold start.
+constexpr Duration RampStep = std::chrono::seconds(2);
+constexpr int MaxRampSteps = 10;
+constexpr double DefaultPrefillRate = 8000;
+constexpr double PrefillRateGain = 0.1;
+// Evidence that a target is cold: several first tokens in a row this much later than predicted.
+constexpr int LateFactor = 4;
+constexpr Duration LateSlack = std::chrono::seconds(1);
+constexpr int LateCountBeforeCold = 3;
+constexpr Duration ColdByEvidenceTime = std::chrono::seconds(10);
+
+constexpr std::array<const char *, 9> StateNames{
+    "usable", "leaving", "gone", "never_reported", "report_too_old", "excluded", "no_slots", "wrong_version", "loading",
+};
+
+} // namespace
+
+const char *tierName(Tier tier)
+{
+    return tier == Tier::Memory ? "memory" : "disk";
+}
+
+const char *sourceName(SourceKind kind)
+{
+    switch (kind) {
+    case SourceKind::Recompute:
+        return "recompute";
+    case SourceKind::TargetCache:
+        return "target_cache";
+    case SourceKind::StoreImport:
+        return "store_import";
+    }
+    return "unknown";
+}
+
+const char *targetStateName(TargetState state)
+{
+    return StateNames.at(static_cast<size_t>(state));
+}
+
+TargetIndex TargetTable::describe(const TargetDescription &description, Time now)
+{
+    const auto found = this->byName.find(description.name);
+    if (found != this->byName.end()) {
+        Target &target = this->at(found->second);
+        const bool returns = target.description.availability != TargetAvailability::Live && description.availability == TargetAvailability::Live;
+        target.description = description;
+        if (returns) {
+            target.rampActive = true;
+            target.warmSince = now;
+        }
+        return found->second;
+    }
+    const auto index = static_cast<TargetIndex>(this->targets.size());
+    Target target;
+    target.description = description;
+    target.prefillTokensPerSecond = DefaultPrefillRate;
+    this->targets.push_back(std::move(target));
+    this->byName.emplace(description.name, index);
+    this->byModel[description.model].push_back(index);
+    return index;
+}
+
+void TargetTable::markCold(Target &target, Time now)
+{
+    target.evictedBefore = now;
+    target.rampActive = true;
+    target.warmSince = now;
+}
+
+bool TargetTable::report(TargetIndex index, const TargetReport &report, Time now)
+{
+    Target &target = this->at(index);
+    const bool restarted = !target.report.boot.empty() && target.report.boot != report.boot;
+    if (restarted) {
+        this->markCold(target, now);
+        target.excludedUntil = Time(-1);
+        target.consecutiveFailures = 0;
+        logStateChange("target_restarted", {{"target", target.description.name}, {"boot", report.boot}});
+    }
+    if (report.cold) {
+        target.rampActive = true;
+        target.warmSince = now;
+    }
+    if (target.coldByEvidence && now - target.warmSince > ColdByEvidenceTime) {
+        target.coldByEvidence = false;
+        target.warmSince = now;
+    }
+    if (report.evictionAge >= Duration(0)) {
+        target.evictedBefore = std::max(target.evictedBefore, now - report.evictionAge);
+    }
+    if (report.prefillTokensPerSecond > 0 && target.reportedAt < Time(0)) {
+        target.prefillTokensPerSecond = report.prefillTokensPerSecond;
+    }
+    target.foreignInFlight = std::max<int64_t>(0, report.running - std::max(target.recentPeak, target.earlierPeak));
+    target.earlierPeak = target.recentPeak;
+    target.recentPeak = target.inFlight;
+    target.report = report;
+    target.reportedAt = now;
+    return restarted;
+}
+
+TargetState TargetTable::why(TargetIndex index, int64_t version, Time now) const
+{
+    const Target &target = this->at(index);
+    if (target.description.availability == TargetAvailability::Gone) {
+        return TargetState::Gone;
+    }
+    if (target.description.availability == TargetAvailability::Leaving) {
+        return TargetState::Leaving;
+    }
+    if (target.reportedAt < Time(0)) {
+        return TargetState::NeverReported;
+    }
+    if (now - target.reportedAt > ReportTooOldAfter) {
+        return TargetState::ReportTooOld;
+    }
+    if (now < target.excludedUntil || (target.consecutiveFailures >= FailuresBeforeExclusion && target.probing)) {
+        return TargetState::Excluded;
+    }
+    if (target.description.remote) {
+        return target.remoteSlots > 0 ? TargetState::Usable : TargetState::NoSlots;
+    }
+    if (target.report.loading) {
+        return TargetState::Loading;
+    }
+    if (version != 0 && target.report.version != 0 && target.report.version != version) {
+        return TargetState::WrongVersion;
+    }
+    return target.description.usableSlots > 0 ? TargetState::Usable : TargetState::NoSlots;
+}
+
+int64_t TargetTable::limit(TargetIndex index, Time now) const
+{
+    const Target &target = this->at(index);
+    if (target.description.remote) {
+        return target.remoteSlots;
+    }
+    const bool cold = target.report.cold || target.coldByEvidence;
+    int64_t limit = cold ? target.description.coldLimit : target.description.warmLimit;
+    if (!cold && target.rampActive) {
+        const auto steps = static_cast<int>(std::min<int64_t>((now - target.warmSince) / RampStep, MaxRampSteps));
+        limit = std::min(limit, std::max<int64_t>(1, target.description.coldLimit) << steps);
+    }
+    return std::min(limit, target.description.usableSlots);
+}
+
+void TargetTable::succeeded(TargetIndex index)
+{
+    Target &target = this->at(index);
+    target.consecutiveFailures = 0;
+    target.excludedUntil = Time(-1);
+    target.probing = false;
+}
+
+void TargetTable::failed(TargetIndex index, Time now)
+{
+    Target &target = this->at(index);
+    ++target.consecutiveFailures;
+    target.probing = false;
+    if (target.consecutiveFailures < FailuresBeforeExclusion) {
+        return;
+    }
+    const int doublings = std::min(target.consecutiveFailures - FailuresBeforeExclusion, MaxExclusionDoublings);
+    target.excludedUntil = now + std::min(FirstExclusion * (1 << doublings), LongestExclusion);
+    logStateChange("target_excluded", {{"target", target.description.name}, {"failures", std::to_string(target.consecutiveFailures)}});
+}
+
+bool TargetTable::firstToken(TargetIndex index, Duration predicted, Duration actual, int64_t computedTokens, Time now)
+{
+    Target &target = this->at(index);
+    const bool late = actual > predicted * LateFactor && actual > predicted + LateSlack;
+    if (!late) {
+        target.lateFirstTokens = 0;
+        if (computedTokens > 1000 && this->queuedTokens(index) <= computedTokens && toSeconds(actual) > 0) {
+            const double rate = static_cast<double>(computedTokens) / toSeconds(actual);
+            target.prefillTokensPerSecond += PrefillRateGain * (rate - target.prefillTokensPerSecond);
+        }
+        return false;
+    }
+    ++target.lateFirstTokens;
+    if (target.lateFirstTokens < LateCountBeforeCold || target.coldByEvidence) {
+        return false;
+    }
+    target.coldByEvidence = true;
+    target.lateFirstTokens = 0;
+    this->markCold(target, now);
+    logStateChange("target_cold_by_evidence", {{"target", target.description.name}});
+    return true;
+}
+
+int64_t TargetTable::queuedTokens(TargetIndex index) const
+{
+    const Target &target = this->at(index);
+    return target.description.remote ? target.remoteQueuedTokens : target.pendingTokens;
+}
+
+int64_t TargetTable::inFlight(TargetIndex index) const
+{
+    const Target &target = this->at(index);
+    return target.description.remote ? target.remoteInFlight : target.inFlight + target.foreignInFlight;
+}
+
+double TargetTable::prefillRate(TargetIndex index) const
+{
+    return std::max(this->at(index).prefillTokensPerSecond, 1.0);
+}
+
+TargetIndex TargetTable::find(const std::string &name) const
+{
+    const auto found = this->byName.find(name);
+    return found == this->byName.end() ? NoTarget : found->second;
+}
+
+const std::vector<TargetIndex> &TargetTable::serving(const std::string &model) const
+{
+    static const std::vector<TargetIndex> none;
+    const auto found = this->byModel.find(model);
+    return found == this->byModel.end() ? none : found->second;
+}
+
+} // namespace pimentosail
--- /dev/null
+++ b/pimentosail/idempotency/recordkeeper.cpp
@@ -0,0 +1,305 @@
+#include "pimentosail/idempotency/recordkeeper.h"
+
+#include <algorithm>
+
+#include "pimentosail/base/hash.h"
+#include "pimentosail/base/statelog.h"
+
+namespace pimentosail
+{
+
+namespace
+{
+
+// Shortest time between two writes of a shard while calls queue up.
+constexpr Duration WriteInterval = Milliseconds(50);
+constexpr size_t MaxBatch = 256;
+// The service holds values up to a megabyte; a batch stays well under it.
+constexpr size_t MaxBatchBytes = 512 * 1024;
+constexpr Duration WaitStep = Milliseconds(100);
+constexpr size_t ExpireAbove = 100'000;
+
+} // namespace
+
+int recordShardOf(const std::string &key)
+{
+    return static_cast<int>(stableHash(key) % RecordShardCount);
+}
+
+std::string recordRole(int shard)
+{
+    return "records/" + std::to_string(shard);
+}
+
+RecordKeeper::RecordKeeper(KeyValueStore keyValueStore, std::string hostName, Clock &runtimeClock, Duration recordRetention, MayAct mayActFor)
+    : store(std::move(keyValueStore))
+    , host(std::move(hostName))
+    , clock(runtimeClock)
+    , retention(recordRetention)
+    , mayAct(std::move(mayActFor))
+{
+    for (int index = 0; index < RecordShardCount; ++index) {
+        this->shards.push_back(std::make_unique<Shard>());
+    }
+}
+
+void RecordKeeper::checkMayAct(int number) const
+{
+    if (!this->mayAct(number)) {
+        throw Failure(ErrorKind::NotOwner, "this host does not own record shard " + std::to_string(number));
+    }
+}
+
+void RecordKeeper::dropLog(Shard &shard)
+{
+    if (shard.log) {
+        shard.writesBefore += shard.log->writes();
+    }
+    shard.log.reset();
+    // Calls that run in this process stay known until they end; the rest is read again at the next opening.
+    for (auto entry = shard.entries.begin(); entry != shard.entries.end();) {
+        entry = entry->second.running ? std::next(entry) : shard.entries.erase(entry);
+    }
+}
+
+void RecordKeeper::openLog(int number, Shard &shard)
+{
+    if (shard.log) {
+        return;
+    }
+    Result<RecordLog> opened = RecordLog::open(this->store, number, this->host, this->retention, this->clock.now());
+    if (!opened) {
+        throw Failure(opened.error());
+    }
+    shard.log = std::make_unique<RecordLog>(std::move(*opened));
+    for (CallRecord &record : shard.log->takeRecovered()) {
+        Entry &entry = shard.entries[record.key];
+        if (entry.running) {
+            continue;
+        }
+        entry.record = std::move(record);
+        entry.unsent = false;
+        entry.changedAt = this->clock.now();
+    }
+    logStateChange("records_opened", {{"shard", std::to_string(number)}, {"records", std::to_string(shard.entries.size())}});
+}
+
+void RecordKeeper::commitBatch(Shard &shard, Lock &lock)
+{
+    shard.committing = true;
+    const Duration sinceWrite = shard.lastWrite < Time(0) ? WriteInterval : this->clock.now() - shard.lastWrite;
+    if (sinceWrite < WriteInterval) {
+        lock.unlock();
+        this->clock.sleepFor(WriteInterval - sinceWrite);
+        lock.lock();
+    }
+    std::vector<CallRecord> batch;
+    std::vector<Commit *> commits;
+    size_t bytes = 0;
+    while (!shard.pending.empty() && batch.size() < MaxBatch && bytes < MaxBatchBytes) {
+        bytes += shard.pending.front().record.body.size();
+        commits.push_back(shard.pending.front().commit);
+        batch.push_back(std::move(shard.pending.front().record));
+        shard.pending.erase(shard.pending.begin());
+    }
+    RecordLog *log = shard.log.get();
+    lock.unlock();
+    std::optional<Error> failure;
+    try {
+        if (log == nullptr) {
+            throw Failure(ErrorKind::NotOwner, "the record log was closed");
+        }
+        log->append(batch, this->clock.now());
+    } catch (const Failure &thrown) {
+        failure = thrown.error;
+    }
+    lock.lock();
+    shard.lastWrite = this->clock.now();
+    for (Commit *commit : commits) {
+        commit->failure = failure;
+        commit->done = true;
+    }
+    if (failure && failure->kind == ErrorKind::NotOwner) {
+        this->dropLog(shard);
+    }
+    shard.committing = false;
+    shard.changed.notify_all();
+}
+
+void RecordKeeper::commit(Shard &shard, Lock &lock, const CallRecord &record)
+{
+    Commit commit;
+    shard.pending.push_back({record, &commit});
+    while (!commit.done) {
+        if (shard.committing) {
+            shard.changed.wait(lock);
+        } else {
+            this->commitBatch(shard, lock);
+        }
+    }
+    if (commit.failure) {
+        throw Failure(Error(commit.failure->kind, commit.failure->message, true));
+    }
+}
+
+std::optional<KeptAnswer> RecordKeeper::existing(Shard &shard, Lock &lock, const std::string &key, uint64_t bodyHash, Time deadline)
+{
+    while (true) {
+        const auto found = shard.entries.find(key);
+        if (found == shard.entries.end()) {
+            return std::nullopt;
+        }
+        const Entry &entry = found->second;
+        if (entry.record.state != CallState::Released && entry.record.bodyHash != bodyHash) {
+            throw Failure(ErrorKind::IdempotencyMismatch, "the idempotency key was used with another body");
+        }
+        switch (entry.record.state) {
+        case CallState::Released:
+            return std::nullopt;
+        case CallState::Done:
+            return KeptAnswer{entry.record.status, entry.record.contentType, entry.record.body, true};
+        case CallState::Unknown:
+            throw Failure(ErrorKind::OutcomeUnknown, "an earlier attempt may have run; it is not run again");
+        case CallState::Claimed:
+            break;
+        }
+        if (entry.unsent && !entry.running) {
+            return std::nullopt;
+        }
+        if (!entry.running) {
+            throw Failure(ErrorKind::OutcomeUnknown, "an earlier attempt on another host may have run; it is not run again");
+        }
+        if (this->clock.now() >= deadline) {
+            throw Failure(ErrorKind::InProgress, "the first attempt is still running");
+        }
+        shard.changed.wait_for(lock, WaitStep);
+    }
+}
+
+KeptAnswer RecordKeeper::run(int number, const std::string &key, uint64_t bodyHash, Time deadline, const Call &call)
+{
+    this->checkMayAct(number);
+    Shard &shard = *this->shards.at(static_cast<size_t>(number));
+    Lock lock(shard.mutex);
+    this->openLog(number, shard);
+    this->expire(shard);
+    if (std::optional<KeptAnswer> answer = this->existing(shard, lock, key, bodyHash, deadline)) {
+        return *answer;
+    }
+    Entry &entry = shard.entries[key];
+    entry.record = CallRecord{key, bodyHash, CallState::Claimed, this->host, Clock::wallMilliseconds(), 0, "", ""};
+    entry.running = true;
+    entry.unsent = true;
+    entry.changedAt = this->clock.now();
+    const CallRecord claim = entry.record;
+    try {
+        this->commit(shard, lock, claim);
+        // The commit may have taken long, or this process may have been paused: check again before the call leaves.
+        this->checkMayAct(number);
+    } catch (const Failure &failure) {
+        Entry &unsent = shard.entries[key];
+        unsent.running = false;
+        shard.changed.notify_all();
+        throw Failure(Error(failure.error.kind, failure.error.message, true));
+    }
+    shard.entries[key].unsent = false;
+    lock.unlock();
+    return this->finish(shard, key, call);
+}
+
+KeptAnswer RecordKeeper::finish(Shard &shard, const std::string &key, const Call &call)
+{
+    std::optional<Error> failure;
+    KeptAnswer answer;
+    try {
+        answer = call();
+    } catch (const Failure &thrown) {
+        failure = thrown.error;
+    }
+    Lock lock(shard.mutex);
+    Entry &entry = shard.entries[key];
+    entry.running = false;
+    entry.changedAt = this->clock.now();
+    if (!failure) {
+        entry.record.state = CallState::Done;
+        entry.record.status = answer.status;
+        entry.record.contentType = answer.contentType;
+        entry.record.body = answer.body;
+    } else {
+        entry.record.state = failure->notRun ? CallState::Released : CallState::Unknown;
+    }
+    const CallRecord record = entry.record;
+    shard.changed.notify_all();
+    this->settle(shard, lock, record);
+    if (failure) {
+        const ErrorKind kind = failure->notRun ? failure->kind : ErrorKind::OutcomeUnknown;
+        throw Failure(Error(kind, failure->message, failure->notRun));
+    }
+    return answer;
+}
+
+// Makes an outcome durable; if that fails the caller still gets the true answer, and `flush` tries again.
+void RecordKeeper::settle(Shard &shard, Lock &lock, const CallRecord &record)
+{
+    try {
+        this->commit(shard, lock, record);
+    } catch (const Failure &failure) {
+        if (failure.error.kind != ErrorKind::NotOwner) {
+            shard.unwritten.push_back(record);
+        }
+    }
+}
+
+void RecordKeeper::flush()
+{
+    for (int number = 0; number < RecordShardCount; ++number) {
+        Shard &shard = *this->shards[static_cast<size_t>(number)];
+        Lock lock(shard.mutex);
+        if (!this->mayAct(number)) {
+            if (shard.log && !shard.committing) {
+                this->dropLog(shard);
+                shard.unwritten.clear();
+            }
+            continue;
+        }
+        std::vector<CallRecord> unwritten = std::move(shard.unwritten);
+        shard.unwritten.clear();
+        for (const CallRecord &record : unwritten) {
+            this->settle(shard, lock, record);
+        }
+    }
+}
+
+void RecordKeeper::expire(Shard &shard)
+{
+    if (shard.entries.size() < ExpireAbove) {
+        return;
+    }
+    const Time now = this->clock.now();
+    for (auto entry = shard.entries.begin(); entry != shard.entries.end();) {
+        const bool old = !entry->second.running && now - entry->second.changedAt > this->retention;
+        entry = old ? shard.entries.erase(entry) : std::next(entry);
+    }
+}
+
+size_t RecordKeeper::recordCount()
+{
+    size_t total = 0;
+    for (const std::unique_ptr<Shard> &shard : this->shards) {
+        const Lock lock(shard->mutex);
+        total += shard->entries.size();
+    }
+    return total;
+}
+
+long RecordKeeper::writeCount()
+{
+    long total = 0;
+    for (const std::unique_ptr<Shard> &shard : this->shards) {
+        const Lock lock(shard->mutex);
+        total += shard->writesBefore + (shard->log ? shard->log->writes() : 0);
+    }
+    return total;
+}
+
+} // namespace pimentosail
--- /dev/null
+++ b/pimentosail/kv/etcdclient.h
@@ -0,0 +1,41 @@
+// Internal to the kv library: the etcd v3 JSON dialect over HTTP. Use `KeyValueStore`.
+#pragma once
+
+#include <atomic>
+
+#include <json/value.h>
+
+#include "pimentosail/kv/keyvaluestore.h"
+#include "pimentosail/net/httpclient.h"
+
+namespace pimentosail
+{
+
+class EtcdClient
+{
+public:
+    EtcdClient(std::vector<std::string> serviceAddresses, Duration callTimeout);
+
+    // The operations of `KeyValueStore`.
+    std::optional<KeyValue> get(const std::string &key);
+    std::vector<KeyValue> list(const std::string &prefix);
+    SwapOutcome compareAndSwap(const std::string &key, int64_t expectedRevision, const std::string &value, int64_t lease);
+    int64_t grantLease(Duration ttl);
+    bool keepAlive(int64_t lease);
+    void revokeLease(int64_t lease);
+    std::optional<KeyValue> waitForChange(const std::string &key, int64_t afterRevision, Duration wait);
+
+private:
+    Json::Value post(const std::string &path, const Json::Value &body);
+
+    std::vector<std::string> addresses;
+    Duration timeout;
+    std::atomic<size_t> preferred{0};
+    HttpClient client;
+};
+
+// Encodes bytes as base64 without line breaks, and back.
+std::string encodeBase64(const std::string &bytes);
+std::string decodeBase64(const std::string &text);
+
+} // namespace pimentosail
--- /dev/null
+++ b/pimentosail/membership/membership.cpp
@@ -0,0 +1,308 @@
+#include "pimentosail/membership/membership.h"
+
+#include <algorithm>
+
+#include "pimentosail/base/hash.h"
+
+namespace pimentosail
+{
+
+namespace
+{
+
+constexpr size_t MaxEpochs = 64;
+
+bool contains(const std::vector<std::string> &names, const std::string &name)
+{
+    return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+bool hasLeaseOf(const std::vector<HostLease> &leases, const Member &member)
+{
+    return std::any_of(leases.begin(), leases.end(), [&member](const HostLease &lease) { return lease.member.name == member.name; });
+}
+
+} // namespace
+
+const char *standingName(Standing standing)
+{
+    switch (standing) {
+    case Standing::NotOwner:
+        return "not_owner";
+    case Standing::Settling:
+        return "settling";
+    case Standing::Owner:
+        return "owner";
+    case Standing::Share:
+        return "share";
+    }
+    return "unknown";
+}
+
+Membership::Membership(Member selfMember, MembershipTimings memberTimings)
+    : self(std::move(selfMember))
+    , timings(memberTimings)
+{
+}
+
+Duration Membership::longestAuthority() const
+{
+    return this->timings.leaseTtl + 2 * this->timings.heartbeatFresh;
+}
+
+void Membership::adopt(const View &next, Time now)
+{
+    if (next.generation <= this->current.generation) {
+        return;
+    }
+    const bool contiguous = next.generation == this->current.generation + 1;
+    if (!contiguous) {
+        // Generations were missed, so that their owners are unknown: every owner may be an old one.
+        this->epochs.clear();
+    }
+    this->current = next;
+    this->epochs.push_back({next.generation, now, next.names()});
+    if (this->epochs.size() > MaxEpochs) {
+        this->epochs.erase(this->epochs.begin());
+    }
+}
+
+void Membership::confirmedByStore(Time roundStart, const View &view, Time now)
+{
+    if (view.generation < this->current.generation) {
+        return;
+    }
+    if (this->startedAt < Time(0)) {
+        this->startedAt = now;
+    }
+    this->adopt(view, now);
+    this->confirmedAt = std::max(this->confirmedAt, roundStart);
+}
+
+void Membership::learnView(const View &view, Time now)
+{
+    this->adopt(view, now);
+}
+
+void Membership::heard(const MemberReport &report, Time now)
+{
+    Peer &peer = this->peers[report.from];
+    peer.lastHeard = now;
+    peer.generation = std::max(peer.generation, report.generation);
+    peer.draining = report.draining;
+    if (report.echoAge >= Duration(0)) {
+        peer.echoAt = std::max(peer.echoAt, now - report.echoAge);
+    }
+}
+
+bool Membership::hasLease(Time now) const
+{
+    const bool inView = this->current.find(this->self.name) != nullptr;
+    return inView && this->confirmedAt >= Time(0) && now < this->confirmedAt + this->timings.leaseTtl - this->timings.leaseMargin;
+}
+
+bool Membership::confirmedByPeers(Time now) const
+{
+    if (this->current.members.size() < 2 || this->current.find(this->self.name) == nullptr) {
+        return false;
+    }
+    for (const Member &member : this->current.members) {
+        if (member.name == this->self.name) {
+            continue;
+        }
+        const auto found = this->peers.find(member.name);
+        if (found == this->peers.end()) {
+            return false;
+        }
+        const Peer &peer = found->second;
+        const bool heardLately = peer.lastHeard >= Time(0) && now - peer.lastHeard < this->timings.heartbeatFresh;
+        const bool heardUsLately = peer.echoAt >= Time(0) && now - peer.echoAt < this->timings.heartbeatFresh;
+        if (!heardLately || !heardUsLately || peer.generation != this->current.generation) {
+            return false;
+        }
+    }
+    return true;
+}
+
+bool Membership::hasAuthority(Time now) const
+{
+    return this->hasLease(now) || this->confirmedByPeers(now);
+}
+
+bool Membership::oldOwnerStopped(const std::string &owner, const Epoch &epoch, Time now) const
+{
+    if (owner.empty() || owner == this->self.name) {
+        return true;
+    }
+    const auto found = this->peers.find(owner);
+    const bool acknowledged = found != this->peers.end() && found->second.generation >= epoch.generation;
+    return acknowledged || now - epoch.seenAt >= this->longestAuthority();
+}
+
+Standing Membership::standing(const std::string &role, Time now) const
+{
+    const bool authority = this->hasAuthority(now);
+    if (this->current.ownerOf(role) != this->self.name) {
+        return authority ? Standing::NotOwner : Standing::Share;
+    }
+    if (!authority) {
+        return Standing::Share;
+    }
+    // Members that are no longer in the view had lost their authority before they were removed.
+    if (this->allAcknowledged()) {
+        return Standing::Owner;
+    }
+    // Walks back while this host owned the role: each change of owner must have settled.
+    for (size_t index = this->epochs.size(); index-- > 0;) {
+        const Epoch &epoch = this->epochs[index];
+        if (rendezvousOwner(role, epoch.members) != this->self.name) {
+            return Standing::Owner;
+        }
+        if (epoch.generation == 1) {
+            return Standing::Owner;
+        }
+        const bool previousKnown = index > 0;
+        if (!previousKnown) {
+            return now - epoch.seenAt >= this->longestAuthority() ? Standing::Owner : Standing::Settling;
+        }
+        if (!this->oldOwnerStopped(rendezvousOwner(role, this->epochs[index - 1].members), epoch, now)) {
+            return Standing::Settling;
+        }
+    }
+    return Standing::Owner;
+}
+
+int64_t Membership::ghostShare(const std::string &role, int64_t limit) const
+{
+    int64_t total = 0;
+    for (const Ghost &ghost : this->current.ghosts) {
+        total += fallbackShare(role, limit, ghost.name, ghost.knownMembers);
+    }
+    return std::min(total, limit);
+}
+
+int64_t Membership::usable(const std::string &role, int64_t limit, bool ownerUnconfirmed, Time now) const
+{
+    switch (this->standing(role, now)) {
+    case Standing::NotOwner:
+    case Standing::Settling:
+        return 0;
+    case Standing::Owner:
+        return limit - this->ghostShare(role, limit);
+    case Standing::Share:
+        break;
+    }
+    const std::string owner = this->current.ownerOf(role);
+    if (owner.empty()) {
+        return 0;
+    }
+    const Duration ownerAge = this->heardAge(owner, now);
+    const bool ownerSilent = this->confirmedAt >= Time(0) && now - this->confirmedAt > 2 * this->longestAuthority()
+        && (ownerAge < Duration(0) || ownerAge > 2 * this->longestAuthority());
+    const bool mayUse = owner == this->self.name || ownerUnconfirmed || ownerSilent;
+    return mayUse ? fallbackShare(role, limit, this->self.name, this->current.names()) : 0;
+}
+
+bool Membership::isHeard(const std::string &name, Time now) const
+{
+    const Duration age = this->heardAge(name, now);
+    return age >= Duration(0) && age < this->timings.heartbeatFresh;
+}
+
+bool Membership::isDraining(const std::string &name) const
+{
+    const auto found = this->peers.find(name);
+    return found != this->peers.end() && found->second.draining;
+}
+
+Duration Membership::heardAge(const std::string &name, Time now) const
+{
+    if (name == this->self.name) {
+        return Duration(0);
+    }
+    const auto found = this->peers.find(name);
+    if (found == this->peers.end() || found->second.lastHeard < Time(0)) {
+        return Duration(-1);
+    }
+    return now - found->second.lastHeard;
+}
+
+bool Membership::allAcknowledged() const
+{
+    return std::all_of(this->current.members.begin(), this->current.members.end(), [this](const Member &member) {
+        const auto found = this->peers.find(member.name);
+        return member.name == this->self.name || (found != this->peers.end() && found->second.generation >= this->current.generation);
+    });
+}
+
+bool Membership::mayRemove(const Member &member, const std::vector<HostLease> &leases, const std::optional<std::vector<std::string>> &listedHosts, Time now) const
+{
+    if (member.name == this->self.name || hasLeaseOf(leases, member)) {
+        return false;
+    }
+    const Member *me = this->current.find(this->self.name);
+    if (me == nullptr) {
+        return false;
+    }
+    const Duration age = this->heardAge(member.name, now);
+    const Duration silence = age < Duration(0) ? now - this->startedAt : age;
+    const bool silent = silence > this->timings.silentBeforeRemoval;
+    const bool unlisted = listedHosts && !contains(*listedHosts, member.name);
+    return silent && (me->established || unlisted);
+}
+
+std::optional<View> Membership::propose(const std::vector<HostLease> &leases, const std::optional<std::vector<std::string>> &listedHosts, Time now) const
+{
+    View next = this->current;
+    bool changed = false;
+    const auto mine = std::find_if(next.members.begin(), next.members.end(), [this](const Member &member) { return member.name == this->self.name; });
+    if (mine == next.members.end()) {
+        Member joining = this->self;
+        joining.established = next.members.empty();
+        next.members.push_back(joining);
+        changed = true;
+    } else if (mine->boot != this->self.boot) {
+        const bool wasEstablished = mine->established;
+        *mine = this->self;
+        mine->established = wasEstablished;
+        changed = true;
+    } else if (!mine->established && this->allAcknowledged()) {
+        mine->established = true;
+        changed = true;
+    }
+    const std::vector<std::string> knownMembers = this->current.names();
+    for (const Member &member : this->current.members) {
+        if (!this->mayRemove(member, leases, listedHosts, now)) {
+            continue;
+        }
+        next.members.erase(std::find_if(next.members.begin(), next.members.end(), [&member](const Member &other) { return other.name == member.name; }));
+        next.ghosts.push_back({member.name, knownMembers});
+        changed = true;
+    }
+    const auto forgotten = std::remove_if(next.ghosts.begin(), next.ghosts.end(), [&](const Ghost &ghost) {
+        const bool returned = next.find(ghost.name) != nullptr;
+        return returned || (listedHosts && !contains(*listedHosts, ghost.name));
+    });
+    if (forgotten != next.ghosts.end()) {
+        next.ghosts.erase(forgotten, next.ghosts.end());
+        changed = true;
+    }
+    if (!changed) {
+        return std::nullopt;
+    }
+    next.generation = this->current.generation + 1;
+    next.nonce = randomId();
+    return next;
+}
+
+View Membership::withoutSelf() const
+{
+    View next = this->current;
+    next.generation = this->current.generation + 1;
+    next.nonce = randomId();
+    next.members.erase(std::remove_if(next.members.begin(), next.members.end(), [this](const Member &member) { return member.name == this->self.name; }),
+                       next.members.end());
+    return next;
+}
+
+} // namespace pimentosail
--- /dev/null
+++ b/pimentosail/peer/rpcserver.h
@@ -0,0 +1,36 @@
+// Serves JSON-RPC calls of peers through libjsonrpccpp; the transport is the caller's (here: POST /rpc).
+//
+//     RpcServer server({{"configuration", [](const Json::Value &args) { return document; }}});
+//     std::string answer = server.handle(requestText);
+//
+// Thread-safe if the handlers are.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include <json/value.h>
+
+namespace pimentosail
+{
+
+// Handles one method. A thrown `Failure` reaches the caller with its kind and notRun.
+using RpcHandler = std::function<Json::Value(const Json::Value &arguments)>;
+
+class RpcServer
+{
+public:
+    explicit RpcServer(std::map<std::string, RpcHandler> methodHandlers);
+    ~RpcServer();
+
+    // Handles one request text; returns the answer text.
+    std::string handle(const std::string &request);
+
+private:
+    class Implementation;
+    std::unique_ptr<Implementation> implementation;
+};
+
+} // namespace pimentosail
--- /dev/null
+++ b/pimentosail/serve/httpserver.cpp
@@ -0,0 +1,245 @@
+#include "pimentosail/serve/httpserver.h"
+
+#include <algorithm>
+#include <array>
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPRequestHandler.h>
+#include <Poco/Net/HTTPRequestHandlerFactory.h>
+#include <Poco/Net/HTTPServerParams.h>
+#include <Poco/Net/HTTPServerRequestImpl.h>
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/URI.h>
+
+#include "pimentosail/base/json.h"
+#include "pimentosail/base/statelog.h"
+
+namespace pimentosail
+{
+
+namespace
+{
+
+constexpr int Backlog = 256;
+constexpr int MinThreads = 4;
+// Longest silence of a caller within its request.
+constexpr long ReceiveTimeoutSeconds = 10;
+constexpr long KeepAliveSeconds = 30;
+constexpr size_t ReadBlock = 16 * 1024;
+
+class FunctionHandler : public Poco::Net::HTTPRequestHandler
+{
+public:
+    FunctionHandler(const HttpServer::Handler &requestHandler, std::atomic<long> &activeCount)
+        : handler(requestHandler)
+        , active(activeCount)
+    {
+    }
+
+    void handleRequest(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response) override
+    {
+        this->active.fetch_add(1);
+        try {
+            HttpExchange exchange(request, response);
+            this->handler(exchange);
+        } catch (const Poco::Exception &) {
+            // The connection broke; nobody is there to be told.
+            response.setKeepAlive(false);
+        } catch (const std::exception &exception) {
+            logStateChange("handler_failed", {{"reason", exception.what()}});
+            response.setKeepAlive(false);
+        }
+        this->active.fetch_sub(1);
+    }
+
+private:
+    const HttpServer::Handler &handler;
+    std::atomic<long> &active;
+};
+
+} // namespace
+
+class HttpServer::Factory : public Poco::Net::HTTPRequestHandlerFactory
+{
+public:
+    Factory(Handler requestHandler, std::atomic<long> &activeCount)
+        : handler(std::move(requestHandler))
+        , active(activeCount)
+    {
+    }
+
+    Poco::Net::HTTPRequestHandler *createRequestHandler(const Poco::Net::HTTPServerRequest & /*request*/) override
+    {
+        // POCO takes ownership.
+        return new FunctionHandler(this->handler, this->active);
+    }
+
+private:
+    Handler handler;
+    std::atomic<long> &active;
+};
+
+std::string HttpExchange::path() const
+{
+    try {
+        return Poco::URI(this->request.getURI()).getPath();
+    } catch (const Poco::Exception &) {
+        throw Failure(ErrorKind::BadRequest, "malformed request path");
+    }
+}
+
+std::string HttpExchange::query(const std::string &name) const
+{
+    const Poco::URI uri(this->request.getURI());
+    for (const auto &[key, value] : uri.getQueryParameters()) {
+        if (key == name) {
+            return value;
+        }
+    }
+    return {};
+}
+
+std::string HttpExchange::header(const std::string &name) const
+{
+    return this->request.get(name, "");
+}
+
+std::string HttpExchange::readBody(int64_t limit, Clock &clock, Duration timeout)
+{
+    if (this->request.hasContentLength() && this->request.getContentLength64() > limit) {
+        this->response.setKeepAlive(false);
+        throw Failure(ErrorKind::BodyTooLarge, "the body is larger than " + std::to_string(limit) + " bytes");
+    }
+    const Time end = clock.now() + timeout;
+    std::string body;
+    std::array<char, ReadBlock> block{};
+    std::istream &in = this->request.stream();
+    try {
+        while (in.good()) {
+            in.read(block.data(), block.size());
+            body.append(block.data(), static_cast<size_t>(in.gcount()));
+            if (static_cast<int64_t>(body.size()) > limit) {
+                this->response.setKeepAlive(false);
+                throw Failure(ErrorKind::BodyTooLarge, "the body is larger than " + std::to_string(limit) + " bytes");
+            }
+            if (clock.now() > end) {
+                this->response.setKeepAlive(false);
+                throw Failure(ErrorKind::RequestTimeout, "the request took too long to arrive");
+            }
+        }
+    } catch (const Poco::TimeoutException &) {
+        this->response.setKeepAlive(false);
+        throw Failure(ErrorKind::RequestTimeout, "the request took too long to arrive");
+    }
+    if (this->request.hasContentLength() && static_cast<int64_t>(body.size()) < this->request.getContentLength64()) {
+        this->response.setKeepAlive(false);
+        throw Failure(ErrorKind::BadRequest, "the body was cut off");
+    }
+    return body;
+}
+
+void HttpExchange::setHeader(const std::string &name, const std::string &value)
+{
+    this->response.set(name, value);
+}
+
+void HttpExchange::send(int status, const std::string &contentType, const std::string &body)
+{
+    this->response.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
+    this->response.setReason(Poco::Net::HTTPResponse::getReasonForStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status)));
+    this->response.setContentType(contentType);
+    this->response.setContentLength64(static_cast<Poco::Int64>(body.size()));
+    std::ostream &out = this->response.send();
+    out.write(body.data(), static_cast<std::streamsize>(body.size()));
+    out.flush();
+}
+
+void HttpExchange::sendJson(int status, const Json::Value &value)
+{
+    this->send(status, "application/json", printJson(value) + "\n");
+}
+
+Json::Value errorBody(const Error &error, const std::string &requestId)
+{
+    Json::Value value;
+    value["error"]["kind"] = std::string(errorName(error.kind));
+    value["error"]["message"] = error.message;
+    value["error"]["not_run"] = error.notRun;
+    value["error"]["request_id"] = requestId;
+    return value;
+}
+
+void HttpExchange::sendError(const Error &error, const std::string &requestId)
+{
+    const ErrorAnswer &answer = answerFor(error.kind);
+    if (answer.retryAfterSeconds > 0) {
+        this->response.set("Retry-After", std::to_string(answer.retryAfterSeconds));
+    }
+    this->sendJson(answer.httpStatus, errorBody(error, requestId));
+}
+
+void HttpExchange::startStream(const std::string &contentType)
+{
+    this->response.setStatus(Poco::Net::HTTPResponse::HTTP_OK);
+    this->response.setContentType(contentType);
+    this->response.setChunkedTransferEncoding(true);
+    this->response.set("Cache-Control", "no-store");
+    this->stream = &this->response.send();
+}
+
+void HttpExchange::write(const std::string &data)
+{
+    try {
+        this->stream->write(data.data(), static_cast<std::streamsize>(data.size()));
+        this->stream->flush();
+    } catch (const Poco::Exception &) {
+        this->stream->setstate(std::ios::badbit);
+    }
+    if (!this->stream->good()) {
+        throw Failure(ErrorKind::Cancelled, "the caller has gone");
+    }
+}
+
+bool HttpExchange::isCallerGone()
+{
+    auto *implementation = dynamic_cast<Poco::Net::HTTPServerRequestImpl *>(&this->request);
+    if (implementation == nullptr) {
+        return false;
+    }
+    try {
+        Poco::Net::StreamSocket &socket = implementation->socket();
+        return socket.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ) && socket.available() == 0;
+    } catch (const Poco::Exception &) {
+        return true;
+    }
+}
+
+HttpServer::HttpServer(const std::string &address, int64_t maxConnections, Handler requestHandler)
+    : pool(MinThreads, static_cast<int>(maxConnections) + MinThreads)
+{
+    const Poco::Net::ServerSocket socket(Poco::Net::SocketAddress(address), Backlog);
+    auto *params = new Poco::Net::HTTPServerParams();
+    params->setMaxThreads(static_cast<int>(maxConnections));
+    params->setMaxQueued(static_cast<int>(maxConnections));
+    params->setTimeout(Poco::Timespan(ReceiveTimeoutSeconds, 0));
+    params->setKeepAliveTimeout(Poco::Timespan(KeepAliveSeconds, 0));
+    this->server = std::make_unique<Poco::Net::HTTPServer>(new Factory(std::move(requestHandler), this->active), this->pool, socket, params);
+}
+
+HttpServer::~HttpServer()
+{
+    this->stop();
+}
+
+void HttpServer::start()
+{
+    this->server->start();
+}
+
+void HttpServer::stop()
+{
+    this->server->stopAll(true);
+}
+
+} // namespace pimentosail
--- /dev/null
+++ b/pimentosail/serve/httpserver.h
@@ -0,0 +1,114 @@
+// A POCO HTTP server with a thread pool of its own, bounded by settings, that calls one function for each request.
+//
+//     HttpServer server("127.0.0.1:8080", 600, [](HttpExchange &exchange) { exchange.sendJson(200, value); });
+//     server.start();
+//
+// The handler runs on a thread of the pool for the length of its request.
+#pragma once
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <Poco/Net/HTTPServer.h>
+#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/ThreadPool.h>
+#include <json/value.h>
+
+#include "pimentosail/base/clock.h"
+#include "pimentosail/base/error.h"
+
+namespace pimentosail
+{
+
+// One request and its answer. Lives for the length of the handler's call.
+class HttpExchange
+{
+public:
+    HttpExchange(Poco::Net::HTTPServerRequest &serverRequest, Poco::Net::HTTPServerResponse &serverResponse)
+        : request(serverRequest)
+        , response(serverResponse)
+    {
+    }
+
+    const std::string &method() const
+    {
+        return this->request.getMethod();
+    }
+
+    // Returns the path without its query.
+    std::string path() const;
+
+    // Returns a query parameter, or an empty string.
+    std::string query(const std::string &name) const;
+
+    // Returns a header, or an empty string.
+    std::string header(const std::string &name) const;
+
+    // Reads the body. Throws `Failure`: BodyTooLarge over `limit` bytes, RequestTimeout after `timeout`, BadRequest if
+    // it is cut off.
+    std::string readBody(int64_t limit, Clock &clock, Duration timeout);
+
+    // Sets a header of the answer.
+    void setHeader(const std::string &name, const std::string &value);
+
+    // Sends a whole answer.
+    void send(int status, const std::string &contentType, const std::string &body);
+    void sendJson(int status, const Json::Value &value);
+
+    // Sends the body of the closed list for `error`.
+    void sendError(const Error &error, const std::string &requestId);
+
+    // Starts a streamed answer; `write` adds to it. Throws `Failure` (Cancelled) once the caller has gone.
+    void startStream(const std::string &contentType);
+    void write(const std::string &data);
+
+    // Returns true if a head was sent.
+    bool isSent() const
+    {
+        return this->response.sent();
+    }
+
+    // Returns true if the caller has closed its connection.
+    bool isCallerGone();
+
+private:
+    Poco::Net::HTTPServerRequest &request;
+    Poco::Net::HTTPServerResponse &response;
+    std::ostream *stream = nullptr;
+};
+
+class HttpServer
+{
+public:
+    using Handler = std::function<void(HttpExchange &exchange)>;
+
+    // Binds to `address`; throws `Poco::Exception` if it is taken. Serves nothing before `start`.
+    HttpServer(const std::string &address, int64_t maxConnections, Handler requestHandler);
+    ~HttpServer();
+
+    void start();
+
+    // Stops accepting connections and waits for running handlers.
+    void stop();
+
+    // Returns the number of handlers that run.
+    long running() const
+    {
+        return this->active.load();
+    }
+
+private:
+    class Factory;
+
+    std::atomic<long> active{0};
+    Poco::ThreadPool pool;
+    std::unique_ptr<Poco::Net::HTTPServer> server;
+};
+
+// Returns the JSON body for `error`.
+Json::Value errorBody(const Error &error, const std::string &requestId);
+
+} // namespace pimentosail
--- /dev/null
+++ b/pimentosail/serve/membershipduty.cpp
@@ -0,0 +1,408 @@
+#include "pimentosail/serve/membershipduty.h"
+
+#include <algorithm>
+
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketAddress.h>
+
+#include "pimentosail/base/error.h"
+#include "pimentosail/base/hash.h"
+#include "pimentosail/base/json.h"
+#include "pimentosail/base/statelog.h"
+
+namespace pimentosail
+{
+
+namespace
+{
+
+constexpr const char *ViewKey = "membership/view";
+constexpr const char *HostPrefix = "membership/hosts/";
+constexpr int RoundsPerLease = 4;
+// Lease renewals of the whole fleet stay under this rate, so that a large fleet gets longer leases.
+constexpr double MaxRenewalsPerSecond = 100;
+constexpr int MaxDatagramBytes = 60'000;
+constexpr Duration ReceiveWait = Milliseconds(100);
+// UDP and IP header bytes, counted against the control budget.
+constexpr size_t DatagramOverhead = 28;
+
+MembershipTimings timingsFor(const Settings &settings)
+{
+    MembershipTimings timings;
+    timings.leaseTtl = settings.leaseTtl;
+    timings.leaseMargin = settings.leaseTtl / 5;
+    timings.heartbeatFresh = settings.heartbeatInterval * 3 + Milliseconds(100);
+    timings.silentBeforeRemoval = timings.heartbeatFresh * 2 + settings.heartbeatInterval;
+    return timings;
+}
+
+Json::Value toJson(const Member &member)
+{
+    Json::Value value;
+    value["name"] = member.name;
+    value["zone"] = member.zone;
+    value["address"] = member.address;
+    value["boot"] = member.boot;
+    return value;
+}
+
+Member memberFromJson(const Json::Value &value)
+{
+    return {jsonString(value, "name"), jsonString(value, "zone"), jsonString(value, "address"), jsonString(value, "boot"), false};
+}
+
+} // namespace
+
+MembershipDuty::MembershipDuty(Clock &runtimeClock, KeyValueStore keyValueStore, Member selfMember, const Settings &settings, MembershipHooks processHooks)
+    : clock(runtimeClock)
+    , store(std::move(keyValueStore))
+    , me(selfMember)
+    , timings(timingsFor(settings))
+    , heartbeatInterval(settings.heartbeatInterval)
+    , controlBytesPerSecond(settings.controlBytesPerSecond)
+    , seeds(settings.peers)
+    , hooks(std::move(processHooks))
+    , membership(std::move(selfMember), this->timings)
+    , socket(Poco::Net::SocketAddress(settings.internal), true)
+    , rounds("membership", [this] { this->runRounds(); })
+    , sender("heartbeat-send", [this] { this->runSender(); })
+    , receiver("heartbeat-receive", [this] { this->runReceiver(); })
+{
+}
+
+void MembershipDuty::start()
+{
+    this->receiver.start();
+    this->sender.start();
+    this->rounds.start();
+}
+
+void MembershipDuty::stop()
+{
+    this->stopping.store(true);
+    this->rounds.join();
+    this->sender.join();
+    this->receiver.join();
+}
+
+void MembershipDuty::setDraining()
+{
+    this->draining.store(true);
+}
+
+void MembershipDuty::runRounds()
+{
+    while (!this->stopping.load()) {
+        if (!this->leaving.load()) {
+            this->round();
+        }
+        size_t members = 0;
+        {
+            const std::lock_guard lock(this->mutex);
+            members = this->membership.view().members.size();
+        }
+        const Duration byLease = this->timings.leaseTtl / RoundsPerLease;
+        const Duration byFleet = fromSeconds(static_cast<double>(members) / MaxRenewalsPerSecond);
+        this->clock.sleepFor(std::max(byLease, byFleet));
+    }
+}
+
+void MembershipDuty::renewLease()
+{
+    if (this->lease != 0 && this->store.keepAlive(this->lease)) {
+        return;
+    }
+    this->lease = this->store.grantLease(this->timings.leaseTtl);
+    const std::string key = HostPrefix + this->me.name;
+    const std::optional<KeyValue> old = this->store.get(key);
+    Json::Value value = toJson(this->me);
+    value["nonce"] = randomId();
+    const SwapOutcome outcome = settleSwap(this->store, key, old ? old->modRevision : 0, printJson(value), this->lease);
+    if (!outcome.swapped) {
+        this->lease = 0;
+        throw Failure(ErrorKind::KeyValueUnavailable, "the lease key of this host is contended");
+    }
+}
+
+View MembershipDuty::readView()
+{
+    const std::optional<KeyValue> stored = this->store.get(ViewKey);
+    if (!stored) {
+        this->viewRevision = 0;
+        return View();
+    }
+    Result<View> view = View::fromDocument(stored->value);
+    if (!view) {
+        throw Failure(view.error());
+    }
+    this->viewRevision = stored->modRevision;
+    return *view;
+}
+
+void MembershipDuty::round()
+{
+    try {
+        const Time start = this->clock.now();
+        this->renewLease();
+        const View current = this->readView();
+        {
+            const std::lock_guard lock(this->mutex);
+            this->membership.confirmedByStore(start, current, this->clock.now());
+        }
+        this->proposeChange(current);
+    } catch (const Failure &) {
+        // Learns of a newer view from peers, which confirms nothing but stops this host from acting on an old one.
+        for (const std::string &address : this->peerAddresses()) {
+            if (const std::optional<View> view = this->hooks.fetchView(address)) {
+                this->learnView(*view);
+                break;
+            }
+        }
+    }
+    this->noteAuthority();
+}
+
+void MembershipDuty::proposeChange(const View &current)
+{
+    {
+        const std::lock_guard lock(this->mutex);
+        if (this->membership.view().generation != current.generation) {
+            return;
+        }
+    }
+    std::vector<HostLease> leases;
+    for (const KeyValue &entry : this->store.list(HostPrefix)) {
+        leases.push_back({memberFromJson(parseJson(entry.value))});
+    }
+    const std::optional<std::vector<std::string>> listed = this->hooks.listedHosts();
+    std::optional<View> next;
+    {
+        const std::lock_guard lock(this->mutex);
+        next = this->membership.propose(leases, listed, this->clock.now());
+    }
+    if (!next || this->leaving.load()) {
+        return;
+    }
+    const Time start = this->clock.now();
+    const SwapOutcome outcome = settleSwap(this->store, ViewKey, this->viewRevision, next->toDocument(), 0);
+    if (outcome.swapped) {
+        logStateChange("view_written", {{"generation", std::to_string(next->generation)}, {"members", std::to_string(next->members.size())}});
+        const std::lock_guard lock(this->mutex);
+        this->membership.confirmedByStore(start, *next, this->clock.now());
+    }
+}
+
+void MembershipDuty::noteAuthority()
+{
+    const bool authority = this->hasAuthority();
+    if (authority != this->hadAuthority) {
+        logStateChange("authority", {{"confirmed", authority ? "true" : "false"}});
+        this->hadAuthority = authority;
+    }
+}
+
+void MembershipDuty::leave()
+{
+    this->leaving.store(true);
+    constexpr int Attempts = 5;
+    for (int attempt = 0; attempt < Attempts; ++attempt) {
+        try {
+            const View current = this->readView();
+            View next;
+            {
+                const std::lock_guard lock(this->mutex);
+                this->membership.learnView(current, this->clock.now());
+                if (this->membership.view().find(this->me.name) == nullptr) {
+                    break;
+                }
+                next = this->membership.withoutSelf();
+            }
+            if (settleSwap(this->store, ViewKey, this->viewRevision, next.toDocument(), 0).swapped) {
+                this->learnView(next);
+                this->sendHeartbeats();
+                break;
+            }
+        } catch (const Failure &failure) {
+            logStateChange("leave_failed", {{"reason", failure.what()}});
+        }
+    }
+    try {
+        if (this->lease != 0) {
+            this->store.revokeLease(this->lease);
+        }
+    } catch (const Failure &) {
+        // The lease ends by itself.
+    }
+}
+
+void MembershipDuty::runSender()
+{
+    while (!this->stopping.load()) {
+        this->sendHeartbeats();
+        this->clock.sleepFor(this->heartbeatInterval);
+    }
+}
+
+void MembershipDuty::sendHeartbeats()
+{
+    Heartbeat heartbeat;
+    heartbeat.from = this->me.name;
+    heartbeat.boot = this->me.boot;
+    heartbeat.draining = this->draining.load();
+    this->hooks.describe(heartbeat);
+    std::vector<Member> members;
+    {
+        const std::lock_guard lock(this->mutex);
+        heartbeat.generation = this->membership.view().generation;
+        heartbeat.hasAuthority = this->membership.hasAuthority(this->clock.now());
+        members = this->membership.view().members;
+    }
+    std::vector<std::string> addresses = this->seeds;
+    for (const Member &member : members) {
+        if (std::find(addresses.begin(), addresses.end(), member.address) == addresses.end()) {
+            addresses.push_back(member.address);
+        }
+    }
+    for (const std::string &address : addresses) {
+        if (address == this->me.address) {
+            continue;
+        }
+        const auto known = std::find_if(members.begin(), members.end(), [&address](const Member &member) { return member.address == address; });
+        heartbeat.echoAgeMilliseconds = -1;
+        if (known != members.end()) {
+            const std::lock_guard lock(this->mutex);
+            const Duration age = this->membership.heardAge(known->name, this->clock.now());
+            heartbeat.echoAgeMilliseconds = age < Duration(0) ? -1 : toMilliseconds(age);
+        }
+        const std::string datagram = encodeHeartbeat(heartbeat);
+        try {
+            this->socket.sendTo(datagram.data(), static_cast<int>(datagram.size()), Poco::Net::SocketAddress(address));
+            this->hooks.countBytes("heartbeat", datagram.size() + DatagramOverhead);
+        } catch (const Poco::Exception &) {
+            // A lost heartbeat is noticed by its receiver.
+        }
+    }
+}
+
+void MembershipDuty::runReceiver()
+{
+    std::string buffer(MaxDatagramBytes, '\0');
+    while (!this->stopping.load()) {
+        try {
+            if (!this->socket.poll(Poco::Timespan(ReceiveWait.count()), Poco::Net::Socket::SELECT_READ)) {
+                continue;
+            }
+            Poco::Net::SocketAddress from;
+            const int size = this->socket.receiveFrom(buffer.data(), MaxDatagramBytes, from);
+            this->receive(buffer.substr(0, static_cast<size_t>(std::max(size, 0))));
+        } catch (const Poco::Exception &) {
+            // An ICMP error for an earlier datagram; the peer counts as silent.
+        }
+    }
+}
+
+void MembershipDuty::receive(const std::string &datagram)
+{
+    const std::optional<Heartbeat> heartbeat = decodeHeartbeat(datagram);
+    if (!heartbeat || heartbeat->from == this->me.name) {
+        return;
+    }
+    std::string address;
+    {
+        const std::lock_guard lock(this->mutex);
+        const Time now = this->clock.now();
+        this->membership.heard({heartbeat->from, heartbeat->generation, Milliseconds(heartbeat->echoAgeMilliseconds), heartbeat->draining}, now);
+        if (const Member *member = this->membership.view().find(heartbeat->from)) {
+            address = member->address;
+        }
+    }
+    this->hooks.received(*heartbeat, address);
+}
+
+Standing MembershipDuty::standing(const std::string &role) const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->membership.standing(role, this->clock.now());
+}
+
+int64_t MembershipDuty::usable(const std::string &role, int64_t limit, bool ownerUnconfirmed) const
+{
+    if (this->leaving.load()) {
+        return 0;
+    }
+    const std::lock_guard lock(this->mutex);
+    return this->membership.usable(role, limit, ownerUnconfirmed, this->clock.now());
+}
+
+bool MembershipDuty::hasAuthority() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->membership.hasAuthority(this->clock.now());
+}
+
+bool MembershipDuty::hasLease() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->membership.hasLease(this->clock.now());
+}
+
+bool MembershipDuty::isHeard(const std::string &name) const
+{
+    if (name == this->me.name) {
+        return true;
+    }
+    const std::lock_guard lock(this->mutex);
+    return this->membership.isHeard(name, this->clock.now());
+}
+
+bool MembershipDuty::isDraining(const std::string &name) const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->membership.isDraining(name);
+}
+
+View MembershipDuty::view() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->membership.view();
+}
+
+std::string MembershipDuty::ownerAddress(const std::string &role, std::string *owner) const
+{
+    const std::lock_guard lock(this->mutex);
+    const std::string name = this->membership.view().ownerOf(role);
+    if (owner != nullptr) {
+        *owner = name;
+    }
+    const Member *member = this->membership.view().find(name);
+    return member == nullptr ? std::string() : member->address;
+}
+
+std::vector<std::string> MembershipDuty::peerAddresses() const
+{
+    std::vector<std::string> addresses;
+    {
+        const std::lock_guard lock(this->mutex);
+        for (const Member &member : this->membership.view().members) {
+            if (member.name != this->me.name) {
+                addresses.push_back(member.address);
+            }
+        }
+    }
+    if (addresses.empty()) {
+        for (const std::string &seed : this->seeds) {
+            if (seed != this->me.address) {
+                addresses.push_back(seed);
+            }
+        }
+    }
+    return addresses;
+}
+
+void MembershipDuty::learnView(const View &view)
+{
+    const std::lock_guard lock(this->mutex);
+    this->membership.learnView(view, this->clock.now());
+}
+
+} // namespace pimentosail
--- /dev/null
+++ b/pimentosail/serve/metrics.h
@@ -0,0 +1,50 @@
+// The process's metrics (prometheus-cpp): counters, gauges and histograms with labels, printed for /metrics.
+//
+//     metrics.count("pimentosail_requests_total", {{"kind", "ok"}});
+//     std::string text = metrics.print();
+//
+// Thread-safe.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+namespace pimentosail
+{
+
+class Metrics
+{
+public:
+    using Labels = std::map<std::string, std::string>;
+
+    // Adds `amount` to a counter.
+    void count(const std::string &name, const Labels &labels, double amount = 1);
+
+    // Sets a gauge.
+    void set(const std::string &name, const Labels &labels, double value);
+
+    // Adds an observation in seconds to a histogram of latencies.
+    void observeSeconds(const std::string &name, const Labels &labels, double seconds);
+
+    // Returns all metrics in the Prometheus text format.
+    std::string print() const;
+
+    // Returns the present value of a counter.
+    double counterValue(const std::string &name, const Labels &labels);
+
+private:
+    std::mutex mutex;
+    prometheus::Registry registry;
+    std::map<std::string, prometheus::Family<prometheus::Counter> *> counters;
+    std::map<std::string, prometheus::Family<prometheus::Gauge> *> gauges;
+    std::map<std::string, prometheus::Family<prometheus::Histogram> *> histograms;
+};
+
+} // namespace pimentosail
--- /dev/null
+++ b/pimentosail/serve/retrybudget.h
@@ -0,0 +1,57 @@
+// Bounds the retries of a host to a part of its requests, so that failures do not multiply the load.
+//
+//     budget.onRequest();
+//     if (budget.tryRetry()) { ... }
+//     Duration pause = retryDelay(attempt, random);
+//
+// Thread-safe.
+#pragma once
+
+#include <algorithm>
+#include <mutex>
+#include <random>
+
+#include "pimentosail/base/clock.h"
+
+namespace pimentosail
+{
+
+class RetryBudget
+{
+public:
+    // Earns a part of a retry.
+    void onRequest()
+    {
+        const std::lock_guard lock(this->mutex);
+        this->credit = std::min(this->credit + CreditPerRequest, MaxCredit);
+    }
+
+    // Spends a retry if there is one.
+    bool tryRetry()
+    {
+        const std::lock_guard lock(this->mutex);
+        if (this->credit < 1) {
+            return false;
+        }
+        this->credit -= 1;
+        return true;
+    }
+
+private:
+    static constexpr double CreditPerRequest = 0.2;
+    static constexpr double MaxCredit = 200;
+
+    std::mutex mutex;
+    double credit = MaxCredit;
+};
+
+// Returns the delay before retry number `attempt` (from 1): exponential with full jitter.
+inline Duration retryDelay(int attempt, std::mt19937_64 &random)
+{
+    constexpr Duration Base = Milliseconds(10);
+    constexpr Duration Longest = Milliseconds(500);
+    const Duration ceiling = std::min(Base * (1 << std::min(attempt, 10)), Longest);
+    return Duration(std::uniform_int_distribution<int64_t>(0, ceiling.count())(random));
+}
+
+} // namespace pimentosail
--- /dev/null
+++ b/pimentosail/serve/targetduty.cpp
@@ -0,0 +1,275 @@
+#include "pimentosail/serve/targetduty.h"
+
+#include <algorithm>
+
+#include "pimentosail/base/statelog.h"
+#include "pimentosail/serve/transferduty.h"
+
+namespace pimentosail
+{
+
+namespace
+{
+
+constexpr Duration FleetInterval = Milliseconds(200);
+constexpr Duration HostListInterval = Milliseconds(1000);
+constexpr Duration HostListTimeout = Milliseconds(1000);
+constexpr Duration ReportTimeout = Milliseconds(400);
+constexpr Duration OrderTimeout = Milliseconds(1000);
+constexpr size_t PollThreads = 3;
+
+TargetIndex indexOf(Scheduler &scheduler, const std::string &name)
+{
+    return scheduler.targets().find(name);
+}
+
+} // namespace
+
+TargetDuty::TargetDuty(Clock &runtimeClock, const Settings &processSettings)
+    : clock(runtimeClock)
+    , settings(processSettings)
+    , fleetThread("fleet", [this] { this->runFleet(); })
+{
+    for (size_t worker = 0; worker < PollThreads; ++worker) {
+        this->pollThreads.push_back(std::make_unique<DutyThread>("poll", [this, worker] { this->runPoll(worker); }));
+    }
+}
+
+void TargetDuty::attach(Context &processContext)
+{
+    this->context = &processContext;
+}
+
+void TargetDuty::start()
+{
+    this->fleetThread.start();
+    for (const std::unique_ptr<DutyThread> &thread : this->pollThreads) {
+        thread->start();
+    }
+}
+
+void TargetDuty::stop()
+{
+    this->stopping.store(true);
+    this->fleetThread.join();
+    for (const std::unique_ptr<DutyThread> &thread : this->pollThreads) {
+        thread->join();
+    }
+}
+
+void TargetDuty::heardAuthority(const std::string &host, bool hasAuthority)
+{
+    const std::lock_guard lock(this->mutex);
+    if (hasAuthority) {
+        this->unconfirmedHosts.erase(host);
+    } else {
+        this->unconfirmedHosts.insert(host);
+    }
+}
+
+bool TargetDuty::isUnconfirmed(const std::string &host) const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->unconfirmedHosts.count(host) != 0;
+}
+
+std::optional<std::vector<std::string>> TargetDuty::listedEntryHosts() const
+{
+    const std::lock_guard lock(this->mutex);
+    if (!this->listed) {
+        return std::nullopt;
+    }
+    std::vector<std::string> names;
+    for (const FleetHost &host : *this->listed) {
+        if (host.kind == HostKind::Entry) {
+            names.push_back(host.name);
+        }
+    }
+    return names.empty() ? std::nullopt : std::optional(names);
+}
+
+void TargetDuty::readHostList()
+{
+    try {
+        const HttpReply reply = this->context->http.call(this->settings.hostList, {"GET", "/hosts", {}, ""}, HostListTimeout);
+        if (reply.status != 200) {
+            return;
+        }
+        std::vector<FleetHost> hosts = parseHostList(reply.body);
+        const std::lock_guard lock(this->mutex);
+        this->listed = std::move(hosts);
+    } catch (const Failure &) {
+        // The last list stays in use.
+    }
+}
+
+void TargetDuty::runFleet()
+{
+    Time nextList = this->clock.now();
+    while (!this->stopping.load()) {
+        if (this->clock.now() >= nextList) {
+            this->readHostList();
+            nextList = this->clock.now() + HostListInterval;
+            this->orderLoads();
+        }
+        this->publishFleet();
+        this->context->allowances.refreshOwnership();
+        this->clock.sleepFor(FleetInterval);
+    }
+}
+
+void TargetDuty::publishFleet()
+{
+    const ConfigurationPointer configuration = this->context->configuration.current();
+    Fleet fleet;
+    {
+        const std::lock_guard lock(this->mutex);
+        if (!configuration || !this->listed) {
+            return;
+        }
+        fleet.hosts = *this->listed;
+    }
+    applyOutages(fleet.hosts, *configuration);
+    const View view = this->context->membership.view();
+    for (FleetHost &host : fleet.hosts) {
+        if (host.kind == HostKind::Engine) {
+            host.owner = view.ownerOf(targetRole(host.name));
+        } else if (host.kind == HostKind::Store) {
+            host.owner = view.ownerOf(storeRole(host.name));
+        }
+    }
+    this->context->decisions.describe(this->describeTargets(fleet, *configuration));
+    this->context->fleet.publish(std::move(fleet));
+}
+
+FleetUpdate TargetDuty::describeTargets(const Fleet &fleet, const Configuration &configuration)
+{
+    FleetUpdate update;
+    update.models = configuration.lists.models;
+    for (const Store &store : configuration.lists.stores) {
+        update.stores.push_back(store.name);
+    }
+    std::vector<FleetHost> toPoll;
+    std::map<std::string, TargetDescription> current;
+    for (const FleetHost &host : fleet.hosts) {
+        const auto model = std::find_if(update.models.begin(), update.models.end(), [&host](const Model &item) { return item.pool == host.pool; });
+        if (host.kind != HostKind::Engine || model == update.models.end()) {
+            continue;
+        }
+        const std::string role = targetRole(host.name);
+        const bool unconfirmed = this->isUnconfirmed(host.owner);
+        TargetDescription description;
+        description.name = host.name;
+        description.model = model->name;
+        description.zone = host.zone;
+        description.address = host.address;
+        description.owner = host.owner;
+        description.availability = host.availability;
+        description.warmLimit = model->warmLimit;
+        description.usableSlots = this->context->membership.usable(role, model->warmLimit, unconfirmed);
+        description.coldLimit = std::min(description.usableSlots, this->context->membership.usable(role, model->coldLimit, unconfirmed));
+        description.remote = description.usableSlots <= 0 && host.owner != this->context->membership.self().name;
+        if (!description.remote) {
+            toPoll.push_back(host);
+        }
+        current.emplace(host.name, description);
+    }
+    for (auto &[name, description] : this->described) {
+        if (current.count(name) == 0) {
+            description.availability = TargetAvailability::Gone;
+            current.emplace(name, description);
+        }
+    }
+    this->described = current;
+    for (const auto &entry : current) {
+        update.targets.push_back(entry.second);
+    }
+    const std::lock_guard lock(this->mutex);
+    this->polled = std::move(toPoll);
+    return update;
+}
+
+void TargetDuty::runPoll(size_t worker)
+{
+    while (!this->stopping.load()) {
+        std::vector<FleetHost> mine;
+        {
+            const std::lock_guard lock(this->mutex);
+            for (size_t index = worker; index < this->polled.size(); index += PollThreads) {
+                mine.push_back(this->polled[index]);
+            }
+        }
+        for (const FleetHost &host : mine) {
+            this->poll(host);
+        }
+        this->clock.sleepFor(this->settings.loadPollInterval);
+    }
+}
+
+void TargetDuty::poll(const FleetHost &host)
+{
+    std::optional<TargetReport> report;
+    try {
+        report = this->context->engines.report(host.address, ReportTimeout);
+    } catch (const Failure &) {
+        // Reported below as unreachable.
+    }
+    if (report) {
+        const std::lock_guard lock(this->mutex);
+        this->reports[host.name] = *report;
+    }
+    this->context->decisions.withScheduler([name = host.name, report](Scheduler &scheduler, Time now) -> std::vector<Command> {
+        const TargetIndex index = indexOf(scheduler, name);
+        if (index == NoTarget) {
+            return {};
+        }
+        return report ? scheduler.handle(TargetReported{index, *report}, now) : scheduler.handle(TargetUnreachable{index}, now);
+    });
+}
+
+// Orders weights for the models whose loading this host coordinates, a few targets at once.
+void TargetDuty::orderLoads()
+{
+    const ConfigurationPointer configuration = this->context->configuration.current();
+    if (!configuration) {
+        return;
+    }
+    const std::shared_ptr<const Fleet> fleet = this->context->fleet.current();
+    for (const Model &model : configuration->lists.models) {
+        if (this->context->membership.standing("weights/" + model.name) != Standing::Owner) {
+            continue;
+        }
+        int64_t loading = 0;
+        std::vector<const FleetHost *> missing;
+        for (const FleetHost &host : fleet->hosts) {
+            if (host.kind != HostKind::Engine || host.pool != model.pool || host.availability != TargetAvailability::Live) {
+                continue;
+            }
+            try {
+                const TargetReport report = this->context->engines.report(host.address, ReportTimeout);
+                loading += report.loading ? 1 : 0;
+                if (!report.loading && report.version != model.version) {
+                    missing.push_back(&host);
+                }
+            } catch (const Failure &) {
+                // A target that does not report may be loading.
+                ++loading;
+            }
+        }
+        for (const FleetHost *host : missing) {
+            if (loading >= model.maxLoading || this->context->membership.standing("weights/" + model.name) != Standing::Owner) {
+                break;
+            }
+            try {
+                const int64_t generation = this->context->membership.view().generation;
+                this->context->engines.load(host->address, {model.name, model.version, generation}, OrderTimeout);
+                logStateChange("weights_ordered", {{"target", host->name}, {"version", std::to_string(model.version)}, {"fencing", std::to_string(generation)}});
+                ++loading;
+            } catch (const Failure &failure) {
+                logStateChange("weights_refused", {{"target", host->name}, {"reason", failure.what()}});
+            }
+        }
+    }
+}
+
+} // namespace pimentosail
--- /dev/null
+++ b/pimentosail/serve/transferduty.cpp
@@ -0,0 +1,423 @@
+#include "pimentosail/serve/transferduty.h"
+
+#include <algorithm>
+#include <atomic>
+
+#include "pimentosail/base/json.h"
+#include "pimentosail/base/statelog.h"
+#include "pimentosail/serve/context.h"
+
+namespace pimentosail
+{
+
+namespace
+{
+
+constexpr Duration OrderTimeout = std::chrono::seconds(30);
+constexpr Duration StoreCallTimeout = std::chrono::seconds(2);
+constexpr Duration PopWait = Milliseconds(200);
+constexpr Duration StoreLife = std::chrono::hours(24);
+
+std::string keyText(uint64_t promptKey)
+{
+    return std::to_string(promptKey);
+}
+
+Json::Value toJson(const TransferOrder &order)
+{
+    Json::Value value;
+    value["export"] = order.isExport;
+    value["store"] = order.store;
+    value["tier"] = static_cast<int>(order.tier);
+    value["engine"] = order.engineAddress;
+    value["team"] = order.team;
+    value["prompt"] = std::to_string(order.promptKey);
+    value["salt"] = std::to_string(order.salt);
+    value["tokens"] = Json::Int64(order.tokens);
+    value["piece_bytes"] = Json::Int64(order.pieceBytes);
+    value["priority"] = static_cast<int>(order.priority);
+    for (const uint64_t piece : order.pieces) {
+        value["pieces"].append(std::to_string(piece));
+    }
+    return value;
+}
+
+} // namespace
+
+TransferOrder transferOrderFromJson(const Json::Value &value)
+{
+    TransferOrder order;
+    order.isExport = jsonBoolean(value, "export");
+    order.store = jsonString(value, "store");
+    order.tier = static_cast<Tier>(jsonInteger(value, "tier"));
+    order.engineAddress = jsonString(value, "engine");
+    order.team = jsonString(value, "team");
+    order.promptKey = std::stoull(jsonString(value, "prompt", "0"));
+    order.salt = std::stoull(jsonString(value, "salt", "0"));
+    order.tokens = jsonInteger(value, "tokens");
+    order.pieceBytes = jsonInteger(value, "piece_bytes");
+    order.priority = static_cast<TransferClass>(jsonInteger(value, "priority"));
+    for (const Json::Value &piece : value["pieces"]) {
+        order.pieces.push_back(std::stoull(piece.asString()));
+    }
+    return order;
+}
+
+// One link: threads wait here for their turn to move a piece.
+struct TransferDuty::Link {
+    explicit Link(double bytesPerSecond)
+        : scheduler(bytesPerSecond)
+    {
+    }
+
+    std::mutex mutex;
+    std::condition_variable changed;
+    LinkScheduler scheduler;
+    std::optional<uint64_t> turn;
+};
+
+struct TransferDuty::StoreState {
+    StoreState(const Store &store)
+        : contents(store.memoryBytes, store.diskBytes)
+        , memory(static_cast<double>(store.memoryLinkBytesPerSecond))
+        , disk(static_cast<double>(store.diskLinkBytesPerSecond))
+    {
+    }
+
+    Link &link(Tier tier)
+    {
+        return tier == Tier::Memory ? this->memory : this->disk;
+    }
+
+    std::mutex mutex;
+    StoreContents contents;
+    Link memory;
+    Link disk;
+    std::atomic<uint64_t> nextTransfer{1};
+    std::atomic<bool> usable{true};
+};
+
+TransferDuty::TransferDuty(Clock &runtimeClock)
+    : clock(runtimeClock)
+    , thread("transfer", [this] { this->run(); })
+{
+}
+
+TransferDuty::~TransferDuty() = default;
+
+void TransferDuty::attach(Context &processContext)
+{
+    this->context = &processContext;
+}
+
+void TransferDuty::start()
+{
+    this->thread.start();
+}
+
+void TransferDuty::stop()
+{
+    this->stopping.store(true);
+    this->waiting.close();
+    this->thread.join();
+}
+
+void TransferDuty::configure(const std::vector<Store> &stores)
+{
+    const std::lock_guard lock(this->mutex);
+    for (const Store &store : stores) {
+        this->configured[store.name] = store;
+    }
+}
+
+TransferDuty::StoreState &TransferDuty::stateOf(const std::string &store)
+{
+    const std::lock_guard lock(this->mutex);
+    const auto known = this->configured.find(store);
+    if (known == this->configured.end()) {
+        throw Failure(ErrorKind::NotFound, "store '" + store + "' is not configured");
+    }
+    std::unique_ptr<StoreState> &state = this->states[store];
+    if (!state) {
+        state = std::make_unique<StoreState>(known->second);
+    }
+    return *state;
+}
+
+void TransferDuty::exportCopy(const Export &command)
+{
+    if (!this->waiting.tryPush(command)) {
+        this->context->decisions.post(StoreCopyChanged{command.promptKey, command.store, command.tier, 0});
+    }
+}
+
+void TransferDuty::run()
+{
+    while (!this->stopping.load()) {
+        const std::optional<Export> command = this->waiting.pop(PopWait);
+        if (!command) {
+            continue;
+        }
+        TransferOrder order;
+        auto names = std::make_shared<std::array<std::string, 3>>();
+        this->context->decisions.inspect([names, copy = *command](const Scheduler &scheduler) {
+            const TargetDescription &target = scheduler.targets().at(copy.target).description;
+            *names = {target.address, target.model, scheduler.storeName(copy.store)};
+        });
+        const ConfigurationPointer configuration = this->context->configuration.current();
+        const Model *model = configuration ? configuration->lists.model((*names)[1]) : nullptr;
+        int64_t moved = 0;
+        if (model != nullptr) {
+            order.isExport = true;
+            order.engineAddress = (*names)[0];
+            order.store = (*names)[2];
+            order.tier = command->tier;
+            order.team = command->team;
+            order.promptKey = command->promptKey;
+            order.salt = cacheSalt(command->team, model->name, model->version);
+            order.pieces = command->pieces;
+            order.tokens = command->tokens;
+            order.pieceBytes = model->pieceTokens * model->cacheBytesPerToken;
+            order.priority = TransferClass::Background;
+            try {
+                moved = this->send(order);
+            } catch (const Failure &failure) {
+                this->context->metrics.count("pimentosail_transfer_failures_total", {{"kind", "export"}});
+            }
+        }
+        this->context->decisions.post(StoreCopyChanged{command->promptKey, command->store, command->tier, moved});
+    }
+}
+
+int64_t TransferDuty::send(const TransferOrder &order)
+{
+    std::string owner;
+    const std::string address = this->context->membership.ownerAddress(storeRole(order.store), &owner);
+    if (owner == this->context->membership.self().name) {
+        return this->perform(order);
+    }
+    if (address.empty() || !this->context->membership.isHeard(owner)) {
+        throw Failure(ErrorKind::PeerLost, "the owner of store '" + order.store + "' cannot be reached");
+    }
+    return this->context->peers.call(address, "transfer", toJson(order), OrderTimeout)["tokens"].asInt64();
+}
+
+void TransferDuty::importCopy(const Dispatch &dispatch, const RequestInfo &info, const RunSpec &spec)
+{
+    const ConfigurationPointer configuration = this->context->configuration.current();
+    const Model *model = configuration->lists.model(spec.model);
+    if (model == nullptr) {
+        return;
+    }
+    auto store = std::make_shared<std::string>();
+    this->context->decisions.inspect([store, index = dispatch.source.store](const Scheduler &scheduler) { *store = scheduler.storeName(index); });
+    TransferOrder order;
+    order.store = *store;
+    order.tier = dispatch.source.tier;
+    order.engineAddress = dispatch.address;
+    order.team = spec.team;
+    order.promptKey = info.promptKey;
+    order.salt = cacheSalt(spec.team, spec.model, model->version);
+    order.pieces = info.pieces;
+    order.tokens = dispatch.source.tokens;
+    order.pieceBytes = model->pieceTokens * model->cacheBytesPerToken;
+    order.priority = spec.priority == Priority::Interactive ? TransferClass::UrgentImport : TransferClass::Import;
+    try {
+        const int64_t moved = this->send(order);
+        this->context->metrics.count("pimentosail_imported_tokens_total", {{"tier", tierName(order.tier)}}, static_cast<double>(moved));
+    } catch (const std::exception &failure) {
+        this->context->metrics.count("pimentosail_transfer_failures_total", {{"kind", "import"}});
+        this->context->decisions.post(StoreCopyChanged{info.promptKey, dispatch.source.store, order.tier, 0});
+    }
+}
+
+int64_t TransferDuty::perform(const TransferOrder &order)
+{
+    if (this->context->membership.usable(storeRole(order.store), 1) <= 0) {
+        throw Failure(ErrorKind::NotOwner, "this host does not own store '" + order.store + "'");
+    }
+    StoreState &state = this->stateOf(order.store);
+    const std::shared_ptr<const Fleet> fleet = this->context->fleet.current();
+    const FleetHost *host = fleet->find(order.store);
+    if (host == nullptr || host->availability != TargetAvailability::Live) {
+        throw Failure(ErrorKind::NoTarget, "store '" + order.store + "' is not in service");
+    }
+    return order.isExport ? this->performExport(order, state, *host) : this->performImport(order, state, *host);
+}
+
+void TransferDuty::movePieces(const TransferOrder &order, StoreState &state, const FleetHost &host, size_t first)
+{
+    Link &link = state.link(order.tier);
+    const uint64_t id = state.nextTransfer.fetch_add(1);
+    const size_t count = order.pieces.size() - first;
+    if (count == 0) {
+        return;
+    }
+    std::unique_lock lock(link.mutex);
+    link.scheduler.submit({id, static_cast<int64_t>(count), order.pieceBytes, order.priority});
+    for (size_t index = first; index < order.pieces.size(); ++index) {
+        while (link.turn != id) {
+            if (!link.turn) {
+                if (const std::optional<Transfer> next = link.scheduler.start()) {
+                    link.turn = next->id;
+                    link.changed.notify_all();
+                    continue;
+                }
+            }
+            link.changed.wait_for(lock, PopWait);
+        }
+        lock.unlock();
+        std::optional<Error> failure;
+        try {
+            const uint64_t previous = index == 0 ? order.salt : order.pieces[index - 1];
+            const PieceOrder piece{host.address, tierName(order.tier), order.pieces[index], previous, order.pieceBytes, order.salt};
+            if (order.isExport) {
+                this->context->engines.exportPiece(order.engineAddress, piece, OrderTimeout);
+            } else {
+                this->context->engines.importPiece(order.engineAddress, piece, OrderTimeout);
+            }
+            this->context->metrics.count("pimentosail_link_bytes_total",
+                                         {{"store", order.store}, {"tier", tierName(order.tier)}, {"kind", order.isExport ? "export" : "import"}},
+                                         static_cast<double>(order.pieceBytes));
+        } catch (const Failure &thrown) {
+            failure = thrown.error;
+        }
+        lock.lock();
+        link.scheduler.pieceMoved();
+        link.turn.reset();
+        if (failure) {
+            link.scheduler.cancel(id);
+        }
+        link.changed.notify_all();
+        if (failure) {
+            throw Failure(*failure);
+        }
+    }
+}
+
+void TransferDuty::deleteCopy(const FleetHost &host, uint64_t promptKey)
+{
+    this->context->http.call(host.address, {"DELETE", "/manifests/" + keyText(promptKey), {}, ""}, StoreCallTimeout);
+}
+
+int64_t TransferDuty::performExport(const TransferOrder &order, StoreState &state, const FleetHost &host)
+{
+    const Time now = this->clock.now();
+    StoredCopy copy;
+    copy.promptKey = order.promptKey;
+    copy.team = order.team;
+    copy.tokens = order.tokens;
+    copy.bytes = static_cast<int64_t>(order.pieces.size()) * order.pieceBytes;
+    copy.tier = order.tier;
+    copy.lastUsed = now;
+    StoreAdmission admission;
+    {
+        const std::scoped_lock lock(state.mutex, this->returnsMutex);
+        this->returns.addNew(order.team);
+        admission = state.contents.admit(copy, now, [this](const StoredCopy &kept, Time time) {
+            return this->returns.returnProbability(kept.team, time - kept.lastUsed, StoreLife);
+        });
+    }
+    for (const uint64_t evicted : admission.evicted) {
+        this->deleteCopy(host, evicted);
+    }
+    if (!admission.admitted) {
+        return 0;
+    }
+    try {
+        this->movePieces(order, state, host, 0);
+        Json::Value manifest;
+        manifest["salt"] = std::to_string(order.salt);
+        manifest["tier"] = tierName(order.tier);
+        manifest["team"] = order.team;
+        manifest["tokens"] = Json::Int64(order.tokens);
+        for (const uint64_t piece : order.pieces) {
+            manifest["pieces"].append(std::to_string(piece));
+        }
+        const HttpReply reply = this->context->http.call(host.address, {"PUT", "/manifests/" + keyText(order.promptKey), {}, printJson(manifest)}, StoreCallTimeout);
+        if (reply.status != 200) {
+            throw Failure(ErrorKind::TargetLost, "the manifest was refused with " + std::to_string(reply.status));
+        }
+    } catch (const Failure &) {
+        const std::lock_guard lock(state.mutex);
+        state.contents.remove(order.promptKey);
+        throw;
+    }
+    return order.tokens;
+}
+
+int64_t TransferDuty::performImport(const TransferOrder &order, StoreState &state, const FleetHost &host)
+{
+    const std::string path = "/manifests/" + keyText(order.promptKey);
+    const HttpReply pinned = this->context->http.call(host.address, {"POST", path + "/pin", {}, ""}, StoreCallTimeout);
+    if (pinned.status != 200) {
+        const std::lock_guard lock(state.mutex);
+        state.contents.remove(order.promptKey);
+        throw Failure(ErrorKind::NotFound, "the store has no such copy");
+    }
+    const Json::Value manifest = parseJson(pinned.body);
+    if (jsonString(manifest, "salt") != std::to_string(order.salt)) {
+        throw Failure(ErrorKind::NotFound, "the copy belongs to another team or weight version");
+    }
+    TransferOrder wanted = order;
+    wanted.pieces.clear();
+    for (const Json::Value &piece : manifest["pieces"]) {
+        const uint64_t id = std::stoull(piece.asString());
+        const size_t index = wanted.pieces.size();
+        if (index >= order.pieces.size() || order.pieces[index] != id) {
+            break;
+        }
+        wanted.pieces.push_back(id);
+    }
+    this->movePieces(wanted, state, host, 0);
+    // The copy may have been replaced while it was read: the generation must be the pinned one.
+    const HttpReply after = this->context->http.call(host.address, {"POST", path + "/unpin", {}, ""}, StoreCallTimeout);
+    const bool same = after.status == 200 && jsonInteger(parseJson(after.body), "generation") == jsonInteger(manifest, "generation");
+    if (!same) {
+        throw Failure(ErrorKind::Incomplete, "the copy changed while it was read");
+    }
+    const std::scoped_lock lock(state.mutex, this->returnsMutex);
+    const Time now = this->clock.now();
+    if (const StoredCopy *copy = state.contents.find(order.promptKey)) {
+        this->returns.addGap(order.team, now - copy->lastUsed);
+        state.contents.used(order.promptKey, now);
+    }
+    return static_cast<int64_t>(wanted.pieces.size()) * (order.pieces.empty() ? 0 : order.tokens / static_cast<int64_t>(order.pieces.size()));
+}
+
+std::vector<LinkSummary> TransferDuty::ownLinks()
+{
+    std::vector<LinkSummary> result;
+    const std::lock_guard lock(this->mutex);
+    for (const auto &[name, store] : this->configured) {
+        if (this->context->membership.usable(storeRole(name), 1) <= 0) {
+            continue;
+        }
+        std::unique_ptr<StoreState> &state = this->states[name];
+        if (!state) {
+            state = std::make_unique<StoreState>(store);
+        }
+        const std::shared_ptr<const Fleet> fleet = this->context->fleet.current();
+        const FleetHost *host = fleet->find(name);
+        for (const Tier tier : {Tier::Memory, Tier::Disk}) {
+            LinkSummary summary;
+            summary.storeHash = targetNameHash(name);
+            summary.tier = static_cast<uint8_t>(tier);
+            summary.usable = host != nullptr && host->availability == TargetAvailability::Live;
+            {
+                Link &link = state->link(tier);
+                const std::lock_guard linkLock(link.mutex);
+                summary.waitMilliseconds = static_cast<uint32_t>(toMilliseconds(link.scheduler.waitFor(TransferClass::Import)));
+            }
+            {
+                const std::lock_guard stateLock(state->mutex);
+                const Duration age = state->contents.evictionAge(tier);
+                summary.evictionAgeSeconds = age < Duration(0) ? -1 : static_cast<int32_t>(toSeconds(age));
+            }
+            result.push_back(summary);
+        }
+    }
+    return result;
+}
+
+} // namespace pimentosail
--- /dev/null
+++ b/pimentosail/target/engineclient.cpp
@@ -0,0 +1,185 @@
+#include "pimentosail/target/engineclient.h"
+
+#include <cstdlib>
+
+#include "pimentosail/base/hash.h"
+#include "pimentosail/base/json.h"
+
+namespace pimentosail
+{
+
+namespace
+{
+
+constexpr std::string_view DataPrefix = "data: ";
+constexpr std::string_view DoneMark = "[DONE]";
+constexpr size_t MaxRefusalBytes = 4096;
+constexpr Duration RefusalReadTimeout = std::chrono::seconds(1);
+
+std::string callBody(const EngineCall &call)
+{
+    Json::Value body;
+    body["model"] = call.model;
+    body["prompt"] = call.prompt;
+    body["max_tokens"] = Json::Int64(call.maxTokens);
+    body["stream"] = true;
+    body["priority"] = static_cast<int>(call.priority);
+    body["request_id"] = call.requestId;
+    body["resume_from"] = Json::Int64(call.resumeFrom);
+    body["cache_salt"] = std::to_string(call.salt);
+    return printJson(body);
+}
+
+std::string pieceBody(const PieceOrder &order)
+{
+    Json::Value body;
+    body["store"] = order.store;
+    body["tier"] = order.tier;
+    body["piece"] = std::to_string(order.piece);
+    body["previous"] = std::to_string(order.previous);
+    body["bytes"] = Json::Int64(order.bytes);
+    body["cache_salt"] = std::to_string(order.salt);
+    return printJson(body);
+}
+
+} // namespace
+
+int64_t promptTokens(const std::string &prompt)
+{
+    return (static_cast<int64_t>(prompt.size()) + BytesPerToken - 1) / BytesPerToken;
+}
+
+std::vector<uint64_t> promptPieces(const std::string &prompt, int64_t pieceTokens, uint64_t salt)
+{
+    std::vector<uint64_t> pieces;
+    const auto pieceBytes = static_cast<size_t>(pieceTokens * BytesPerToken);
+    uint64_t previous = salt;
+    for (size_t start = 0; start + pieceBytes <= prompt.size(); start += pieceBytes) {
+        previous = stableHash(std::string_view(prompt).substr(start, pieceBytes), previous);
+        pieces.push_back(previous);
+    }
+    return pieces;
+}
+
+uint64_t cacheSalt(const std::string &team, const std::string &model, int64_t version)
+{
+    return stableHash(team + '\n' + model + '\n' + std::to_string(version));
+}
+
+std::unique_ptr<EngineStream> EngineStream::open(const std::string &address, const EngineCall &call, Duration connectTimeout)
+{
+    std::unique_ptr<EngineStream> result(new EngineStream());
+    result->received = call.resumeFrom;
+    const HttpRequest request{"POST", "/v1/completions", {{"Accept", "text/event-stream"}, {"X-Request-Id", call.requestId}}, callBody(call)};
+    result->stream = HttpStream::open(address, request, connectTimeout);
+    return result;
+}
+
+EngineEvent EngineStream::next(Duration wait)
+{
+    if (!this->headRead) {
+        if (!this->stream->waitForHead(wait)) {
+            return EngineIdle{};
+        }
+        this->headRead = true;
+        if (this->stream->status() != 200) {
+            const int status = this->stream->status();
+            return EngineRefused{status, this->stream->readAll(MaxRefusalBytes, RefusalReadTimeout)};
+        }
+    }
+    std::string line;
+    while (true) {
+        switch (this->stream->readLine(line, wait)) {
+        case LineStatus::Timeout:
+            return EngineIdle{};
+        case LineStatus::End:
+            throw Failure(ErrorKind::PeerLost, "the stream ended before its closing frame");
+        case LineStatus::Line:
+            break;
+        }
+        if (std::string_view(line).substr(0, DataPrefix.size()) == DataPrefix) {
+            return this->parse(line.substr(DataPrefix.size()));
+        }
+    }
+}
+
+EngineEvent EngineStream::parse(const std::string &data)
+{
+    if (data == DoneMark) {
+        if (this->finishReason.empty()) {
+            throw Failure(ErrorKind::PeerLost, "the closing frame came without a finish reason");
+        }
+        return EngineEnd{this->finishReason, this->received};
+    }
+    const Json::Value value = parseJson(data);
+    const Json::Value &choice = value["choices"][0];
+    EngineToken token;
+    token.offset = jsonInteger(value, "offset", this->received);
+    token.text = jsonString(choice, "text");
+    token.cachedTokens = value.isMember("usage") ? jsonInteger(value["usage"], "cached_tokens", -1) : -1;
+    this->finishReason = jsonString(choice, "finish_reason");
+    if (!this->finishReason.empty()) {
+        const int64_t total = jsonInteger(value["usage"], "completion_tokens", this->received);
+        if (total != this->received) {
+            throw Failure(ErrorKind::PeerLost, "the engine counted " + std::to_string(total) + " tokens, received " + std::to_string(this->received));
+        }
+        return token.text.empty() ? EngineEvent(EngineIdle{}) : EngineEvent(token);
+    }
+    if (token.offset != this->received) {
+        throw Failure(ErrorKind::PeerLost, "the engine skipped or repeated a token");
+    }
+    this->received = token.offset + 1;
+    return token;
+}
+
+TargetReport EngineClient::report(const std::string &address, Duration timeout)
+{
+    const HttpReply reply = this->http.call(address, {"GET", "/load", {}, ""}, timeout);
+    if (reply.status != 200) {
+        throw Failure(ErrorKind::PeerLost, "load report answered " + std::to_string(reply.status));
+    }
+    const Json::Value value = parseJson(reply.body);
+    TargetReport report;
+    report.boot = jsonString(value, "boot_id");
+    report.cold = jsonBoolean(value, "cold");
+    report.loading = jsonBoolean(value, "loading");
+    report.version = jsonInteger(value, "version");
+    report.running = jsonInteger(value, "running");
+    report.queuedTokens = jsonInteger(value, "queued_tokens");
+    report.cacheTokens = jsonInteger(value, "cache_tokens");
+    report.evictionAge = Milliseconds(jsonInteger(value, "eviction_age_ms", -1));
+    report.prefillTokensPerSecond = static_cast<double>(jsonInteger(value, "prefill_tokens_per_s"));
+    return report;
+}
+
+void EngineClient::order(const std::string &address, const std::string &path, const std::string &body, Duration timeout)
+{
+    const HttpReply reply = this->http.call(address, {"POST", path, {}, body}, timeout);
+    if (reply.status == 409) {
+        throw Failure(ErrorKind::Conflict, path + ": " + reply.body);
+    }
+    if (reply.status != 200) {
+        throw Failure(ErrorKind::TargetLost, path + " answered " + std::to_string(reply.status));
+    }
+}
+
+void EngineClient::load(const std::string &address, const LoadOrder &loadOrder, Duration timeout)
+{
+    Json::Value body;
+    body["model"] = loadOrder.model;
+    body["version"] = Json::Int64(loadOrder.version);
+    body["fencing"] = Json::Int64(loadOrder.fencing);
+    this->order(address, "/orders/load", printJson(body), timeout);
+}
+
+void EngineClient::exportPiece(const std::string &address, const PieceOrder &pieceOrder, Duration timeout)
+{
+    this->order(address, "/kv/export", pieceBody(pieceOrder), timeout);
+}
+
+void EngineClient::importPiece(const std::string &address, const PieceOrder &pieceOrder, Duration timeout)
+{
+    this->order(address, "/kv/import", pieceBody(pieceOrder), timeout);
+}
+
+} // namespace pimentosail
