--- a/pimentosail/allowance/allowance.h
+++ b/pimentosail/allowance/allowance.h
@@ -23,14 +23,16 @@
 {
 
 // The allowance of one team that an owner may hand out.
-struct AllowanceTerms {
+struct AllowanceTerms
+{
     double tokensPerSecond = 0;
     double burstTokens = 0;
     int64_t concurrent = 0;
 };
 
 // A host asks for a part of a team's allowance.
-struct LoanRequest {
+struct LoanRequest
+{
     std::string team;
     std::string host;
     // Tokens without which the request cannot start.
@@ -44,7 +46,8 @@
 };
 
 // What the owner lends. The tokens and slots may be used until `life` has passed.
-struct Loan {
+struct Loan
+{
     int64_t tokens = 0;
     int64_t slots = 0;
     Duration life{};
@@ -71,11 +74,13 @@
     }
 
 private:
-    struct SlotLoan {
+    struct SlotLoan
+    {
         int64_t slots = 0;
         Time end{};
     };
-    struct Bucket {
+    struct Bucket
+    {
         double level = 0;
         Time filledAt{};
         std::map<std::string, SlotLoan> slots;
@@ -109,7 +114,8 @@
     int64_t spent(const std::string &team) const;
 
 private:
-    struct Account {
+    struct Account
+    {
         int64_t tokens = 0;
         int64_t slots = 0;
         int64_t inFlight = 0;
--- a/pimentosail/base/boundedring.h
+++ b/pimentosail/base/boundedring.h
@@ -18,7 +18,7 @@
 namespace pimentosail
 {
 
-template<typename T>
+template <typename T>
 class BoundedRing
 {
 public:
--- a/pimentosail/base/error.h
+++ b/pimentosail/base/error.h
@@ -51,7 +51,8 @@
 };
 
 // What a caller is told for an error kind.
-struct ErrorAnswer {
+struct ErrorAnswer
+{
     ErrorKind kind;
     std::string_view name;
     int httpStatus;
@@ -71,7 +72,8 @@
 ErrorKind errorKindFromName(std::string_view name);
 
 // An error with its message. `notRun` is true only when it is certain that no target ran the request.
-struct Error {
+struct Error
+{
     ErrorKind kind = ErrorKind::Internal;
     std::string message;
     bool notRun = false;
@@ -92,7 +94,7 @@
 };
 
 // The value of a factory function, or the reason why there is none.
-template<typename T>
+template <typename T>
 using Result = tl::expected<T, Error>;
 
 // Builds the error branch of a `Result`.
--- a/pimentosail/config/configuration.h
+++ b/pimentosail/config/configuration.h
@@ -19,7 +19,8 @@
 {
 
 // One accepted change, as shown by `pimentosail history`.
-struct ConfigurationChange {
+struct ConfigurationChange
+{
     int64_t revision = 0;
     int64_t wallMilliseconds = 0;
     std::string author;
@@ -27,7 +28,8 @@
 };
 
 // One revision of the configuration. Immutable once built; shared between threads.
-struct Configuration {
+struct Configuration
+{
     int64_t revision = 0;
     // Random value of the writer; tells whether a write whose answer was lost took effect.
     std::string nonce;
--- a/pimentosail/config/lists.cpp
+++ b/pimentosail/config/lists.cpp
@@ -18,7 +18,7 @@
 
 constexpr std::array<std::string_view, 3> PriorityNames{"batch", "standard", "interactive"};
 
-template<typename Item>
+template <typename Item>
 std::vector<std::string> namesOf(const std::vector<Item> &items)
 {
     std::vector<std::string> names;
@@ -29,7 +29,7 @@
     return names;
 }
 
-template<typename Item>
+template <typename Item>
 const Item *findByName(const std::vector<Item> &items, std::string_view name)
 {
     for (const Item &item : items) {
@@ -40,7 +40,7 @@
     return nullptr;
 }
 
-template<typename Item>
+template <typename Item>
 std::string readUniqueName(MapReader &reader, const std::vector<Item> &items)
 {
     std::string name = reader.requiredString("name");
--- a/pimentosail/config/lists.h
+++ b/pimentosail/config/lists.h
@@ -33,7 +33,8 @@
 std::optional<Priority> priorityFromName(std::string_view name);
 
 // A customer's team. Callers name it by a bearer key, of which only the digest is kept.
-struct Team {
+struct Team
+{
     std::string name;
     std::string keySha256;
     // Index into `Lists::plans`.
@@ -41,7 +42,8 @@
 };
 
 // A plan: defaults for the requests of its teams.
-struct Plan {
+struct Plan
+{
     std::string name;
     Priority priority = Priority::Standard;
     // Default deadline of the first token.
@@ -51,7 +53,8 @@
 };
 
 // A model and the targets (workers of one pool) that serve it.
-struct Model {
+struct Model
+{
     std::string name;
     std::string pool;
     int64_t version = 1;
@@ -71,7 +74,8 @@
 };
 
 // A plain service beside the engines.
-struct Service {
+struct Service
+{
     std::string name;
     std::string pool;
     // True if a call may be repeated without harm (it is idempotent).
@@ -80,7 +84,8 @@
 };
 
 // A cache store and the rates of its links.
-struct Store {
+struct Store
+{
     std::string name;
     int64_t memoryBytes = 0;
     int64_t diskBytes = 0;
@@ -89,7 +94,8 @@
 };
 
 // What the teams of one plan may use. Each team has the allowance for itself.
-struct Allowance {
+struct Allowance
+{
     std::string plan;
     std::vector<std::string> models;
     std::vector<std::string> services;
@@ -99,7 +105,8 @@
 };
 
 // Both lists, checked.
-struct Lists {
+struct Lists
+{
     std::vector<Plan> plans;
     std::vector<Team> teams;
     std::vector<Model> models;
--- a/pimentosail/config/settings.h
+++ b/pimentosail/config/settings.h
@@ -15,7 +15,8 @@
 {
 
 // Settings of `pimentosaild`. Addresses are `IP:PORT`.
-struct Settings {
+struct Settings
+{
     std::string name;
     std::string zone;
     // Address for callers.
--- a/pimentosail/config/yamlreader.cpp
+++ b/pimentosail/config/yamlreader.cpp
@@ -212,7 +212,8 @@
         expected += (expected.empty() ? "" : ", ") + candidate;
     }
     const std::string nearest = nearestName(value, choices);
-    this->report(key, "key '" + key + "': expected one of " + expected + ", found '" + value + "'" + (nearest.empty() ? "" : "; did you mean '" + nearest + "'?"));
+    this->report(
+        key, "key '" + key + "': expected one of " + expected + ", found '" + value + "'" + (nearest.empty() ? "" : "; did you mean '" + nearest + "'?"));
     return fallback;
 }
 
--- a/pimentosail/config/yamlreader.h
+++ b/pimentosail/config/yamlreader.h
@@ -24,7 +24,8 @@
 {
 
 // One problem in a configuration text. Lines and columns count from 1.
-struct Diagnostic {
+struct Diagnostic
+{
     std::string file;
     int line = 0;
     int column = 0;
--- a/pimentosail/decision/linkscheduler.h
+++ b/pimentosail/decision/linkscheduler.h
@@ -26,7 +26,8 @@
 };
 constexpr size_t TransferClassCount = 3;
 
-struct Transfer {
+struct Transfer
+{
     uint64_t id = 0;
     int64_t pieces = 0;
     int64_t pieceBytes = 0;
--- a/pimentosail/decision/policy.cpp
+++ b/pimentosail/decision/policy.cpp
@@ -105,15 +105,16 @@
 
 std::optional<Choice> place(LeastLoadedPolicy & /*policy*/, const PolicyInput &input, const RequestInfo &request)
 {
-    const TargetIndex target = *std::min_element(input.candidates.begin(), input.candidates.end(), [&input](TargetIndex left, TargetIndex right) {
-        return input.targets.inFlight(left) < input.targets.inFlight(right);
-    });
+    const TargetIndex target = *std::min_element(input.candidates.begin(), input.candidates.end(),
+        [&input](TargetIndex left, TargetIndex right) { return input.targets.inFlight(left) < input.targets.inFlight(right); });
     return withLocalSource(input, request, target);
 }
 
 std::optional<Choice> place(StickyHashPolicy & /*policy*/, const PolicyInput &input, const RequestInfo &request)
 {
-    const auto weight = [&](TargetIndex target) { return stableHash(input.targets.at(target).description.name, request.promptKey); };
+    const auto weight = [&](TargetIndex target) {
+        return stableHash(input.targets.at(target).description.name, request.promptKey);
+    };
     const TargetIndex target = *std::max_element(
         input.candidates.begin(), input.candidates.end(), [&](TargetIndex left, TargetIndex right) { return weight(left) < weight(right); });
     return withLocalSource(input, request, target);
--- a/pimentosail/decision/policy.h
+++ b/pimentosail/decision/policy.h
@@ -20,7 +20,8 @@
 {
 
 // Weights of the predicted-time policy.
-struct PredictedPolicy {
+struct PredictedPolicy
+{
     // Seconds of cost for each second of prefill work, by priority (Batch, Standard, Interactive).
     std::array<double, 3> recomputeWeight{2.0, 1.5, 1.0};
     bool mayImport = true;
@@ -28,24 +29,29 @@
 };
 
 // Always imports the stored copy if there is one; otherwise as PredictedPolicy.
-struct AlwaysImportPolicy {
+struct AlwaysImportPolicy
+{
     PredictedPolicy base;
 };
 
 // Never imports; otherwise as PredictedPolicy.
-struct NeverImportPolicy {
+struct NeverImportPolicy
+{
     PredictedPolicy base;
 };
 
-struct RoundRobinPolicy {
+struct RoundRobinPolicy
+{
     size_t next = 0;
 };
 
-struct LeastLoadedPolicy {
+struct LeastLoadedPolicy
+{
 };
 
 // Places a prompt by rendezvous hashing, whatever the load.
-struct StickyHashPolicy {
+struct StickyHashPolicy
+{
 };
 
 using Policy = std::variant<PredictedPolicy, AlwaysImportPolicy, NeverImportPolicy, RoundRobinPolicy, LeastLoadedPolicy, StickyHashPolicy>;
@@ -55,7 +61,8 @@
 Result<Policy> policyFromName(const std::string &name);
 
 // State of a store's link as last reported.
-struct LinkState {
+struct LinkState
+{
     bool usable = false;
     Duration wait{};
     double bytesPerSecond = 1;
@@ -63,7 +70,8 @@
 };
 
 // What a policy may look at.
-struct PolicyInput {
+struct PolicyInput
+{
     const TargetTable &targets;
     // Targets that may take the request now and have a free slot.
     const std::vector<TargetIndex> &candidates;
@@ -74,7 +82,8 @@
     double cacheBytesPerToken = 0;
 };
 
-struct Choice {
+struct Choice
+{
     TargetIndex target = NoTarget;
     CacheSource source;
     Duration predicted{};
--- a/pimentosail/decision/prompttable.h
+++ b/pimentosail/decision/prompttable.h
@@ -19,21 +19,24 @@
 {
 
 // A target that holds the first `tokens` tokens of a prompt, as far as is known.
-struct CacheLocation {
+struct CacheLocation
+{
     TargetIndex target = NoTarget;
     int32_t tokens = 0;
     Time lastUsed{};
 };
 
 // A store's copy of a prompt.
-struct StoreCopy {
+struct StoreCopy
+{
     StoreIndex store = NoStore;
     Tier tier = Tier::Memory;
     int32_t tokens = 0;
     bool exporting = false;
 };
 
-struct PromptRecord {
+struct PromptRecord
+{
     uint64_t key = 0;
     Time lastSeen{-1};
     std::array<CacheLocation, 3> locations;
--- a/pimentosail/decision/returnmodel.h
+++ b/pimentosail/decision/returnmodel.h
@@ -31,7 +31,8 @@
 private:
     static constexpr size_t BucketCount = 24;
 
-    struct Gaps {
+    struct Gaps
+    {
         std::array<double, BucketCount> weight{};
         double fresh = 0;
     };
--- a/pimentosail/decision/scheduler.cpp
+++ b/pimentosail/decision/scheduler.cpp
@@ -197,7 +197,8 @@
     entry.pendingTokens = request.promptTokens - std::min(choice.source.tokens, request.promptTokens);
     const int64_t limit = this->table.limit(choice.target, now);
     if (this->table.inFlight(choice.target) >= limit) {
-        reportViolation("target_limit", target.description.name + " has " + std::to_string(this->table.inFlight(choice.target)) + " of " + std::to_string(limit));
+        reportViolation(
+            "target_limit", target.description.name + " has " + std::to_string(this->table.inFlight(choice.target)) + " of " + std::to_string(limit));
     }
     if (forward) {
         ++target.remoteInFlight;
@@ -216,8 +217,8 @@
     this->tally.imports += choice.source.kind == SourceKind::StoreImport ? 1 : 0;
     this->running.emplace(request.id, std::move(entry));
     const TargetDescription &description = target.description;
-    out.push_back(
-        Dispatch{request.id, choice.target, choice.source, choice.predicted, forward, description.name, description.address, description.owner, target.report.boot});
+    out.push_back(Dispatch{
+        request.id, choice.target, choice.source, choice.predicted, forward, description.name, description.address, description.owner, target.report.boot});
 }
 
 bool Scheduler::preemptFor(const RequestInfo &request, Time now, Commands &out)
@@ -297,7 +298,8 @@
     }
     if (request.pinned != NoTarget) {
         ++this->tally.refusedFull;
-        out.push_back(Refuse{request.id, Error(ErrorKind::TargetFull, "target '" + this->table.at(request.pinned).description.name + "' takes no more work now")});
+        out.push_back(
+            Refuse{request.id, Error(ErrorKind::TargetFull, "target '" + this->table.at(request.pinned).description.name + "' takes no more work now")});
         return;
     }
     if (const std::optional<Error> refusal = this->refusalFor(request, now)) {
@@ -328,7 +330,8 @@
         target.pendingTokens -= entry.pendingTokens;
         this->tally.computedTokens += computed;
         this->table.firstToken(entry.choice.target, entry.choice.predicted, actual, computed, now);
-        const bool cacheWasGone = entry.choice.source.kind == SourceKind::TargetCache && event.cachedTokens >= 0 && event.cachedTokens < entry.choice.source.tokens / 2;
+        const bool cacheWasGone
+            = entry.choice.source.kind == SourceKind::TargetCache && event.cachedTokens >= 0 && event.cachedTokens < entry.choice.source.tokens / 2;
         if (cacheWasGone) {
             if (PromptRecord *record = this->prompts.find(entry.request.promptKey)) {
                 PromptTable::noteLocation(*record, entry.choice.target, 0, now);
@@ -434,7 +437,8 @@
     }
     ++this->tally.exports;
     record.copy = {static_cast<StoreIndex>(store), *bestTier, static_cast<int32_t>(tokens), true};
-    out.push_back(Export{request.promptKey, request.team, finished.choice.target, static_cast<StoreIndex>(store), *bestTier, request.pieces, tokens, bestGain / bytes});
+    out.push_back(
+        Export{request.promptKey, request.team, finished.choice.target, static_cast<StoreIndex>(store), *bestTier, request.pieces, tokens, bestGain / bytes});
 }
 
 double Scheduler::copyValue(const std::string &team, Duration age, Duration horizon, std::optional<Duration> knownReturn) const
@@ -465,6 +469,9 @@
     target.remoteQueuedTokens = event.queuedTokens;
     target.remoteSlots = event.usableSlots;
     target.report.cold = event.cold;
+    if (event.prefillTokensPerSecond > 0) {
+        target.prefillTokensPerSecond = event.prefillTokensPerSecond;
+    }
     if (event.evictionAge >= Duration(0)) {
         target.evictedBefore = std::max(target.evictedBefore, now - event.evictionAge);
     }
@@ -524,7 +531,8 @@
     if (this->waiting.empty()) {
         return;
     }
-    struct Key {
+    struct Key
+    {
         Priority priority;
         Time deadline;
         RequestId id;
--- a/pimentosail/decision/scheduler.h
+++ b/pimentosail/decision/scheduler.h
@@ -21,7 +21,8 @@
 {
 
 // A recent decision, for dumps: what was predicted and what came.
-struct DecisionRecord {
+struct DecisionRecord
+{
     RequestId id = 0;
     std::string target;
     SourceKind source = SourceKind::Recompute;
@@ -30,7 +31,8 @@
 };
 
 // Counts of decisions since the start.
-struct SchedulerCounts {
+struct SchedulerCounts
+{
     long dispatched = 0;
     long forwarded = 0;
     long refusedDeadline = 0;
@@ -47,7 +49,8 @@
 {
 public:
     // Switches of the policy, each with an ablation in the benchmark.
-    struct Options {
+    struct Options
+    {
         bool preemption = true;
         // Keeps one slot of each target free of batch work.
         bool batchReserve = true;
@@ -115,11 +118,13 @@
     double copyValue(const std::string &team, Duration age, Duration horizon, std::optional<Duration> knownReturn) const;
 
 private:
-    struct Waiting {
+    struct Waiting
+    {
         RequestInfo request;
         Time since{};
     };
-    struct Running {
+    struct Running
+    {
         RequestInfo request;
         Choice choice;
         Time dispatchedAt{};
--- a/pimentosail/decision/storecontents.h
+++ b/pimentosail/decision/storecontents.h
@@ -20,7 +20,8 @@
 {
 
 // One copy of a prompt's cache in a store.
-struct StoredCopy {
+struct StoredCopy
+{
     uint64_t promptKey = 0;
     std::string team;
     int64_t tokens = 0;
@@ -32,7 +33,8 @@
 };
 
 // What has to happen before a copy may be written.
-struct StoreAdmission {
+struct StoreAdmission
+{
     bool admitted = false;
     std::vector<uint64_t> evicted;
 };
@@ -72,7 +74,8 @@
     }
 
 private:
-    struct TierState {
+    struct TierState
+    {
         int64_t capacity = 0;
         int64_t used = 0;
         Duration evictionAge{-1};
--- a/pimentosail/decision/targettable.cpp
+++ b/pimentosail/decision/targettable.cpp
@@ -28,7 +28,15 @@
 constexpr Duration ColdByEvidenceTime = std::chrono::seconds(10);
 
 constexpr std::array<const char *, 9> StateNames{
-    "usable", "leaving", "gone", "never_reported", "report_too_old", "excluded", "no_slots", "wrong_version", "loading",
+    "usable",
+    "leaving",
+    "gone",
+    "never_reported",
+    "report_too_old",
+    "excluded",
+    "no_slots",
+    "wrong_version",
+    "loading",
 };
 
 } // namespace
--- a/pimentosail/decision/targettable.h
+++ b/pimentosail/decision/targettable.h
@@ -33,7 +33,8 @@
 // Returns the name of `state` for dumps.
 const char *targetStateName(TargetState state);
 
-struct Target {
+struct Target
+{
     TargetDescription description;
     TargetReport report;
     Time reportedAt{-1};
--- a/pimentosail/decision/types.h
+++ b/pimentosail/decision/types.h
@@ -45,7 +45,8 @@
 };
 
 // What is known of a target before it has reported.
-struct TargetDescription {
+struct TargetDescription
+{
     std::string name;
     std::string model;
     std::string zone;
@@ -62,7 +63,8 @@
 };
 
 // A load report of a target, possibly late.
-struct TargetReport {
+struct TargetReport
+{
     std::string boot;
     bool cold = false;
     bool loading = false;
@@ -76,7 +78,8 @@
 };
 
 // A request as the core sees it.
-struct RequestInfo {
+struct RequestInfo
+{
     RequestId id = 0;
     std::string team;
     std::string model;
@@ -114,7 +117,8 @@
 const char *sourceName(SourceKind kind);
 
 // A source with the tokens that it spares.
-struct CacheSource {
+struct CacheSource
+{
     SourceKind kind = SourceKind::Recompute;
     int64_t tokens = 0;
     StoreIndex store = NoStore;
@@ -123,12 +127,14 @@
 
 // Events.
 
-struct RequestArrived {
+struct RequestArrived
+{
     RequestInfo request;
 };
 
 // An engine has begun to answer.
-struct FirstTokenSeen {
+struct FirstTokenSeen
+{
     RequestId id = 0;
     // Prompt tokens that the engine found in its cache, or a negative number if it did not say.
     int64_t cachedTokens = -1;
@@ -147,37 +153,45 @@
     Cancelled,
 };
 
-struct AttemptEnded {
+struct AttemptEnded
+{
     RequestId id = 0;
     AttemptOutcome outcome = AttemptOutcome::Finished;
 };
 
 // A caller left before its request was dispatched.
-struct RequestWithdrawn {
+struct RequestWithdrawn
+{
     RequestId id = 0;
 };
 
-struct TargetReported {
+struct TargetReported
+{
     TargetIndex target = NoTarget;
     TargetReport report;
 };
 
 // A peer's summary of a target that it owns.
-struct RemoteTargetReported {
+struct RemoteTargetReported
+{
     TargetIndex target = NoTarget;
     int64_t inFlight = 0;
     int64_t queuedTokens = 0;
     int64_t usableSlots = 0;
     bool cold = false;
     Duration evictionAge{-1};
+    // 0 if the owner did not say.
+    double prefillTokensPerSecond = 0;
 };
 
-struct TargetUnreachable {
+struct TargetUnreachable
+{
     TargetIndex target = NoTarget;
 };
 
 // A store reports how much a copy of a prompt holds after an export, or 0 after an eviction or a failure.
-struct StoreCopyChanged {
+struct StoreCopyChanged
+{
     uint64_t promptKey = 0;
     StoreIndex store = NoStore;
     Tier tier = Tier::Memory;
@@ -185,7 +199,8 @@
 };
 
 // The wait that a new transfer would have on a store's link.
-struct LinkReported {
+struct LinkReported
+{
     StoreIndex store = NoStore;
     Tier tier = Tier::Memory;
     Duration wait{};
@@ -195,24 +210,18 @@
     bool usable = true;
 };
 
-struct ClockTicked {
+struct ClockTicked
+{
 };
 
-using Event = std::variant<RequestArrived,
-                           FirstTokenSeen,
-                           AttemptEnded,
-                           RequestWithdrawn,
-                           TargetReported,
-                           RemoteTargetReported,
-                           TargetUnreachable,
-                           StoreCopyChanged,
-                           LinkReported,
-                           ClockTicked>;
+using Event = std::variant<RequestArrived, FirstTokenSeen, AttemptEnded, RequestWithdrawn, TargetReported, RemoteTargetReported, TargetUnreachable,
+    StoreCopyChanged, LinkReported, ClockTicked>;
 
 // Commands.
 
 // Run the request on a target, after importing from a store if the source says so.
-struct Dispatch {
+struct Dispatch
+{
     RequestId id = 0;
     TargetIndex target = NoTarget;
     CacheSource source;
@@ -228,18 +237,21 @@
 };
 
 // Answer the request with an error; it was not run.
-struct Refuse {
+struct Refuse
+{
     RequestId id = 0;
     Error error;
 };
 
 // Cancel the running attempt; its request comes again as RequestArrived with `resumed`.
-struct Preempt {
+struct Preempt
+{
     RequestId id = 0;
 };
 
 // Copy a prompt's cache from a target to a store, in the background.
-struct Export {
+struct Export
+{
     uint64_t promptKey = 0;
     std::string team;
     TargetIndex target = NoTarget;
--- a/pimentosail/idempotency/recordkeeper.h
+++ b/pimentosail/idempotency/recordkeeper.h
@@ -30,7 +30,8 @@
 std::string recordRole(int shard);
 
 // A service's answer, as first given or as kept.
-struct KeptAnswer {
+struct KeptAnswer
+{
     int status = 0;
     std::string contentType;
     std::string body;
@@ -63,7 +64,8 @@
     long writeCount();
 
 private:
-    struct Entry {
+    struct Entry
+    {
         CallRecord record;
         // True while a thread of this process runs the call.
         bool running = false;
@@ -72,15 +74,18 @@
         Time changedAt{};
     };
     // How the write of a pending record ended; lives on the stack of the thread that waits for it.
-    struct Commit {
+    struct Commit
+    {
         bool done = false;
         std::optional<Error> failure;
     };
-    struct Pending {
+    struct Pending
+    {
         CallRecord record;
         Commit *commit = nullptr;
     };
-    struct Shard {
+    struct Shard
+    {
         std::mutex mutex;
         std::condition_variable changed;
         std::unique_ptr<RecordLog> log;
--- a/pimentosail/idempotency/recordlog.h
+++ b/pimentosail/idempotency/recordlog.h
@@ -37,7 +37,8 @@
 const char *callStateName(CallState state);
 
 // What is kept of one call.
-struct CallRecord {
+struct CallRecord
+{
     // Team, service and idempotency key, hashed.
     std::string key;
     uint64_t bodyHash = 0;
--- a/pimentosail/kv/keyvaluestore.h
+++ b/pimentosail/kv/keyvaluestore.h
@@ -27,14 +27,16 @@
 class MemoryKeyValue;
 
 // One stored value. `modRevision` rises with every write to the store and is 0 for an absent key.
-struct KeyValue {
+struct KeyValue
+{
     std::string key;
     std::string value;
     int64_t modRevision = 0;
 };
 
 // The answer to a compare-and-swap.
-struct SwapOutcome {
+struct SwapOutcome
+{
     bool swapped = false;
     // Revision of the key after the call, if swapped.
     int64_t modRevision = 0;
--- /dev/null
+++ b/pimentosail/kv/kvtest.cpp
@@ -0,0 +1,93 @@
+#include <criterion/criterion.h>
+
+#include "pimentosail/base/error.h"
+#include "pimentosail/kv/etcdclient.h"
+#include "pimentosail/kv/keyvaluestore.h"
+#include "pimentosail/kv/memorykeyvalue.h"
+
+using namespace pimentosail;
+
+namespace
+{
+
+struct Fixture
+{
+    Fixture()
+    {
+        this->clock.pause();
+    }
+    Clock clock;
+    std::shared_ptr<MemoryKeyValue> memory = std::make_shared<MemoryKeyValue>(this->clock);
+    KeyValueStore store = KeyValueStore::inMemory(this->memory);
+};
+
+} // namespace
+
+Test(kv, compare_and_swap_has_one_winner)
+{
+    Fixture fixture;
+    const SwapOutcome first = fixture.store.compareAndSwap("k", 0, "a", 0);
+    cr_assert(first.swapped);
+    cr_assert_not(fixture.store.compareAndSwap("k", 0, "b", 0).swapped);
+    cr_assert(fixture.store.compareAndSwap("k", first.modRevision, "c", 0).swapped);
+    cr_assert_eq(fixture.store.get("k")->value, std::string("c"));
+}
+
+Test(kv, a_lease_ends_with_its_keys)
+{
+    Fixture fixture;
+    const int64_t lease = fixture.store.grantLease(std::chrono::seconds(5));
+    fixture.store.compareAndSwap("k", 0, "a", lease);
+    fixture.clock.advance(std::chrono::seconds(4));
+    cr_assert(fixture.store.keepAlive(lease));
+    fixture.clock.advance(std::chrono::seconds(6));
+    cr_assert_not(fixture.store.get("k").has_value());
+    cr_assert_not(fixture.store.keepAlive(lease));
+}
+
+Test(kv, a_swap_whose_answer_is_lost_counts_as_done_once)
+{
+    Fixture fixture;
+    fixture.memory->loseNextAnswers(1);
+    const SwapOutcome outcome = settleSwap(fixture.store, "k", 0, "mine", 0);
+    cr_assert(outcome.swapped);
+    cr_assert_eq(fixture.store.get("k")->modRevision, outcome.modRevision);
+}
+
+Test(kv, a_lost_race_is_not_taken_for_a_win_after_a_lost_answer)
+{
+    Fixture fixture;
+    fixture.store.compareAndSwap("k", 0, "other", 0);
+    fixture.memory->loseNextAnswers(1);
+    cr_assert_not(settleSwap(fixture.store, "k", 0, "mine", 0).swapped);
+    cr_assert_eq(fixture.store.get("k")->value, std::string("other"));
+}
+
+Test(kv, an_outage_is_reported_as_unavailable)
+{
+    Fixture fixture;
+    fixture.memory->setDown(true);
+    cr_assert_throw(settleSwap(fixture.store, "k", 0, "mine", 0), Failure);
+    fixture.memory->setDown(false);
+    cr_assert_not(fixture.store.get("k").has_value());
+}
+
+Test(kv, list_returns_a_prefix_in_order)
+{
+    Fixture fixture;
+    for (const char *key : {"a/2", "a/1", "b/1"}) {
+        fixture.store.compareAndSwap(key, 0, key, 0);
+    }
+    const std::vector<KeyValue> items = fixture.store.list("a/");
+    cr_assert_eq(items.size(), 2U);
+    cr_assert_eq(items[0].key, std::string("a/1"));
+}
+
+Test(kv, base64_keeps_every_byte)
+{
+    std::string bytes;
+    for (int value = 0; value < 256; ++value) {
+        bytes.push_back(static_cast<char>(value));
+    }
+    cr_assert_eq(decodeBase64(encodeBase64(bytes)), bytes);
+}
--- a/pimentosail/kv/memorykeyvalue.h
+++ b/pimentosail/kv/memorykeyvalue.h
@@ -19,7 +19,8 @@
 {
 
 // Calls served, by kind. A waiting watch counts as one read.
-struct KeyValueCounts {
+struct KeyValueCounts
+{
     long reads = 0;
     long writes = 0;
     long watches = 0;
@@ -55,12 +56,14 @@
     KeyValueCounts counts() const;
 
 private:
-    struct Entry {
+    struct Entry
+    {
         std::string value;
         int64_t modRevision = 0;
         int64_t lease = 0;
     };
-    struct Lease {
+    struct Lease
+    {
         Duration ttl{};
         Time end{};
     };
--- a/pimentosail/membership/membership.cpp
+++ b/pimentosail/membership/membership.cpp
@@ -172,15 +172,57 @@
     return Standing::Owner;
 }
 
-int64_t Membership::ghostShare(const std::string &role, int64_t limit) const
+int64_t Membership::ghostShare(int64_t limit) const
 {
     int64_t total = 0;
     for (const Ghost &ghost : this->current.ghosts) {
-        total += fallbackShare(role, limit, ghost.name, ghost.knownMembers);
+        total += (limit + ghost.divisor - 1) / ghost.divisor;
     }
     return std::min(total, limit);
 }
 
+// A member uses shares of another owner's role only after a long silence between the two, and shares of a role that
+// it owned before as long as it has not seen the present generation.
+bool Membership::mayUseShares(const Member &member, Time now) const
+{
+    const auto found = this->peers.find(member.name);
+    if (found == this->peers.end()) {
+        return true;
+    }
+    const Peer &peer = found->second;
+    const bool heardUsLately = peer.echoAt >= Time(0) && now - peer.echoAt < this->longestAuthority();
+    return peer.generation < this->current.generation || !heardUsLately;
+}
+
+int64_t Membership::memberShares(int64_t limit, Time now) const
+{
+    int64_t total = 0;
+    for (const Member &member : this->current.members) {
+        if (member.name != this->self.name && this->mayUseShares(member, now)) {
+            const int64_t divisor = this->ghostDivisor(member.name);
+            total += (limit + divisor - 1) / divisor;
+        }
+    }
+    return total;
+}
+
+// A removed host may know any view since the one that it last acknowledged; its shares are largest in the smallest.
+int64_t Membership::ghostDivisor(const std::string &name) const
+{
+    const auto found = this->peers.find(name);
+    const int64_t acknowledged = found == this->peers.end() ? 0 : found->second.generation;
+    if (this->epochs.empty() || this->epochs.front().generation > acknowledged) {
+        return 1;
+    }
+    size_t smallest = this->current.members.size();
+    for (const Epoch &epoch : this->epochs) {
+        if (epoch.generation >= acknowledged && contains(epoch.members, name)) {
+            smallest = std::min(smallest, epoch.members.size());
+        }
+    }
+    return static_cast<int64_t>(std::max<size_t>(1, smallest));
+}
+
 int64_t Membership::usable(const std::string &role, int64_t limit, bool ownerUnconfirmed, Time now) const
 {
     switch (this->standing(role, now)) {
@@ -188,7 +230,7 @@
     case Standing::Settling:
         return 0;
     case Standing::Owner:
-        return limit - this->ghostShare(role, limit);
+        return std::max<int64_t>(0, limit - this->ghostShare(limit) - this->memberShares(limit, now));
     case Standing::Share:
         break;
     }
@@ -200,7 +242,7 @@
     const bool ownerSilent = this->confirmedAt >= Time(0) && now - this->confirmedAt > 2 * this->longestAuthority()
         && (ownerAge < Duration(0) || ownerAge > 2 * this->longestAuthority());
     const bool mayUse = owner == this->self.name || ownerUnconfirmed || ownerSilent;
-    return mayUse ? fallbackShare(role, limit, this->self.name, this->current.names()) : 0;
+    return mayUse ? fallbackShare(role, limit - this->ghostShare(limit), this->self.name, this->current.names()) : 0;
 }
 
 bool Membership::isHeard(const std::string &name, Time now) const
@@ -235,7 +277,8 @@
     });
 }
 
-bool Membership::mayRemove(const Member &member, const std::vector<HostLease> &leases, const std::optional<std::vector<std::string>> &listedHosts, Time now) const
+bool Membership::mayRemove(
+    const Member &member, const std::vector<HostLease> &leases, const std::optional<std::vector<std::string>> &listedHosts, Time now) const
 {
     if (member.name == this->self.name || hasLeaseOf(leases, member)) {
         return false;
@@ -270,13 +313,12 @@
         mine->established = true;
         changed = true;
     }
-    const std::vector<std::string> knownMembers = this->current.names();
     for (const Member &member : this->current.members) {
         if (!this->mayRemove(member, leases, listedHosts, now)) {
             continue;
         }
         next.members.erase(std::find_if(next.members.begin(), next.members.end(), [&member](const Member &other) { return other.name == member.name; }));
-        next.ghosts.push_back({member.name, knownMembers});
+        next.ghosts.push_back({member.name, this->ghostDivisor(member.name)});
         changed = true;
     }
     const auto forgotten = std::remove_if(next.ghosts.begin(), next.ghosts.end(), [&](const Ghost &ghost) {
@@ -300,8 +342,8 @@
     View next = this->current;
     next.generation = this->current.generation + 1;
     next.nonce = randomId();
-    next.members.erase(std::remove_if(next.members.begin(), next.members.end(), [this](const Member &member) { return member.name == this->self.name; }),
-                       next.members.end());
+    next.members.erase(
+        std::remove_if(next.members.begin(), next.members.end(), [this](const Member &member) { return member.name == this->self.name; }), next.members.end());
     return next;
 }
 
--- a/pimentosail/membership/membership.h
+++ b/pimentosail/membership/membership.h
@@ -27,7 +27,8 @@
 {
 
 // Time limits of the protocol.
-struct MembershipTimings {
+struct MembershipTimings
+{
     Duration leaseTtl = Milliseconds(6000);
     // Subtracted from the lease time by the holder.
     Duration leaseMargin = Milliseconds(1000);
@@ -53,7 +54,8 @@
 const char *standingName(Standing standing);
 
 // What a heartbeat says about membership.
-struct MemberReport {
+struct MemberReport
+{
     std::string from;
     int64_t generation = 0;
     // Age of the newest heartbeat that the sender had from this host; negative if there was none.
@@ -62,7 +64,8 @@
 };
 
 // A live host lease found in the key-value service.
-struct HostLease {
+struct HostLease
+{
     Member member;
 };
 
@@ -122,7 +125,8 @@
     bool allAcknowledged() const;
 
 private:
-    struct Peer {
+    struct Peer
+    {
         Time lastHeard{-1};
         int64_t generation = 0;
         Time echoAt{-1};
@@ -130,7 +134,8 @@
     };
 
     // The owners of one generation, kept until a later generation has settled.
-    struct Epoch {
+    struct Epoch
+    {
         int64_t generation = 0;
         Time seenAt{};
         std::vector<std::string> members;
@@ -139,7 +144,10 @@
     void adopt(const View &next, Time now);
     bool confirmedByPeers(Time now) const;
     bool oldOwnerStopped(const std::string &owner, const Epoch &epoch, Time now) const;
-    int64_t ghostShare(const std::string &role, int64_t limit) const;
+    int64_t ghostShare(int64_t limit) const;
+    int64_t memberShares(int64_t limit, Time now) const;
+    bool mayUseShares(const Member &member, Time now) const;
+    int64_t ghostDivisor(const std::string &name) const;
     Duration longestAuthority() const;
     bool mayRemove(const Member &member, const std::vector<HostLease> &leases, const std::optional<std::vector<std::string>> &listedHosts, Time now) const;
 
--- a/pimentosail/membership/view.cpp
+++ b/pimentosail/membership/view.cpp
@@ -20,12 +20,7 @@
                 {jsonString(item, "name"), jsonString(item, "zone"), jsonString(item, "address"), jsonString(item, "boot"), jsonBoolean(item, "established")});
         }
         for (const Json::Value &item : value["ghosts"]) {
-            Ghost ghost;
-            ghost.name = jsonString(item, "name");
-            for (const Json::Value &name : item["known_members"]) {
-                ghost.knownMembers.push_back(name.asString());
-            }
-            view.ghosts.push_back(std::move(ghost));
+            view.ghosts.push_back({jsonString(item, "name"), std::max<int64_t>(1, jsonInteger(item, "divisor", 1))});
         }
         return view;
     } catch (const std::exception &exception) {
@@ -52,10 +47,7 @@
     for (const Ghost &ghost : this->ghosts) {
         Json::Value item;
         item["name"] = ghost.name;
-        item["known_members"] = Json::Value(Json::arrayValue);
-        for (const std::string &name : ghost.knownMembers) {
-            item["known_members"].append(name);
-        }
+        item["divisor"] = Json::Int64(ghost.divisor);
         value["ghosts"].append(item);
     }
     return printJson(value);
--- a/pimentosail/membership/view.h
+++ b/pimentosail/membership/view.h
@@ -17,7 +17,8 @@
 {
 
 // One entry host in the view.
-struct Member {
+struct Member
+{
     std::string name;
     std::string zone;
     // Internal address, `IP:PORT`.
@@ -30,13 +31,15 @@
 };
 
 // A host that was removed without having said that it leaves. It may still run and use its fallback shares, so
-// owners keep those shares free. `knownMembers` are the members by which it works out its shares.
-struct Ghost {
+// owners keep room for them: at most one part in `divisor` of each limit, rounded up.
+struct Ghost
+{
     std::string name;
-    std::vector<std::string> knownMembers;
+    int64_t divisor = 1;
 };
 
-struct View {
+struct View
+{
     int64_t generation = 0;
     std::string nonce;
     std::vector<Member> members;
--- a/pimentosail/net/httpclient.h
+++ b/pimentosail/net/httpclient.h
@@ -29,7 +29,8 @@
 using Headers = std::vector<std::pair<std::string, std::string>>;
 
 // One request to send. `body` is sent with a Content-Length.
-struct HttpRequest {
+struct HttpRequest
+{
     std::string method = "GET";
     std::string path = "/";
     Headers headers;
@@ -37,7 +38,8 @@
 };
 
 // A whole answer.
-struct HttpReply {
+struct HttpReply
+{
     int status = 0;
     std::string contentType;
     std::string body;
--- a/pimentosail/peer/heartbeat.cpp
+++ b/pimentosail/peer/heartbeat.cpp
@@ -68,6 +68,7 @@
     target.usableSlots = static_cast<uint16_t>(readSigned(reader));
     target.queuedTokens = static_cast<uint32_t>(readSigned(reader));
     target.evictionAgeSeconds = static_cast<int32_t>(readSigned(reader));
+    target.prefillRate = static_cast<uint32_t>(readSigned(reader));
     return target;
 }
 
@@ -78,6 +79,7 @@
     writeSigned(writer, target.usableSlots);
     writeSigned(writer, target.queuedTokens);
     writeSigned(writer, target.evictionAgeSeconds);
+    writeSigned(writer, target.prefillRate);
 }
 
 LinkSummary readLink(Poco::BinaryReader &reader)
@@ -101,7 +103,7 @@
 }
 
 // Reads a list of at most MaxTargets items; returns false if it is too long or cut off.
-template<typename Item, typename Read>
+template <typename Item, typename Read>
 bool readList(Poco::BinaryReader &reader, std::vector<Item> &items, const Read &readItem)
 {
     Poco::UInt32 count = 0;
--- a/pimentosail/peer/heartbeat.h
+++ b/pimentosail/peer/heartbeat.h
@@ -18,7 +18,8 @@
 {
 
 // Load of one target, as its owner knows it.
-struct TargetSummary {
+struct TargetSummary
+{
     // Low 32 bits of the stable hash of the target's name.
     uint32_t nameHash = 0;
     uint16_t inFlight = 0;
@@ -27,10 +28,13 @@
     bool cold = false;
     // Seconds; negative if the target has evicted nothing.
     int32_t evictionAgeSeconds = -1;
+    // Prompt tokens computed a second.
+    uint32_t prefillRate = 0;
 };
 
 // State of one link of a store, as the store's owner knows it.
-struct LinkSummary {
+struct LinkSummary
+{
     uint32_t storeHash = 0;
     // 0 for the memory tier, 1 for the disk tier.
     uint8_t tier = 0;
@@ -40,7 +44,8 @@
     int32_t evictionAgeSeconds = -1;
 };
 
-struct Heartbeat {
+struct Heartbeat
+{
     std::string from;
     std::string boot;
     int64_t generation = 0;
--- a/pimentosail/serve/allowanceduty.cpp
+++ b/pimentosail/serve/allowanceduty.cpp
@@ -32,7 +32,8 @@
     }
 }
 
-AllowanceDuty::AllowanceDuty(Clock &runtimeClock, MembershipDuty &membershipDuty, PeerClient &peerClient, std::function<ConfigurationPointer()> configurationInForce)
+AllowanceDuty::AllowanceDuty(
+    Clock &runtimeClock, MembershipDuty &membershipDuty, PeerClient &peerClient, std::function<ConfigurationPointer()> configurationInForce)
     : clock(runtimeClock)
     , membership(membershipDuty)
     , peers(peerClient)
@@ -90,7 +91,8 @@
     loan.slots += static_cast<int64_t>(static_cast<double>(allowance.concurrent) * BaseSlotFraction / members);
     this->client.receive(team.name, loan, this->clock.now());
     if (!this->client.take(team.name, tokens, this->clock.now())) {
-        throw Failure(ErrorKind::AllowanceExceeded, "the allowance of team '" + team.name + "' is used up; retry in " + std::to_string(toMilliseconds(loan.retryAfter)) + " ms");
+        throw Failure(ErrorKind::AllowanceExceeded,
+            "the allowance of team '" + team.name + "' is used up; retry in " + std::to_string(toMilliseconds(loan.retryAfter)) + " ms");
     }
     return {this, team.name, tokens};
 }
--- a/pimentosail/serve/callerapi.cpp
+++ b/pimentosail/serve/callerapi.cpp
@@ -240,8 +240,8 @@
             if (!started) {
                 started = true;
                 exchange.startStream("text/event-stream");
-                this->context.metrics.observeSeconds(
-                    "pimentosail_first_token_seconds", {{"priority", std::string(priorityName(spec.priority))}}, toSeconds(this->context.clock.now() - arrived));
+                this->context.metrics.observeSeconds("pimentosail_first_token_seconds", {{"priority", std::string(priorityName(spec.priority))}},
+                    toSeconds(this->context.clock.now() - arrived));
             }
             exchange.write(eventOf(chunkOf(spec, isChat, *frame)));
         } else if (const auto *end = std::get_if<AnswerEnd>(&event)) {
--- a/pimentosail/serve/callerapi.h
+++ b/pimentosail/serve/callerapi.h
@@ -37,7 +37,8 @@
 
 private:
     // A caller that has shown its key.
-    struct Caller {
+    struct Caller
+    {
         ConfigurationPointer configuration;
         const Team *team = nullptr;
     };
--- a/pimentosail/serve/configurationduty.cpp
+++ b/pimentosail/serve/configurationduty.cpp
@@ -70,7 +70,8 @@
         const int64_t revision = this->configuration ? this->configuration->revision : 0;
         if (next->revision <= revision) {
             if (next->revision < revision && this->refusedRevision != next->revision) {
-                logStateChange("configuration_older", {{"source", source}, {"revision", std::to_string(next->revision)}, {"in_force", std::to_string(revision)}});
+                logStateChange(
+                    "configuration_older", {{"source", source}, {"revision", std::to_string(next->revision)}, {"in_force", std::to_string(revision)}});
                 this->refusedRevision = next->revision;
             }
             return;
@@ -168,7 +169,8 @@
         }
         if (base.revision != baseRevision) {
             const std::string last = base.history.empty() ? std::string("unknown") : base.history.back().author + ": " + base.history.back().summary;
-            return failed(ErrorKind::Conflict, "revision " + std::to_string(base.revision) + " is in force, not " + std::to_string(baseRevision) + " (" + last + ")");
+            return failed(
+                ErrorKind::Conflict, "revision " + std::to_string(base.revision) + " is in force, not " + std::to_string(baseRevision) + " (" + last + ")");
         }
         Result<Configuration> next = change(base);
         if (!next) {
@@ -180,11 +182,8 @@
     }
 }
 
-Result<ConfigurationPointer> ConfigurationDuty::write(const Configuration &base,
-                                                      int64_t modRevision,
-                                                      Configuration next,
-                                                      const std::string &author,
-                                                      const std::string &summary)
+Result<ConfigurationPointer> ConfigurationDuty::write(
+    const Configuration &base, int64_t modRevision, Configuration next, const std::string &author, const std::string &summary)
 {
     next.revision = base.revision + 1;
     next.nonce = randomId();
@@ -196,7 +195,9 @@
         const std::optional<KeyValue> other = this->store.get(ConfigurationKey);
         const Result<Configuration> winner = Configuration::fromDocument(other ? other->value : "");
         const bool known = winner && !winner->history.empty();
-        return failed(ErrorKind::Conflict, "another operator changed the configuration first (" + (known ? winner->history.back().author + ": " + winner->history.back().summary : "unknown") + ")");
+        return failed(ErrorKind::Conflict,
+            "another operator changed the configuration first (" + (known ? winner->history.back().author + ": " + winner->history.back().summary : "unknown")
+                + ")");
     }
     this->offer(document, "apply");
     return this->current();
--- a/pimentosail/serve/configurationduty.h
+++ b/pimentosail/serve/configurationduty.h
@@ -21,7 +21,8 @@
 {
 
 // What the duty needs of the rest of the process.
-struct ConfigurationHooks {
+struct ConfigurationHooks
+{
     // True on the few hosts that keep a watch open.
     std::function<bool()> isWatcher;
     // Fetches the configuration document of a peer; throws `Failure` if it has none.
@@ -57,7 +58,8 @@
     std::string lastRefusal() const;
 
 private:
-    struct Rumour {
+    struct Rumour
+    {
         std::string address;
         int64_t revision = 0;
     };
@@ -66,7 +68,8 @@
     void runPeerReader();
     void readStore();
     void offer(const std::string &document, const std::string &source);
-    Result<ConfigurationPointer> write(const Configuration &base, int64_t modRevision, Configuration next, const std::string &author, const std::string &summary);
+    Result<ConfigurationPointer> write(
+        const Configuration &base, int64_t modRevision, Configuration next, const std::string &author, const std::string &summary);
 
     Clock &clock;
     KeyValueStore store;
--- a/pimentosail/serve/context.h
+++ b/pimentosail/serve/context.h
@@ -19,9 +19,8 @@
 namespace pimentosail
 {
 
-
-
-struct Context {
+struct Context
+{
     Clock &clock;
     const Settings &settings;
     HttpClient &http;
--- a/pimentosail/serve/decisionduty.cpp
+++ b/pimentosail/serve/decisionduty.cpp
@@ -159,6 +159,7 @@
         event.queuedTokens = summary.queuedTokens;
         event.cold = summary.cold;
         event.evictionAge = std::chrono::seconds(summary.evictionAgeSeconds);
+        event.prefillTokensPerSecond = summary.prefillRate;
         this->deliver(this->scheduler.handle(event, now));
     }
 }
@@ -181,7 +182,8 @@
 
 void DecisionDuty::deliver(const std::vector<Command> &commands)
 {
-    struct Delivery {
+    struct Delivery
+    {
         DecisionDuty &duty;
         const Command &command;
 
@@ -232,6 +234,7 @@
         summary.queuedTokens = static_cast<uint32_t>(targets.queuedTokens(target));
         summary.cold = state.report.cold || state.coldByEvidence;
         summary.evictionAgeSeconds = state.evictedBefore < Time(0) ? -1 : static_cast<int32_t>(toSeconds(now - state.evictedBefore));
+        summary.prefillRate = static_cast<uint32_t>(targets.prefillRate(target));
         current.push_back(summary);
     }
     const std::lock_guard lock(this->summariesMutex);
--- a/pimentosail/serve/decisionduty.h
+++ b/pimentosail/serve/decisionduty.h
@@ -23,19 +23,22 @@
 {
 
 // The commands for one request.
-struct RequestSlot {
+struct RequestSlot
+{
     BoundedRing<Command> commands{16};
 };
 
 // Targets named by a request; the decision thread looks them up.
-struct PlacementNames {
+struct PlacementNames
+{
     // Target chosen by an upstream host; empty lets the core choose.
     std::string pinned;
     std::vector<std::string> avoid;
 };
 
 // The targets, models and stores as configured and listed now.
-struct FleetUpdate {
+struct FleetUpdate
+{
     std::vector<TargetDescription> targets;
     std::vector<Model> models;
     std::vector<std::string> stores;
@@ -80,22 +83,27 @@
     std::vector<TargetSummary> ownSummaries() const;
 
 private:
-    struct Submitted {
+    struct Submitted
+    {
         RequestInfo request;
         PlacementNames names;
         std::shared_ptr<RequestSlot> slot;
     };
-    struct Retired {
+    struct Retired
+    {
         RequestId id = 0;
     };
-    struct RemoteSummaries {
+    struct RemoteSummaries
+    {
         std::string from;
         std::vector<TargetSummary> summaries;
     };
-    struct Action {
+    struct Action
+    {
         std::function<std::vector<Command>(Scheduler &, Time)> body;
     };
-    struct Inspection {
+    struct Inspection
+    {
         std::function<void(Scheduler &)> visit;
         std::shared_ptr<std::promise<void>> done;
     };
--- a/pimentosail/serve/fleet.cpp
+++ b/pimentosail/serve/fleet.cpp
@@ -32,9 +32,8 @@
             homes.push_back(&host);
         }
     }
-    std::sort(homes.begin(), homes.end(), [promptKey](const FleetHost *left, const FleetHost *right) {
-        return stableHash(left->name, promptKey) > stableHash(right->name, promptKey);
-    });
+    std::sort(homes.begin(), homes.end(),
+        [promptKey](const FleetHost *left, const FleetHost *right) { return stableHash(left->name, promptKey) > stableHash(right->name, promptKey); });
     return homes;
 }
 
--- a/pimentosail/serve/fleet.h
+++ b/pimentosail/serve/fleet.h
@@ -27,7 +27,8 @@
 };
 
 // One host of the platform's host list.
-struct FleetHost {
+struct FleetHost
+{
     std::string name;
     HostKind kind = HostKind::Engine;
     std::string pool;
@@ -38,7 +39,8 @@
     std::string owner;
 };
 
-struct Fleet {
+struct Fleet
+{
     std::vector<FleetHost> hosts;
 
     // Returns the live engine of `pool` on which a prompt is placed when nothing else is known, or null.
--- a/pimentosail/serve/internalapi.cpp
+++ b/pimentosail/serve/internalapi.cpp
@@ -83,7 +83,9 @@
         value["document"] = this->context.membership.view().toDocument();
         return value;
     };
-    handlers["lend"] = [this](const Json::Value &arguments) { return loanToJson(this->context.allowances.lend(loanRequestFromJson(arguments))); };
+    handlers["lend"] = [this](const Json::Value &arguments) {
+        return loanToJson(this->context.allowances.lend(loanRequestFromJson(arguments)));
+    };
     handlers["suspect"] = [this](const Json::Value &arguments) {
         this->context.suspects.record(std::stoull(jsonString(arguments, "fingerprint", "0")), jsonString(arguments, "dead"), this->context.clock.now());
         return Json::Value(Json::objectValue);
@@ -93,8 +95,12 @@
         value["tokens"] = Json::Int64(this->context.transfers.perform(transferOrderFromJson(arguments)));
         return value;
     };
-    handlers["status"] = [this](const Json::Value & /*arguments*/) { return this->localStatus(); };
-    handlers["dump"] = [this](const Json::Value & /*arguments*/) { return this->dumpState(); };
+    handlers["status"] = [this](const Json::Value & /*arguments*/) {
+        return this->localStatus();
+    };
+    handlers["dump"] = [this](const Json::Value & /*arguments*/) {
+        return this->dumpState();
+    };
     return handlers;
 }
 
@@ -141,11 +147,14 @@
 
 void InternalApi::run(HttpExchange &exchange)
 {
-    RunSpec spec = decodeRun(exchange.header("X-Pimentosail-Run"), exchange.readBody(MaxInternalBody, this->context.clock, BodyTimeout), this->context.clock.now());
+    RunSpec spec
+        = decodeRun(exchange.header("X-Pimentosail-Run"), exchange.readBody(MaxInternalBody, this->context.clock, BodyTimeout), this->context.clock.now());
     exchange.startStream("application/x-ndjson");
     // The first line tells the sender at once that this host is alive.
     exchange.write(encodeAnswer(AnswerKeepAlive{}) + "\n");
-    const AnswerSink sink = [&exchange](const AnswerEvent &event) { exchange.write(encodeAnswer(event) + "\n"); };
+    const AnswerSink sink = [&exchange](const AnswerEvent &event) {
+        exchange.write(encodeAnswer(event) + "\n");
+    };
     try {
         this->runner.run(spec, sink);
     } catch (const Failure &failure) {
@@ -157,8 +166,8 @@
 
 void InternalApi::service(HttpExchange &exchange)
 {
-    const ServiceRequest request = decodeServiceRequest(exchange.header("X-Pimentosail-Service"), exchange.header("Content-Type"),
-                                                        exchange.readBody(MaxInternalBody, this->context.clock, BodyTimeout));
+    const ServiceRequest request = decodeServiceRequest(
+        exchange.header("X-Pimentosail-Service"), exchange.header("Content-Type"), exchange.readBody(MaxInternalBody, this->context.clock, BodyTimeout));
     Json::Value value;
     try {
         const ServiceAnswer answer = this->services.onKeeper(request);
@@ -201,7 +210,9 @@
 void InternalApi::applyLists(HttpExchange &exchange)
 {
     const Json::Value body = parseJson(exchange.readBody(MaxInternalBody, this->context.clock, BodyTimeout));
-    const auto change = [&body](const Configuration &current) { return withLists(current, body); };
+    const auto change = [&body](const Configuration &current) {
+        return withLists(current, body);
+    };
     const int64_t base = jsonInteger(body, "base_revision");
     this->sendConfiguration(exchange, this->context.configuration.apply(base, change, jsonString(body, "author"), jsonString(body, "summary")));
 }
--- a/pimentosail/serve/membershipduty.h
+++ b/pimentosail/serve/membershipduty.h
@@ -27,7 +27,8 @@
 {
 
 // What the duty takes from and gives to the rest of the process.
-struct MembershipHooks {
+struct MembershipHooks
+{
     // Fills in the configuration revision and the target summaries of a heartbeat.
     std::function<void(Heartbeat &heartbeat)> describe;
     // Takes a received heartbeat and the internal address of its sender, if known.
--- a/pimentosail/serve/metrics.cpp
+++ b/pimentosail/serve/metrics.cpp
@@ -11,7 +11,7 @@
 const prometheus::Histogram::BucketBoundaries LatencyBuckets{0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 1.7, 3, 5, 10, 30, 60};
 
 // Returns the family called `name`, created by `build` at its first use.
-template<typename Family, typename Build>
+template <typename Family, typename Build>
 Family &familyOf(std::map<std::string, Family *> &families, const std::string &name, const Build &build)
 {
     const auto found = families.find(name);
@@ -28,19 +28,26 @@
 void Metrics::count(const std::string &name, const Labels &labels, double amount)
 {
     const std::lock_guard lock(this->mutex);
-    familyOf(this->counters, name, [&]() -> auto & { return prometheus::BuildCounter().Name(name).Register(this->registry); }).Add(labels).Increment(amount);
+    familyOf(
+        this->counters, name, [&]() -> auto & { return prometheus::BuildCounter().Name(name).Register(this->registry); })
+        .Add(labels)
+        .Increment(amount);
 }
 
 void Metrics::set(const std::string &name, const Labels &labels, double value)
 {
     const std::lock_guard lock(this->mutex);
-    familyOf(this->gauges, name, [&]() -> auto & { return prometheus::BuildGauge().Name(name).Register(this->registry); }).Add(labels).Set(value);
+    familyOf(
+        this->gauges, name, [&]() -> auto & { return prometheus::BuildGauge().Name(name).Register(this->registry); })
+        .Add(labels)
+        .Set(value);
 }
 
 void Metrics::observeSeconds(const std::string &name, const Labels &labels, double seconds)
 {
     const std::lock_guard lock(this->mutex);
-    familyOf(this->histograms, name, [&]() -> auto & { return prometheus::BuildHistogram().Name(name).Register(this->registry); })
+    familyOf(
+        this->histograms, name, [&]() -> auto & { return prometheus::BuildHistogram().Name(name).Register(this->registry); })
         .Add(labels, LatencyBuckets)
         .Observe(seconds);
 }
--- a/pimentosail/serve/process.cpp
+++ b/pimentosail/serve/process.cpp
@@ -88,31 +88,29 @@
     : settings(processSettings)
     , clock(runtimeClock)
     , peers(this->http,
-            [this](const std::string &method, size_t bytes) {
-                this->metrics.count("pimentosail_control_bytes_total", {{"kind", "rpc_" + method}}, static_cast<double>(bytes));
-            })
+          [this](const std::string &method, size_t bytes) {
+              this->metrics.count("pimentosail_control_bytes_total", {{"kind", "rpc_" + method}}, static_cast<double>(bytes));
+          })
     , engines(this->http)
     , store(KeyValueStore::overHttp(this->settings.keyValue, KeyValueTimeout))
     , transfers(runtimeClock)
     , targets(runtimeClock, this->settings)
-    , membership(runtimeClock, this->store, Member{this->settings.name, this->settings.zone, this->settings.internal, randomId(), false}, this->settings, this->membershipHooks())
+    , membership(runtimeClock, this->store, Member{this->settings.name, this->settings.zone, this->settings.internal, randomId(), false}, this->settings,
+          this->membershipHooks())
     , configuration(runtimeClock, this->store, this->configurationHooks())
     , decisions(runtimeClock, Scheduler::Options{}, policyOf(this->settings), [this](const Export &command) { this->transfers.exportCopy(command); })
     , allowances(runtimeClock, this->membership, this->peers, [this] { return this->configuration.current(); })
-    , records(this->store,
-              this->settings.name,
-              runtimeClock,
-              this->settings.recordRetention,
-              [this](int shard) { return this->membership.hasLease() && this->membership.standing(recordRole(shard)) == Standing::Owner; })
-    , context{this->clock,     this->settings,  this->http,    this->peers,     this->engines, this->membership, this->configuration, this->decisions,
-              this->allowances, this->records, this->transfers, this->fleet, this->suspects, this->metrics, this->retries}
+    , records(this->store, this->settings.name, runtimeClock, this->settings.recordRetention,
+          [this](int shard) { return this->membership.hasLease() && this->membership.standing(recordRole(shard)) == Standing::Owner; })
+    , context{this->clock, this->settings, this->http, this->peers, this->engines, this->membership, this->configuration, this->decisions, this->allowances,
+          this->records, this->transfers, this->fleet, this->suspects, this->metrics, this->retries}
     , runner(this->context)
     , services(this->context)
     , callerApi(this->context, this->runner, this->services)
     , internalApi(this->context, this->runner, this->services, [this] { return this->isReady(); })
     , callerServer(this->settings.listen, this->settings.maxConnections, [this](HttpExchange &exchange) { this->callerApi.handle(exchange); })
-    , internalServer(
-          this->settings.internal, this->settings.maxConnections * InternalConnectionFactor, [this](HttpExchange &exchange) { this->internalApi.handle(exchange); })
+    , internalServer(this->settings.internal, this->settings.maxConnections * InternalConnectionFactor,
+          [this](HttpExchange &exchange) { this->internalApi.handle(exchange); })
     , flushThread("flush", [this] { this->runFlush(); })
 {
     this->transfers.attach(this->context);
@@ -127,10 +125,18 @@
 MembershipHooks Process::Parts::membershipHooks()
 {
     MembershipHooks hooks;
-    hooks.describe = [this](Heartbeat &heartbeat) { this->describeHeartbeat(heartbeat); };
-    hooks.received = [this](const Heartbeat &heartbeat, const std::string &address) { this->receivedHeartbeat(heartbeat, address); };
-    hooks.fetchView = [this](const std::string &address) { return this->fetchView(address); };
-    hooks.listedHosts = [this] { return this->targets.listedEntryHosts(); };
+    hooks.describe = [this](Heartbeat &heartbeat) {
+        this->describeHeartbeat(heartbeat);
+    };
+    hooks.received = [this](const Heartbeat &heartbeat, const std::string &address) {
+        this->receivedHeartbeat(heartbeat, address);
+    };
+    hooks.fetchView = [this](const std::string &address) {
+        return this->fetchView(address);
+    };
+    hooks.listedHosts = [this] {
+        return this->targets.listedEntryHosts();
+    };
     hooks.countBytes = [this](const std::string &kind, size_t bytes) {
         this->metrics.count("pimentosail_control_bytes_total", {{"kind", kind}}, static_cast<double>(bytes));
     };
@@ -145,8 +151,12 @@
         const auto end = order.begin() + static_cast<ptrdiff_t>(std::min(WatcherCount, order.size()));
         return std::find(order.begin(), end, this->settings.name) != end;
     };
-    hooks.fetch = [this](const std::string &address) { return jsonString(this->peers.call(address, "configuration", Json::Value(), PeerTimeout), "document"); };
-    hooks.peers = [this] { return this->membership.peerAddresses(); };
+    hooks.fetch = [this](const std::string &address) {
+        return jsonString(this->peers.call(address, "configuration", Json::Value(), PeerTimeout), "document");
+    };
+    hooks.peers = [this] {
+        return this->membership.peerAddresses();
+    };
     hooks.inForce = [this](const ConfigurationPointer &inForce) {
         this->metrics.set("pimentosail_configuration_revision", {}, static_cast<double>(inForce->revision));
         this->transfers.configure(inForce->lists.stores);
--- a/pimentosail/serve/process.h
+++ b/pimentosail/serve/process.h
@@ -10,8 +10,8 @@
 
 #include <memory>
 
-#include "pimentosail/config/settings.h"
 #include "pimentosail/base/error.h"
+#include "pimentosail/config/settings.h"
 
 namespace pimentosail
 {
--- a/pimentosail/serve/runner.cpp
+++ b/pimentosail/serve/runner.cpp
@@ -53,7 +53,8 @@
 
 } // namespace
 
-struct Runner::Progress {
+struct Runner::Progress
+{
     Time startedAt{};
     Time lastProgress{};
     bool firstTokenSeen = false;
@@ -119,9 +120,19 @@
 void Runner::run(RunSpec &spec, const AnswerSink &sink)
 {
     // Ends the request's entry in the decision core however the run ends.
-    struct Retirement {
+    struct Retirement
+    {
+        Retirement(DecisionDuty &decisionDuty, RequestId requestId)
+            : decisions(decisionDuty)
+            , id(requestId)
+        {
+        }
+        Retirement(const Retirement &) = delete;
+        Retirement &operator=(const Retirement &) = delete;
+
         DecisionDuty &decisions;
         RequestId id;
+
         ~Retirement()
         {
             this->decisions.retire(this->id);
@@ -141,7 +152,7 @@
             this->context.decisions.resubmit(info, names, slot);
         } else {
             slot = this->context.decisions.submit(info, names);
-            retirement.emplace(Retirement{this->context.decisions, info.id});
+            retirement.emplace(this->context.decisions, info.id);
         }
         const Command command = this->awaitDecision(*slot, spec, sink);
         if (const auto *refusal = std::get_if<Refuse>(&command)) {
@@ -288,7 +299,8 @@
     } catch (const Failure &probe) {
         died = true;
     }
-    logStateChange("attempt_lost", {{"request", spec.requestId}, {"target", dispatch.targetName}, {"died", died ? "true" : "false"}, {"reason", failure.what()}});
+    logStateChange(
+        "attempt_lost", {{"request", spec.requestId}, {"target", dispatch.targetName}, {"died", died ? "true" : "false"}, {"reason", failure.what()}});
     if (!died) {
         return {AttemptOutcome::TargetFailed, lost, {}};
     }
@@ -320,7 +332,8 @@
 
 void Runner::relay(const std::string &address, const std::string &peer, RunSpec &spec, const AnswerSink &sink)
 {
-    const HttpRequest request{"POST", "/internal/v1/run", {{"X-Pimentosail-Run", encodeRunHeader(spec, this->context.clock.now())}, {"Content-Type", "text/plain"}}, spec.prompt};
+    const HttpRequest request{
+        "POST", "/internal/v1/run", {{"X-Pimentosail-Run", encodeRunHeader(spec, this->context.clock.now())}, {"Content-Type", "text/plain"}}, spec.prompt};
     const std::unique_ptr<HttpStream> stream = HttpStream::open(address, request, ConnectTimeout);
     Time lastHeard = this->context.clock.now();
     const auto checkPeer = [&] {
@@ -333,7 +346,8 @@
         checkPeer();
     }
     if (stream->status() != 200) {
-        throw Failure(ErrorKind::PeerLost, "entry host '" + peer + "' answered " + std::to_string(stream->status()) + " " + stream->readAll(MaxRelayErrorBytes, ConnectTimeout));
+        throw Failure(ErrorKind::PeerLost,
+            "entry host '" + peer + "' answered " + std::to_string(stream->status()) + " " + stream->readAll(MaxRelayErrorBytes, ConnectTimeout));
     }
     std::string line;
     while (true) {
@@ -411,8 +425,8 @@
     if (model == nullptr) {
         throw Failure(ErrorKind::UnknownModel, "model '" + spec.model + "' is not configured");
     }
-    const std::vector<uint64_t> pieces = promptPieces(spec.prompt.substr(0, static_cast<size_t>(model->pieceTokens * BytesPerToken)), model->pieceTokens,
-                                                      cacheSalt(spec.team, spec.model, model->version));
+    const std::vector<uint64_t> pieces = promptPieces(
+        spec.prompt.substr(0, static_cast<size_t>(model->pieceTokens * BytesPerToken)), model->pieceTokens, cacheSalt(spec.team, spec.model, model->version));
     const uint64_t key = pieces.empty() ? fingerprintOf(spec) : pieces.front();
     const std::shared_ptr<const Fleet> fleet = this->context.fleet.current();
     const View view = this->context.membership.view();
--- a/pimentosail/serve/runner.h
+++ b/pimentosail/serve/runner.h
@@ -18,7 +18,8 @@
 {
 
 // What a failed run tells its upstream.
-struct RunFailure {
+struct RunFailure
+{
     Error error;
     int deaths = 0;
     std::vector<std::string> avoid;
@@ -41,7 +42,8 @@
 
 private:
     // How one attempt on a target ended.
-    struct Attempt {
+    struct Attempt
+    {
         AttemptOutcome outcome = AttemptOutcome::Finished;
         Error error;
         AnswerEnd end;
--- a/pimentosail/serve/runspec.cpp
+++ b/pimentosail/serve/runspec.cpp
@@ -27,7 +27,8 @@
     return names;
 }
 
-struct Encoder {
+struct Encoder
+{
     Json::Value operator()(const AnswerFrame &frame) const
     {
         Json::Value value;
--- a/pimentosail/serve/runspec.h
+++ b/pimentosail/serve/runspec.h
@@ -20,7 +20,8 @@
 {
 
 // A completion to run somewhere. Deadlines are points on this host's clock and travel as remaining time.
-struct RunSpec {
+struct RunSpec
+{
     std::string requestId;
     std::string team;
     std::string model;
@@ -40,13 +41,15 @@
 };
 
 // A part of an answer; `offset` counts the tokens before it.
-struct AnswerFrame {
+struct AnswerFrame
+{
     int64_t offset = 0;
     std::string text;
 };
 
 // The end of a whole answer.
-struct AnswerEnd {
+struct AnswerEnd
+{
     std::string finishReason;
     // Tokens in all.
     int64_t count = 0;
@@ -59,11 +62,13 @@
 };
 
 // Nothing new; tells that the run is alive.
-struct AnswerKeepAlive {
+struct AnswerKeepAlive
+{
 };
 
 // The run failed at the given point.
-struct AnswerError {
+struct AnswerError
+{
     Error error;
     // Targets that died under this request.
     int deaths = 0;
--- a/pimentosail/serve/servicecalls.h
+++ b/pimentosail/serve/servicecalls.h
@@ -15,7 +15,8 @@
 namespace pimentosail
 {
 
-struct ServiceRequest {
+struct ServiceRequest
+{
     std::string requestId;
     std::string team;
     std::string service;
@@ -27,7 +28,8 @@
     std::string idempotencyKey;
 };
 
-struct ServiceAnswer {
+struct ServiceAnswer
+{
     int status = 0;
     std::string contentType;
     std::string body;
--- a/pimentosail/serve/suspects.cpp
+++ b/pimentosail/serve/suspects.cpp
@@ -17,8 +17,8 @@
 {
     const std::lock_guard lock(this->mutex);
     if (this->entries.size() >= MaxEntries && this->entries.count(fingerprint) == 0) {
-        const auto oldest =
-            std::min_element(this->entries.begin(), this->entries.end(), [](const auto &left, const auto &right) { return left.second.last < right.second.last; });
+        const auto oldest = std::min_element(
+            this->entries.begin(), this->entries.end(), [](const auto &left, const auto &right) { return left.second.last < right.second.last; });
         this->entries.erase(oldest);
     }
     Entry &entry = this->entries[fingerprint];
--- a/pimentosail/serve/suspects.h
+++ b/pimentosail/serve/suspects.h
@@ -34,7 +34,8 @@
     size_t size();
 
 private:
-    struct Entry {
+    struct Entry
+    {
         std::set<std::string> boots;
         Time last{};
     };
--- a/pimentosail/serve/targetduty.cpp
+++ b/pimentosail/serve/targetduty.cpp
@@ -263,7 +263,8 @@
             try {
                 const int64_t generation = this->context->membership.view().generation;
                 this->context->engines.load(host->address, {model.name, model.version, generation}, OrderTimeout);
-                logStateChange("weights_ordered", {{"target", host->name}, {"version", std::to_string(model.version)}, {"fencing", std::to_string(generation)}});
+                logStateChange(
+                    "weights_ordered", {{"target", host->name}, {"version", std::to_string(model.version)}, {"fencing", std::to_string(generation)}});
                 ++loading;
             } catch (const Failure &failure) {
                 logStateChange("weights_refused", {{"target", host->name}, {"reason", failure.what()}});
--- a/pimentosail/serve/transferduty.cpp
+++ b/pimentosail/serve/transferduty.cpp
@@ -64,7 +64,8 @@
 }
 
 // One link: threads wait here for their turn to move a piece.
-struct TransferDuty::Link {
+struct TransferDuty::Link
+{
     explicit Link(double bytesPerSecond)
         : scheduler(bytesPerSecond)
     {
@@ -76,7 +77,8 @@
     std::optional<uint64_t> turn;
 };
 
-struct TransferDuty::StoreState {
+struct TransferDuty::StoreState
+{
     StoreState(const Store &store)
         : contents(store.memoryBytes, store.diskBytes)
         , memory(static_cast<double>(store.memoryLinkBytesPerSecond))
@@ -277,8 +279,8 @@
                 this->context->engines.importPiece(order.engineAddress, piece, OrderTimeout);
             }
             this->context->metrics.count("pimentosail_link_bytes_total",
-                                         {{"store", order.store}, {"tier", tierName(order.tier)}, {"kind", order.isExport ? "export" : "import"}},
-                                         static_cast<double>(order.pieceBytes));
+                {{"store", order.store}, {"tier", tierName(order.tier)}, {"kind", order.isExport ? "export" : "import"}},
+                static_cast<double>(order.pieceBytes));
         } catch (const Failure &thrown) {
             failure = thrown.error;
         }
@@ -314,9 +316,8 @@
     {
         const std::scoped_lock lock(state.mutex, this->returnsMutex);
         this->returns.addNew(order.team);
-        admission = state.contents.admit(copy, now, [this](const StoredCopy &kept, Time time) {
-            return this->returns.returnProbability(kept.team, time - kept.lastUsed, StoreLife);
-        });
+        admission = state.contents.admit(
+            copy, now, [this](const StoredCopy &kept, Time time) { return this->returns.returnProbability(kept.team, time - kept.lastUsed, StoreLife); });
     }
     for (const uint64_t evicted : admission.evicted) {
         this->deleteCopy(host, evicted);
@@ -334,7 +335,8 @@
         for (const uint64_t piece : order.pieces) {
             manifest["pieces"].append(std::to_string(piece));
         }
-        const HttpReply reply = this->context->http.call(host.address, {"PUT", "/manifests/" + keyText(order.promptKey), {}, printJson(manifest)}, StoreCallTimeout);
+        const HttpReply reply
+            = this->context->http.call(host.address, {"PUT", "/manifests/" + keyText(order.promptKey), {}, printJson(manifest)}, StoreCallTimeout);
         if (reply.status != 200) {
             throw Failure(ErrorKind::TargetLost, "the manifest was refused with " + std::to_string(reply.status));
         }
--- a/pimentosail/serve/transferduty.h
+++ b/pimentosail/serve/transferduty.h
@@ -35,7 +35,8 @@
 struct Context;
 
 // An order to move a prompt's cache, as sent to the owner of the store.
-struct TransferOrder {
+struct TransferOrder
+{
     bool isExport = false;
     std::string store;
     Tier tier = Tier::Memory;
--- a/pimentosail/target/engineclient.h
+++ b/pimentosail/target/engineclient.h
@@ -33,7 +33,8 @@
 uint64_t cacheSalt(const std::string &team, const std::string &model, int64_t version);
 
 // A completion to run.
-struct EngineCall {
+struct EngineCall
+{
     std::string requestId;
     std::string model;
     std::string prompt;
@@ -45,7 +46,8 @@
 };
 
 // A piece of the answer. `offset` counts the tokens before it.
-struct EngineToken {
+struct EngineToken
+{
     int64_t offset = 0;
     std::string text;
     // Prompt tokens found in the cache; negative if the engine did not say.
@@ -53,17 +55,20 @@
 };
 
 // The answer is whole: `count` tokens in all.
-struct EngineEnd {
+struct EngineEnd
+{
     std::string finishReason;
     int64_t count = 0;
 };
 
 // Nothing came within the wait.
-struct EngineIdle {
+struct EngineIdle
+{
 };
 
 // The engine refused before it ran anything.
-struct EngineRefused {
+struct EngineRefused
+{
     int status = 0;
     std::string message;
 };
@@ -91,14 +96,16 @@
 };
 
 // An order to load weights. `fencing` is the generation of the view under which it is given.
-struct LoadOrder {
+struct LoadOrder
+{
     std::string model;
     int64_t version = 0;
     int64_t fencing = 0;
 };
 
 // One piece to move between an engine and a store.
-struct PieceOrder {
+struct PieceOrder
+{
     std::string store;
     std::string tier;
     uint64_t piece = 0;
--- a/standins/enginemodel.h
+++ b/standins/enginemodel.h
@@ -21,7 +21,8 @@
 namespace pimentosail::standins
 {
 
-struct EngineSettings {
+struct EngineSettings
+{
     int64_t maxRunning = 8;
     int64_t coldLimit = 2;
     int64_t coldSeconds = 0;
@@ -32,7 +33,8 @@
 };
 
 // One change of the cache, as published to the outside.
-struct CacheEvent {
+struct CacheEvent
+{
     int64_t sequence = 0;
     bool evicted = false;
     uint64_t piece = 0;
--- a/standins/main.cpp
+++ b/standins/main.cpp
@@ -87,7 +87,8 @@
     std::signal(SIGINT, onTerminate);
     std::signal(SIGPIPE, SIG_IGN);
     Clock clock;
-    const std::unique_ptr<StandIn> standIn = makeStandIn(arguments["kind"].as<std::string>(), parseOptions(arguments["set"].as<std::vector<std::string>>()), clock);
+    const std::unique_ptr<StandIn> standIn
+        = makeStandIn(arguments["kind"].as<std::string>(), parseOptions(arguments["set"].as<std::vector<std::string>>()), clock);
     if (!standIn) {
         std::cerr << options.help();
         return 2;
--- a/standins/platform.cpp
+++ b/standins/platform.cpp
@@ -207,8 +207,7 @@
         const int64_t now = this->loading.fetch_add(1) + 1;
         const int64_t factor = (now + this->maxLoading - 1) / this->maxLoading;
         int64_t peak = this->peakLoading.load();
-        while (now > peak && !this->peakLoading.compare_exchange_weak(peak, now)) {
-        }
+        while (now > peak && !this->peakLoading.compare_exchange_weak(peak, now)) { }
         this->clock.sleepFor(std::chrono::seconds(this->loadSeconds * factor));
         this->loading.fetch_sub(1);
         Json::Value value;
--- a/testing/caller.h
+++ b/testing/caller.h
@@ -16,7 +16,8 @@
 {
 
 // What came of a completion.
-struct Completion {
+struct Completion
+{
     int status = 0;
     // Kind of the error, or empty.
     std::string errorKind;
@@ -35,7 +36,8 @@
 };
 
 // What came of a service call.
-struct Booking {
+struct Booking
+{
     int status = 0;
     std::string errorKind;
     bool notRun = false;
@@ -44,7 +46,8 @@
 };
 
 // Options of a completion beside its prompt.
-struct CompletionOptions {
+struct CompletionOptions
+{
     int64_t maxTokens = 8;
     std::string priority;
     // Called after each token with the number so far.
--- a/testing/demo.cpp
+++ b/testing/demo.cpp
@@ -30,7 +30,8 @@
 }
 
 // The names that differ between the two deployments.
-struct Names {
+struct Names
+{
     std::string model;
     std::string team;
     std::string repeatable;
@@ -68,8 +69,9 @@
             }
         }
         this->callService(entries);
-        std::printf("\nrecomputed share of prompt tokens: %.0f%% (%lld of %lld)\n", 100.0 * static_cast<double>(this->computed) / static_cast<double>(this->prompt),
-                    static_cast<long long>(this->computed), static_cast<long long>(this->prompt));
+        std::printf("\nrecomputed share of prompt tokens: %.0f%% (%lld of %lld)\n",
+            100.0 * static_cast<double>(this->computed) / static_cast<double>(this->prompt), static_cast<long long>(this->computed),
+            static_cast<long long>(this->prompt));
         return this->held;
     }
 
@@ -90,7 +92,7 @@
         options.maxTokens = AnswerTokens;
         const Completion completion = caller.complete(this->names.model, prompt, options);
         std::printf("%-34s %-8s %-15s %-13s %10.1f %8lld\n", label.c_str(), entry.c_str(), completion.target.c_str(), completion.source.c_str(),
-                    toSeconds(completion.firstToken) * 1000, static_cast<long long>(completion.cachedTokens));
+            toSeconds(completion.firstToken) * 1000, static_cast<long long>(completion.cachedTokens));
         this->check(completion.whole, "the answer is whole (" + completion.errorKind + ")");
         this->check(completion.text == expectedAnswer(prompt, AnswerTokens), "the answer is that of its own request");
         this->prompt += completion.promptTokens;
@@ -145,9 +147,9 @@
 {
     cxxopts::Options options("pimentosail-demo", "Starts a deployment on this machine and shows it at work");
     options.add_options()("deployment", "winery or krathong", cxxopts::value<std::string>()->default_value("winery"))("stay", "keep it running until Ctrl-C")(
-        "entries", "number of entry daemons", cxxopts::value<int>()->default_value("3"))("source", "source directory", cxxopts::value<std::string>()->default_value("."))(
-        "build", "build directory", cxxopts::value<std::string>()->default_value("build"))("work", "directory for logs", cxxopts::value<std::string>()->default_value("out"))(
-        "h,help", "show this help");
+        "entries", "number of entry daemons", cxxopts::value<int>()->default_value("3"))("source", "source directory",
+        cxxopts::value<std::string>()->default_value("."))("build", "build directory", cxxopts::value<std::string>()->default_value("build"))(
+        "work", "directory for logs", cxxopts::value<std::string>()->default_value("out"))("h,help", "show this help");
     try {
         const cxxopts::ParseResult arguments = options.parse(argc, argv);
         const std::string deployment = arguments["deployment"].as<std::string>();
@@ -159,7 +161,7 @@
         std::signal(SIGTERM, onSignal);
         const Names names = namesOf(deployment);
         LocalFleet fleet(FleetPlan::fromExample(arguments["source"].as<std::string>(), deployment, arguments["entries"].as<int>(), false),
-                         arguments["build"].as<std::string>(), arguments["work"].as<std::string>(), FirstPort);
+            arguments["build"].as<std::string>(), arguments["work"].as<std::string>(), FirstPort);
         std::cout << "starting the " << deployment << " deployment\n";
         fleet.start();
         const bool held = Demo(fleet, names).run();
--- a/testing/localfleet.cpp
+++ b/testing/localfleet.cpp
@@ -186,6 +186,7 @@
     }
     const std::string log = this->workDirectory + "/" + running.process.name + ".log";
     std::vector<char *> pointers;
+    pointers.reserve(arguments.size() + 1);
     for (std::string &argument : arguments) {
         pointers.push_back(argument.data());
     }
@@ -245,7 +246,8 @@
         }
     }
     for (const Running &running : this->processes) {
-        if (running.process.kind != "entry" && !this->waitAnswering(running.process.name, running.process.kind == "service" ? "/runs" : "/load", StartTimeout)) {
+        if (running.process.kind != "entry"
+            && !this->waitAnswering(running.process.name, running.process.kind == "service" ? "/runs" : "/load", StartTimeout)) {
             throw std::runtime_error(running.process.name + " did not start");
         }
     }
--- a/testing/localfleet.h
+++ b/testing/localfleet.h
@@ -24,7 +24,8 @@
 {
 
 // A process of the deployment.
-struct FleetProcess {
+struct FleetProcess
+{
     std::string name;
     // Kind of stand-in; "entry" for a daemon.
     std::string kind;
@@ -34,7 +35,8 @@
 };
 
 // What to start.
-struct FleetPlan {
+struct FleetPlan
+{
     std::string deployment;
     std::vector<std::string> zones;
     std::vector<FleetProcess> processes;
@@ -88,7 +90,8 @@
     pid_t pid(const std::string &name) const;
 
 private:
-    struct Running {
+    struct Running
+    {
         FleetProcess process;
         int port = 0;
         int callerPort = 0;
