--- /dev/null
+++ b/cli/main.cpp
@@ -0,0 +1,293 @@
+// pimentosail: the operators' command line.
+//
+// Exit codes: 0 done (diff: no difference), 1 diff found differences, 2 bad command line or invalid lists,
+// 3 the daemon cannot be reached, 4 conflict with another operator's change, 5 the daemon refused.
+
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+#include <cxxopts.hpp>
+
+#include "cli/printing.h"
+#include "pimentosail/base/json.h"
+#include "pimentosail/config/configuration.h"
+#include "pimentosail/net/httpclient.h"
+
+namespace
+{
+
+using namespace pimentosail;
+
+constexpr int ExitDifferent = 1;
+constexpr int ExitUsage = 2;
+constexpr int ExitUnreachable = 3;
+constexpr int ExitConflict = 4;
+constexpr int ExitRefused = 5;
+constexpr Duration CallTimeout = std::chrono::seconds(15);
+
+constexpr const char *Help = R"(
+Commands:
+  check DIR              check DIR/plans.yaml and DIR/allowances.yaml
+  diff DIR               show what applying DIR would change; prints the base revision
+  apply DIR              apply DIR if the revision that was diffed is still in force (--revision N)
+  get                    print the lists in force (--into DIR writes them)
+  history                print the last changes
+  zone out|in NAME       take an availability zone out of service or back in
+  host out|in NAME       take a host out of service or back in
+  status                 revision in force on each entry host, draining hosts, cold targets
+  dump [HOST]            print the state of an entry host
+
+Examples:
+  pimentosail check examples/winery
+  pimentosail --host 127.0.0.1:18022 diff examples/winery
+  pimentosail --host 127.0.0.1:18022 apply examples/winery --revision 3 --summary "more slots"
+  pimentosail --host 127.0.0.1:18022 zone out melnik
+  pimentosail --host 127.0.0.1:18022 status --output json
+
+The daemon is named by --host or the environment variable PIMENTOSAIL_HOST (IP:PORT, the internal address).
+Exit codes: 0 done, 1 diff found differences, 2 usage or invalid lists, 3 unreachable, 4 conflict, 5 refused.)";
+
+class UsageError : public std::runtime_error
+{
+public:
+    using std::runtime_error::runtime_error;
+};
+
+// What the command line says.
+struct Invocation
+{
+    std::vector<std::string> words;
+    std::string host;
+    std::string author;
+    std::string summary;
+    std::string into;
+    int64_t revision = -1;
+    bool isJson = false;
+
+    const std::string &word(size_t index, const std::string &what) const
+    {
+        if (index >= this->words.size()) {
+            throw UsageError("missing " + what + "; see --help");
+        }
+        return this->words[index];
+    }
+};
+
+std::string readFile(const std::string &path)
+{
+    std::ifstream file(path);
+    if (!file) {
+        throw UsageError(path + ": cannot be read");
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+Json::Value callDaemon(const Invocation &invocation, const std::string &method, const std::string &path, const Json::Value &body)
+{
+    if (invocation.host.empty()) {
+        throw UsageError("name a daemon by --host IP:PORT or PIMENTOSAIL_HOST");
+    }
+    HttpClient http;
+    const HttpReply reply = http.call(invocation.host, {method, path, {}, body.isNull() ? "" : printJson(body)}, CallTimeout);
+    const Json::Value value = parseJson(reply.body);
+    if (reply.status != 200) {
+        throw Failure(errorKindFromName(jsonString(value["error"], "kind")), jsonString(value["error"], "message"));
+    }
+    return value;
+}
+
+// Reads and checks both lists of a directory. Throws `Failure` (InvalidConfiguration) with every problem.
+Configuration readLists(const std::string &directory)
+{
+    Result<Configuration> lists = Configuration::fromLists(readFile(directory + "/plans.yaml"), readFile(directory + "/allowances.yaml"));
+    if (!lists) {
+        throw Failure(lists.error());
+    }
+    return *lists;
+}
+
+Configuration readInForce(const Invocation &invocation)
+{
+    const Json::Value value = callDaemon(invocation, "GET", "/admin/v1/configuration", Json::Value());
+    if (jsonInteger(value, "revision") == 0) {
+        return Configuration();
+    }
+    Result<Configuration> configuration = Configuration::fromDocument(printJson(value));
+    if (!configuration) {
+        throw Failure(configuration.error());
+    }
+    return *configuration;
+}
+
+int check(const Invocation &invocation)
+{
+    const Configuration lists = readLists(invocation.word(1, "directory"));
+    std::cout << "valid: " << lists.lists.plans.size() << " plans, " << lists.lists.teams.size() << " teams, " << lists.lists.models.size() << " models\n";
+    return 0;
+}
+
+// Returns the lines that applying a directory would change, and the revision that they were compared with.
+std::pair<std::vector<std::string>, int64_t> differences(const Invocation &invocation, const std::string &directory)
+{
+    const Configuration current = readInForce(invocation);
+    Configuration next = readLists(directory);
+    next.zonesOut = current.zonesOut;
+    next.hostsOut = current.hostsOut;
+    return {describeDifference(current, next), current.revision};
+}
+
+int diff(const Invocation &invocation)
+{
+    const auto [lines, revision] = differences(invocation, invocation.word(1, "directory"));
+    printDifferences(lines, revision, invocation.isJson);
+    return lines.empty() ? 0 : ExitDifferent;
+}
+
+int apply(const Invocation &invocation)
+{
+    const std::string &directory = invocation.word(1, "directory");
+    const auto [lines, current] = differences(invocation, directory);
+    const int64_t base = invocation.revision >= 0 ? invocation.revision : current;
+    if (lines.empty() && base == current) {
+        std::cout << "nothing to change; revision " << current << " is in force\n";
+        return 0;
+    }
+    printDifferences(lines, base, invocation.isJson);
+    Json::Value body;
+    body["plans"] = readFile(directory + "/plans.yaml");
+    body["allowances"] = readFile(directory + "/allowances.yaml");
+    body["base_revision"] = Json::Int64(base);
+    body["author"] = invocation.author;
+    body["summary"] = invocation.summary;
+    const Json::Value accepted = callDaemon(invocation, "POST", "/admin/v1/configuration", body);
+    std::cout << "accepted as revision " << jsonInteger(accepted, "revision") << "\n";
+    return 0;
+}
+
+int get(const Invocation &invocation)
+{
+    const Configuration configuration = readInForce(invocation);
+    if (!invocation.into.empty()) {
+        std::ofstream(invocation.into + "/plans.yaml") << configuration.plansText;
+        std::ofstream(invocation.into + "/allowances.yaml") << configuration.allowancesText;
+        std::cout << "wrote revision " << configuration.revision << " into " << invocation.into << "\n";
+        return 0;
+    }
+    printConfiguration(configuration, invocation.isJson);
+    return 0;
+}
+
+int outage(const Invocation &invocation)
+{
+    const std::string &direction = invocation.word(1, "out or in");
+    if (direction != "out" && direction != "in") {
+        throw UsageError("expected out or in, found '" + direction + "'");
+    }
+    Json::Value body;
+    body["kind"] = invocation.word(0, "command");
+    body["name"] = invocation.word(2, "name");
+    body["out"] = direction == "out";
+    body["author"] = invocation.author;
+    const Json::Value accepted = callDaemon(invocation, "POST", "/admin/v1/outage", body);
+    std::cout << invocation.words[0] << " " << invocation.words[2] << " " << direction << ", accepted as revision " << jsonInteger(accepted, "revision")
+              << "\n";
+    return 0;
+}
+
+int run(const Invocation &invocation)
+{
+    const std::string &command = invocation.word(0, "command");
+    if (command == "check") {
+        return check(invocation);
+    }
+    if (command == "diff") {
+        return diff(invocation);
+    }
+    if (command == "apply") {
+        return apply(invocation);
+    }
+    if (command == "get") {
+        return get(invocation);
+    }
+    if (command == "history") {
+        printHistory(readInForce(invocation), invocation.isJson);
+        return 0;
+    }
+    if (command == "zone" || command == "host") {
+        return outage(invocation);
+    }
+    if (command == "status") {
+        printStatus(callDaemon(invocation, "GET", "/admin/v1/status", Json::Value()), invocation.isJson);
+        return 0;
+    }
+    if (command == "dump") {
+        const std::string host = invocation.words.size() > 1 ? "?host=" + invocation.words[1] : "";
+        std::cout << printJsonIndented(callDaemon(invocation, "GET", "/admin/v1/dump" + host, Json::Value())) << "\n";
+        return 0;
+    }
+    const std::string nearest = nearestName(command, {"check", "diff", "apply", "get", "history", "zone", "host", "status", "dump"});
+    throw UsageError("unknown command '" + command + "'" + (nearest.empty() ? "" : "; did you mean '" + nearest + "'?"));
+}
+
+int exitCodeOf(const Error &error)
+{
+    switch (error.kind) {
+    case ErrorKind::InvalidConfiguration:
+        return ExitUsage;
+    case ErrorKind::PeerLost:
+        return ExitUnreachable;
+    case ErrorKind::Conflict:
+        return ExitConflict;
+    default:
+        return ExitRefused;
+    }
+}
+
+Invocation parse(int argc, char **argv, bool &wantsHelp)
+{
+    const char *hostVariable = std::getenv("PIMENTOSAIL_HOST");
+    const char *userVariable = std::getenv("USER");
+    cxxopts::Options options("pimentosail", "Operates a pimentosail deployment");
+    options.positional_help("COMMAND [ARGUMENT...]");
+    options.add_options()("host", "internal address of any daemon, IP:PORT",
+        cxxopts::value<std::string>()->default_value(hostVariable == nullptr ? "" : hostVariable))("output", "text or json",
+        cxxopts::value<std::string>()->default_value("text"))("revision", "revision that was diffed", cxxopts::value<int64_t>()->default_value("-1"))(
+        "author", "who makes the change", cxxopts::value<std::string>()->default_value(userVariable == nullptr ? "operator" : userVariable))(
+        "summary", "why the change is made", cxxopts::value<std::string>()->default_value("lists applied"))(
+        "into", "directory that get writes the lists into", cxxopts::value<std::string>()->default_value(""))("h,help", "show this help")(
+        "words", "command and arguments", cxxopts::value<std::vector<std::string>>());
+    options.parse_positional({"words"});
+    const cxxopts::ParseResult arguments = options.parse(argc, argv);
+    wantsHelp = arguments.count("help") != 0 || arguments.count("words") == 0;
+    if (wantsHelp) {
+        std::cout << options.help() << Help << "\n";
+        return {};
+    }
+    const std::string output = arguments["output"].as<std::string>();
+    if (output != "text" && output != "json") {
+        throw UsageError("--output: expected text or json, found '" + output + "'");
+    }
+    return {arguments["words"].as<std::vector<std::string>>(), arguments["host"].as<std::string>(), arguments["author"].as<std::string>(),
+        arguments["summary"].as<std::string>(), arguments["into"].as<std::string>(), arguments["revision"].as<int64_t>(), output == "json"};
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    try {
+        bool wantsHelp = false;
+        const Invocation invocation = parse(argc, argv, wantsHelp);
+        return wantsHelp ? (argc > 1 ? 0 : ExitUsage) : run(invocation);
+    } catch (const Failure &failure) {
+        std::cerr << "pimentosail: " << failure.what() << "\n";
+        return exitCodeOf(failure.error);
+    } catch (const std::exception &exception) {
+        std::cerr << "pimentosail: " << exception.what() << "\n";
+        return ExitUsage;
+    }
+}
--- a/pimentosail/decision/scheduler.cpp
+++ b/pimentosail/decision/scheduler.cpp
@@ -333,9 +333,7 @@
         const bool cacheWasGone
             = entry.choice.source.kind == SourceKind::TargetCache && event.cachedTokens >= 0 && event.cachedTokens < entry.choice.source.tokens / 2;
         if (cacheWasGone) {
-            if (PromptRecord *record = this->prompts.find(entry.request.promptKey)) {
-                PromptTable::noteLocation(*record, entry.choice.target, 0, now);
-            }
+            this->table.pieceEvicted(entry.choice.target, entry.request.pieces.empty() ? 0 : entry.request.pieces.back());
         }
     }
     entry.pendingTokens = 0;
@@ -403,6 +401,7 @@
     const int64_t tokens = static_cast<int64_t>(request.pieces.size()) * model->pieceTokens;
     PromptRecord &record = this->prompts.touch(request.promptKey);
     PromptTable::noteLocation(record, finished.choice.target, tokens, now);
+    this->table.pieceUsed(finished.choice.target, request.pieces.back(), now);
     const Target &target = this->table.at(finished.choice.target);
     const bool copied = record.copy.store != NoStore && record.copy.tokens >= tokens;
     if (!this->options.exports || copied || record.copy.exporting || this->storeNames.empty() || target.description.remote) {
@@ -478,6 +477,11 @@
     this->pump(now, out);
 }
 
+void Scheduler::on(const PieceEvicted &event, Time /*now*/, Commands & /*out*/)
+{
+    this->table.pieceEvicted(event.target, event.piece);
+}
+
 void Scheduler::on(const TargetUnreachable &event, Time now, Commands & /*out*/)
 {
     Target &target = this->table.at(event.target);
--- a/pimentosail/decision/scheduler.h
+++ b/pimentosail/decision/scheduler.h
@@ -140,6 +140,7 @@
     void on(const RequestWithdrawn &event, Time now, Commands &out);
     void on(const TargetReported &event, Time now, Commands &out);
     void on(const RemoteTargetReported &event, Time now, Commands &out);
+    void on(const PieceEvicted &event, Time now, Commands &out);
     void on(const TargetUnreachable &event, Time now, Commands &out);
     void on(const StoreCopyChanged &event, Time now, Commands &out);
     void on(const LinkReported &event, Time now, Commands &out);
--- a/pimentosail/decision/targettable.cpp
+++ b/pimentosail/decision/targettable.cpp
@@ -22,6 +22,7 @@
 constexpr double DefaultPrefillRate = 8000;
 constexpr double PrefillRateGain = 0.1;
 // Evidence that a target is cold: several first tokens in a row this much later than predicted.
+constexpr size_t MaxPieceUses = 20'000;
 constexpr int LateFactor = 4;
 constexpr Duration LateSlack = std::chrono::seconds(1);
 constexpr int LateCountBeforeCold = 3;
@@ -215,6 +216,26 @@
     return true;
 }
 
+void TargetTable::pieceUsed(TargetIndex index, uint64_t lastPiece, Time now)
+{
+    std::unordered_map<uint64_t, Time> &uses = this->at(index).pieceUses;
+    if (uses.size() >= MaxPieceUses) {
+        uses.clear();
+    }
+    uses[lastPiece] = now;
+}
+
+void TargetTable::pieceEvicted(TargetIndex index, uint64_t piece)
+{
+    Target &target = this->at(index);
+    const auto found = target.pieceUses.find(piece);
+    if (found == target.pieceUses.end()) {
+        return;
+    }
+    target.evictedBefore = std::max(target.evictedBefore, found->second);
+    target.pieceUses.erase(found);
+}
+
 int64_t TargetTable::queuedTokens(TargetIndex index) const
 {
     const Target &target = this->at(index);
--- a/pimentosail/decision/targettable.h
+++ b/pimentosail/decision/targettable.h
@@ -10,6 +10,7 @@
 
 #include <map>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "pimentosail/decision/types.h"
@@ -67,6 +68,8 @@
     int lateFirstTokens = 0;
     // Cache contents last used before this time are gone.
     Time evictedBefore{-1};
+    // Last use of the last piece of each prompt, to tell from an evicted piece how far eviction has come.
+    std::unordered_map<uint64_t, Time> pieceUses;
 };
 
 class TargetTable
@@ -93,6 +96,12 @@
     // target as cold. Returns true if it became cold by this evidence.
     bool firstToken(TargetIndex index, Duration predicted, Duration actual, int64_t computedTokens, Time now);
 
+    // Notes that the prompt that ends with `lastPiece` was used on the target.
+    void pieceUsed(TargetIndex index, uint64_t lastPiece, Time now);
+
+    // Learns from an evicted piece that everything used before it is gone as well.
+    void pieceEvicted(TargetIndex index, uint64_t piece);
+
     // Returns the prompt tokens that wait to be prefilled, by the report and by what was sent since.
     int64_t queuedTokens(TargetIndex index) const;
 
--- a/pimentosail/decision/types.h
+++ b/pimentosail/decision/types.h
@@ -184,6 +184,13 @@
     double prefillTokensPerSecond = 0;
 };
 
+// A target has evicted a cache piece; such events come late and not all of them come.
+struct PieceEvicted
+{
+    TargetIndex target = NoTarget;
+    uint64_t piece = 0;
+};
+
 struct TargetUnreachable
 {
     TargetIndex target = NoTarget;
--- a/pimentosail/serve/targetduty.cpp
+++ b/pimentosail/serve/targetduty.cpp
@@ -209,24 +209,43 @@
 void TargetDuty::poll(const FleetHost &host)
 {
     std::optional<TargetReport> report;
+    std::vector<uint64_t> evicted;
     try {
         report = this->context->engines.report(host.address, ReportTimeout);
+        evicted = this->pollEvictions(host, report->boot);
     } catch (const Failure &) {
         // Reported below as unreachable.
     }
-    if (report) {
-        const std::lock_guard lock(this->mutex);
-        this->reports[host.name] = *report;
-    }
-    this->context->decisions.withScheduler([name = host.name, report](Scheduler &scheduler, Time now) -> std::vector<Command> {
+    this->context->decisions.withScheduler([name = host.name, report, evicted](Scheduler &scheduler, Time now) -> std::vector<Command> {
         const TargetIndex index = indexOf(scheduler, name);
         if (index == NoTarget) {
             return {};
         }
+        for (const uint64_t piece : evicted) {
+            scheduler.handle(PieceEvicted{index, piece}, now);
+        }
         return report ? scheduler.handle(TargetReported{index, *report}, now) : scheduler.handle(TargetUnreachable{index}, now);
     });
 }
 
+std::vector<uint64_t> TargetDuty::pollEvictions(const FleetHost &host, const std::string &boot)
+{
+    int64_t sequence = 0;
+    {
+        const std::lock_guard lock(this->mutex);
+        auto &[knownBoot, known] = this->eventSequences[host.name];
+        if (knownBoot != boot) {
+            knownBoot = boot;
+            known = 0;
+        }
+        sequence = known;
+    }
+    std::vector<uint64_t> evicted = this->context->engines.evictedPieces(host.address, sequence, ReportTimeout);
+    const std::lock_guard lock(this->mutex);
+    this->eventSequences[host.name] = {boot, sequence};
+    return evicted;
+}
+
 // Orders weights for the models whose loading this host coordinates, a few targets at once.
 void TargetDuty::orderLoads()
 {
--- a/pimentosail/serve/targetduty.h
+++ b/pimentosail/serve/targetduty.h
@@ -44,6 +44,7 @@
     void publishFleet();
     FleetUpdate describeTargets(const Fleet &fleet, const Configuration &configuration);
     void poll(const FleetHost &host);
+    std::vector<uint64_t> pollEvictions(const FleetHost &host, const std::string &boot);
     void orderLoads();
     bool isUnconfirmed(const std::string &host) const;
 
@@ -57,7 +58,8 @@
     std::set<std::string> unconfirmedHosts;
     // Targets that this host polls now, by name.
     std::vector<FleetHost> polled;
-    std::map<std::string, TargetReport> reports;
+    // Last cache event read from each target, with the run of the target that published it.
+    std::map<std::string, std::pair<std::string, int64_t>> eventSequences;
     std::atomic<bool> stopping{false};
     DutyThread fleetThread;
     std::vector<std::unique_ptr<DutyThread>> pollThreads;
--- a/pimentosail/target/engineclient.cpp
+++ b/pimentosail/target/engineclient.cpp
@@ -1,6 +1,6 @@
 #include "pimentosail/target/engineclient.h"
 
-#include <cstdlib>
+#include <algorithm>
 
 #include "pimentosail/base/hash.h"
 #include "pimentosail/base/json.h"
@@ -152,6 +152,20 @@
     return report;
 }
 
+std::vector<uint64_t> EngineClient::evictedPieces(const std::string &address, int64_t &sequence, Duration timeout)
+{
+    const HttpReply reply = this->http.call(address, {"GET", "/cache/events?after=" + std::to_string(sequence), {}, ""}, timeout);
+    std::vector<uint64_t> evicted;
+    const Json::Value value = parseJson(reply.body);
+    for (const Json::Value &event : value["events"]) {
+        sequence = std::max(sequence, jsonInteger(event, "seq"));
+        if (jsonString(event, "type") == "evicted") {
+            evicted.push_back(std::stoull(jsonString(event, "piece", "0")));
+        }
+    }
+    return evicted;
+}
+
 void EngineClient::order(const std::string &address, const std::string &path, const std::string &body, Duration timeout)
 {
     const HttpReply reply = this->http.call(address, {"POST", path, {}, body}, timeout);
--- a/pimentosail/target/engineclient.h
+++ b/pimentosail/target/engineclient.h
@@ -125,6 +125,10 @@
     // Reads a load report. Throws `Failure` (PeerLost).
     TargetReport report(const std::string &address, Duration timeout);
 
+    // Reads the cache events after `sequence`; moves `sequence` on and returns the evicted pieces. Events can be missing.
+    // Throws `Failure` (PeerLost).
+    std::vector<uint64_t> evictedPieces(const std::string &address, int64_t &sequence, Duration timeout);
+
     // Orders weights to be loaded. Throws `Failure`: Conflict if the engine has seen a higher fencing number.
     void load(const std::string &address, const LoadOrder &order, Duration timeout);
 
