--- /dev/null
+++ b/bench/modelengine.cpp
@@ -0,0 +1,140 @@
+#include "bench/modelengine.h"
+
+#include <algorithm>
+
+namespace pimentosail::bench
+{
+
+ModelEngine::ModelEngine(EngineParameters engineParameters, Schedule scheduleAt, OnFirstToken firstToken, OnEnd end, OnEvicted evicted)
+    : parameters(engineParameters)
+    , schedule(std::move(scheduleAt))
+    , onFirstToken(std::move(firstToken))
+    , onEnd(std::move(end))
+    , onEvicted(std::move(evicted))
+{
+}
+
+int64_t ModelEngine::cachedTokens(uint64_t promptKey) const
+{
+    const auto found = this->cache.find(promptKey);
+    return found == this->cache.end() ? 0 : found->second->second;
+}
+
+void ModelEngine::start(const EngineRun &run, Time now)
+{
+    this->runs[run.id] = State{run, 0, false, Time(0)};
+    if (this->isCold(now) && this->running() > this->parameters.coldLimit) {
+        ++this->overloads;
+    }
+    const auto place = std::find_if(this->prefillQueue.begin(), this->prefillQueue.end(), [&](uint64_t other) {
+        const auto found = this->runs.find(other);
+        return found != this->runs.end() && found->second.run.priority < run.priority;
+    });
+    this->prefillQueue.insert(place, run.id);
+    this->pump(now);
+}
+
+void ModelEngine::pump(Time now)
+{
+    while (this->prefilling == 0 && !this->prefillQueue.empty()) {
+        const uint64_t id = this->prefillQueue.front();
+        this->prefillQueue.pop_front();
+        const auto found = this->runs.find(id);
+        if (found == this->runs.end()) {
+            continue;
+        }
+        State &state = found->second;
+        state.cached = std::min(this->cachedTokens(state.run.promptKey), state.run.cacheableTokens);
+        const int64_t compute = state.run.promptTokens + state.run.resumeFrom - state.cached;
+        const double factor = this->isCold(now) ? this->parameters.coldFactor : 1;
+        const Duration length = fromSeconds(factor * static_cast<double>(compute) / this->parameters.prefillTokensPerSecond);
+        this->prefilling = id;
+        this->schedule(now + length, [this, id, started = this->epoch, end = now + length] { this->finishPrefill(id, started, end); });
+    }
+}
+
+void ModelEngine::finishPrefill(uint64_t id, uint64_t started, Time now)
+{
+    if (started != this->epoch) {
+        return;
+    }
+    this->prefilling = 0;
+    const auto found = this->runs.find(id);
+    if (found != this->runs.end()) {
+        State &state = found->second;
+        state.prefilled = true;
+        state.firstTokenAt = now;
+        this->insert(state.run.promptKey, state.run.cacheableTokens);
+        const Duration rest = this->parameters.decodeStep * std::max<int64_t>(0, state.run.answerTokens - state.run.resumeFrom - 1);
+        this->schedule(now + rest, [this, id, started] {
+            if (started == this->epoch && this->runs.erase(id) != 0) {
+                this->onEnd(id);
+            }
+        });
+        this->onFirstToken(id, state.cached);
+    }
+    this->pump(now);
+}
+
+void ModelEngine::cancel(uint64_t id)
+{
+    this->runs.erase(id);
+}
+
+void ModelEngine::insert(uint64_t promptKey, int64_t tokens)
+{
+    if (tokens <= 0) {
+        return;
+    }
+    const auto found = this->cache.find(promptKey);
+    if (found != this->cache.end()) {
+        this->cachedTotal += std::max<int64_t>(0, tokens - found->second->second);
+        found->second->second = std::max(found->second->second, tokens);
+        this->order.splice(this->order.begin(), this->order, found->second);
+    } else {
+        this->order.emplace_front(promptKey, tokens);
+        this->cache[promptKey] = this->order.begin();
+        this->cachedTotal += tokens;
+    }
+    while (this->cachedTotal > this->parameters.cacheTokens && this->order.size() > 1) {
+        const auto [victim, size] = this->order.back();
+        this->cachedTotal -= size;
+        this->cache.erase(victim);
+        this->order.pop_back();
+        this->onEvicted(victim);
+    }
+}
+
+void ModelEngine::restart(Time now)
+{
+    ++this->epoch;
+    this->runs.clear();
+    this->prefillQueue.clear();
+    this->prefilling = 0;
+    this->order.clear();
+    this->cache.clear();
+    this->cachedTotal = 0;
+    this->coldUntil = now + this->parameters.coldTime;
+    this->bootId = "boot-" + std::to_string(this->epoch);
+}
+
+int64_t ModelEngine::progress(uint64_t id, Time now) const
+{
+    const auto found = this->runs.find(id);
+    if (found == this->runs.end() || !found->second.prefilled) {
+        return found == this->runs.end() ? 0 : found->second.run.resumeFrom;
+    }
+    return found->second.run.resumeFrom + 1 + (now - found->second.firstTokenAt) / this->parameters.decodeStep;
+}
+
+int64_t ModelEngine::queuedTokens() const
+{
+    int64_t total = 0;
+    for (const uint64_t id : this->prefillQueue) {
+        const auto found = this->runs.find(id);
+        total += found == this->runs.end() ? 0 : found->second.run.promptTokens - this->cachedTokens(found->second.run.promptKey);
+    }
+    return total;
+}
+
+} // namespace pimentosail::bench
--- a/pimentosail/decision/policy.cpp
+++ b/pimentosail/decision/policy.cpp
@@ -13,6 +13,7 @@
 // Fixed part of a first-token time: transport and the first decoding step.
 constexpr double FixedSeconds = 0.02;
 // Extra cost of a request that is forwarded to another host's target.
+constexpr double MissedDeadlineSeconds = 1000;
 constexpr double ForwardSeconds = 0.001;
 
 CacheSource localSource(const PolicyInput &input, TargetIndex target)
@@ -48,17 +49,20 @@
     Never,
 };
 
-std::optional<Choice> cheapest(const PredictedPolicy &policy, const PolicyInput &input, const RequestInfo &request, ImportRule rule)
+std::optional<Choice> cheapest(const PredictedPolicy &policy, const PolicyInput &input, const RequestInfo &request, ImportRule rule, Time now)
 {
     std::optional<Choice> best;
     double bestCost = 0;
+    const double timeLeft = request.resumed ? 1e9 : toSeconds(request.firstTokenDeadline - now);
     const double weight = policy.recomputeWeight.at(static_cast<size_t>(request.priority));
-    const auto consider = [&](TargetIndex target, const CacheSource &source, double extra) {
+    const auto consider = [&](TargetIndex target, const CacheSource &source) {
         const Duration predicted = predictFirstToken(input, request, target, source);
         const double computed = static_cast<double>(request.promptTokens - std::min(source.tokens, request.promptTokens));
         const double work = computed / input.targets.prefillRate(target);
         const double remote = input.targets.at(target).description.remote ? ForwardSeconds : 0;
-        const double cost = toSeconds(predicted) + weight * work + remote + extra;
+        // A choice that misses the deadline is worse than any that keeps it.
+        const double miss = toSeconds(predicted) > timeLeft ? MissedDeadlineSeconds : 0;
+        const double cost = toSeconds(predicted) + weight * work + remote + miss;
         if (!best || cost < bestCost) {
             best = Choice{target, source, predicted};
             bestCost = cost;
@@ -67,10 +71,10 @@
     for (const TargetIndex target : input.candidates) {
         const std::optional<CacheSource> import = rule == ImportRule::Never ? std::nullopt : importSource(input, target);
         if (rule != ImportRule::Always || !import) {
-            consider(target, localSource(input, target), 0);
+            consider(target, localSource(input, target));
         }
         if (import) {
-            consider(target, *import, 0);
+            consider(target, *import);
         }
     }
     return best;
@@ -82,35 +86,35 @@
     return {target, source, predictFirstToken(input, request, target, source)};
 }
 
-std::optional<Choice> place(PredictedPolicy &policy, const PolicyInput &input, const RequestInfo &request)
+std::optional<Choice> place(PredictedPolicy &policy, const PolicyInput &input, const RequestInfo &request, Time now)
 {
-    return cheapest(policy, input, request, policy.mayImport ? ImportRule::ByCost : ImportRule::Never);
+    return cheapest(policy, input, request, policy.mayImport ? ImportRule::ByCost : ImportRule::Never, now);
 }
 
-std::optional<Choice> place(AlwaysImportPolicy &policy, const PolicyInput &input, const RequestInfo &request)
+std::optional<Choice> place(AlwaysImportPolicy &policy, const PolicyInput &input, const RequestInfo &request, Time now)
 {
-    return cheapest(policy.base, input, request, ImportRule::Always);
+    return cheapest(policy.base, input, request, ImportRule::Always, now);
 }
 
-std::optional<Choice> place(NeverImportPolicy &policy, const PolicyInput &input, const RequestInfo &request)
+std::optional<Choice> place(NeverImportPolicy &policy, const PolicyInput &input, const RequestInfo &request, Time now)
 {
-    return cheapest(policy.base, input, request, ImportRule::Never);
+    return cheapest(policy.base, input, request, ImportRule::Never, now);
 }
 
-std::optional<Choice> place(RoundRobinPolicy &policy, const PolicyInput &input, const RequestInfo &request)
+std::optional<Choice> place(RoundRobinPolicy &policy, const PolicyInput &input, const RequestInfo &request, Time /*now*/)
 {
     const TargetIndex target = input.candidates[policy.next++ % input.candidates.size()];
     return withLocalSource(input, request, target);
 }
 
-std::optional<Choice> place(LeastLoadedPolicy & /*policy*/, const PolicyInput &input, const RequestInfo &request)
+std::optional<Choice> place(LeastLoadedPolicy & /*policy*/, const PolicyInput &input, const RequestInfo &request, Time /*now*/)
 {
     const TargetIndex target = *std::min_element(input.candidates.begin(), input.candidates.end(),
         [&input](TargetIndex left, TargetIndex right) { return input.targets.inFlight(left) < input.targets.inFlight(right); });
     return withLocalSource(input, request, target);
 }
 
-std::optional<Choice> place(StickyHashPolicy & /*policy*/, const PolicyInput &input, const RequestInfo &request)
+std::optional<Choice> place(StickyHashPolicy & /*policy*/, const PolicyInput &input, const RequestInfo &request, Time /*now*/)
 {
     const auto weight = [&](TargetIndex target) {
         return stableHash(input.targets.at(target).description.name, request.promptKey);
@@ -161,7 +165,7 @@
 Duration predictFirstToken(const PolicyInput &input, const RequestInfo &request, TargetIndex target, const CacheSource &source)
 {
     const double rate = input.targets.prefillRate(target);
-    const double queue = static_cast<double>(input.targets.queuedTokens(target)) / rate;
+    const double queue = static_cast<double>(input.targets.queuedTokens(target, request.priority)) / rate;
     double ready = queue;
     if (source.kind == SourceKind::StoreImport) {
         const auto missing = static_cast<double>(source.tokens - cachedTokensAt(input, target));
@@ -172,12 +176,12 @@
     return fromSeconds(FixedSeconds + ready + computed / rate);
 }
 
-std::optional<Choice> choosePlacement(Policy &policy, const PolicyInput &input, const RequestInfo &request, Time /*now*/)
+std::optional<Choice> choosePlacement(Policy &policy, const PolicyInput &input, const RequestInfo &request, Time now)
 {
     if (input.candidates.empty()) {
         return std::nullopt;
     }
-    return std::visit([&](auto &chosen) { return place(chosen, input, request); }, policy);
+    return std::visit([&](auto &chosen) { return place(chosen, input, request, now); }, policy);
 }
 
 } // namespace pimentosail
--- a/pimentosail/decision/scheduler.cpp
+++ b/pimentosail/decision/scheduler.cpp
@@ -27,6 +27,12 @@
 constexpr double MinExportGain = 0.02;
 constexpr Duration UnknownStoreLife = std::chrono::hours(24 * 7);
 
+void lower(std::array<int64_t, PriorityCount> &tokens, Priority priority, int64_t amount)
+{
+    int64_t &level = tokens.at(static_cast<size_t>(priority));
+    level = std::max<int64_t>(0, level - amount);
+}
+
 } // namespace
 
 Scheduler::Scheduler(Options schedulerOptions, Policy routingPolicy)
@@ -190,10 +196,12 @@
 {
     Target &target = this->table.at(choice.target);
     const bool forward = target.description.remote;
+    const auto level = static_cast<size_t>(request.priority);
     Running entry;
     entry.request = request;
     entry.choice = choice;
     entry.dispatchedAt = now;
+    entry.alone = this->table.queuedTokens(choice.target, Priority::Batch) == 0;
     entry.pendingTokens = request.promptTokens - std::min(choice.source.tokens, request.promptTokens);
     const int64_t limit = this->table.limit(choice.target, now);
     if (this->table.inFlight(choice.target) >= limit) {
@@ -202,14 +210,14 @@
     }
     if (forward) {
         ++target.remoteInFlight;
-        target.remoteQueuedTokens += entry.pendingTokens;
+        target.remoteQueuedTokens.at(level) += entry.pendingTokens;
         ++this->tally.forwarded;
     } else {
         ++target.inFlight;
         target.recentPeak = std::max(target.recentPeak, target.inFlight);
         target.batchInFlight += request.priority == Priority::Batch ? 1 : 0;
         target.suspectsInFlight += request.suspect ? 1 : 0;
-        target.pendingTokens += entry.pendingTokens;
+        target.pendingTokens.at(level) += entry.pendingTokens;
         target.probing = target.consecutiveFailures > 0;
         ++this->tally.dispatched;
         this->tally.promptTokens += request.promptTokens;
@@ -325,11 +333,14 @@
     const int64_t cached = event.cachedTokens >= 0 ? event.cachedTokens : entry.choice.source.tokens;
     const int64_t computed = entry.request.promptTokens - std::min(cached, entry.request.promptTokens);
     if (target.description.remote) {
-        target.remoteQueuedTokens = std::max<int64_t>(0, target.remoteQueuedTokens - entry.pendingTokens);
+        lower(target.remoteQueuedTokens, entry.request.priority, entry.pendingTokens);
     } else {
-        target.pendingTokens -= entry.pendingTokens;
+        lower(target.pendingTokens, entry.request.priority, entry.pendingTokens);
         this->tally.computedTokens += computed;
-        this->table.firstToken(entry.choice.target, entry.choice.predicted, actual, computed, now);
+        this->table.firstToken(entry.choice.target, entry.choice.predicted, actual, now);
+        if (entry.alone && entry.choice.source.kind != SourceKind::StoreImport) {
+            this->table.prefillSeen(entry.choice.target, computed, actual);
+        }
         const bool cacheWasGone
             = entry.choice.source.kind == SourceKind::TargetCache && event.cachedTokens >= 0 && event.cachedTokens < entry.choice.source.tokens / 2;
         if (cacheWasGone) {
@@ -345,13 +356,13 @@
     Target &target = this->table.at(entry.choice.target);
     if (target.description.remote) {
         target.remoteInFlight = std::max<int64_t>(0, target.remoteInFlight - 1);
-        target.remoteQueuedTokens = std::max<int64_t>(0, target.remoteQueuedTokens - entry.pendingTokens);
+        lower(target.remoteQueuedTokens, entry.request.priority, entry.pendingTokens);
         return;
     }
     target.inFlight = std::max<int64_t>(0, target.inFlight - 1);
     target.batchInFlight = std::max<int64_t>(0, target.batchInFlight - (entry.request.priority == Priority::Batch ? 1 : 0));
     target.suspectsInFlight = std::max<int64_t>(0, target.suspectsInFlight - (entry.request.suspect ? 1 : 0));
-    target.pendingTokens = std::max<int64_t>(0, target.pendingTokens - entry.pendingTokens);
+    lower(target.pendingTokens, entry.request.priority, entry.pendingTokens);
 }
 
 void Scheduler::on(const AttemptEnded &event, Time now, Commands &out)
@@ -411,33 +422,22 @@
     const auto bytes = static_cast<double>(tokens) * static_cast<double>(model->cacheBytesPerToken);
     const Duration targetLife = target.evictedBefore >= Time(0) ? now - target.evictedBefore : UnknownStoreLife;
     const size_t store = request.promptKey % this->storeNames.size();
-    double bestGain = 0;
-    std::optional<Tier> bestTier;
-    for (size_t index = 0; index < TierCount; ++index) {
-        const LinkState &link = this->links.at(store).at(index);
-        if (!link.usable || link.wait > MaxExportWait) {
-            continue;
-        }
-        const Duration storeLife = link.evictionAge >= Duration(0) ? link.evictionAge : UnknownStoreLife;
-        const double needed = this->copyValue(request.team, Duration(0), storeLife, request.knownReturn)
-            - this->copyValue(request.team, Duration(0), std::min(targetLife, storeLife), request.knownReturn);
-        const double importSeconds = bytes / link.bytesPerSecond;
-        const double gain = needed * (computeSeconds - std::min(importSeconds, computeSeconds));
-        if (gain > bestGain) {
-            bestGain = gain;
-            bestTier = static_cast<Tier>(index);
-        }
-    }
-    if (!bestTier && !this->options.valueExports) {
-        bestTier = Tier::Disk;
+    const LinkState &memory = this->links.at(store).at(static_cast<size_t>(Tier::Memory));
+    if (!memory.usable || memory.wait > MaxExportWait) {
+        return;
     }
-    if (!bestTier || (this->options.valueExports && bestGain < MinExportGain * computeSeconds)) {
+    // A copy is worth the seconds of prefill that it saves if the prompt returns after the target has evicted it.
+    const double returnsLater = this->copyValue(request.team, Duration(0), UnknownStoreLife, request.knownReturn)
+        - this->copyValue(request.team, Duration(0), std::min(targetLife, UnknownStoreLife), request.knownReturn);
+    const double importSeconds = bytes / memory.bytesPerSecond;
+    const double gain = returnsLater * (computeSeconds - std::min(importSeconds, computeSeconds));
+    if (this->options.valueExports && gain < MinExportGain * computeSeconds) {
         return;
     }
     ++this->tally.exports;
-    record.copy = {static_cast<StoreIndex>(store), *bestTier, static_cast<int32_t>(tokens), true};
-    out.push_back(
-        Export{request.promptKey, request.team, finished.choice.target, static_cast<StoreIndex>(store), *bestTier, request.pieces, tokens, bestGain / bytes});
+    // Copies enter the memory tier; the store's owner moves them to the disk tier when they give way to others.
+    record.copy = {static_cast<StoreIndex>(store), Tier::Memory, static_cast<int32_t>(tokens), true};
+    out.push_back(Export{request.promptKey, request.team, finished.choice.target, static_cast<StoreIndex>(store), Tier::Memory, request.pieces, tokens, gain / bytes});
 }
 
 double Scheduler::copyValue(const std::string &team, Duration age, Duration horizon, std::optional<Duration> knownReturn) const
@@ -465,7 +465,7 @@
     Target &target = this->table.at(event.target);
     target.reportedAt = now;
     target.remoteInFlight = event.inFlight;
-    target.remoteQueuedTokens = event.queuedTokens;
+    target.remoteQueuedTokens = {event.queuedTokens - event.urgentTokens, 0, event.urgentTokens};
     target.remoteSlots = event.usableSlots;
     target.report.cold = event.cold;
     if (event.prefillTokensPerSecond > 0) {
--- a/pimentosail/decision/scheduler.h
+++ b/pimentosail/decision/scheduler.h
@@ -130,6 +130,8 @@
         Time dispatchedAt{};
         int64_t pendingTokens = 0;
         bool firstTokenSeen = false;
+        // True if no other prompt waited on the target at dispatch.
+        bool alone = false;
         bool preempting = false;
     };
     using Commands = std::vector<Command>;
--- a/pimentosail/decision/storecontents.cpp
+++ b/pimentosail/decision/storecontents.cpp
@@ -12,8 +12,15 @@
 constexpr size_t EvictionSample = 24;
 constexpr double EvictionAgeGain = 0.1;
 
+constexpr double MinDemotionProbability = 0.1;
+
 } // namespace
 
+bool isWorthDemotion(double returnProbability)
+{
+    return returnProbability >= MinDemotionProbability;
+}
+
 StoreContents::StoreContents(int64_t memoryBytes, int64_t diskBytes)
 {
     this->tiers.at(static_cast<size_t>(Tier::Memory)).capacity = memoryBytes;
@@ -50,10 +57,10 @@
         if (!victim || valueOf(this->copies.at(*victim), now) >= value) {
             return admission;
         }
-        const Duration age = now - this->copies.at(*victim).lastUsed;
+        admission.evicted.push_back(this->copies.at(*victim));
+        const Duration age = now - admission.evicted.back().lastUsed;
         tier.evictionAge = tier.evictionAge < Duration(0) ? age : tier.evictionAge + fromSeconds(EvictionAgeGain * toSeconds(age - tier.evictionAge));
         this->remove(*victim);
-        admission.evicted.push_back(*victim);
     }
     this->positions[copy.promptKey] = tier.keys.size();
     tier.keys.push_back(copy.promptKey);
@@ -77,6 +84,14 @@
     }
 }
 
+void StoreContents::setKnownReturn(uint64_t promptKey, Time knownReturn)
+{
+    const auto found = this->copies.find(promptKey);
+    if (found != this->copies.end()) {
+        found->second.knownReturn = knownReturn;
+    }
+}
+
 void StoreContents::remove(uint64_t promptKey)
 {
     const auto found = this->copies.find(promptKey);
--- a/pimentosail/decision/storecontents.h
+++ b/pimentosail/decision/storecontents.h
@@ -36,12 +36,22 @@
 struct StoreAdmission
 {
     bool admitted = false;
-    std::vector<uint64_t> evicted;
+    std::vector<StoredCopy> evicted;
 };
 
 // Returns the worth of keeping a copy: higher is kept longer.
 using ValueOfCopy = std::function<double(const StoredCopy &copy, Time now)>;
 
+// Time ahead for which the return of a prompt counts towards the worth of its copy.
+constexpr Duration CopyValueHorizon = std::chrono::minutes(10);
+
+// Longest queue of background copies on a disk link that a copy from the memory tier may join.
+constexpr Duration MaxDemotionWait = std::chrono::seconds(20);
+
+// Returns true if a copy that must leave the memory tier is worth a place in the disk tier; `returnProbability` is that
+// within `CopyValueHorizon`.
+bool isWorthDemotion(double returnProbability);
+
 class StoreContents
 {
 public:
@@ -56,6 +66,9 @@
     // Marks a copy as used at `now`.
     void used(uint64_t promptKey, Time now);
 
+    // Only in benchmarks: tells when the prompt of a copy returns.
+    void setKnownReturn(uint64_t promptKey, Time knownReturn);
+
     // Forgets a copy.
     void remove(uint64_t promptKey);
 
--- a/pimentosail/decision/targettable.cpp
+++ b/pimentosail/decision/targettable.cpp
@@ -20,8 +20,11 @@
 constexpr Duration RampStep = std::chrono::seconds(2);
 constexpr int MaxRampSteps = 10;
 constexpr double DefaultPrefillRate = 8000;
+constexpr int64_t MinPrefillSample = 4000;
 constexpr double PrefillRateGain = 0.1;
 // Evidence that a target is cold: several first tokens in a row this much later than predicted.
+// Expected rest of a prefill that has begun.
+constexpr int64_t BegunPrefillTokens = 12'000;
 constexpr size_t MaxPieceUses = 20'000;
 constexpr int LateFactor = 4;
 constexpr Duration LateSlack = std::chrono::seconds(1);
@@ -193,16 +196,12 @@
     logStateChange("target_excluded", {{"target", target.description.name}, {"failures", std::to_string(target.consecutiveFailures)}});
 }
 
-bool TargetTable::firstToken(TargetIndex index, Duration predicted, Duration actual, int64_t computedTokens, Time now)
+bool TargetTable::firstToken(TargetIndex index, Duration predicted, Duration actual, Time now)
 {
     Target &target = this->at(index);
     const bool late = actual > predicted * LateFactor && actual > predicted + LateSlack;
     if (!late) {
         target.lateFirstTokens = 0;
-        if (computedTokens > 1000 && this->queuedTokens(index) <= computedTokens && toSeconds(actual) > 0) {
-            const double rate = static_cast<double>(computedTokens) / toSeconds(actual);
-            target.prefillTokensPerSecond += PrefillRateGain * (rate - target.prefillTokensPerSecond);
-        }
         return false;
     }
     ++target.lateFirstTokens;
@@ -216,6 +215,16 @@
     return true;
 }
 
+void TargetTable::prefillSeen(TargetIndex index, int64_t computedTokens, Duration length)
+{
+    if (computedTokens < MinPrefillSample || length <= Duration(0)) {
+        return;
+    }
+    Target &target = this->at(index);
+    const double rate = static_cast<double>(computedTokens) / toSeconds(length);
+    target.prefillTokensPerSecond += PrefillRateGain * (rate - target.prefillTokensPerSecond);
+}
+
 void TargetTable::pieceUsed(TargetIndex index, uint64_t lastPiece, Time now)
 {
     std::unordered_map<uint64_t, Time> &uses = this->at(index).pieceUses;
@@ -236,10 +245,17 @@
     target.pieceUses.erase(found);
 }
 
-int64_t TargetTable::queuedTokens(TargetIndex index) const
+int64_t TargetTable::queuedTokens(TargetIndex index, Priority priority) const
 {
     const Target &target = this->at(index);
-    return target.description.remote ? target.remoteQueuedTokens : target.pendingTokens;
+    const std::array<int64_t, PriorityCount> &pending = target.description.remote ? target.remoteQueuedTokens : target.pendingTokens;
+    int64_t ahead = 0;
+    int64_t behind = 0;
+    for (size_t level = 0; level < PriorityCount; ++level) {
+        (level >= static_cast<size_t>(priority) ? ahead : behind) += pending.at(level);
+    }
+    // A prefill of lower priority that has begun is not interrupted.
+    return ahead + std::min(behind, BegunPrefillTokens);
 }
 
 int64_t TargetTable::inFlight(TargetIndex index) const
--- a/pimentosail/decision/targettable.h
+++ b/pimentosail/decision/targettable.h
@@ -8,6 +8,7 @@
 // Not thread-safe.
 #pragma once
 
+#include <array>
 #include <map>
 #include <string>
 #include <unordered_map>
@@ -34,6 +35,8 @@
 // Returns the name of `state` for dumps.
 const char *targetStateName(TargetState state);
 
+constexpr size_t PriorityCount = 3;
+
 struct Target
 {
     TargetDescription description;
@@ -48,12 +51,12 @@
     int64_t foreignInFlight = 0;
     // In-flight requests with priority Batch.
     int64_t batchInFlight = 0;
-    // Prompt tokens that this host has sent and that wait to be prefilled.
-    int64_t pendingTokens = 0;
+    // Prompt tokens that this host has sent and that wait to be prefilled, by priority.
+    std::array<int64_t, PriorityCount> pendingTokens{};
     int64_t suspectsInFlight = 0;
     // For a remote target: the owner's summary, plus what was forwarded since.
     int64_t remoteInFlight = 0;
-    int64_t remoteQueuedTokens = 0;
+    std::array<int64_t, PriorityCount> remoteQueuedTokens{};
     int64_t remoteSlots = 0;
     // Learnt from first tokens.
     double prefillTokensPerSecond = 0;
@@ -94,7 +97,10 @@
 
     // Records a first token that took `actual` where `predicted` was expected; several far too late ones mark the
     // target as cold. Returns true if it became cold by this evidence.
-    bool firstToken(TargetIndex index, Duration predicted, Duration actual, int64_t computedTokens, Time now);
+    bool firstToken(TargetIndex index, Duration predicted, Duration actual, Time now);
+
+    // Learns the prefill rate from a prompt that nothing else held up.
+    void prefillSeen(TargetIndex index, int64_t computedTokens, Duration length);
 
     // Notes that the prompt that ends with `lastPiece` was used on the target.
     void pieceUsed(TargetIndex index, uint64_t lastPiece, Time now);
@@ -102,8 +108,8 @@
     // Learns from an evicted piece that everything used before it is gone as well.
     void pieceEvicted(TargetIndex index, uint64_t piece);
 
-    // Returns the prompt tokens that wait to be prefilled, by the report and by what was sent since.
-    int64_t queuedTokens(TargetIndex index) const;
+    // Returns the prompt tokens that are prefilled before those of a new request of `priority`.
+    int64_t queuedTokens(TargetIndex index, Priority priority) const;
 
     // Returns the requests in flight, by the report and by this host's own count.
     int64_t inFlight(TargetIndex index) const;
--- a/pimentosail/decision/types.h
+++ b/pimentosail/decision/types.h
@@ -176,7 +176,9 @@
 {
     TargetIndex target = NoTarget;
     int64_t inFlight = 0;
+    // Prompt tokens that wait: all, and those of interactive requests.
     int64_t queuedTokens = 0;
+    int64_t urgentTokens = 0;
     int64_t usableSlots = 0;
     bool cold = false;
     Duration evictionAge{-1};
@@ -221,8 +223,8 @@
 {
 };
 
-using Event = std::variant<RequestArrived, FirstTokenSeen, AttemptEnded, RequestWithdrawn, TargetReported, RemoteTargetReported, TargetUnreachable,
-    StoreCopyChanged, LinkReported, ClockTicked>;
+using Event = std::variant<RequestArrived, FirstTokenSeen, AttemptEnded, RequestWithdrawn, TargetReported, RemoteTargetReported, PieceEvicted,
+    TargetUnreachable, StoreCopyChanged, LinkReported, ClockTicked>;
 
 // Commands.
 
--- a/pimentosail/serve/decisionduty.cpp
+++ b/pimentosail/serve/decisionduty.cpp
@@ -1,6 +1,7 @@
 #include "pimentosail/serve/decisionduty.h"
 
 #include <algorithm>
+#include <numeric>
 
 namespace pimentosail
 {
@@ -157,6 +158,7 @@
         event.inFlight = summary.inFlight;
         event.usableSlots = summary.usableSlots;
         event.queuedTokens = summary.queuedTokens;
+        event.urgentTokens = summary.urgentTokens;
         event.cold = summary.cold;
         event.evictionAge = std::chrono::seconds(summary.evictionAgeSeconds);
         event.prefillTokensPerSecond = summary.prefillRate;
@@ -231,7 +233,8 @@
         summary.inFlight = static_cast<uint16_t>(targets.inFlight(target));
         const bool usable = targets.why(target, 0, now) == TargetState::Usable;
         summary.usableSlots = static_cast<uint16_t>(usable ? targets.limit(target, now) : 0);
-        summary.queuedTokens = static_cast<uint32_t>(targets.queuedTokens(target));
+        summary.queuedTokens = static_cast<uint32_t>(std::accumulate(state.pendingTokens.begin(), state.pendingTokens.end(), int64_t{0}));
+        summary.urgentTokens = static_cast<uint32_t>(state.pendingTokens.at(static_cast<size_t>(Priority::Interactive)));
         summary.cold = state.report.cold || state.coldByEvidence;
         summary.evictionAgeSeconds = state.evictedBefore < Time(0) ? -1 : static_cast<int32_t>(toSeconds(now - state.evictedBefore));
         summary.prefillRate = static_cast<uint32_t>(targets.prefillRate(target));
--- a/pimentosail/serve/statedump.cpp
+++ b/pimentosail/serve/statedump.cpp
@@ -25,7 +25,7 @@
     value["in_flight"] = Json::Int64(targets.inFlight(index));
     value["limit"] = Json::Int64(targets.limit(index, now));
     value["usable_slots"] = Json::Int64(target.description.usableSlots);
-    value["queued_tokens"] = Json::Int64(targets.queuedTokens(index));
+    value["queued_tokens"] = Json::Int64(targets.queuedTokens(index, Priority::Batch));
     value["prefill_tokens_per_s"] = targets.prefillRate(index);
     value["consecutive_failures"] = target.consecutiveFailures;
     value["report_age_ms"] = target.reportedAt < Time(0) ? Json::Int64(-1) : Json::Int64(toMilliseconds(now - target.reportedAt));
--- a/pimentosail/serve/transferduty.cpp
+++ b/pimentosail/serve/transferduty.cpp
@@ -16,7 +16,6 @@
 constexpr Duration OrderTimeout = std::chrono::seconds(30);
 constexpr Duration StoreCallTimeout = std::chrono::seconds(2);
 constexpr Duration PopWait = Milliseconds(200);
-constexpr Duration StoreLife = std::chrono::hours(24);
 
 std::string keyText(uint64_t promptKey)
 {
@@ -255,46 +254,60 @@
     if (count == 0) {
         return;
     }
-    std::unique_lock lock(link.mutex);
-    link.scheduler.submit({id, static_cast<int64_t>(count), order.pieceBytes, order.priority});
+    {
+        const std::lock_guard lock(link.mutex);
+        link.scheduler.submit({id, static_cast<int64_t>(count), order.pieceBytes, order.priority});
+    }
     for (size_t index = first; index < order.pieces.size(); ++index) {
-        while (link.turn != id) {
-            if (!link.turn) {
-                if (const std::optional<Transfer> next = link.scheduler.start()) {
-                    link.turn = next->id;
-                    link.changed.notify_all();
-                    continue;
-                }
-            }
-            link.changed.wait_for(lock, PopWait);
-        }
-        lock.unlock();
-        std::optional<Error> failure;
+        this->takeTurn(link, id);
         try {
-            const uint64_t previous = index == 0 ? order.salt : order.pieces[index - 1];
-            const PieceOrder piece{host.address, tierName(order.tier), order.pieces[index], previous, order.pieceBytes, order.salt};
-            if (order.isExport) {
-                this->context->engines.exportPiece(order.engineAddress, piece, OrderTimeout);
-            } else {
-                this->context->engines.importPiece(order.engineAddress, piece, OrderTimeout);
-            }
-            this->context->metrics.count("pimentosail_link_bytes_total",
-                {{"store", order.store}, {"tier", tierName(order.tier)}, {"kind", order.isExport ? "export" : "import"}},
-                static_cast<double>(order.pieceBytes));
-        } catch (const Failure &thrown) {
-            failure = thrown.error;
-        }
-        lock.lock();
-        link.scheduler.pieceMoved();
-        link.turn.reset();
-        if (failure) {
-            link.scheduler.cancel(id);
+            this->movePiece(order, host, index);
+        } catch (const Failure &) {
+            this->endTurn(link, id, true);
+            throw;
         }
-        link.changed.notify_all();
-        if (failure) {
-            throw Failure(*failure);
+        this->endTurn(link, id, false);
+    }
+}
+
+void TransferDuty::movePiece(const TransferOrder &order, const FleetHost &host, size_t index)
+{
+    const uint64_t previous = index == 0 ? order.salt : order.pieces[index - 1];
+    const PieceOrder piece{host.address, tierName(order.tier), order.pieces[index], previous, order.pieceBytes, order.salt};
+    if (order.isExport) {
+        this->context->engines.exportPiece(order.engineAddress, piece, OrderTimeout);
+    } else {
+        this->context->engines.importPiece(order.engineAddress, piece, OrderTimeout);
+    }
+    const Metrics::Labels labels{{"store", order.store}, {"tier", tierName(order.tier)}, {"kind", order.isExport ? "export" : "import"}};
+    this->context->metrics.count("pimentosail_link_bytes_total", labels, static_cast<double>(order.pieceBytes));
+}
+
+// Blocks until the link's scheduler picks a piece of transfer `id`.
+void TransferDuty::takeTurn(Link &link, uint64_t id)
+{
+    std::unique_lock lock(link.mutex);
+    while (link.turn != id) {
+        if (!link.turn) {
+            if (const std::optional<Transfer> next = link.scheduler.start()) {
+                link.turn = next->id;
+                link.changed.notify_all();
+                continue;
+            }
         }
+        link.changed.wait_for(lock, PopWait);
+    }
+}
+
+void TransferDuty::endTurn(Link &link, uint64_t id, bool cancelRest)
+{
+    const std::lock_guard lock(link.mutex);
+    link.scheduler.pieceMoved();
+    link.turn.reset();
+    if (cancelRest) {
+        link.scheduler.cancel(id);
     }
+    link.changed.notify_all();
 }
 
 void TransferDuty::deleteCopy(const FleetHost &host, uint64_t promptKey)
@@ -317,10 +330,10 @@
         const std::scoped_lock lock(state.mutex, this->returnsMutex);
         this->returns.addNew(order.team);
         admission = state.contents.admit(
-            copy, now, [this](const StoredCopy &kept, Time time) { return this->returns.returnProbability(kept.team, time - kept.lastUsed, StoreLife); });
+            copy, now, [this](const StoredCopy &kept, Time time) { return this->returns.returnProbability(kept.team, time - kept.lastUsed, CopyValueHorizon); });
     }
-    for (const uint64_t evicted : admission.evicted) {
-        this->deleteCopy(host, evicted);
+    for (const StoredCopy &evicted : admission.evicted) {
+        this->makeRoom(order, state, host, evicted);
     }
     if (!admission.admitted) {
         return 0;
@@ -348,6 +361,55 @@
     return order.tokens;
 }
 
+// Moves a copy that gives way in the memory tier to the disk tier, or deletes it.
+void TransferDuty::makeRoom(const TransferOrder &order, StoreState &state, const FleetHost &host, StoredCopy copy)
+{
+    const Time now = this->clock.now();
+    const auto valueOf = [this](const StoredCopy &kept, Time time) { return this->returns.returnProbability(kept.team, time - kept.lastUsed, CopyValueHorizon); };
+    bool isKept = false;
+    std::vector<StoredCopy> evicted;
+    if (copy.tier == Tier::Memory) {
+        const std::scoped_lock lock(state.mutex, this->returnsMutex);
+        copy.tier = Tier::Disk;
+        if (isWorthDemotion(valueOf(copy, now))) {
+            StoreAdmission admission = state.contents.admit(copy, now, valueOf);
+            isKept = admission.admitted;
+            evicted = std::move(admission.evicted);
+        }
+    }
+    for (const StoredCopy &old : evicted) {
+        this->deleteCopy(host, old.promptKey);
+    }
+    if (!isKept) {
+        this->deleteCopy(host, copy.promptKey);
+        return;
+    }
+    Link &link = state.link(Tier::Disk);
+    const int64_t pieces = std::max<int64_t>(1, copy.bytes / std::max<int64_t>(1, order.pieceBytes));
+    const uint64_t id = state.nextTransfer.fetch_add(1);
+    {
+        const std::lock_guard lock(link.mutex);
+        link.scheduler.submit({id, pieces, order.pieceBytes, TransferClass::Background});
+    }
+    for (int64_t piece = 0; piece < pieces; ++piece) {
+        this->takeTurn(link, id);
+        const std::string path = "/manifests/" + keyText(copy.promptKey) + "/demote?piece=" + std::to_string(piece) + "&bytes=" + std::to_string(order.pieceBytes);
+        bool moved = false;
+        try {
+            moved = this->context->http.call(host.address, {"POST", path, {}, ""}, OrderTimeout).status == 200;
+        } catch (const Failure &) {
+            // The copy is forgotten below.
+        }
+        this->endTurn(link, id, !moved);
+        if (!moved) {
+            const std::lock_guard lock(state.mutex);
+            state.contents.remove(copy.promptKey);
+            return;
+        }
+    }
+    this->context->metrics.count("pimentosail_link_bytes_total", {{"store", order.store}, {"tier", "disk"}, {"kind", "demotion"}}, static_cast<double>(copy.bytes));
+}
+
 int64_t TransferDuty::performImport(const TransferOrder &order, StoreState &state, const FleetHost &host)
 {
     const std::string path = "/manifests/" + keyText(order.promptKey);
@@ -362,6 +424,7 @@
         throw Failure(ErrorKind::NotFound, "the copy belongs to another team or weight version");
     }
     TransferOrder wanted = order;
+    wanted.tier = jsonString(manifest, "tier") == tierName(Tier::Disk) ? Tier::Disk : Tier::Memory;
     wanted.pieces.clear();
     for (const Json::Value &piece : manifest["pieces"]) {
         const uint64_t id = std::stoull(piece.asString());
--- a/pimentosail/serve/transferduty.h
+++ b/pimentosail/serve/transferduty.h
@@ -90,6 +90,10 @@
     int64_t performExport(const TransferOrder &order, StoreState &state, const FleetHost &host);
     int64_t performImport(const TransferOrder &order, StoreState &state, const FleetHost &host);
     void movePieces(const TransferOrder &order, StoreState &state, const FleetHost &host, size_t first);
+    void movePiece(const TransferOrder &order, const FleetHost &host, size_t index);
+    void takeTurn(Link &link, uint64_t id);
+    void endTurn(Link &link, uint64_t id, bool cancelRest);
+    void makeRoom(const TransferOrder &order, StoreState &state, const FleetHost &host, StoredCopy copy);
     StoreState &stateOf(const std::string &store);
     void deleteCopy(const FleetHost &host, uint64_t promptKey);
 
--- a/standins/storeandservice.cpp
+++ b/standins/storeandservice.cpp
@@ -83,8 +83,15 @@
     {
         const std::string key = rest.substr(0, rest.find('/'));
         const std::string body = exchange.readBody(MaxStandInBody, this->clock, StandInBodyTimeout);
+        const bool isDemotion = rest.find("/demote") != std::string::npos;
+        if (isDemotion) {
+            this->passLink("disk", std::stoll(exchange.query("bytes")));
+        }
         const std::lock_guard lock(this->mutex);
-        if (exchange.method() == "PUT") {
+        if (isDemotion && this->manifests.count(key) != 0) {
+            this->manifests.at(key)["tier"] = "disk";
+            exchange.sendJson(200, this->manifests.at(key));
+        } else if (exchange.method() == "PUT") {
             Json::Value value = parseJson(body);
             value["generation"] = Json::Int64(++this->generation);
             this->manifests[key] = value;
