Store copies are inclusive: a memory copy gives way without a write if the disk tier has it

Cause: at 0.6 to 0.85 load the disk links were busy 98-100 % while the memory links idled at 23-30 %: every return read the disk copy again.

--- a/bench/traffic.cpp
+++ b/bench/traffic.cpp
@@ -15,6 +15,8 @@
 // Requests come in bursts: the rate swings around its mean with this amplitude and period.
 constexpr double BurstAmplitude = 0.3;
 constexpr double BurstPeriodSeconds = 300;
+// Part of the recompute and import rates that is left for answers: links also carry copies into the stores.
+constexpr double SustainableFraction = 0.5;
 // Skew of the teams' sizes.
 constexpr double TeamSkew = 1.1;
 
@@ -145,7 +147,7 @@
     const double prefill = deployment.pools.front().workers * deployment.prefillTokensPerSecond / promptTokens;
     const double links = static_cast<double>(deployment.stores.size()) * (deployment.memoryLinkBytesPerSecond + deployment.diskLinkBytesPerSecond)
         / (promptTokens * deployment.cacheBytesPerToken);
-    return (prefill + links) / mainShare;
+    return SustainableFraction * (prefill + links) / mainShare;
 }
 
 std::vector<Arrival> makeTraffic(const Deployment &deployment, double rate, Duration length, uint64_t seed)
--- a/bench/traffic.h
+++ b/bench/traffic.h
@@ -69,8 +69,8 @@
 // Returns the deployment called `name` (winery or krathong).
 Deployment deploymentOf(const std::string &name);
 
-// Returns the arrival rate, in requests a second, at which recomputing and importing together are exhausted in the
-// main pool: the prefill rate and the link rates, each over the mean prompt.
+// Returns the arrival rate, in requests a second, called the capacity: half of the rate at which recomputing and
+// importing together are exhausted in the main pool (the prefill rate and the link rates, each over the mean prompt).
 double capacityOf(const Deployment &deployment);
 
 // Returns the trace of `length` at `rate` requests a second, ordered by time.
--- a/pimentosail/decision/policy.cpp
+++ b/pimentosail/decision/policy.cpp
@@ -32,7 +32,7 @@
         return std::nullopt;
     }
     const StoreCopy &copy = input.prompt->copy;
-    if (copy.exporting || copy.tokens <= cachedTokensAt(input, target)) {
+    if ((copy.exporting && copy.tier == Tier::Memory) || copy.tokens <= cachedTokensAt(input, target)) {
         return std::nullopt;
     }
     CacheSource source;
--- a/pimentosail/decision/prompttable.h
+++ b/pimentosail/decision/prompttable.h
@@ -32,6 +32,7 @@
     StoreIndex store = NoStore;
     Tier tier = Tier::Memory;
     int32_t tokens = 0;
+    // True while a copy to the memory tier is under way; a copy in the disk tier can be used meanwhile.
     bool exporting = false;
 };
 
--- a/pimentosail/decision/scheduler.cpp
+++ b/pimentosail/decision/scheduler.cpp
@@ -222,13 +222,25 @@
         ++this->tally.dispatched;
         this->tally.promptTokens += request.promptTokens;
     }
-    this->tally.imports += choice.source.kind == SourceKind::StoreImport ? 1 : 0;
+    if (choice.source.kind == SourceKind::StoreImport) {
+        this->noteImport(request, choice);
+    }
     this->running.emplace(request.id, std::move(entry));
     const TargetDescription &description = target.description;
     out.push_back(Dispatch{
         request.id, choice.target, choice.source, choice.predicted, forward, description.name, description.address, description.owner, target.report.boot});
 }
 
+// Adds an import to the link's wait until the next report shows it.
+void Scheduler::noteImport(const RequestInfo &request, const Choice &choice)
+{
+    ++this->tally.imports;
+    const Model *model = this->findModel(request.model);
+    LinkState &link = this->links.at(static_cast<size_t>(choice.source.store)).at(static_cast<size_t>(choice.source.tier));
+    const auto bytes = static_cast<double>(choice.source.tokens) * static_cast<double>(model == nullptr ? 0 : model->cacheBytesPerToken);
+    link.wait += fromSeconds(bytes / link.bytesPerSecond);
+}
+
 bool Scheduler::preemptFor(const RequestInfo &request, Time now, Commands &out)
 {
     if (!this->options.preemption || request.priority != Priority::Interactive) {
@@ -414,7 +426,7 @@
     PromptTable::noteLocation(record, finished.choice.target, tokens, now);
     this->table.pieceUsed(finished.choice.target, request.pieces.back(), now);
     const Target &target = this->table.at(finished.choice.target);
-    const bool copied = record.copy.store != NoStore && record.copy.tokens >= tokens;
+    const bool copied = record.copy.store != NoStore && record.copy.tier == Tier::Memory && record.copy.tokens >= tokens;
     if (!this->options.exports || copied || record.copy.exporting || this->storeNames.empty() || target.description.remote) {
         return;
     }
@@ -436,7 +448,10 @@
     }
     ++this->tally.exports;
     // Copies enter the memory tier; the store's owner moves them to the disk tier when they give way to others.
-    record.copy = {static_cast<StoreIndex>(store), Tier::Memory, static_cast<int32_t>(tokens), true};
+    if (record.copy.store == NoStore) {
+        record.copy = {static_cast<StoreIndex>(store), Tier::Memory, static_cast<int32_t>(tokens), false};
+    }
+    record.copy.exporting = true;
     out.push_back(Export{request.promptKey, request.team, finished.choice.target, static_cast<StoreIndex>(store), Tier::Memory, request.pieces, tokens, gain / bytes});
 }
 
@@ -499,7 +514,10 @@
         return;
     }
     if (event.tokens <= 0) {
-        record->copy = StoreCopy();
+        // A failed copy to the memory tier leaves one in the disk tier as it was.
+        const bool wasIt = record->copy.tier == event.tier;
+        record->copy = wasIt ? StoreCopy() : record->copy;
+        record->copy.exporting = false;
         return;
     }
     record->copy = {event.store, event.tier, static_cast<int32_t>(event.tokens), false};
--- a/pimentosail/decision/scheduler.h
+++ b/pimentosail/decision/scheduler.h
@@ -155,6 +155,7 @@
     std::vector<TargetIndex> consideredTargets(const RequestInfo &request, const std::vector<TargetIndex> &serving) const;
     bool tryDispatch(const RequestInfo &request, Time now, Commands &out);
     void dispatch(const RequestInfo &request, const Choice &choice, Time now, Commands &out);
+    void noteImport(const RequestInfo &request, const Choice &choice);
     bool cannotMeetDeadline(const RequestInfo &request, Duration predicted, Time now) const;
     bool preemptFor(const RequestInfo &request, Time now, Commands &out);
     std::optional<Error> refusalFor(const RequestInfo &request, Time now) const;
--- a/pimentosail/decision/storecontents.cpp
+++ b/pimentosail/decision/storecontents.cpp
@@ -34,7 +34,7 @@
     const size_t samples = std::min(EvictionSample, tier.keys.size());
     for (size_t index = 0; index < samples; ++index) {
         const uint64_t key = tier.keys.size() <= EvictionSample ? tier.keys[index] : tier.keys[this->random() % tier.keys.size()];
-        const double value = valueOf(this->copies.at(key), now);
+        const double value = valueOf(tier.copies.at(key), now);
         if (!worstKey || value < worstValue) {
             worstKey = key;
             worstValue = value;
@@ -50,71 +50,82 @@
     if (copy.bytes > tier.capacity) {
         return admission;
     }
-    this->remove(copy.promptKey);
+    this->remove(copy.promptKey, copy.tier);
     const double value = valueOf(copy, now);
     while (tier.used + copy.bytes > tier.capacity) {
         const std::optional<uint64_t> victim = this->worst(tier, now, valueOf);
-        if (!victim || valueOf(this->copies.at(*victim), now) >= value) {
+        if (!victim || valueOf(tier.copies.at(*victim), now) >= value) {
             return admission;
         }
-        admission.evicted.push_back(this->copies.at(*victim));
+        admission.evicted.push_back(tier.copies.at(*victim));
         const Duration age = now - admission.evicted.back().lastUsed;
         tier.evictionAge = tier.evictionAge < Duration(0) ? age : tier.evictionAge + fromSeconds(EvictionAgeGain * toSeconds(age - tier.evictionAge));
-        this->remove(*victim);
+        this->remove(*victim, copy.tier);
     }
-    this->positions[copy.promptKey] = tier.keys.size();
+    tier.positions[copy.promptKey] = tier.keys.size();
     tier.keys.push_back(copy.promptKey);
     tier.used += copy.bytes;
-    this->copies[copy.promptKey] = copy;
+    tier.copies[copy.promptKey] = copy;
     admission.admitted = true;
     return admission;
 }
 
+const StoredCopy *StoreContents::find(uint64_t promptKey, Tier tier) const
+{
+    const TierState &state = this->tiers.at(static_cast<size_t>(tier));
+    const auto found = state.copies.find(promptKey);
+    return found == state.copies.end() ? nullptr : &found->second;
+}
+
 const StoredCopy *StoreContents::find(uint64_t promptKey) const
 {
-    const auto found = this->copies.find(promptKey);
-    return found == this->copies.end() ? nullptr : &found->second;
+    const StoredCopy *copy = this->find(promptKey, Tier::Memory);
+    return copy != nullptr ? copy : this->find(promptKey, Tier::Disk);
 }
 
 void StoreContents::used(uint64_t promptKey, Time now)
 {
-    const auto found = this->copies.find(promptKey);
-    if (found != this->copies.end()) {
-        found->second.lastUsed = now;
+    for (TierState &tier : this->tiers) {
+        const auto found = tier.copies.find(promptKey);
+        if (found != tier.copies.end()) {
+            found->second.lastUsed = now;
+        }
     }
 }
 
 void StoreContents::setKnownReturn(uint64_t promptKey, Time knownReturn)
 {
-    const auto found = this->copies.find(promptKey);
-    if (found != this->copies.end()) {
-        found->second.knownReturn = knownReturn;
+    for (TierState &tier : this->tiers) {
+        const auto found = tier.copies.find(promptKey);
+        if (found != tier.copies.end()) {
+            found->second.knownReturn = knownReturn;
+        }
     }
 }
 
-void StoreContents::remove(uint64_t promptKey)
+void StoreContents::remove(uint64_t promptKey, Tier tierOfCopy)
 {
-    const auto found = this->copies.find(promptKey);
-    if (found == this->copies.end()) {
+    TierState &tier = this->tiers.at(static_cast<size_t>(tierOfCopy));
+    const auto found = tier.copies.find(promptKey);
+    if (found == tier.copies.end()) {
         return;
     }
-    TierState &tier = this->tiers.at(static_cast<size_t>(found->second.tier));
     tier.used -= found->second.bytes;
-    const size_t position = this->positions.at(promptKey);
-    this->positions[tier.keys.back()] = position;
+    const size_t position = tier.positions.at(promptKey);
+    tier.positions[tier.keys.back()] = position;
     tier.keys[position] = tier.keys.back();
     tier.keys.pop_back();
-    this->positions.erase(promptKey);
-    this->copies.erase(found);
+    tier.positions.erase(promptKey);
+    tier.copies.erase(found);
 }
 
 void StoreContents::clear()
 {
-    this->copies.clear();
-    this->positions.clear();
     for (TierState &tier : this->tiers) {
         tier.used = 0;
         tier.keys.clear();
+        tier.copies.clear();
+        tier.positions.clear();
     }
 }
 
--- a/pimentosail/decision/storecontents.h
+++ b/pimentosail/decision/storecontents.h
@@ -57,20 +57,24 @@
 public:
     StoreContents(int64_t memoryBytes, int64_t diskBytes);
 
-    // Admits `copy` if it fits after the removal of copies that are worth less. Replaces an older copy of the prompt.
+    // Admits `copy` to its tier if it fits after the removal of copies that are worth less. Replaces the older copy of the
+    // prompt in that tier; a copy in the other tier stays.
     StoreAdmission admit(const StoredCopy &copy, Time now, const ValueOfCopy &valueOf);
 
-    // Returns the copy of a prompt, or null.
+    // Returns the copy of a prompt in the fastest tier that has one, or null.
     const StoredCopy *find(uint64_t promptKey) const;
 
-    // Marks a copy as used at `now`.
+    // Returns the copy of a prompt in `tier`, or null.
+    const StoredCopy *find(uint64_t promptKey, Tier tier) const;
+
+    // Marks the copies of a prompt as used at `now`.
     void used(uint64_t promptKey, Time now);
 
     // Only in benchmarks: tells when the prompt of a copy returns.
     void setKnownReturn(uint64_t promptKey, Time knownReturn);
 
-    // Forgets a copy.
-    void remove(uint64_t promptKey);
+    // Forgets the copy of a prompt in `tier`.
+    void remove(uint64_t promptKey, Tier tier);
 
     // Forgets everything, after the store died.
     void clear();
@@ -93,13 +97,13 @@
         int64_t used = 0;
         Duration evictionAge{-1};
         std::vector<uint64_t> keys;
+        std::unordered_map<uint64_t, StoredCopy> copies;
+        std::unordered_map<uint64_t, size_t> positions;
     };
 
     std::optional<uint64_t> worst(const TierState &tier, Time now, const ValueOfCopy &valueOf);
 
     std::array<TierState, TierCount> tiers;
-    std::unordered_map<uint64_t, StoredCopy> copies;
-    std::unordered_map<uint64_t, size_t> positions;
     std::mt19937_64 random{1};
 };
 
--- a/pimentosail/serve/transferduty.cpp
+++ b/pimentosail/serve/transferduty.cpp
@@ -355,7 +355,7 @@
         }
     } catch (const Failure &) {
         const std::lock_guard lock(state.mutex);
-        state.contents.remove(order.promptKey);
+        state.contents.remove(order.promptKey, order.tier);
         throw;
     }
     return order.tokens;
@@ -367,11 +367,15 @@
     const Time now = this->clock.now();
     const auto valueOf = [this](const StoredCopy &kept, Time time) { return this->returns.returnProbability(kept.team, time - kept.lastUsed, CopyValueHorizon); };
     bool isKept = false;
+    // True if the disk tier has the prompt already.
+    bool isBelow = false;
     std::vector<StoredCopy> evicted;
     if (copy.tier == Tier::Memory) {
         const std::scoped_lock lock(state.mutex, this->returnsMutex);
         copy.tier = Tier::Disk;
-        if (isWorthDemotion(valueOf(copy, now))) {
+        if (state.contents.find(copy.promptKey, Tier::Disk) != nullptr) {
+            isBelow = true;
+        } else if (isWorthDemotion(valueOf(copy, now))) {
             StoreAdmission admission = state.contents.admit(copy, now, valueOf);
             isKept = admission.admitted;
             evicted = std::move(admission.evicted);
@@ -380,6 +384,10 @@
     for (const StoredCopy &old : evicted) {
         this->deleteCopy(host, old.promptKey);
     }
+    if (isBelow) {
+        this->context->http.call(host.address, {"POST", "/manifests/" + keyText(copy.promptKey) + "/demote?bytes=0", {}, ""}, StoreCallTimeout);
+        return;
+    }
     if (!isKept) {
         this->deleteCopy(host, copy.promptKey);
         return;
@@ -403,7 +411,7 @@
         this->endTurn(link, id, !moved);
         if (!moved) {
             const std::lock_guard lock(state.mutex);
-            state.contents.remove(copy.promptKey);
+            state.contents.remove(copy.promptKey, copy.tier);
             return;
         }
     }
@@ -416,7 +424,7 @@
     const HttpReply pinned = this->context->http.call(host.address, {"POST", path + "/pin", {}, ""}, StoreCallTimeout);
     if (pinned.status != 200) {
         const std::lock_guard lock(state.mutex);
-        state.contents.remove(order.promptKey);
+        state.contents.remove(order.promptKey, order.tier);
         throw Failure(ErrorKind::NotFound, "the store has no such copy");
     }
     const Json::Value manifest = parseJson(pinned.body);
