--- a/pimentosail/allowance/allowance.cpp
+++ b/pimentosail/allowance/allowance.cpp
@@ -13,6 +13,7 @@
 // A host asks for what it spends in this time.
 constexpr double LoanSeconds = 0.5;
 constexpr double SpendRateGain = 0.2;
+constexpr Duration NewBucketAge = std::chrono::seconds(3);
 constexpr Duration ShortestRetry = Milliseconds(50);
 constexpr Duration LongestRetry = std::chrono::seconds(60);
 constexpr int64_t SpareSlots = 2;
@@ -50,6 +51,7 @@
     bucket.level = std::min(terms.burstTokens, bucket.level + static_cast<double>(request.returnedTokens));
     Loan loan;
     loan.life = LoanLife;
+    loan.isNew = now - bucket.openedAt < NewBucketAge;
     loan.slots = lendSlots(bucket, request, terms, now);
     if (bucket.level < static_cast<double>(request.neededTokens)) {
         const double missing = static_cast<double>(request.neededTokens) - bucket.level;
@@ -70,6 +72,7 @@
     const auto [found, created] = this->buckets.try_emplace(team);
     if (created) {
         found->second.filledAt = now;
+        found->second.openedAt = now;
     }
 }
 
--- a/pimentosail/allowance/allowance.h
+++ b/pimentosail/allowance/allowance.h
@@ -53,6 +53,8 @@
     Duration life{};
     // If too little was lent: when to ask again.
     Duration retryAfter{};
+    // True if the bucket has only just been opened, after a change of owner: waiting a moment is worth it.
+    bool isNew = false;
 };
 
 class AllowanceOwner
@@ -83,6 +85,7 @@
     {
         double level = 0;
         Time filledAt{};
+        Time openedAt{};
         std::map<std::string, SlotLoan> slots;
     };
 
--- a/pimentosail/decision/policy.cpp
+++ b/pimentosail/decision/policy.cpp
@@ -107,10 +107,10 @@
     return withLocalSource(input, request, target);
 }
 
-std::optional<Choice> place(LeastLoadedPolicy & /*policy*/, const PolicyInput &input, const RequestInfo &request, Time /*now*/)
+std::optional<Choice> place(LeastLoadedPolicy & /*policy*/, const PolicyInput &input, const RequestInfo &request, Time now)
 {
     const TargetIndex target = *std::min_element(input.candidates.begin(), input.candidates.end(),
-        [&input](TargetIndex left, TargetIndex right) { return input.targets.inFlight(left) < input.targets.inFlight(right); });
+        [&input, now](TargetIndex left, TargetIndex right) { return input.targets.inFlight(left, now) < input.targets.inFlight(right, now); });
     return withLocalSource(input, request, target);
 }
 
--- a/pimentosail/decision/scheduler.cpp
+++ b/pimentosail/decision/scheduler.cpp
@@ -97,14 +97,14 @@
 {
     const Target &state = this->table.at(target);
     const int64_t limit = this->table.limit(target, now);
-    if (this->table.inFlight(target) >= limit) {
+    if (this->table.inFlight(target, now) >= limit) {
         return false;
     }
     if (request.suspect && state.suspectsInFlight > 0) {
         return false;
     }
     const bool isReserved = this->options.batchReserve && priority == Priority::Batch && limit >= MinLimitForReserve;
-    return !isReserved || this->table.inFlight(target) + 1 < limit;
+    return !isReserved || this->table.inFlight(target, now) + 1 < limit;
 }
 
 std::vector<TargetIndex> Scheduler::consideredTargets(const RequestInfo &request, const std::vector<TargetIndex> &serving) const
@@ -204,9 +204,9 @@
     entry.alone = this->table.queuedTokens(choice.target, Priority::Batch) == 0;
     entry.pendingTokens = request.promptTokens - std::min(choice.source.tokens, request.promptTokens);
     const int64_t limit = this->table.limit(choice.target, now);
-    if (this->table.inFlight(choice.target) >= limit) {
+    if (this->table.inFlight(choice.target, now) >= limit) {
         reportViolation(
-            "target_limit", target.description.name + " has " + std::to_string(this->table.inFlight(choice.target)) + " of " + std::to_string(limit));
+            "target_limit", target.description.name + " has " + std::to_string(this->table.inFlight(choice.target, now)) + " of " + std::to_string(limit));
     }
     if (forward) {
         ++target.remoteInFlight;
@@ -387,6 +387,9 @@
     this->running.erase(found);
     this->release(entry);
     const TargetIndex target = entry.choice.target;
+    if (event.outcome != AttemptOutcome::Finished && event.outcome != AttemptOutcome::TargetRefused) {
+        this->table.holdSlot(target, now);
+    }
     switch (event.outcome) {
     case AttemptOutcome::Finished:
         this->table.succeeded(target);
--- a/pimentosail/decision/targettable.cpp
+++ b/pimentosail/decision/targettable.cpp
@@ -25,6 +25,7 @@
 // Evidence that a target is cold: several first tokens in a row this much later than predicted.
 // Expected rest of a prefill that has begun.
 constexpr int64_t BegunPrefillTokens = 12'000;
+constexpr Duration CancelledSlotHold = std::chrono::seconds(1);
 constexpr size_t MaxPieceUses = 20'000;
 constexpr int LateFactor = 4;
 constexpr Duration LateSlack = std::chrono::seconds(1);
@@ -258,10 +259,24 @@
     return ahead + std::min(behind, BegunPrefillTokens);
 }
 
-int64_t TargetTable::inFlight(TargetIndex index) const
+void TargetTable::holdSlot(TargetIndex index, Time now)
+{
+    Target &target = this->at(index);
+    std::vector<Time> &held = target.heldSlots;
+    held.erase(std::remove_if(held.begin(), held.end(), [now](Time end) { return end <= now; }), held.end());
+    if (target.report.cold || target.coldByEvidence) {
+        held.push_back(now + CancelledSlotHold);
+    }
+}
+
+int64_t TargetTable::inFlight(TargetIndex index, Time now) const
 {
     const Target &target = this->at(index);
-    return target.description.remote ? target.remoteInFlight : target.inFlight + target.foreignInFlight;
+    if (target.description.remote) {
+        return target.remoteInFlight;
+    }
+    const auto held = std::count_if(target.heldSlots.begin(), target.heldSlots.end(), [now](Time end) { return end > now; });
+    return target.inFlight + target.foreignInFlight + held;
 }
 
 double TargetTable::prefillRate(TargetIndex index) const
--- a/pimentosail/decision/targettable.h
+++ b/pimentosail/decision/targettable.h
@@ -49,6 +49,8 @@
     int64_t recentPeak = 0;
     int64_t earlierPeak = 0;
     int64_t foreignInFlight = 0;
+    // Ends of the time for which a cancelled request still counts, because the target may not have noticed yet.
+    std::vector<Time> heldSlots;
     // In-flight requests with priority Batch.
     int64_t batchInFlight = 0;
     // Prompt tokens that this host has sent and that wait to be prefilled, by priority.
@@ -111,8 +113,11 @@
     // Returns the prompt tokens that are prefilled before those of a new request of `priority`.
     int64_t queuedTokens(TargetIndex index, Priority priority) const;
 
+    // Keeps the slot of a cancelled request on a cold target for a while.
+    void holdSlot(TargetIndex index, Time now);
+
     // Returns the requests in flight, by the report and by this host's own count.
-    int64_t inFlight(TargetIndex index) const;
+    int64_t inFlight(TargetIndex index, Time now) const;
 
     // Returns the prefill rate in tokens a second.
     double prefillRate(TargetIndex index) const;
--- a/pimentosail/net/httpclient.cpp
+++ b/pimentosail/net/httpclient.cpp
@@ -17,6 +17,7 @@
 constexpr size_t MaxIdlePerAddress = 16;
 // Longest wait for the rest of a chunk whose first bytes have arrived.
 constexpr Duration PartialReadTimeout = std::chrono::seconds(2);
+constexpr int ChunkEndBytes = 2;
 constexpr Duration IdleConnectionLife = std::chrono::seconds(20);
 
 Poco::Timespan toTimespan(Duration duration)
@@ -153,6 +154,13 @@
     return this->response.getStatus();
 }
 
+// A chunk's line end stays buffered until the next chunk is read, which would block on a connection gone silent.
+bool HttpStream::isReadable(Duration wait)
+{
+    const int leftOver = this->response.getChunkedTransferEncoding() ? ChunkEndBytes : 0;
+    return this->session->bufferedBytes() > leftOver || this->session->socket().poll(toTimespan(wait), Poco::Net::Socket::SELECT_READ);
+}
+
 LineStatus HttpStream::readLine(std::string &line, Duration wait)
 {
     std::streambuf &buffer = *this->body->rdbuf();
@@ -175,8 +183,7 @@
             if (this->response.hasContentLength() && this->consumed >= this->response.getContentLength64()) {
                 return LineStatus::End;
             }
-            const bool ready = this->session->hasBuffered() || this->session->socket().poll(toTimespan(wait), Poco::Net::Socket::SELECT_READ);
-            if (!ready) {
+            if (!this->isReadable(wait)) {
                 return LineStatus::Timeout;
             }
             if (buffer.sgetc() == std::char_traits<char>::eof()) {
--- a/pimentosail/net/httpclient.h
+++ b/pimentosail/net/httpclient.h
@@ -51,10 +51,10 @@
 public:
     using HTTPClientSession::HTTPClientSession;
 
-    // Returns true if a read would find bytes without waiting for the peer.
-    bool hasBuffered() const
+    // Returns the number of bytes that can be read without waiting for the peer.
+    int bufferedBytes() const
     {
-        return this->buffered() > 0;
+        return this->buffered();
     }
 };
 
@@ -111,6 +111,8 @@
 private:
     HttpStream() = default;
 
+    bool isReadable(Duration wait);
+
     std::unique_ptr<PollableSession> session;
     Poco::Net::HTTPResponse response;
     std::istream *body = nullptr;
--- a/pimentosail/serve/allowanceduty.cpp
+++ b/pimentosail/serve/allowanceduty.cpp
@@ -10,6 +10,8 @@
 
 constexpr Duration LendTimeout = Milliseconds(300);
 constexpr Duration EmergencyLoanLife = Milliseconds(500);
+// Longest wait for tokens of a bucket that has just been opened.
+constexpr Duration LongestWait = Milliseconds(800);
 // Precision with which membership splits an allowance.
 constexpr int64_t Parts = 1'000'000;
 // Part of the burst that hosts keep as reserve for the time without an owner; the rest is the owner's bucket.
@@ -61,13 +63,35 @@
     }
     // One loan at a time for each team: the others use what it brings.
     const std::lock_guard borrowLock(*borrowMutex);
-    LoanRequest request;
-    int64_t debt = 0;
     {
         const std::lock_guard lock(this->mutex);
         if (this->client.take(team.name, tokens, this->clock.now())) {
             return {this, team.name, tokens};
         }
+    }
+    for (const Time end = this->clock.now() + LongestWait;;) {
+        const Loan loan = this->refresh(team, allowance, tokens);
+        {
+            const std::lock_guard lock(this->mutex);
+            if (this->client.take(team.name, tokens, this->clock.now())) {
+                return {this, team.name, tokens};
+            }
+        }
+        if (!loan.isNew || this->clock.now() + loan.retryAfter > end) {
+            throw Failure(ErrorKind::AllowanceExceeded,
+                          "the allowance of team '" + team.name + "' is used up; retry in " + std::to_string(toMilliseconds(loan.retryAfter)) + " ms");
+        }
+        this->clock.sleepFor(loan.retryAfter);
+    }
+}
+
+// Gives back what is left of the last loan and takes a new one.
+Loan AllowanceDuty::refresh(const Team &team, const Allowance &allowance, int64_t tokens)
+{
+    LoanRequest request;
+    int64_t debt = 0;
+    {
+        const std::lock_guard lock(this->mutex);
         request = this->client.prepare(team.name, this->membership.self().name, tokens, this->clock.now());
         debt = this->debts[team.name];
         request.neededTokens += debt;
@@ -90,11 +114,7 @@
     const auto members = static_cast<double>(std::max<size_t>(1, this->membership.view().members.size()));
     loan.slots += static_cast<int64_t>(static_cast<double>(allowance.concurrent) * BaseSlotFraction / members);
     this->client.receive(team.name, loan, this->clock.now());
-    if (!this->client.take(team.name, tokens, this->clock.now())) {
-        throw Failure(ErrorKind::AllowanceExceeded,
-            "the allowance of team '" + team.name + "' is used up; retry in " + std::to_string(toMilliseconds(loan.retryAfter)) + " ms");
-    }
-    return {this, team.name, tokens};
+    return loan;
 }
 
 Loan AllowanceDuty::borrow(const LoanRequest &request, const Allowance &allowance)
@@ -122,6 +142,7 @@
     loan.slots = reply["slots"].asInt64();
     loan.life = Duration(reply["life_us"].asInt64());
     loan.retryAfter = Duration(reply["retry_us"].asInt64());
+    loan.isNew = reply["new"].asBool();
     return loan;
 }
 
--- a/pimentosail/serve/allowanceduty.h
+++ b/pimentosail/serve/allowanceduty.h
@@ -75,6 +75,7 @@
 private:
     friend class AllowanceCharge;
 
+    Loan refresh(const Team &team, const Allowance &allowance, int64_t tokens);
     Loan borrow(const LoanRequest &request, const Allowance &allowance);
     Loan emergencyLoan(const LoanRequest &request, const Allowance &allowance);
     Loan lendLocally(const LoanRequest &request, const Allowance &allowance, double part);
--- a/pimentosail/serve/decisionduty.cpp
+++ b/pimentosail/serve/decisionduty.cpp
@@ -230,7 +230,7 @@
         }
         TargetSummary summary;
         summary.nameHash = targetNameHash(state.description.name);
-        summary.inFlight = static_cast<uint16_t>(targets.inFlight(target));
+        summary.inFlight = static_cast<uint16_t>(targets.inFlight(target, now));
         const bool usable = targets.why(target, 0, now) == TargetState::Usable;
         summary.usableSlots = static_cast<uint16_t>(usable ? targets.limit(target, now) : 0);
         summary.queuedTokens = static_cast<uint32_t>(std::accumulate(state.pendingTokens.begin(), state.pendingTokens.end(), int64_t{0}));
--- a/pimentosail/serve/httpserver.cpp
+++ b/pimentosail/serve/httpserver.cpp
@@ -105,10 +105,24 @@
     return this->request.get(name, "");
 }
 
+// Reads up to `limit` bytes more than allowed, so that most callers have sent all and see the answer.
+void HttpExchange::discardBody(int64_t limit, Clock &clock, Duration timeout)
+{
+    const Time end = clock.now() + timeout;
+    std::array<char, ReadBlock> block{};
+    std::istream &in = this->request.stream();
+    int64_t discarded = 0;
+    while (in.good() && discarded < 2 * limit && clock.now() < end) {
+        in.read(block.data(), block.size());
+        discarded += in.gcount();
+    }
+}
+
 std::string HttpExchange::readBody(int64_t limit, Clock &clock, Duration timeout)
 {
     if (this->request.hasContentLength() && this->request.getContentLength64() > limit) {
         this->response.setKeepAlive(false);
+        this->discardBody(limit, clock, timeout);
         throw Failure(ErrorKind::BodyTooLarge, "the body is larger than " + std::to_string(limit) + " bytes");
     }
     const Time end = clock.now() + timeout;
--- a/pimentosail/serve/httpserver.h
+++ b/pimentosail/serve/httpserver.h
@@ -75,6 +75,8 @@
     bool isCallerGone();
 
 private:
+    void discardBody(int64_t limit, Clock &clock, Duration timeout);
+
     Poco::Net::HTTPServerRequest &request;
     Poco::Net::HTTPServerResponse &response;
     std::ostream *stream = nullptr;
--- a/pimentosail/serve/internalapi.cpp
+++ b/pimentosail/serve/internalapi.cpp
@@ -34,6 +34,7 @@
     value["slots"] = Json::Int64(loan.slots);
     value["life_us"] = Json::Int64(loan.life.count());
     value["retry_us"] = Json::Int64(loan.retryAfter.count());
+    value["new"] = loan.isNew;
     return value;
 }
 
--- a/pimentosail/serve/statedump.cpp
+++ b/pimentosail/serve/statedump.cpp
@@ -22,7 +22,7 @@
     value["state"] = targetStateName(targets.why(index, 0, now));
     value["cold"] = target.report.cold || target.coldByEvidence;
     value["version"] = Json::Int64(target.report.version);
-    value["in_flight"] = Json::Int64(targets.inFlight(index));
+    value["in_flight"] = Json::Int64(targets.inFlight(index, now));
     value["limit"] = Json::Int64(targets.limit(index, now));
     value["usable_slots"] = Json::Int64(target.description.usableSlots);
     value["queued_tokens"] = Json::Int64(targets.queuedTokens(index, Priority::Batch));
--- a/standins/engine.cpp
+++ b/standins/engine.cpp
@@ -122,18 +122,22 @@
         const int64_t cached = this->model.begin(pieces, promptTokens(prompt), static_cast<int>(jsonInteger(body, "priority", 1)));
         this->served.fetch_add(1);
         this->computed.fetch_add(promptTokens(prompt) - std::min(cached, promptTokens(prompt)));
+        // The slot is free before the closing frame leaves, as in an engine that batches continuously.
+        bool isEnded = false;
         try {
             if (prompt.find(CrashMark) != std::string::npos) {
                 std::_Exit(1);
             }
-            this->stream(exchange, body, stableHash(prompt), cached, began, startedAs);
+            this->stream(exchange, body, stableHash(prompt), cached, began, startedAs, isEnded);
         } catch (const Failure &) {
             // The reader left: the run is cancelled.
         }
-        this->model.end();
+        if (!isEnded) {
+            this->model.end();
+        }
     }
 
-    void stream(HttpExchange &exchange, const Json::Value &body, uint64_t promptHash, int64_t cached, int64_t began, const std::string &startedAs)
+    void stream(HttpExchange &exchange, const Json::Value &body, uint64_t promptHash, int64_t cached, int64_t began, const std::string &startedAs, bool &isEnded)
     {
         const int64_t count = jsonInteger(body, "max_tokens", 16);
         exchange.startStream("text/event-stream");
@@ -157,6 +161,8 @@
                 this->clock.sleepFor(Milliseconds(this->model.settings.decodeMilliseconds + this->faults.get("slow_ms")));
             }
         }
+        this->model.end();
+        isEnded = true;
         Json::Value last;
         last["offset"] = Json::Int64(count);
         last["choices"][0]["index"] = 0;
--- a/testing/localfleet.cpp
+++ b/testing/localfleet.cpp
@@ -6,6 +6,7 @@
 #include <fstream>
 #include <sstream>
 #include <stdexcept>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -193,6 +194,8 @@
     pointers.push_back(nullptr);
     running.pid = ::fork();
     if (running.pid == 0) {
+        // A test that fails ends without destructors; its processes end with it.
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL);
         const int file = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
         ::dup2(file, STDOUT_FILENO);
         ::dup2(file, STDERR_FILENO);
@@ -277,6 +280,15 @@
     }
 }
 
+bool LocalFleet::isReady(const std::string &name)
+{
+    try {
+        return this->http.call(this->address(name), {"GET", "/readyz", {}, ""}, CallTimeout).status == 200;
+    } catch (const Failure &) {
+        return false;
+    }
+}
+
 bool LocalFleet::waitReady(const std::string &name, Duration timeout)
 {
     const Time end = this->clock.now() + timeout;
@@ -315,16 +327,19 @@
 {
     Running &running = this->find(name);
     const Time end = this->clock.now() + timeout;
-    while (running.pid > 0 && this->clock.now() < end) {
+    while (running.pid > 0) {
         int status = 0;
         if (::waitpid(running.pid, &status, WNOHANG) == running.pid) {
             running.pid = 0;
             running.exitCode = WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
             return running.exitCode;
         }
+        if (this->clock.now() >= end) {
+            return -1;
+        }
         this->clock.sleepFor(PollStep);
     }
-    return running.pid == 0 ? running.exitCode : -1;
+    return running.exitCode;
 }
 
 void LocalFleet::restart(const std::string &name)
--- a/testing/localfleet.h
+++ b/testing/localfleet.h
@@ -71,6 +71,9 @@
     // Waits until a daemon says that it is ready and its targets are usable.
     bool waitReady(const std::string &name, Duration timeout);
 
+    // Returns whether a daemon's /readyz says that it takes callers, as the balancer asks.
+    bool isReady(const std::string &name);
+
     // Sets a fault of a stand-in.
     void fault(const std::string &name, const std::string &faultName, int64_t value);
 
