--- a/pimentosail/decision/scheduler.cpp
+++ b/pimentosail/decision/scheduler.cpp
@@ -17,6 +17,7 @@
 constexpr size_t SampledTargets = 12;
 // A batch request counts as standard once this part of its time is left.
 constexpr double BatchBoostFraction = 0.2;
+constexpr Duration MinBatchBoost = std::chrono::seconds(10);
 constexpr int MaxPreemptions = 3;
 constexpr int64_t MinLimitForReserve = 4;
 constexpr size_t MaxPumpScan = 64;
@@ -87,7 +88,7 @@
         return request.priority;
     }
     const Duration left = request.finishDeadline - now;
-    const Duration needed = fromSeconds(this->slotSeconds * 4);
+    const Duration needed = std::max(MinBatchBoost, fromSeconds(this->slotSeconds * 4));
     const Duration total = request.finishDeadline - request.firstTokenDeadline;
     const Duration window = std::max(needed, fromSeconds(BatchBoostFraction * toSeconds(total)));
     return left < window ? Priority::Standard : Priority::Batch;
@@ -393,7 +394,7 @@
     switch (event.outcome) {
     case AttemptOutcome::Finished:
         this->table.succeeded(target);
-        this->slotSeconds += SlotSecondsGain * (toSeconds(now - entry.dispatchedAt) - this->slotSeconds);
+        this->noteSlotTime(toSeconds(now - entry.dispatchedAt));
         this->consider(entry, now, out);
         break;
     case AttemptOutcome::TargetFailed:
@@ -417,6 +418,11 @@
     this->pump(now, out);
 }
 
+void Scheduler::noteSlotTime(double seconds)
+{
+    this->slotSeconds = this->slotSeconds <= 0 ? seconds : this->slotSeconds + SlotSecondsGain * (seconds - this->slotSeconds);
+}
+
 void Scheduler::consider(const Running &finished, Time now, Commands &out)
 {
     const RequestInfo &request = finished.request;
--- a/pimentosail/decision/scheduler.h
+++ b/pimentosail/decision/scheduler.h
@@ -161,6 +161,7 @@
     std::optional<Error> refusalFor(const RequestInfo &request, Time now) const;
     void pump(Time now, Commands &out);
     void release(Running &running);
+    void noteSlotTime(double seconds);
     void consider(const Running &finished, Time now, Commands &out);
     void rememberDecision(const DecisionRecord &record);
 
@@ -176,7 +177,8 @@
     std::unordered_map<RequestId, Running> running;
     std::vector<DecisionRecord> recent;
     size_t nextRecent = 0;
-    double slotSeconds = 1;
+    // Smoothed time that a request holds its slot; 0 until one has ended.
+    double slotSeconds = 0;
     SchedulerCounts tally;
 };
 
--- a/pimentosail/serve/membershipduty.cpp
+++ b/pimentosail/serve/membershipduty.cpp
@@ -1,6 +1,7 @@
 #include "pimentosail/serve/membershipduty.h"
 
 #include <algorithm>
+#include <utility>
 
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
@@ -22,6 +23,7 @@
 // Lease renewals of the whole fleet stay under this rate, so that a large fleet gets longer leases.
 constexpr double MaxRenewalsPerSecond = 100;
 constexpr int MaxDatagramBytes = 60'000;
+constexpr Duration RumourStep = Milliseconds(20);
 constexpr Duration ReceiveWait = Milliseconds(100);
 // UDP and IP header bytes, counted against the control budget.
 constexpr size_t DatagramOverhead = 28;
@@ -103,7 +105,34 @@
         }
         const Duration byLease = this->timings.leaseTtl / RoundsPerLease;
         const Duration byFleet = fromSeconds(static_cast<double>(members) / MaxRenewalsPerSecond);
-        this->clock.sleepFor(std::max(byLease, byFleet));
+        this->waitForNextRound(std::max(byLease, byFleet));
+    }
+}
+
+// Waits, and meanwhile takes over newer views from the peers that name them.
+void MembershipDuty::waitForNextRound(Duration length)
+{
+    const Time end = this->clock.now() + length;
+    while (!this->stopping.load() && this->clock.now() < end) {
+        this->clock.sleepFor(std::min(RumourStep, end - this->clock.now()));
+        this->followRumour();
+    }
+}
+
+void MembershipDuty::followRumour()
+{
+    std::string address;
+    {
+        const std::lock_guard lock(this->mutex);
+        address = std::exchange(this->rumourAddress, std::string());
+    }
+    if (address.empty()) {
+        return;
+    }
+    if (const std::optional<View> view = this->hooks.fetchView(address)) {
+        this->learnView(*view);
+        // Tells the others at once that this host has seen the generation, so that new owners need not wait.
+        this->sendHeartbeats();
     }
 }
 
@@ -187,8 +216,11 @@
     const SwapOutcome outcome = settleSwap(this->store, ViewKey, this->viewRevision, next->toDocument(), 0);
     if (outcome.swapped) {
         logStateChange("view_written", {{"generation", std::to_string(next->generation)}, {"members", std::to_string(next->members.size())}});
-        const std::lock_guard lock(this->mutex);
-        this->membership.confirmedByStore(start, *next, this->clock.now());
+        {
+            const std::lock_guard lock(this->mutex);
+            this->membership.confirmedByStore(start, *next, this->clock.now());
+        }
+        this->sendHeartbeats();
     }
 }
 
@@ -315,6 +347,9 @@
         if (const Member *member = this->membership.view().find(heartbeat->from)) {
             address = member->address;
         }
+        if (heartbeat->generation > this->membership.view().generation && !address.empty()) {
+            this->rumourAddress = address;
+        }
     }
     this->hooks.received(*heartbeat, address);
 }
--- a/pimentosail/serve/membershipduty.h
+++ b/pimentosail/serve/membershipduty.h
@@ -80,6 +80,8 @@
 
 private:
     void runRounds();
+    void waitForNextRound(Duration length);
+    void followRumour();
     void runSender();
     void runReceiver();
     void round();
@@ -102,6 +104,8 @@
     Membership membership;
     int64_t lease = 0;
     int64_t viewRevision = 0;
+    // Peer that named a newer generation than the known one; empty if none did.
+    std::string rumourAddress;
     std::atomic<bool> stopping{false};
     std::atomic<bool> draining{false};
     std::atomic<bool> leaving{false};
--- a/testing/failuretest.cpp
+++ b/testing/failuretest.cpp
@@ -357,10 +357,12 @@
                     }
                     completion = fixture.caller(entry).complete("dispatcher", prompt, options);
                     if (!completion.whole && !completion.notRun) {
-                        std::fprintf(stderr, "status %d error %s\n", completion.status, completion.errorKind.c_str());
                         break;
                     }
                 }
+                if (!completion.whole) {
+                    std::fprintf(stderr, "status %d error %s not run %d\n", completion.status, completion.errorKind.c_str(), completion.notRun);
+                }
                 (completion.whole && completion.text == expectedAnswer(prompt, 20) ? whole : failed) += 1;
             }
         });
