Heartbeats keep to the control budget in any fleet size

Now at most 7 peers in an interval, in turn, and freshness scales with it; confirmation by peers is only used where all exchange heartbeats each interval.

--- a/bench/modelengine.h
+++ b/bench/modelengine.h
@@ -17,7 +17,8 @@
 // Calls `action` at a point of virtual time.
 using Schedule = std::function<void(Time at, std::function<void()> action)>;
 
-struct EngineParameters {
+struct EngineParameters
+{
     double prefillTokensPerSecond = 20'000;
     Duration decodeStep = Milliseconds(25);
     int64_t cacheTokens = 600'000;
@@ -27,7 +28,8 @@
     double coldFactor = 3;
 };
 
-struct EngineRun {
+struct EngineRun
+{
     uint64_t id = 0;
     uint64_t promptKey = 0;
     int64_t promptTokens = 0;
@@ -79,7 +81,8 @@
     }
 
 private:
-    struct State {
+    struct State
+    {
         EngineRun run;
         int64_t cached = 0;
         bool prefilled = false;
--- a/bench/plot.cpp
+++ b/bench/plot.cpp
@@ -35,7 +35,8 @@
 
 } // namespace
 
-void writePlot(const std::string &path, const std::string &title, const std::string &xLabel, const std::string &yLabel, const std::vector<Series> &series, double ceiling)
+void writePlot(
+    const std::string &path, const std::string &title, const std::string &xLabel, const std::string &yLabel, const std::vector<Series> &series, double ceiling)
 {
     double lowX = 1e300;
     double highX = -1e300;
@@ -50,8 +51,12 @@
     highY = ceiling > 0 ? std::min(highY, ceiling) : highY;
     highY = highY <= 0 ? 1 : highY * 1.05;
     const double spanX = highX > lowX ? highX - lowX : 1;
-    const auto toX = [&](double x) { return Left + (x - lowX) / spanX * (Width - Left - Right); };
-    const auto toY = [&](double y) { return Height - Bottom - std::min(y, highY) / highY * (Height - Top - Bottom); };
+    const auto toX = [&](double x) {
+        return Left + (x - lowX) / spanX * (Width - Left - Right);
+    };
+    const auto toY = [&](double y) {
+        return Height - Bottom - std::min(y, highY) / highY * (Height - Top - Bottom);
+    };
     std::ofstream out(path);
     out << "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"" << Width << "\" height=\"" << Height << "\" font-family=\"sans-serif\" font-size=\"12\">\n"
         << "<rect width=\"100%\" height=\"100%\" fill=\"white\"/>\n"
--- a/bench/report.cpp
+++ b/bench/report.cpp
@@ -172,42 +172,80 @@
 
 std::string loadTable(const std::vector<Row> &rows)
 {
-    std::string table = "| policy | load | first token p50 s | p95 s | p99 s | in time /s | refused % | refused late % | recomputed % | memory link % | disk link % | batch served % | "
+    std::string table = "| policy | load | first token p50 s | p95 s | p99 s | in time /s | refused % | refused late % | recomputed % | memory link % | disk "
+                        "link % | batch served % | "
                         "imports | exports | preempted | decision us |\n|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n";
     for (const std::vector<const Row *> &group : groupsOf(rows)) {
         char load[16];
         std::snprintf(load, sizeof(load), "%.2f", group.front()->experiment.load);
         table += "| " + group.front()->label + " | " + load;
-        table += " | " + cell(group, [](const Row &row) { return interactiveQuantile(row, 0.5); }, "%.3f");
-        table += " | " + cell(group, [](const Row &row) { return interactiveQuantile(row, 0.95); }, "%.3f");
-        table += " | " + cell(group, [](const Row &row) { return interactiveQuantile(row, 0.99); }, "%.3f");
+        table += " | "
+            + cell(
+                group, [](const Row &row) { return interactiveQuantile(row, 0.5); }, "%.3f");
+        table += " | "
+            + cell(
+                group, [](const Row &row) { return interactiveQuantile(row, 0.95); }, "%.3f");
+        table += " | "
+            + cell(
+                group, [](const Row &row) { return interactiveQuantile(row, 0.99); }, "%.3f");
         table += " | " + cell(group, goodput, "%.1f");
-        table += " | " + cell(group, [](const Row &row) { return 100 * part(interactive(row).refused, interactive(row).offered); }, "%.1f");
-        table += " | " + cell(group, [](const Row &row) { return 100 * part(interactive(row).refusedLate, interactive(row).offered); }, "%.2f");
-        table += " | " + cell(group, [](const Row &row) { return 100 * recomputedShare(row); }, "%.1f");
-        table += " | " + cell(group, [](const Row &row) { return 100 * row.result.linkUse[0]; }, "%.0f");
-        table += " | " + cell(group, [](const Row &row) { return 100 * row.result.linkUse[1]; }, "%.0f");
-        table += " | " + cell(group, [](const Row &row) { return 100 * batchServed(row); }, "%.1f");
-        table += " | " + cell(group, [](const Row &row) { return static_cast<double>(row.result.imports); }, "%.0f");
-        table += " | " + cell(group, [](const Row &row) { return static_cast<double>(row.result.exports); }, "%.0f");
-        table += " | " + cell(group, [](const Row &row) { return static_cast<double>(row.result.preemptions); }, "%.0f");
-        table += " | " + cell(group, [](const Row &row) { return row.result.decisionMicroseconds; }, "%.1f") + " |\n";
+        table += " | "
+            + cell(
+                group, [](const Row &row) { return 100 * part(interactive(row).refused, interactive(row).offered); }, "%.1f");
+        table += " | "
+            + cell(
+                group, [](const Row &row) { return 100 * part(interactive(row).refusedLate, interactive(row).offered); }, "%.2f");
+        table += " | "
+            + cell(
+                group, [](const Row &row) { return 100 * recomputedShare(row); }, "%.1f");
+        table += " | "
+            + cell(
+                group, [](const Row &row) { return 100 * row.result.linkUse[0]; }, "%.0f");
+        table += " | "
+            + cell(
+                group, [](const Row &row) { return 100 * row.result.linkUse[1]; }, "%.0f");
+        table += " | "
+            + cell(
+                group, [](const Row &row) { return 100 * batchServed(row); }, "%.1f");
+        table += " | "
+            + cell(
+                group, [](const Row &row) { return static_cast<double>(row.result.imports); }, "%.0f");
+        table += " | "
+            + cell(
+                group, [](const Row &row) { return static_cast<double>(row.result.exports); }, "%.0f");
+        table += " | "
+            + cell(
+                group, [](const Row &row) { return static_cast<double>(row.result.preemptions); }, "%.0f");
+        table += " | "
+            + cell(
+                group, [](const Row &row) { return row.result.decisionMicroseconds; }, "%.1f")
+            + " |\n";
     }
     return table;
 }
 
 std::string zoneTable(const std::vector<Row> &rows)
 {
-    std::string table = "| policy | load | interactive served % | p95 s whole run | worst 10 s window p95 / steady p95 | lost | cold overloads |\n|---|---|---|---|---|---|---|\n";
+    std::string table = "| policy | load | interactive served % | p95 s whole run | worst 10 s window p95 / steady p95 | lost | cold overloads "
+                        "|\n|---|---|---|---|---|---|---|\n";
     for (const std::vector<const Row *> &group : groupsOf(rows)) {
         char load[16];
         std::snprintf(load, sizeof(load), "%.2f", group.front()->experiment.load);
         table += "| " + group.front()->label + " | " + load;
-        table += " | " + cell(group, [](const Row &row) { return 100 * part(interactive(row).served, interactive(row).offered); }, "%.2f");
-        table += " | " + cell(group, [](const Row &row) { return interactiveQuantile(row, 0.95); }, "%.3f");
+        table += " | "
+            + cell(
+                group, [](const Row &row) { return 100 * part(interactive(row).served, interactive(row).offered); }, "%.2f");
+        table += " | "
+            + cell(
+                group, [](const Row &row) { return interactiveQuantile(row, 0.95); }, "%.3f");
         table += " | " + cell(group, worstWindowRatio, "%.2f");
-        table += " | " + cell(group, [](const Row &row) { return static_cast<double>(row.result.lost); }, "%.0f");
-        table += " | " + cell(group, [](const Row &row) { return static_cast<double>(row.result.coldOverloads); }, "%.0f") + " |\n";
+        table += " | "
+            + cell(
+                group, [](const Row &row) { return static_cast<double>(row.result.lost); }, "%.0f");
+        table += " | "
+            + cell(
+                group, [](const Row &row) { return static_cast<double>(row.result.coldOverloads); }, "%.0f")
+            + " |\n";
     }
     return table;
 }
@@ -233,11 +271,11 @@
         return;
     }
     writePlot(prefix + "-first-token.svg", "Interactive first token, p95", "load (part of capacity)", "seconds",
-              allSeries(rows, [](const Row &row) { return interactiveQuantile(row, 0.95); }), 4);
+        allSeries(rows, [](const Row &row) { return interactiveQuantile(row, 0.95); }), 4);
     writePlot(prefix + "-recomputed.svg", "Recomputed share of prompt tokens", "load (part of capacity)", "part", allSeries(rows, recomputedShare), 1);
     writePlot(prefix + "-goodput.svg", "Interactive answers in time, a second", "load (part of capacity)", "1/s", allSeries(rows, goodput), 0);
     writePlot(prefix + "-links.svg", "Busy part of the memory links", "load (part of capacity)", "part",
-              allSeries(rows, [](const Row &row) { return row.result.linkUse[0]; }), 1);
+        allSeries(rows, [](const Row &row) { return row.result.linkUse[0]; }), 1);
 }
 
 } // namespace pimentosail::bench
--- a/bench/report.h
+++ b/bench/report.h
@@ -10,7 +10,8 @@
 {
 
 // An experiment with its result; rows of the same label and load differ by their seed.
-struct Row {
+struct Row
+{
     std::string label;
     Experiment experiment;
     ExperimentResult result;
--- a/bench/traffic.cpp
+++ b/bench/traffic.cpp
@@ -52,7 +52,8 @@
     reports.medianGap = std::chrono::minutes(12);
     reports.firstTokenLimit = std::chrono::hours(1);
     reports.finishLimit = std::chrono::hours(2);
-    TrafficClass parcels = makeClass("parcel-history", {"parcel-history", "growers-east", "growers-west", "laboratory"}, "cellar-desk", Priority::Standard, 0.10);
+    TrafficClass parcels
+        = makeClass("parcel-history", {"parcel-history", "growers-east", "growers-west", "laboratory"}, "cellar-desk", Priority::Standard, 0.10);
     parcels.minPromptTokens = 8'000;
     parcels.maxPromptTokens = 24'000;
     parcels.answerTokens = 120;
@@ -96,7 +97,8 @@
 }
 
 // Emits a prompt's first use and its returns.
-void emitPrompt(const TrafficClass &kind, const std::string &team, uint64_t key, Time first, Duration length, std::mt19937_64 &random, std::vector<Arrival> &out)
+void emitPrompt(
+    const TrafficClass &kind, const std::string &team, uint64_t key, Time first, Duration length, std::mt19937_64 &random, std::vector<Arrival> &out)
 {
     std::lognormal_distribution<double> gaps(std::log(toSeconds(kind.medianGap)), kind.gapSpread);
     std::uniform_int_distribution<int64_t> sizes(kind.minPromptTokens, kind.maxPromptTokens);
--- a/bench/traffic.h
+++ b/bench/traffic.h
@@ -14,7 +14,8 @@
 {
 
 // One request of the trace.
-struct Arrival {
+struct Arrival
+{
     Time at{};
     std::string team;
     std::string model;
@@ -29,7 +30,8 @@
 };
 
 // One class of requests of a deployment.
-struct TrafficClass {
+struct TrafficClass
+{
     std::string name;
     std::vector<std::string> teams;
     std::string model;
@@ -47,10 +49,12 @@
 };
 
 // A deployment: its pools, stores and classes.
-struct Deployment {
+struct Deployment
+{
     std::string name;
     std::vector<std::string> zones;
-    struct Pool {
+    struct Pool
+    {
         std::string model;
         int workers = 0;
     };
--- a/bench/world.cpp
+++ b/bench/world.cpp
@@ -74,7 +74,8 @@
     }
 
 private:
-    struct Entry {
+    struct Entry
+    {
         Time time;
         uint64_t order;
         std::function<void()> action;
@@ -84,7 +85,8 @@
             return this->time != other.time ? this->time > other.time : this->order > other.order;
         }
     };
-    struct Open {
+    struct Open
+    {
         Arrival arrival;
         RequestInfo info;
         Time arrivedAt{};
@@ -94,11 +96,13 @@
         // Rises with each dispatch, so that what an ended attempt left behind is ignored.
         int attempt = 0;
     };
-    struct Moving {
+    struct Moving
+    {
         uint64_t id = 0;
         std::function<void()> whenDone;
     };
-    struct Link {
+    struct Link
+    {
         explicit Link(double rate)
             : scheduler(rate)
         {
@@ -107,7 +111,8 @@
         std::map<uint64_t, std::function<void()>> transfers;
         double busySeconds = 0;
     };
-    struct StoreModel {
+    struct StoreModel
+    {
         StoreModel(const Deployment &deployment)
             : contents(static_cast<int64_t>(deployment.storeMemoryBytes), static_cast<int64_t>(deployment.storeDiskBytes))
             , links{Link(deployment.memoryLinkBytesPerSecond), Link(deployment.diskLinkBytesPerSecond)}
@@ -321,8 +326,9 @@
             this->give(StoreCopyChanged{command.promptKey, command.store, command.tier, 0});
             return;
         }
-        this->transfer(store, command.tier, command.tokens, TransferClass::Background,
-                       [this, command] { this->give(StoreCopyChanged{command.promptKey, command.store, command.tier, command.tokens}); });
+        this->transfer(store, command.tier, command.tokens, TransferClass::Background, [this, command] {
+            this->give(StoreCopyChanged{command.promptKey, command.store, command.tier, command.tokens});
+        });
     }
 
     // Admits a copy; what gives way in the memory tier moves to the disk tier if that is worth it.
@@ -352,8 +358,9 @@
         if (!this->admit(store, index, copy)) {
             return false;
         }
-        this->transfer(store, Tier::Disk, copy.tokens, TransferClass::Background,
-                       [this, index, copy] { this->give(StoreCopyChanged{copy.promptKey, index, Tier::Disk, copy.tokens}); });
+        this->transfer(store, Tier::Disk, copy.tokens, TransferClass::Background, [this, index, copy] {
+            this->give(StoreCopyChanged{copy.promptKey, index, Tier::Disk, copy.tokens});
+        });
         return true;
     }
 
@@ -375,7 +382,7 @@
         const uint64_t id = ++this->nextTransfer;
         link.transfers.emplace(id, std::move(whenDone));
         link.scheduler.submit({id, std::max<int64_t>(1, tokens / pieceTokens),
-                               static_cast<int64_t>(static_cast<double>(pieceTokens) * this->experiment.deployment.cacheBytesPerToken), priority});
+            static_cast<int64_t>(static_cast<double>(pieceTokens) * this->experiment.deployment.cacheBytesPerToken), priority});
         this->pumpLink(link);
     }
 
@@ -488,7 +495,9 @@
             report.running = engine.running();
             report.queuedTokens = engine.queuedTokens();
             report.prefillTokensPerSecond = this->experiment.deployment.prefillTokensPerSecond;
-            this->at(this->now + (this->now == Time(0) ? Duration(0) : ReportLag), [this, index, report] { this->give(TargetReported{static_cast<TargetIndex>(index), report}); });
+            this->at(this->now + (this->now == Time(0) ? Duration(0) : ReportLag), [this, index, report] {
+                this->give(TargetReported{static_cast<TargetIndex>(index), report});
+            });
         }
         this->at(this->now + ReportInterval, [this] { this->report(); });
     }
--- a/bench/world.h
+++ b/bench/world.h
@@ -15,7 +15,8 @@
 namespace pimentosail::bench
 {
 
-struct Experiment {
+struct Experiment
+{
     Deployment deployment;
     // A policy name of decision/policy.h, or "clairvoyant": the predicted policy with known return times.
     std::string policy = "predicted";
@@ -33,7 +34,8 @@
 };
 
 // Measures of one class of requests.
-struct ClassResult {
+struct ClassResult
+{
     long offered = 0;
     long served = 0;
     long refused = 0;
@@ -45,13 +47,15 @@
 };
 
 // What happened within ten seconds.
-struct Window {
+struct Window
+{
     long offered = 0;
     long served = 0;
     std::vector<double> firstTokenSeconds;
 };
 
-struct ExperimentResult {
+struct ExperimentResult
+{
     std::map<Priority, ClassResult> classes;
     int64_t promptTokens = 0;
     int64_t computedTokens = 0;
--- a/pimentosail/decision/decisiontest.cpp
+++ b/pimentosail/decision/decisiontest.cpp
@@ -70,7 +70,7 @@
         return info;
     }
 
-    template<typename Wanted>
+    template <typename Wanted>
     std::vector<Wanted> give(const Event &event)
     {
         std::vector<Wanted> wanted;
@@ -348,8 +348,8 @@
                 open.erase(id);
                 take(fixture.scheduler.handle(AttemptEnded{id, AttemptOutcome::Finished}, fixture.now));
             }
-            cr_assert_lt(toSeconds(fixture.now), 20'000, "seed %u: %zu requests stay open, %zu wait, %s", seed, open.size(),
-                         fixture.scheduler.waitingCount(), targetStateName(fixture.scheduler.targets().why(0, 1, fixture.now)));
+            cr_assert_lt(toSeconds(fixture.now), 20'000, "seed %u: %zu requests stay open, %zu wait, %s", seed, open.size(), fixture.scheduler.waitingCount(),
+                targetStateName(fixture.scheduler.targets().why(0, 1, fixture.now)));
         }
         cr_assert_eq(fixture.scheduler.runningCount(), 0U);
         cr_assert_eq(fixture.scheduler.waitingCount(), 0U);
@@ -375,7 +375,9 @@
 Test(store, the_copy_worth_least_gives_way_and_capacity_holds)
 {
     StoreContents contents(1000, 0);
-    const ValueOfCopy byKey = [](const StoredCopy &copy, Time) { return static_cast<double>(copy.promptKey); };
+    const ValueOfCopy byKey = [](const StoredCopy &copy, Time) {
+        return static_cast<double>(copy.promptKey);
+    };
     for (uint64_t key = 1; key <= 10; ++key) {
         contents.admit({key, "t", 1, 100, Tier::Memory, Time(0), std::nullopt}, Second, byKey);
     }
--- a/pimentosail/decision/scheduler.cpp
+++ b/pimentosail/decision/scheduler.cpp
@@ -461,7 +461,8 @@
         record.copy = {static_cast<StoreIndex>(store), Tier::Memory, static_cast<int32_t>(tokens), false};
     }
     record.copy.exporting = true;
-    out.push_back(Export{request.promptKey, request.team, finished.choice.target, static_cast<StoreIndex>(store), Tier::Memory, request.pieces, tokens, gain / bytes});
+    out.push_back(
+        Export{request.promptKey, request.team, finished.choice.target, static_cast<StoreIndex>(store), Tier::Memory, request.pieces, tokens, gain / bytes});
 }
 
 double Scheduler::copyValue(const std::string &team, Duration age, Duration horizon, std::optional<Duration> knownReturn) const
--- a/pimentosail/membership/membership.cpp
+++ b/pimentosail/membership/membership.cpp
@@ -50,6 +50,12 @@
     return this->timings.leaseTtl + 2 * this->timings.heartbeatFresh;
 }
 
+int64_t Membership::intervalsPerHeartbeat() const
+{
+    const size_t members = std::max<size_t>(this->current.members.size(), 2);
+    return static_cast<int64_t>((members - 2) / this->timings.peersPerInterval + 1);
+}
+
 void Membership::adopt(const View &next, Time now)
 {
     if (next.generation <= this->current.generation) {
@@ -103,7 +109,7 @@
 
 bool Membership::confirmedByPeers(Time now) const
 {
-    if (this->current.members.size() < 2 || this->current.find(this->self.name) == nullptr) {
+    if (this->current.members.size() < 2 || this->intervalsPerHeartbeat() > 1 || this->current.find(this->self.name) == nullptr) {
         return false;
     }
     for (const Member &member : this->current.members) {
@@ -190,7 +196,8 @@
         return true;
     }
     const Peer &peer = found->second;
-    const bool heardUsLately = peer.echoAt >= Time(0) && now - peer.echoAt < this->longestAuthority();
+    const Duration lately = this->longestAuthority() + this->timings.heartbeatFresh * (this->intervalsPerHeartbeat() - 1);
+    const bool heardUsLately = peer.echoAt >= Time(0) && now - peer.echoAt < lately;
     return peer.generation < this->current.generation || !heardUsLately;
 }
 
@@ -248,7 +255,7 @@
 bool Membership::isHeard(const std::string &name, Time now) const
 {
     const Duration age = this->heardAge(name, now);
-    return age >= Duration(0) && age < this->timings.heartbeatFresh;
+    return age >= Duration(0) && age < this->timings.heartbeatFresh * this->intervalsPerHeartbeat();
 }
 
 bool Membership::isDraining(const std::string &name) const
@@ -289,7 +296,7 @@
     }
     const Duration age = this->heardAge(member.name, now);
     const Duration silence = age < Duration(0) ? now - this->startedAt : age;
-    const bool silent = silence > this->timings.silentBeforeRemoval;
+    const bool silent = silence > this->timings.silentBeforeRemoval * this->intervalsPerHeartbeat();
     const bool unlisted = listedHosts && !contains(*listedHosts, member.name);
     return silent && (me->established || unlisted);
 }
--- a/pimentosail/membership/membership.h
+++ b/pimentosail/membership/membership.h
@@ -4,7 +4,8 @@
 // A host may act as the owner of a role while its authority is confirmed, in one of two ways:
 //  - by the key-value service: its lease was renewed and the view read less than the lease time ago;
 //  - by peers: every other member of its view has lately sent a heartbeat that names the same generation and that
-//    has lately heard this host. This keeps owners working through an outage of the key-value service.
+//    has lately heard this host. This keeps owners working through an outage of the key-value service. It needs all
+//    members to exchange heartbeats in each interval, so only fleets up to `peersPerInterval` + 1 hosts have it.
 // A new owner first waits until each member that may have owned the role before has acknowledged the new
 // generation, or until that member's authority must have ended.
 //
@@ -36,6 +37,9 @@
     Duration heartbeatFresh = Milliseconds(1600);
     // Silence after which an established member may remove another one whose lease has ended.
     Duration silentBeforeRemoval = Milliseconds(5000);
+    // Peers that a host sends a heartbeat to in each interval. In a larger fleet each peer hears it less often, and a
+    // heartbeat counts as fresh for as much longer.
+    size_t peersPerInterval = 7;
 };
 
 // How a host stands towards a role.
@@ -149,6 +153,7 @@
     bool mayUseShares(const Member &member, Time now) const;
     int64_t ghostDivisor(const std::string &name) const;
     Duration longestAuthority() const;
+    int64_t intervalsPerHeartbeat() const;
     bool mayRemove(const Member &member, const std::vector<HostLease> &leases, const std::optional<std::vector<std::string>> &listedHosts, Time now) const;
 
     Member self;
--- a/pimentosail/peer/peertest.cpp
+++ b/pimentosail/peer/peertest.cpp
@@ -65,13 +65,18 @@
 
 Test(rpc, results_and_errors_reach_the_caller)
 {
-    RpcServer server({{"add", [](const Json::Value &arguments) {
-                           Json::Value value;
-                           value["sum"] = arguments["a"].asInt() + arguments["b"].asInt();
-                           return value;
-                       }},
-                      {"fail", [](const Json::Value &) -> Json::Value { throw Failure(ErrorKind::NotOwner, "not mine"); }}});
-    const RpcTransport transport = [&server](const std::string &message) { return server.handle(message); };
+    RpcServer server({{"add",
+                          [](const Json::Value &arguments) {
+                              Json::Value value;
+                              value["sum"] = arguments["a"].asInt() + arguments["b"].asInt();
+                              return value;
+                          }},
+        {"fail", [](const Json::Value &) -> Json::Value {
+             throw Failure(ErrorKind::NotOwner, "not mine");
+         }}});
+    const RpcTransport transport = [&server](const std::string &message) {
+        return server.handle(message);
+    };
     Json::Value parameters;
     parameters["arguments"]["a"] = 2;
     parameters["arguments"]["b"] = 3;
--- a/pimentosail/serve/allowanceduty.cpp
+++ b/pimentosail/serve/allowanceduty.cpp
@@ -79,7 +79,7 @@
         }
         if (!loan.isNew || this->clock.now() + loan.retryAfter > end) {
             throw Failure(ErrorKind::AllowanceExceeded,
-                          "the allowance of team '" + team.name + "' is used up; retry in " + std::to_string(toMilliseconds(loan.retryAfter)) + " ms");
+                "the allowance of team '" + team.name + "' is used up; retry in " + std::to_string(toMilliseconds(loan.retryAfter)) + " ms");
         }
         this->clock.sleepFor(loan.retryAfter);
     }
--- a/pimentosail/serve/membershipduty.cpp
+++ b/pimentosail/serve/membershipduty.cpp
@@ -275,6 +275,31 @@
     }
 }
 
+// Returns the peers whose turn it is, so that each interval costs the same however large the fleet is.
+std::vector<std::string> MembershipDuty::nextReceivers(const std::vector<Member> &members)
+{
+    std::vector<std::string> all;
+    for (const Member &member : members) {
+        if (member.address != this->me.address) {
+            all.push_back(member.address);
+        }
+    }
+    for (const std::string &seed : this->seeds) {
+        if (seed != this->me.address && std::find(all.begin(), all.end(), seed) == all.end()) {
+            all.push_back(seed);
+        }
+    }
+    if (all.size() <= this->timings.peersPerInterval) {
+        return all;
+    }
+    const std::lock_guard lock(this->mutex);
+    std::vector<std::string> chosen;
+    for (size_t index = 0; index < this->timings.peersPerInterval; ++index) {
+        chosen.push_back(all[this->nextReceiver++ % all.size()]);
+    }
+    return chosen;
+}
+
 void MembershipDuty::sendHeartbeats()
 {
     Heartbeat heartbeat;
@@ -289,16 +314,7 @@
         heartbeat.hasAuthority = this->membership.hasAuthority(this->clock.now());
         members = this->membership.view().members;
     }
-    std::vector<std::string> addresses = this->seeds;
-    for (const Member &member : members) {
-        if (std::find(addresses.begin(), addresses.end(), member.address) == addresses.end()) {
-            addresses.push_back(member.address);
-        }
-    }
-    for (const std::string &address : addresses) {
-        if (address == this->me.address) {
-            continue;
-        }
+    for (const std::string &address : this->nextReceivers(members)) {
         const auto known = std::find_if(members.begin(), members.end(), [&address](const Member &member) { return member.address == address; });
         heartbeat.echoAgeMilliseconds = -1;
         if (known != members.end()) {
--- a/pimentosail/serve/membershipduty.h
+++ b/pimentosail/serve/membershipduty.h
@@ -89,6 +89,7 @@
     View readView();
     void proposeChange(const View &current);
     void sendHeartbeats();
+    std::vector<std::string> nextReceivers(const std::vector<Member> &members);
     void receive(const std::string &datagram);
     void noteAuthority();
 
@@ -104,6 +105,8 @@
     Membership membership;
     int64_t lease = 0;
     int64_t viewRevision = 0;
+    // Position in the list of receivers after the last interval.
+    size_t nextReceiver = 0;
     // Peer that named a newer generation than the known one; empty if none did.
     std::string rumourAddress;
     std::atomic<bool> stopping{false};
--- a/pimentosail/serve/servetest.cpp
+++ b/pimentosail/serve/servetest.cpp
@@ -25,14 +25,23 @@
     return *configuration;
 }
 
-struct Fixture {
+struct Fixture
+{
     Fixture()
     {
         ConfigurationHooks hooks;
-        hooks.isWatcher = [] { return true; };
-        hooks.fetch = [this](const std::string &) { return this->peerDocument; };
-        hooks.peers = [] { return std::vector<std::string>(); };
-        hooks.inForce = [this](const ConfigurationPointer &) { ++this->changes; };
+        hooks.isWatcher = [] {
+            return true;
+        };
+        hooks.fetch = [this](const std::string &) {
+            return this->peerDocument;
+        };
+        hooks.peers = [] {
+            return std::vector<std::string>();
+        };
+        hooks.inForce = [this](const ConfigurationPointer &) {
+            ++this->changes;
+        };
         this->duty = std::make_unique<ConfigurationDuty>(this->clock, this->store, hooks);
         this->duty->start();
     }
@@ -148,8 +157,7 @@
 Test(retries, the_budget_bounds_retries_to_a_part_of_the_requests)
 {
     RetryBudget budget;
-    while (budget.tryRetry()) {
-    }
+    while (budget.tryRetry()) { }
     int retries = 0;
     for (int request = 0; request < 1000; ++request) {
         budget.onRequest();
@@ -184,8 +192,8 @@
 
 Test(fleet, zones_and_hosts_taken_out_are_leaving)
 {
-    std::vector<FleetHost> hosts = parseHostList(
-        "{\"hosts\":[{\"name\":\"a\",\"kind\":\"engine\",\"zone\":\"z\",\"state\":\"live\"},{\"name\":\"b\",\"kind\":\"engine\",\"zone\":\"y\",\"state\":\"live\"}]}");
+    std::vector<FleetHost> hosts = parseHostList("{\"hosts\":[{\"name\":\"a\",\"kind\":\"engine\",\"zone\":\"z\",\"state\":\"live\"},{\"name\":\"b\",\"kind\":"
+                                                 "\"engine\",\"zone\":\"y\",\"state\":\"live\"}]}");
     Configuration configuration;
     configuration.zonesOut = {"z"};
     applyOutages(hosts, configuration);
--- a/pimentosail/serve/transferduty.cpp
+++ b/pimentosail/serve/transferduty.cpp
@@ -329,8 +329,8 @@
     {
         const std::scoped_lock lock(state.mutex, this->returnsMutex);
         this->returns.addNew(order.team);
-        admission = state.contents.admit(
-            copy, now, [this](const StoredCopy &kept, Time time) { return this->returns.returnProbability(kept.team, time - kept.lastUsed, CopyValueHorizon); });
+        admission = state.contents.admit(copy, now,
+            [this](const StoredCopy &kept, Time time) { return this->returns.returnProbability(kept.team, time - kept.lastUsed, CopyValueHorizon); });
     }
     for (const StoredCopy &evicted : admission.evicted) {
         this->makeRoom(order, state, host, evicted);
@@ -365,7 +365,9 @@
 void TransferDuty::makeRoom(const TransferOrder &order, StoreState &state, const FleetHost &host, StoredCopy copy)
 {
     const Time now = this->clock.now();
-    const auto valueOf = [this](const StoredCopy &kept, Time time) { return this->returns.returnProbability(kept.team, time - kept.lastUsed, CopyValueHorizon); };
+    const auto valueOf = [this](const StoredCopy &kept, Time time) {
+        return this->returns.returnProbability(kept.team, time - kept.lastUsed, CopyValueHorizon);
+    };
     bool isKept = false;
     // True if the disk tier has the prompt already.
     bool isBelow = false;
@@ -401,7 +403,8 @@
     }
     for (int64_t piece = 0; piece < pieces; ++piece) {
         this->takeTurn(link, id);
-        const std::string path = "/manifests/" + keyText(copy.promptKey) + "/demote?piece=" + std::to_string(piece) + "&bytes=" + std::to_string(order.pieceBytes);
+        const std::string path
+            = "/manifests/" + keyText(copy.promptKey) + "/demote?piece=" + std::to_string(piece) + "&bytes=" + std::to_string(order.pieceBytes);
         bool moved = false;
         try {
             moved = this->context->http.call(host.address, {"POST", path, {}, ""}, OrderTimeout).status == 200;
@@ -415,7 +418,8 @@
             return;
         }
     }
-    this->context->metrics.count("pimentosail_link_bytes_total", {{"store", order.store}, {"tier", "disk"}, {"kind", "demotion"}}, static_cast<double>(copy.bytes));
+    this->context->metrics.count(
+        "pimentosail_link_bytes_total", {{"store", order.store}, {"tier", "disk"}, {"kind", "demotion"}}, static_cast<double>(copy.bytes));
 }
 
 int64_t TransferDuty::performImport(const TransferOrder &order, StoreState &state, const FleetHost &host)
--- a/standins/engine.cpp
+++ b/standins/engine.cpp
@@ -137,7 +137,8 @@
         }
     }
 
-    void stream(HttpExchange &exchange, const Json::Value &body, uint64_t promptHash, int64_t cached, int64_t began, const std::string &startedAs, bool &isEnded)
+    void stream(
+        HttpExchange &exchange, const Json::Value &body, uint64_t promptHash, int64_t cached, int64_t began, const std::string &startedAs, bool &isEnded)
     {
         const int64_t count = jsonInteger(body, "max_tokens", 16);
         exchange.startStream("text/event-stream");
--- a/testing/failuretest.cpp
+++ b/testing/failuretest.cpp
@@ -215,7 +215,8 @@
     std::atomic<int> confirmed{0};
     std::vector<std::thread> callers;
     for (int index = 0; index < 12; ++index) {
-        callers.emplace_back([&, index] { confirmed += fixture.caller("entry-" + std::to_string(index % 3 + 1)).book("truck-booking/book", "k", "{}").status == 200 ? 1 : 0; });
+        callers.emplace_back(
+            [&, index] { confirmed += fixture.caller("entry-" + std::to_string(index % 3 + 1)).book("truck-booking/book", "k", "{}").status == 200 ? 1 : 0; });
     }
     for (std::thread &caller : callers) {
         caller.join();
@@ -325,8 +326,7 @@
         direct = fixture.caller(home).complete("dispatcher", prompt, options);
     });
     std::thread booker([&] { booking = fixture.caller(home).book("truck-booking/book", "k", "{}"); });
-    const Completion forwarded =
-        streamWith(fixture.caller(Fixture::otherThan(home)), prompt, 150, [&] { fixture.fleet.signal(home, SIGTERM); });
+    const Completion forwarded = streamWith(fixture.caller(Fixture::otherThan(home)), prompt, 150, [&] { fixture.fleet.signal(home, SIGTERM); });
     own.join();
     booker.join();
     assertWhole(forwarded, prompt, 150);
@@ -543,7 +543,9 @@
 {
     constexpr double TokensPerSecond = 4000;
     constexpr double Burst = 20'000;
-    Fixture fixture([](FleetPlan &plan) { replaceText(plan.allowancesText, "tokens_per_second: 200000\n    burst_tokens: 2000000", "tokens_per_second: 4000\n    burst_tokens: 20000"); });
+    Fixture fixture([](FleetPlan &plan) {
+        replaceText(plan.allowancesText, "tokens_per_second: 200000\n    burst_tokens: 2000000", "tokens_per_second: 4000\n    burst_tokens: 20000");
+    });
     const Time start = fixture.clock.now();
     const Time end = start + std::chrono::seconds(12);
     std::atomic<int64_t> used{0};
@@ -597,7 +599,11 @@
         CompletionOptions options;
         options.maxTokens = 2;
         ++sent;
-        answered += fixture.caller("entry-" + std::to_string(sent % 3 + 1), "parcel-history").complete("dispatcher", makePrompt("swap-" + std::to_string(sent), 500), options).whole ? 1 : 0;
+        answered += fixture.caller("entry-" + std::to_string(sent % 3 + 1), "parcel-history")
+                        .complete("dispatcher", makePrompt("swap-" + std::to_string(sent), 500), options)
+                        .whole
+            ? 1
+            : 0;
     }
     cr_assert_eq(current, 3U);
     cr_assert_eq(answered, sent, "%d of %d answered", answered, sent);
--- a/testing/fleetslopes.cpp
+++ b/testing/fleetslopes.cpp
@@ -21,7 +21,8 @@
 constexpr Duration Settle = std::chrono::seconds(8);
 constexpr Duration Measured = std::chrono::seconds(10);
 
-struct Sample {
+struct Sample
+{
     double cpuSeconds = 0;
     double residentBytes = 0;
     double controlBytes = 0;
@@ -96,7 +97,8 @@
 int main(int argc, char **argv)
 {
     const std::string source = argc > 1 ? argv[1] : ".";
-    std::printf("| daemons | %% of a core each | resident MB each | control bytes/s each | key-value reads/s, all | writes/s, all |\n|---|---|---|---|---|---|\n");
+    std::printf(
+        "| daemons | %% of a core each | resident MB each | control bytes/s each | key-value reads/s, all | writes/s, all |\n|---|---|---|---|---|---|\n");
     try {
         for (const int entries : {3, 6, 12, 24}) {
             measure(entries, source, source + "/build", source + "/out");
--- a/testing/load.cpp
+++ b/testing/load.cpp
@@ -90,7 +90,8 @@
         }
         const double base = quantileOf(direct, 0.5);
         const auto print = [&](const char *path, const std::vector<double> &values) {
-            std::printf("| %lld | %s | %.2f | %.2f | %.2f |\n", static_cast<long long>(tokens), path, quantileOf(values, 0.5), quantileOf(values, 0.95), quantileOf(values, 0.5) - base);
+            std::printf("| %lld | %s | %.2f | %.2f | %.2f |\n", static_cast<long long>(tokens), path, quantileOf(values, 0.5), quantileOf(values, 0.95),
+                quantileOf(values, 0.5) - base);
         };
         print("engine, directly", direct);
         print("through its owner", home);
@@ -98,7 +99,8 @@
     }
 }
 
-struct LoadResult {
+struct LoadResult
+{
     std::mutex mutex;
     std::vector<double> firstTokens;
     int64_t promptTokens = 0;
@@ -123,8 +125,8 @@
                 const std::string prompt = makePrompt("load-" + std::to_string(choice), tokens);
                 CompletionOptions options;
                 options.maxTokens = 2;
-                const Completion completion =
-                    Caller(fleet.callerAddress(entries[static_cast<size_t>(number) % entries.size()]), "key-pickers").complete("dispatcher", prompt, options);
+                const Completion completion
+                    = Caller(fleet.callerAddress(entries[static_cast<size_t>(number) % entries.size()]), "key-pickers").complete("dispatcher", prompt, options);
                 const std::lock_guard lock(result.mutex);
                 // The first third warms the caches.
                 if (number < rate * seconds / 3) {
@@ -151,7 +153,8 @@
     const int64_t rate = std::min<int64_t>(arguments["rate"].as<int64_t>(), MaxRate);
     const int64_t seconds = std::min<int64_t>(arguments["seconds"].as<int64_t>(), MaxSeconds);
     std::istringstream policies(arguments["policies"].as<std::string>());
-    std::printf("| policy | requests | first token p50 s | p95 s | p99 s | refused or failed | wrong answers | recomputed %% |\n|---|---|---|---|---|---|---|---|\n");
+    std::printf(
+        "| policy | requests | first token p50 s | p95 s | p99 s | refused or failed | wrong answers | recomputed %% |\n|---|---|---|---|---|---|---|---|\n");
     for (std::string policy; std::getline(policies, policy, ',');) {
         FleetPlan plan = FleetPlan::fromExample(arguments["source"].as<std::string>(), "winery", static_cast<int>(arguments["entries"].as<int64_t>()), false);
         plan.settings["policy"] = policy;
@@ -165,8 +168,8 @@
         LoadResult result;
         sendLoad(fleet, rate, seconds, static_cast<int>(arguments["prompts"].as<int64_t>()), arguments["tokens"].as<int64_t>(), result);
         std::printf("| %s | %zu | %.3f | %.3f | %.3f | %ld | %ld | %.1f |\n", policy.c_str(), result.firstTokens.size(), quantileOf(result.firstTokens, 0.5),
-                    quantileOf(result.firstTokens, 0.95), quantileOf(result.firstTokens, 0.99), result.failed, result.wrong,
-                    result.promptTokens == 0 ? 0.0 : 100.0 * static_cast<double>(result.computedTokens) / static_cast<double>(result.promptTokens));
+            quantileOf(result.firstTokens, 0.95), quantileOf(result.firstTokens, 0.99), result.failed, result.wrong,
+            result.promptTokens == 0 ? 0.0 : 100.0 * static_cast<double>(result.computedTokens) / static_cast<double>(result.promptTokens));
         std::fflush(stdout);
     }
 }
@@ -179,10 +182,11 @@
     options.add_options()("overhead", "measure the added first-token time")("samples", "samples of the overhead", cxxopts::value<int>()->default_value("100"))(
         "policies", "comma-separated policies to compare", cxxopts::value<std::string>()->default_value("predicted,sticky_hash,least_loaded,round_robin"))(
         "rate", "requests a second", cxxopts::value<int64_t>()->default_value("10"))("seconds", "length", cxxopts::value<int64_t>()->default_value("30"))(
-        "prompts", "number of different prompts", cxxopts::value<int64_t>()->default_value("90"))("tokens", "tokens of a prompt", cxxopts::value<int64_t>()->default_value("16500"))(
-        "entries", "entry daemons", cxxopts::value<int64_t>()->default_value("3"))("source", "source directory", cxxopts::value<std::string>()->default_value("."))(
-        "build", "build directory", cxxopts::value<std::string>()->default_value("build"))("work", "directory for logs", cxxopts::value<std::string>()->default_value("out"))(
-        "h,help", "show this help");
+        "prompts", "number of different prompts", cxxopts::value<int64_t>()->default_value("90"))("tokens", "tokens of a prompt",
+        cxxopts::value<int64_t>()->default_value("16500"))("entries", "entry daemons", cxxopts::value<int64_t>()->default_value("3"))("source",
+        "source directory",
+        cxxopts::value<std::string>()->default_value("."))("build", "build directory", cxxopts::value<std::string>()->default_value("build"))(
+        "work", "directory for logs", cxxopts::value<std::string>()->default_value("out"))("h,help", "show this help");
     try {
         const cxxopts::ParseResult arguments = options.parse(argc, argv);
         if (arguments.count("help") != 0) {
@@ -190,7 +194,8 @@
             return 0;
         }
         if (arguments.count("overhead") != 0) {
-            measureOverhead(arguments["source"].as<std::string>(), arguments["build"].as<std::string>(), arguments["work"].as<std::string>(), arguments["samples"].as<int>());
+            measureOverhead(arguments["source"].as<std::string>(), arguments["build"].as<std::string>(), arguments["work"].as<std::string>(),
+                arguments["samples"].as<int>());
         } else {
             comparePolicies(arguments);
         }
