--- a/pimentosail/membership/membership.cpp
+++ b/pimentosail/membership/membership.cpp
@@ -11,6 +11,8 @@
 {
 
 constexpr size_t MaxEpochs = 64;
+// Hosts that look for ended leases.
+constexpr size_t LeaseWatchers = 3;
 
 bool contains(const std::vector<std::string> &names, const std::string &name)
 {
@@ -67,6 +69,7 @@
         this->epochs.clear();
     }
     this->current = next;
+    this->owners.clear();
     this->epochs.push_back({next.generation, now, next.names()});
     if (this->epochs.size() > MaxEpochs) {
         this->epochs.erase(this->epochs.begin());
@@ -148,7 +151,7 @@
 Standing Membership::standing(const std::string &role, Time now) const
 {
     const bool authority = this->hasAuthority(now);
-    if (this->current.ownerOf(role) != this->self.name) {
+    if (this->ownerOf(role) != this->self.name) {
         return authority ? Standing::NotOwner : Standing::Share;
     }
     if (!authority) {
@@ -241,7 +244,7 @@
     case Standing::Share:
         break;
     }
-    const std::string owner = this->current.ownerOf(role);
+    const std::string &owner = this->ownerOf(role);
     if (owner.empty()) {
         return 0;
     }
@@ -252,6 +255,28 @@
     return mayUse ? fallbackShare(role, limit - this->ghostShare(limit), this->self.name, this->current.names()) : 0;
 }
 
+const std::string &Membership::ownerOf(const std::string &role) const
+{
+    const auto found = this->owners.find(role);
+    if (found != this->owners.end()) {
+        return found->second;
+    }
+    return this->owners.emplace(role, this->current.ownerOf(role)).first->second;
+}
+
+bool Membership::watchesLeases(Time now) const
+{
+    std::vector<std::string> heard;
+    for (const Member &member : this->current.members) {
+        if (member.name == this->self.name || this->isHeard(member.name, now)) {
+            heard.push_back(member.name);
+        }
+    }
+    const std::vector<std::string> order = rendezvousOrder("membership/leases", std::move(heard));
+    const auto end = order.begin() + static_cast<ptrdiff_t>(std::min(LeaseWatchers, order.size()));
+    return std::find(order.begin(), end, this->self.name) != end;
+}
+
 bool Membership::isHeard(const std::string &name, Time now) const
 {
     const Duration age = this->heardAge(name, now);
--- a/pimentosail/membership/membership.h
+++ b/pimentosail/membership/membership.h
@@ -19,6 +19,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "pimentosail/base/clock.h"
@@ -116,6 +117,13 @@
         return this->current;
     }
 
+    // Returns the owner of `role` in the present view; remembered until the view changes.
+    const std::string &ownerOf(const std::string &role) const;
+
+    // Returns true if this host is one of the few that look for ended leases, so that reading them all does not grow with
+    // the square of the fleet.
+    bool watchesLeases(Time now) const;
+
     // Returns true if `name` was heard within the heartbeat limit.
     bool isHeard(const std::string &name, Time now) const;
 
@@ -163,6 +171,7 @@
     Time startedAt{-1};
     std::map<std::string, Peer> peers;
     std::vector<Epoch> epochs;
+    mutable std::unordered_map<std::string, std::string> owners;
 };
 
 } // namespace pimentosail
--- a/pimentosail/serve/membershipduty.cpp
+++ b/pimentosail/serve/membershipduty.cpp
@@ -193,15 +193,24 @@
 
 void MembershipDuty::proposeChange(const View &current)
 {
+    bool watchesLeases = false;
     {
         const std::lock_guard lock(this->mutex);
         if (this->membership.view().generation != current.generation) {
             return;
         }
+        watchesLeases = this->membership.watchesLeases(this->clock.now());
     }
     std::vector<HostLease> leases;
-    for (const KeyValue &entry : this->store.list(HostPrefix)) {
-        leases.push_back({memberFromJson(parseJson(entry.value))});
+    if (watchesLeases) {
+        for (const KeyValue &entry : this->store.list(HostPrefix)) {
+            leases.push_back({memberFromJson(parseJson(entry.value))});
+        }
+    } else {
+        // Without a look at the leases nobody counts as gone.
+        for (const Member &member : current.members) {
+            leases.push_back({member});
+        }
     }
     const std::optional<std::vector<std::string>> listed = this->hooks.listedHosts();
     std::optional<View> next;
@@ -418,10 +427,16 @@
     return this->membership.view();
 }
 
+std::string MembershipDuty::ownerOf(const std::string &role) const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->membership.ownerOf(role);
+}
+
 std::string MembershipDuty::ownerAddress(const std::string &role, std::string *owner) const
 {
     const std::lock_guard lock(this->mutex);
-    const std::string name = this->membership.view().ownerOf(role);
+    const std::string name = this->membership.ownerOf(role);
     if (owner != nullptr) {
         *owner = name;
     }
--- a/pimentosail/serve/membershipduty.h
+++ b/pimentosail/serve/membershipduty.h
@@ -64,6 +64,9 @@
     bool isDraining(const std::string &name) const;
     View view() const;
 
+    // Returns the name of the owner of `role`; empty if there is none.
+    std::string ownerOf(const std::string &role) const;
+
     // Returns the internal address of the owner of `role`; empty if there is none. Sets `owner` to its name.
     std::string ownerAddress(const std::string &role, std::string *owner = nullptr) const;
 
--- a/pimentosail/serve/process.cpp
+++ b/pimentosail/serve/process.cpp
@@ -91,7 +91,10 @@
           [this](const std::string &method, size_t bytes) {
               this->metrics.count("pimentosail_control_bytes_total", {{"kind", "rpc_" + method}}, static_cast<double>(bytes));
           })
-    , engines(this->http)
+    , engines(this->http,
+          [this](const std::string &kind, size_t bytes) {
+              this->metrics.count("pimentosail_control_bytes_total", {{"kind", kind}}, static_cast<double>(bytes));
+          })
     , store(KeyValueStore::overHttp(this->settings.keyValue, KeyValueTimeout))
     , transfers(runtimeClock)
     , targets(runtimeClock, this->settings)
--- a/pimentosail/serve/targetduty.cpp
+++ b/pimentosail/serve/targetduty.cpp
@@ -17,6 +17,9 @@
 constexpr Duration ReportTimeout = Milliseconds(400);
 constexpr Duration OrderTimeout = Milliseconds(1000);
 constexpr size_t PollThreads = 3;
+constexpr Duration PollStep = Milliseconds(100);
+// Cache events are read with every so many load reports.
+constexpr int64_t PollsPerEventRead = 4;
 
 TargetIndex indexOf(Scheduler &scheduler, const std::string &name)
 {
@@ -130,12 +133,11 @@
         fleet.hosts = *this->listed;
     }
     applyOutages(fleet.hosts, *configuration);
-    const View view = this->context->membership.view();
     for (FleetHost &host : fleet.hosts) {
         if (host.kind == HostKind::Engine) {
-            host.owner = view.ownerOf(targetRole(host.name));
+            host.owner = this->context->membership.ownerOf(targetRole(host.name));
         } else if (host.kind == HostKind::Store) {
-            host.owner = view.ownerOf(storeRole(host.name));
+            host.owner = this->context->membership.ownerOf(storeRole(host.name));
         }
     }
     this->context->decisions.describe(this->describeTargets(fleet, *configuration));
@@ -185,6 +187,10 @@
         update.targets.push_back(entry.second);
     }
     const std::lock_guard lock(this->mutex);
+    for (auto next = this->nextPolls.begin(); next != this->nextPolls.end();) {
+        const bool isPolled = std::any_of(toPoll.begin(), toPoll.end(), [&next](const FleetHost &host) { return host.name == next->first; });
+        next = isPolled ? std::next(next) : this->nextPolls.erase(next);
+    }
     this->polled = std::move(toPoll);
     return update;
 }
@@ -192,18 +198,34 @@
 void TargetDuty::runPoll(size_t worker)
 {
     while (!this->stopping.load()) {
-        std::vector<FleetHost> mine;
-        {
-            const std::lock_guard lock(this->mutex);
-            for (size_t index = worker; index < this->polled.size(); index += PollThreads) {
-                mine.push_back(this->polled[index]);
-            }
-        }
-        for (const FleetHost &host : mine) {
+        for (const FleetHost &host : this->duePolls(worker)) {
             this->poll(host);
         }
-        this->clock.sleepFor(this->settings.loadPollInterval);
+        this->clock.sleepFor(std::min(this->settings.loadPollInterval, PollStep));
+    }
+}
+
+// Returns the worker's targets whose report is due; a target that has just come to this host is due at once.
+std::vector<FleetHost> TargetDuty::duePolls(size_t worker)
+{
+    std::vector<FleetHost> due;
+    const Time now = this->clock.now();
+    const std::lock_guard lock(this->mutex);
+    for (size_t index = worker; index < this->polled.size(); index += PollThreads) {
+        const FleetHost &host = this->polled[index];
+        Time &next = this->nextPolls[host.name];
+        if (now >= next) {
+            next = now + this->settings.loadPollInterval;
+            due.push_back(host);
+        }
     }
+    return due;
+}
+
+bool TargetDuty::isEventReadDue(const std::string &target)
+{
+    const std::lock_guard lock(this->mutex);
+    return this->pollCounts[target]++ % PollsPerEventRead == 0;
 }
 
 void TargetDuty::poll(const FleetHost &host)
@@ -212,7 +234,9 @@
     std::vector<uint64_t> evicted;
     try {
         report = this->context->engines.report(host.address, ReportTimeout);
-        evicted = this->pollEvictions(host, report->boot);
+        if (this->isEventReadDue(host.name)) {
+            evicted = this->pollEvictions(host, report->boot);
+        }
     } catch (const Failure &) {
         // Reported below as unreachable.
     }
--- a/pimentosail/serve/targetduty.h
+++ b/pimentosail/serve/targetduty.h
@@ -43,6 +43,8 @@
     void readHostList();
     void publishFleet();
     FleetUpdate describeTargets(const Fleet &fleet, const Configuration &configuration);
+    std::vector<FleetHost> duePolls(size_t worker);
+    bool isEventReadDue(const std::string &target);
     void poll(const FleetHost &host);
     std::vector<uint64_t> pollEvictions(const FleetHost &host, const std::string &boot);
     void orderLoads();
@@ -58,6 +60,8 @@
     std::set<std::string> unconfirmedHosts;
     // Targets that this host polls now, by name.
     std::vector<FleetHost> polled;
+    std::map<std::string, Time> nextPolls;
+    std::map<std::string, int64_t> pollCounts;
     // Last cache event read from each target, with the run of the target that published it.
     std::map<std::string, std::pair<std::string, int64_t>> eventSequences;
     std::atomic<bool> stopping{false};
--- a/pimentosail/serve/transferduty.cpp
+++ b/pimentosail/serve/transferduty.cpp
@@ -95,7 +95,8 @@
     Link memory;
     Link disk;
     std::atomic<uint64_t> nextTransfer{1};
-    std::atomic<bool> usable{true};
+    // True once the manifests of the store have been read.
+    std::atomic<bool> isRead{false};
 };
 
 TransferDuty::TransferDuty(Clock &runtimeClock)
@@ -237,12 +238,13 @@
     if (this->context->membership.usable(storeRole(order.store), 1) <= 0) {
         throw Failure(ErrorKind::NotOwner, "this host does not own store '" + order.store + "'");
     }
-    StoreState &state = this->stateOf(order.store);
     const std::shared_ptr<const Fleet> fleet = this->context->fleet.current();
     const FleetHost *host = fleet->find(order.store);
     if (host == nullptr || host->availability != TargetAvailability::Live) {
         throw Failure(ErrorKind::NoTarget, "store '" + order.store + "' is not in service");
     }
+    StoreState &state = this->stateOf(order.store);
+    this->readContents(state, *host, order.pieceBytes);
     return order.isExport ? this->performExport(order, state, *host) : this->performImport(order, state, *host);
 }
 
@@ -310,6 +312,38 @@
     link.changed.notify_all();
 }
 
+// Learns, once as the owner of a store, which copies earlier owners have left in it.
+void TransferDuty::readContents(StoreState &state, const FleetHost &host, int64_t pieceBytes)
+{
+    if (state.isRead.exchange(true)) {
+        return;
+    }
+    try {
+        const HttpReply reply = this->context->http.call(host.address, {"GET", "/manifests/", {}, ""}, StoreCallTimeout);
+        const Time now = this->clock.now();
+        const Json::Value manifests = parseJson(reply.body);
+        {
+            const std::lock_guard lock(state.mutex);
+            state.contents.clear();
+        }
+        for (const std::string &key : manifests.getMemberNames()) {
+            const Json::Value &manifest = manifests[key];
+            StoredCopy copy;
+            copy.promptKey = std::stoull(key);
+            copy.team = jsonString(manifest, "team");
+            copy.tokens = jsonInteger(manifest, "tokens");
+            copy.bytes = static_cast<int64_t>(manifest["pieces"].size()) * pieceBytes;
+            copy.tier = jsonString(manifest, "tier") == tierName(Tier::Disk) ? Tier::Disk : Tier::Memory;
+            copy.lastUsed = now;
+            const std::lock_guard lock(state.mutex);
+            state.contents.admit(copy, now, [](const StoredCopy &, Time) { return 1.0; });
+        }
+        logStateChange("store_contents_read", {{"store", host.name}, {"copies", std::to_string(manifests.size())}});
+    } catch (const std::exception &) {
+        state.isRead.store(false);
+    }
+}
+
 void TransferDuty::deleteCopy(const FleetHost &host, uint64_t promptKey)
 {
     this->context->http.call(host.address, {"DELETE", "/manifests/" + keyText(promptKey), {}, ""}, StoreCallTimeout);
@@ -468,6 +502,10 @@
     const std::lock_guard lock(this->mutex);
     for (const auto &[name, store] : this->configured) {
         if (this->context->membership.usable(storeRole(name), 1) <= 0) {
+            // Another host owns it now and changes what it holds.
+            if (this->states.count(name) != 0) {
+                this->states.at(name)->isRead.store(false);
+            }
             continue;
         }
         std::unique_ptr<StoreState> &state = this->states[name];
--- a/pimentosail/serve/transferduty.h
+++ b/pimentosail/serve/transferduty.h
@@ -95,6 +95,7 @@
     void endTurn(Link &link, uint64_t id, bool cancelRest);
     void makeRoom(const TransferOrder &order, StoreState &state, const FleetHost &host, StoredCopy copy);
     StoreState &stateOf(const std::string &store);
+    void readContents(StoreState &state, const FleetHost &host, int64_t pieceBytes);
     void deleteCopy(const FleetHost &host, uint64_t promptKey);
 
     Clock &clock;
--- a/pimentosail/target/engineclient.cpp
+++ b/pimentosail/target/engineclient.cpp
@@ -13,6 +13,8 @@
 
 constexpr std::string_view DataPrefix = "data: ";
 constexpr std::string_view DoneMark = "[DONE]";
+// Heads of a small request and its answer.
+constexpr size_t HeadBytes = 160;
 constexpr size_t MaxRefusalBytes = 4096;
 constexpr Duration RefusalReadTimeout = std::chrono::seconds(1);
 
@@ -135,6 +137,7 @@
 TargetReport EngineClient::report(const std::string &address, Duration timeout)
 {
     const HttpReply reply = this->http.call(address, {"GET", "/load", {}, ""}, timeout);
+    this->countBytes("load_report", reply.body.size() + HeadBytes);
     if (reply.status != 200) {
         throw Failure(ErrorKind::PeerLost, "load report answered " + std::to_string(reply.status));
     }
@@ -155,6 +158,7 @@
 std::vector<uint64_t> EngineClient::evictedPieces(const std::string &address, int64_t &sequence, Duration timeout)
 {
     const HttpReply reply = this->http.call(address, {"GET", "/cache/events?after=" + std::to_string(sequence), {}, ""}, timeout);
+    this->countBytes("cache_events", reply.body.size() + HeadBytes);
     std::vector<uint64_t> evicted;
     const Json::Value value = parseJson(reply.body);
     for (const Json::Value &event : value["events"]) {
--- a/pimentosail/target/engineclient.h
+++ b/pimentosail/target/engineclient.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <variant>
@@ -117,8 +118,12 @@
 class EngineClient
 {
 public:
-    explicit EngineClient(HttpClient &httpClient)
+    // Told about the bytes of each report and event read, both ways, for the control budget.
+    using ByteCounter = std::function<void(const std::string &kind, size_t bytes)>;
+
+    EngineClient(HttpClient &httpClient, ByteCounter byteCounter)
         : http(httpClient)
+        , countBytes(std::move(byteCounter))
     {
     }
 
@@ -140,6 +145,7 @@
     void order(const std::string &address, const std::string &path, const std::string &body, Duration timeout);
 
     HttpClient &http;
+    ByteCounter countBytes;
 };
 
 } // namespace pimentosail
--- a/standins/storeandservice.cpp
+++ b/standins/storeandservice.cpp
@@ -91,6 +91,12 @@
         if (isDemotion && this->manifests.count(key) != 0) {
             this->manifests.at(key)["tier"] = "disk";
             exchange.sendJson(200, this->manifests.at(key));
+        } else if (exchange.method() == "GET" && key.empty()) {
+            Json::Value all(Json::objectValue);
+            for (const auto &[name, value] : this->manifests) {
+                all[name] = value;
+            }
+            exchange.sendJson(200, all);
         } else if (exchange.method() == "PUT") {
             Json::Value value = parseJson(body);
             value["generation"] = Json::Int64(++this->generation);
--- a/testing/failuretest.cpp
+++ b/testing/failuretest.cpp
@@ -1,5 +1,6 @@
 // Failures of whole processes: each test starts daemons and stand-ins, breaks something and checks a promise.
 
+#include <algorithm>
 #include <atomic>
 #include <csignal>
 #include <cstdlib>
@@ -539,6 +540,44 @@
     cr_assert_eq(fixture.caller("entry-1", "drivers").complete("dispatcher", prompt, options).cachedTokens, 0);
 }
 
+// One engine whose cache holds two prompts, so that four prompts in turn come back after their eviction.
+Test(failure, an_evicted_prompt_comes_back_from_a_store_for_its_own_team_only)
+{
+    Fixture fixture([](FleetPlan &plan) {
+        plan.processes.erase(std::remove_if(plan.processes.begin(), plan.processes.end(),
+                                 [](const FleetProcess &process) { return process.name == "dispatcher-2" || process.name == "dispatcher-3"; }),
+            plan.processes.end());
+        for (FleetProcess &process : plan.processes) {
+            if (process.pool == "dispatcher") {
+                process.options["cache_pieces"] = "6";
+                process.options["prefill_rate"] = "12000";
+            }
+        }
+    });
+    CompletionOptions options;
+    options.maxTokens = 2;
+    int imported = 0;
+    for (int round = 0; round < 4; ++round) {
+        for (int index = 0; index < 4; ++index) {
+            const std::string prompt = makePrompt("stored-" + std::to_string(index), 12'000);
+            const Completion completion = fixture.caller("entry-" + std::to_string(index % 3 + 1), "audits").complete("dispatcher", prompt, options);
+            assertWhole(completion, prompt, 2);
+            imported += completion.source == "store_import" && completion.cachedTokens == 12'000 ? 1 : 0;
+        }
+        fixture.clock.sleepFor(Milliseconds(500));
+    }
+    cr_assert_gt(imported, 0);
+    const std::string prompt = makePrompt("stored-0", 12'000);
+    cr_assert_eq(fixture.caller("entry-1", "vintage-reports").complete("dispatcher", prompt, options).cachedTokens, 0);
+    // A store that dies costs time only.
+    fixture.fleet.signal("dossier-cache", SIGKILL);
+    fixture.fleet.signal("dossier-spare", SIGKILL);
+    for (int index = 0; index < 4; ++index) {
+        const std::string again = makePrompt("stored-" + std::to_string(index), 12'000);
+        assertWhole(fixture.caller("entry-1", "audits").complete("dispatcher", again, options), again, 2);
+    }
+}
+
 Test(failure, a_plan_is_held_to_its_allowance_over_all_hosts)
 {
     constexpr double TokensPerSecond = 4000;
