--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -98,6 +98,10 @@
             [](Experiment &experiment) {
                 experiment.options.earlyRefusal = false;
             }},
+        {"no lateness margin",
+            [](Experiment &experiment) {
+                experiment.options.latenessMargin = false;
+            }},
         {"no exports",
             [](Experiment &experiment) {
                 experiment.options.exports = false;
--- a/bench/world.cpp
+++ b/bench/world.cpp
@@ -133,6 +133,7 @@
         if (plan.policy != "predicted" && plan.policy != "clairvoyant") {
             // The baselines choose targets and sources; admission is the same for all.
             options.batchReserve = false;
+            options.latenessMargin = false;
         }
         return options;
     }
@@ -323,6 +324,15 @@
             copy.knownReturn = this->now + this->lastReturns[command.promptKey];
         }
         if (!this->admit(store, command.store, copy)) {
+            // What is not worth a place in memory may be worth one on disk, if it is not there already.
+            const StoredCopy *below = store.contents.find(command.promptKey, Tier::Disk);
+            if (below != nullptr && below->tokens >= command.tokens) {
+                this->give(StoreCopyChanged{command.promptKey, command.store, Tier::Disk, below->tokens});
+                return;
+            }
+            if (this->demote(store, command.store, copy)) {
+                return;
+            }
             this->give(StoreCopyChanged{command.promptKey, command.store, command.tier, 0});
             return;
         }
@@ -349,8 +359,9 @@
     bool demote(StoreModel &store, StoreIndex index, StoredCopy copy)
     {
         Link &disk = store.links.at(static_cast<size_t>(Tier::Disk));
-        const bool isWorthIt = this->isClairvoyant ? *copy.knownReturn > this->now && *copy.knownReturn < this->now + std::chrono::hours(2)
-                                                   : !this->usesValues || isWorthDemotion(this->valueOf(copy, this->now));
+        const bool isWorthIt = this->isClairvoyant
+            ? *copy.knownReturn > this->now && *copy.knownReturn < this->now + std::chrono::hours(2)
+            : !this->usesValues || isWorthDemotion(this->valueOf(copy, this->now), disk.scheduler.waitFor(TransferClass::Background));
         if (copy.tier != Tier::Memory || !isWorthIt || disk.scheduler.waitFor(TransferClass::Background) > MaxDemotionWait) {
             return false;
         }
@@ -372,7 +383,7 @@
         if (!this->usesValues) {
             return -toSeconds(time - copy.lastUsed);
         }
-        return this->scheduler.copyValue(copy.team, time - copy.lastUsed, CopyValueHorizon, std::nullopt);
+        return this->scheduler.copyValue(copy.team, time - copy.lastUsed, copyValueHorizon(copy.tier), std::nullopt);
     }
 
     void transfer(StoreModel &store, Tier tier, int64_t tokens, TransferClass priority, std::function<void()> whenDone)
--- a/pimentosail/decision/policy.cpp
+++ b/pimentosail/decision/policy.cpp
@@ -53,7 +53,7 @@
 {
     std::optional<Choice> best;
     double bestCost = 0;
-    const double timeLeft = request.resumed ? 1e9 : toSeconds(request.firstTokenDeadline - now);
+    const double timeLeft = request.resumed ? 1e9 : toSeconds(request.firstTokenDeadline - now - input.lateness);
     const double weight = policy.recomputeWeight.at(static_cast<size_t>(request.priority));
     const auto consider = [&](TargetIndex target, const CacheSource &source) {
         const Duration predicted = predictFirstToken(input, request, target, source);
--- a/pimentosail/decision/policy.h
+++ b/pimentosail/decision/policy.h
@@ -23,7 +23,7 @@
 struct PredictedPolicy
 {
     // Seconds of cost for each second of prefill work, by priority (Batch, Standard, Interactive).
-    std::array<double, 3> recomputeWeight{2.0, 1.5, 1.0};
+    std::array<double, 3> recomputeWeight{20.0, 4.0, 1.0};
     bool mayImport = true;
     std::mt19937_64 random{1};
 };
@@ -80,6 +80,8 @@
     // Link of the store that holds a copy; null if there is none.
     const LinkState *copyLink;
     double cacheBytesPerToken = 0;
+    // Time by which first tokens have lately come after their prediction.
+    Duration lateness{};
 };
 
 struct Choice
--- a/pimentosail/decision/scheduler.cpp
+++ b/pimentosail/decision/scheduler.cpp
@@ -21,6 +21,9 @@
 constexpr int MaxPreemptions = 3;
 constexpr int64_t MinLimitForReserve = 4;
 constexpr size_t MaxPumpScan = 64;
+constexpr double LatenessGain = 0.01;
+constexpr double LatenessFactor = 2;
+constexpr double MaxLatenessSeconds = 0.5;
 constexpr double SlotSecondsGain = 0.05;
 // Background copies wait at most this long before a new one is not worth its place in the queue.
 constexpr Duration MaxExportWait = std::chrono::seconds(20);
@@ -163,7 +166,7 @@
 
 bool Scheduler::cannotMeetDeadline(const RequestInfo &request, Duration predicted, Time now) const
 {
-    return this->options.earlyRefusal && !request.resumed && now + predicted > request.firstTokenDeadline;
+    return this->options.earlyRefusal && !request.resumed && now + predicted + this->lateness() > request.firstTokenDeadline;
 }
 
 bool Scheduler::tryDispatch(const RequestInfo &request, Time now, Commands &out)
@@ -179,7 +182,7 @@
     }
     const Model *model = this->findModel(request.model);
     const double bytesPerToken = model == nullptr ? 0 : static_cast<double>(model->cacheBytesPerToken);
-    const PolicyInput input{this->table, candidates, record, link, bytesPerToken};
+    const PolicyInput input{this->table, candidates, record, link, bytesPerToken, this->lateness()};
     const std::optional<Choice> choice = choosePlacement(this->policy, input, request, now);
     if (!choice) {
         return false;
@@ -351,6 +354,9 @@
         lower(target.pendingTokens, entry.request.priority, entry.pendingTokens);
         this->tally.computedTokens += computed;
         this->table.firstToken(entry.choice.target, entry.choice.predicted, actual, now);
+        if (entry.request.priority == Priority::Interactive) {
+            this->noteLateness(toSeconds(actual - entry.choice.predicted));
+        }
         if (entry.alone && entry.choice.source.kind != SourceKind::StoreImport) {
             this->table.prefillSeen(entry.choice.target, computed, actual);
         }
@@ -418,6 +424,16 @@
     this->pump(now, out);
 }
 
+void Scheduler::noteLateness(double seconds)
+{
+    this->latenessSeconds += LatenessGain * (std::max(0.0, seconds) - this->latenessSeconds);
+}
+
+Duration Scheduler::lateness() const
+{
+    return this->options.latenessMargin ? fromSeconds(std::min(LatenessFactor * this->latenessSeconds, MaxLatenessSeconds)) : Duration(0);
+}
+
 void Scheduler::noteSlotTime(double seconds)
 {
     this->slotSeconds = this->slotSeconds <= 0 ? seconds : this->slotSeconds + SlotSecondsGain * (seconds - this->slotSeconds);
--- a/pimentosail/decision/scheduler.h
+++ b/pimentosail/decision/scheduler.h
@@ -55,6 +55,8 @@
         // Keeps one slot of each target free of batch work.
         bool batchReserve = true;
         bool earlyRefusal = true;
+        // Allows for how late first tokens have lately come.
+        bool latenessMargin = true;
         bool exports = true;
         // Exports by expected return; otherwise every finished prompt is exported.
         bool valueExports = true;
@@ -162,6 +164,8 @@
     void pump(Time now, Commands &out);
     void release(Running &running);
     void noteSlotTime(double seconds);
+    void noteLateness(double seconds);
+    Duration lateness() const;
     void consider(const Running &finished, Time now, Commands &out);
     void rememberDecision(const DecisionRecord &record);
 
@@ -179,6 +183,8 @@
     size_t nextRecent = 0;
     // Smoothed time that a request holds its slot; 0 until one has ended.
     double slotSeconds = 0;
+    // Smoothed time by which first tokens come after their prediction; early ones count as 0.
+    double latenessSeconds = 0;
     SchedulerCounts tally;
 };
 
--- a/pimentosail/decision/storecontents.cpp
+++ b/pimentosail/decision/storecontents.cpp
@@ -12,13 +12,19 @@
 constexpr size_t EvictionSample = 24;
 constexpr double EvictionAgeGain = 0.1;
 
-constexpr double MinDemotionProbability = 0.1;
+// Smallest probability of return that pays for a write behind the longest queue.
+constexpr double BusyDemotionProbability = 0.3;
 
 } // namespace
 
-bool isWorthDemotion(double returnProbability)
+Duration copyValueHorizon(Tier tier)
 {
-    return returnProbability >= MinDemotionProbability;
+    return tier == Tier::Memory ? std::chrono::minutes(10) : std::chrono::hours(2);
+}
+
+bool isWorthDemotion(double returnProbability, Duration diskWait)
+{
+    return returnProbability >= BusyDemotionProbability * toSeconds(diskWait) / toSeconds(MaxDemotionWait);
 }
 
 StoreContents::StoreContents(int64_t memoryBytes, int64_t diskBytes)
--- a/pimentosail/decision/storecontents.h
+++ b/pimentosail/decision/storecontents.h
@@ -42,15 +42,16 @@
 // Returns the worth of keeping a copy: higher is kept longer.
 using ValueOfCopy = std::function<double(const StoredCopy &copy, Time now)>;
 
-// Time ahead for which the return of a prompt counts towards the worth of its copy.
-constexpr Duration CopyValueHorizon = std::chrono::minutes(10);
+// Returns the time ahead for which the return of a prompt counts towards the worth of its copy in `tier`.
+Duration copyValueHorizon(Tier tier);
 
 // Longest queue of background copies on a disk link that a copy from the memory tier may join.
 constexpr Duration MaxDemotionWait = std::chrono::seconds(20);
 
-// Returns true if a copy that must leave the memory tier is worth a place in the disk tier; `returnProbability` is that
-// within `CopyValueHorizon`.
-bool isWorthDemotion(double returnProbability);
+// Returns true if a copy that must leave the memory tier is worth a write to the disk tier, whose link has background
+// copies for `diskWait` before it; `returnProbability` is that within `CopyValueHorizon`. The busier the link, the more
+// likely the return must be.
+bool isWorthDemotion(double returnProbability, Duration diskWait);
 
 class StoreContents
 {
--- a/pimentosail/serve/transferduty.cpp
+++ b/pimentosail/serve/transferduty.cpp
@@ -349,7 +349,20 @@
     this->context->http.call(host.address, {"DELETE", "/manifests/" + keyText(promptKey), {}, ""}, StoreCallTimeout);
 }
 
-int64_t TransferDuty::performExport(const TransferOrder &order, StoreState &state, const FleetHost &host)
+double TransferDuty::worthOf(const StoredCopy &copy, Time now) const
+{
+    return this->returns.returnProbability(copy.team, now - copy.lastUsed, copyValueHorizon(copy.tier));
+}
+
+Duration TransferDuty::diskWait(StoreState &state)
+{
+    Link &disk = state.link(Tier::Disk);
+    const std::lock_guard lock(disk.mutex);
+    return disk.scheduler.waitFor(TransferClass::Background);
+}
+
+// Admits a copy to its tier and makes room for it. Returns false if it is worth less than what is there.
+bool TransferDuty::admitCopy(const TransferOrder &order, StoreState &state, const FleetHost &host)
 {
     const Time now = this->clock.now();
     StoredCopy copy;
@@ -359,34 +372,46 @@
     copy.bytes = static_cast<int64_t>(order.pieces.size()) * order.pieceBytes;
     copy.tier = order.tier;
     copy.lastUsed = now;
+    const Duration wait = this->diskWait(state);
     StoreAdmission admission;
     {
         const std::scoped_lock lock(state.mutex, this->returnsMutex);
-        this->returns.addNew(order.team);
-        admission = state.contents.admit(copy, now,
-            [this](const StoredCopy &kept, Time time) { return this->returns.returnProbability(kept.team, time - kept.lastUsed, CopyValueHorizon); });
+        const bool isWorthIt = copy.tier == Tier::Memory || (wait <= MaxDemotionWait && isWorthDemotion(this->worthOf(copy, now), wait));
+        if (isWorthIt) {
+            admission = state.contents.admit(copy, now, [this](const StoredCopy &kept, Time time) { return this->worthOf(kept, time); });
+        }
     }
     for (const StoredCopy &evicted : admission.evicted) {
         this->makeRoom(order, state, host, evicted);
     }
-    if (!admission.admitted) {
-        return 0;
+    return admission.admitted;
+}
+
+int64_t TransferDuty::performExport(const TransferOrder &order, StoreState &state, const FleetHost &host)
+{
+    if (order.tier == Tier::Memory) {
+        const std::lock_guard lock(this->returnsMutex);
+        this->returns.addNew(order.team);
+    }
+    if (!this->admitCopy(order, state, host)) {
+        // What is not worth a place in memory may be worth one on disk, if it is not there already.
+        if (order.tier == Tier::Disk) {
+            return 0;
+        }
+        {
+            const std::lock_guard lock(state.mutex);
+            const StoredCopy *below = state.contents.find(order.promptKey, Tier::Disk);
+            if (below != nullptr && below->tokens >= order.tokens) {
+                return below->tokens;
+            }
+        }
+        TransferOrder toDisk = order;
+        toDisk.tier = Tier::Disk;
+        return this->performExport(toDisk, state, host);
     }
     try {
         this->movePieces(order, state, host, 0);
-        Json::Value manifest;
-        manifest["salt"] = std::to_string(order.salt);
-        manifest["tier"] = tierName(order.tier);
-        manifest["team"] = order.team;
-        manifest["tokens"] = Json::Int64(order.tokens);
-        for (const uint64_t piece : order.pieces) {
-            manifest["pieces"].append(std::to_string(piece));
-        }
-        const HttpReply reply
-            = this->context->http.call(host.address, {"PUT", "/manifests/" + keyText(order.promptKey), {}, printJson(manifest)}, StoreCallTimeout);
-        if (reply.status != 200) {
-            throw Failure(ErrorKind::TargetLost, "the manifest was refused with " + std::to_string(reply.status));
-        }
+        this->publishManifest(order, host);
     } catch (const Failure &) {
         const std::lock_guard lock(state.mutex);
         state.contents.remove(order.promptKey, order.tier);
@@ -395,13 +420,29 @@
     return order.tokens;
 }
 
+// Publishes the manifest of a copy whose pieces are all whole; readers see none before.
+void TransferDuty::publishManifest(const TransferOrder &order, const FleetHost &host)
+{
+    Json::Value manifest;
+    manifest["salt"] = std::to_string(order.salt);
+    manifest["tier"] = tierName(order.tier);
+    manifest["team"] = order.team;
+    manifest["tokens"] = Json::Int64(order.tokens);
+    for (const uint64_t piece : order.pieces) {
+        manifest["pieces"].append(std::to_string(piece));
+    }
+    const HttpReply reply
+        = this->context->http.call(host.address, {"PUT", "/manifests/" + keyText(order.promptKey), {}, printJson(manifest)}, StoreCallTimeout);
+    if (reply.status != 200) {
+        throw Failure(ErrorKind::TargetLost, "the manifest was refused with " + std::to_string(reply.status));
+    }
+}
+
 // Moves a copy that gives way in the memory tier to the disk tier, or deletes it.
 void TransferDuty::makeRoom(const TransferOrder &order, StoreState &state, const FleetHost &host, StoredCopy copy)
 {
     const Time now = this->clock.now();
-    const auto valueOf = [this](const StoredCopy &kept, Time time) {
-        return this->returns.returnProbability(kept.team, time - kept.lastUsed, CopyValueHorizon);
-    };
+    const Duration wait = this->diskWait(state);
     bool isKept = false;
     // True if the disk tier has the prompt already.
     bool isBelow = false;
@@ -411,8 +452,8 @@
         copy.tier = Tier::Disk;
         if (state.contents.find(copy.promptKey, Tier::Disk) != nullptr) {
             isBelow = true;
-        } else if (isWorthDemotion(valueOf(copy, now))) {
-            StoreAdmission admission = state.contents.admit(copy, now, valueOf);
+        } else if (wait <= MaxDemotionWait && isWorthDemotion(this->worthOf(copy, now), wait)) {
+            StoreAdmission admission = state.contents.admit(copy, now, [this](const StoredCopy &kept, Time time) { return this->worthOf(kept, time); });
             isKept = admission.admitted;
             evicted = std::move(admission.evicted);
         }
--- a/pimentosail/serve/transferduty.h
+++ b/pimentosail/serve/transferduty.h
@@ -88,6 +88,10 @@
     void run();
     int64_t send(const TransferOrder &order);
     int64_t performExport(const TransferOrder &order, StoreState &state, const FleetHost &host);
+    bool admitCopy(const TransferOrder &order, StoreState &state, const FleetHost &host);
+    void publishManifest(const TransferOrder &order, const FleetHost &host);
+    double worthOf(const StoredCopy &copy, Time now) const;
+    static Duration diskWait(StoreState &state);
     int64_t performImport(const TransferOrder &order, StoreState &state, const FleetHost &host);
     void movePieces(const TransferOrder &order, StoreState &state, const FleetHost &host, size_t first);
     void movePiece(const TransferOrder &order, const FleetHost &host, size_t index);
