--- a/pimentosail/serve/configurationduty.cpp
+++ b/pimentosail/serve/configurationduty.cpp
@@ -1,5 +1,7 @@
 #include "pimentosail/serve/configurationduty.h"
 
+#include <algorithm>
+
 #include "pimentosail/base/hash.h"
 #include "pimentosail/base/statelog.h"
 
@@ -13,6 +15,8 @@
 // A watch that is silent for this long is checked by a read and opened anew.
 constexpr Duration WatchLife = std::chrono::seconds(3);
 constexpr Duration PollInterval = std::chrono::seconds(20);
+// Peers up to which every host polls once in each interval.
+constexpr int64_t PollingPeers = 8;
 constexpr Duration FirstPollInterval = Milliseconds(500);
 constexpr Duration StepInterval = Milliseconds(250);
 
@@ -84,6 +88,16 @@
     this->hooks.inForce(accepted);
 }
 
+// Heartbeats name new revisions, so that polls may grow rare with the fleet; together they cost the service the same.
+Duration ConfigurationDuty::pollInterval() const
+{
+    if (!this->current()) {
+        return FirstPollInterval;
+    }
+    const auto peers = static_cast<int64_t>(this->hooks.peers().size());
+    return PollInterval * std::max<int64_t>(1, peers / PollingPeers);
+}
+
 void ConfigurationDuty::readStore()
 {
     const std::optional<KeyValue> stored = this->store.get(ConfigurationKey);
@@ -102,7 +116,7 @@
             const bool due = this->clock.now() >= nextPoll;
             if (due) {
                 this->readStore();
-                nextPoll = this->clock.now() + (this->current() ? PollInterval : FirstPollInterval);
+                nextPoll = this->clock.now() + this->pollInterval();
             }
             if (this->hooks.isWatcher()) {
                 if (const std::optional<KeyValue> changed = this->store.waitForChange(ConfigurationKey, this->seenModRevision, WatchLife)) {
--- a/pimentosail/serve/configurationduty.h
+++ b/pimentosail/serve/configurationduty.h
@@ -66,6 +66,7 @@
 
     void runStoreReader();
     void runPeerReader();
+    Duration pollInterval() const;
     void readStore();
     void offer(const std::string &document, const std::string &source);
     Result<ConfigurationPointer> write(
--- a/pimentosail/serve/transferduty.cpp
+++ b/pimentosail/serve/transferduty.cpp
@@ -62,20 +62,6 @@
     return order;
 }
 
-// One link: threads wait here for their turn to move a piece.
-struct TransferDuty::Link
-{
-    explicit Link(double bytesPerSecond)
-        : scheduler(bytesPerSecond)
-    {
-    }
-
-    std::mutex mutex;
-    std::condition_variable changed;
-    LinkScheduler scheduler;
-    std::optional<uint64_t> turn;
-};
-
 struct TransferDuty::StoreState
 {
     StoreState(const Store &store)
@@ -85,15 +71,15 @@
     {
     }
 
-    Link &link(Tier tier)
+    LinkTurns &link(Tier tier)
     {
         return tier == Tier::Memory ? this->memory : this->disk;
     }
 
     std::mutex mutex;
     StoreContents contents;
-    Link memory;
-    Link disk;
+    LinkTurns memory;
+    LinkTurns disk;
     std::atomic<uint64_t> nextTransfer{1};
     // True once the manifests of the store have been read.
     std::atomic<bool> isRead{false};
@@ -250,25 +236,22 @@
 
 void TransferDuty::movePieces(const TransferOrder &order, StoreState &state, const FleetHost &host, size_t first)
 {
-    Link &link = state.link(order.tier);
+    LinkTurns &link = state.link(order.tier);
     const uint64_t id = state.nextTransfer.fetch_add(1);
     const size_t count = order.pieces.size() - first;
     if (count == 0) {
         return;
     }
-    {
-        const std::lock_guard lock(link.mutex);
-        link.scheduler.submit({id, static_cast<int64_t>(count), order.pieceBytes, order.priority});
-    }
+    link.submit({id, static_cast<int64_t>(count), order.pieceBytes, order.priority});
     for (size_t index = first; index < order.pieces.size(); ++index) {
-        this->takeTurn(link, id);
+        link.takeTurn(id);
         try {
             this->movePiece(order, host, index);
         } catch (const Failure &) {
-            this->endTurn(link, id, true);
+            link.endTurn(id, true);
             throw;
         }
-        this->endTurn(link, id, false);
+        link.endTurn(id, false);
     }
 }
 
@@ -285,33 +268,6 @@
     this->context->metrics.count("pimentosail_link_bytes_total", labels, static_cast<double>(order.pieceBytes));
 }
 
-// Blocks until the link's scheduler picks a piece of transfer `id`.
-void TransferDuty::takeTurn(Link &link, uint64_t id)
-{
-    std::unique_lock lock(link.mutex);
-    while (link.turn != id) {
-        if (!link.turn) {
-            if (const std::optional<Transfer> next = link.scheduler.start()) {
-                link.turn = next->id;
-                link.changed.notify_all();
-                continue;
-            }
-        }
-        link.changed.wait_for(lock, PopWait);
-    }
-}
-
-void TransferDuty::endTurn(Link &link, uint64_t id, bool cancelRest)
-{
-    const std::lock_guard lock(link.mutex);
-    link.scheduler.pieceMoved();
-    link.turn.reset();
-    if (cancelRest) {
-        link.scheduler.cancel(id);
-    }
-    link.changed.notify_all();
-}
-
 // Learns, once as the owner of a store, which copies earlier owners have left in it.
 void TransferDuty::readContents(StoreState &state, const FleetHost &host, int64_t pieceBytes)
 {
@@ -356,9 +312,7 @@
 
 Duration TransferDuty::diskWait(StoreState &state)
 {
-    Link &disk = state.link(Tier::Disk);
-    const std::lock_guard lock(disk.mutex);
-    return disk.scheduler.waitFor(TransferClass::Background);
+    return state.link(Tier::Disk).waitFor(TransferClass::Background);
 }
 
 // Admits a copy to its tier and makes room for it. Returns false if it is worth less than what is there.
@@ -469,15 +423,12 @@
         this->deleteCopy(host, copy.promptKey);
         return;
     }
-    Link &link = state.link(Tier::Disk);
+    LinkTurns &link = state.link(Tier::Disk);
     const int64_t pieces = std::max<int64_t>(1, copy.bytes / std::max<int64_t>(1, order.pieceBytes));
     const uint64_t id = state.nextTransfer.fetch_add(1);
-    {
-        const std::lock_guard lock(link.mutex);
-        link.scheduler.submit({id, pieces, order.pieceBytes, TransferClass::Background});
-    }
+    link.submit({id, pieces, order.pieceBytes, TransferClass::Background});
     for (int64_t piece = 0; piece < pieces; ++piece) {
-        this->takeTurn(link, id);
+        link.takeTurn(id);
         const std::string path
             = "/manifests/" + keyText(copy.promptKey) + "/demote?piece=" + std::to_string(piece) + "&bytes=" + std::to_string(order.pieceBytes);
         bool moved = false;
@@ -486,7 +437,7 @@
         } catch (const Failure &) {
             // The copy is forgotten below.
         }
-        this->endTurn(link, id, !moved);
+        link.endTurn(id, !moved);
         if (!moved) {
             const std::lock_guard lock(state.mutex);
             state.contents.remove(copy.promptKey, copy.tier);
@@ -560,11 +511,7 @@
             summary.storeHash = targetNameHash(name);
             summary.tier = static_cast<uint8_t>(tier);
             summary.usable = host != nullptr && host->availability == TargetAvailability::Live;
-            {
-                Link &link = state->link(tier);
-                const std::lock_guard linkLock(link.mutex);
-                summary.waitMilliseconds = static_cast<uint32_t>(toMilliseconds(link.scheduler.waitFor(TransferClass::Import)));
-            }
+            summary.waitMilliseconds = static_cast<uint32_t>(toMilliseconds(state->link(tier).waitFor(TransferClass::Import)));
             {
                 const std::lock_guard stateLock(state->mutex);
                 const Duration age = state->contents.evictionAge(tier);
--- a/pimentosail/serve/transferduty.h
+++ b/pimentosail/serve/transferduty.h
@@ -26,6 +26,7 @@
 #include "pimentosail/peer/heartbeat.h"
 #include "pimentosail/serve/duty.h"
 #include "pimentosail/serve/fleet.h"
+#include "pimentosail/serve/linkturns.h"
 #include "pimentosail/serve/runspec.h"
 #include "pimentosail/target/engineclient.h"
 
@@ -82,7 +83,6 @@
     void configure(const std::vector<Store> &stores);
 
 private:
-    struct Link;
     struct StoreState;
 
     void run();
@@ -95,8 +95,6 @@
     int64_t performImport(const TransferOrder &order, StoreState &state, const FleetHost &host);
     void movePieces(const TransferOrder &order, StoreState &state, const FleetHost &host, size_t first);
     void movePiece(const TransferOrder &order, const FleetHost &host, size_t index);
-    void takeTurn(Link &link, uint64_t id);
-    void endTurn(Link &link, uint64_t id, bool cancelRest);
     void makeRoom(const TransferOrder &order, StoreState &state, const FleetHost &host, StoredCopy copy);
     StoreState &stateOf(const std::string &store);
     void readContents(StoreState &state, const FleetHost &host, int64_t pieceBytes);
