--- a/bench/slopes.cpp
+++ b/bench/slopes.cpp
@@ -25,6 +25,8 @@
 namespace
 {
 
+constexpr size_t MaxTestThreads = 128;
+
 using namespace pimentosail;
 
 constexpr Duration Second = std::chrono::seconds(1);
@@ -263,6 +265,7 @@
         constexpr int CallsEach = 10;
         const double before = residentBytes();
         std::vector<std::thread> threads;
+        threads.reserve(MaxTestThreads);
         for (int caller = 0; caller < callers; ++caller) {
             threads.emplace_back([&, caller] {
                 for (int call = 0; call < CallsEach; ++call) {
--- a/pimentosail/decision/scheduler.cpp
+++ b/pimentosail/decision/scheduler.cpp
@@ -21,6 +21,7 @@
 constexpr int MaxPreemptions = 3;
 constexpr int64_t MinLimitForReserve = 4;
 constexpr size_t MaxPumpScan = 64;
+constexpr Duration RaiseInterval = std::chrono::seconds(1);
 constexpr double LatenessGain = 0.01;
 constexpr double LatenessFactor = 2;
 constexpr double MaxLatenessSeconds = 0.5;
@@ -274,10 +275,7 @@
     if (slots == 0 || request.resumed || !this->options.earlyRefusal) {
         return std::nullopt;
     }
-    int64_t ahead = 0;
-    for (const auto &[id, entry] : this->waiting) {
-        ahead += entry.request.model == request.model && entry.request.priority >= request.priority ? 1 : 0;
-    }
+    const int64_t ahead = this->waiting.countAtLeast(request.model, request.priority);
     const bool mayPreempt = this->options.preemption && request.priority == Priority::Interactive && batchHeld > ahead;
     const Duration wait = fromSeconds(this->slotSeconds * static_cast<double>(ahead + 1) / static_cast<double>(slots));
     if (!mayPreempt && now + wait > request.firstTokenDeadline) {
@@ -317,8 +315,7 @@
         return;
     }
     this->preemptFor(request, now, out);
-    const RequestId id = request.id;
-    this->waiting.emplace(id, Waiting{std::move(request), now});
+    this->waiting.add(request, this->effectivePriority(request, now));
 }
 
 void Scheduler::on(const FirstTokenSeen &event, Time now, Commands & /*out*/)
@@ -426,7 +423,7 @@
 
 void Scheduler::on(const RequestWithdrawn &event, Time now, Commands &out)
 {
-    this->waiting.erase(event.id);
+    this->waiting.remove(event.id);
     this->on(AttemptEnded{event.id, AttemptOutcome::Cancelled}, now, out);
 }
 
@@ -471,51 +468,48 @@
 void Scheduler::on(const ClockTicked & /*event*/, Time now, Commands &out)
 {
     this->pump(now, out);
-    std::vector<RequestId> expired;
-    for (const auto &[id, entry] : this->waiting) {
-        const Time deadline = entry.request.resumed ? entry.request.finishDeadline : entry.request.firstTokenDeadline;
-        if (now >= std::min(deadline, entry.request.finishDeadline)) {
-            expired.push_back(id);
-        }
+    if (now >= this->nextRaise) {
+        this->raiseBatch(now);
+        this->nextRaise = now + RaiseInterval;
     }
-    for (const RequestId id : expired) {
-        const RequestInfo &request = this->waiting.at(id).request;
+    for (const RequestId id : this->waiting.expired(now)) {
+        const RequestInfo request = this->waiting.at(id);
         const bool hasTargets = !this->table.serving(request.model).empty();
         ++(hasTargets ? this->tally.refusedDeadline : this->tally.refusedNoTarget);
         const ErrorKind kind = hasTargets ? ErrorKind::DeadlineUnreachable : ErrorKind::NoTarget;
         out.push_back(Refuse{id, Error(kind, "no target took the request before its deadline", !request.resumed)});
-        this->waiting.erase(id);
+        this->waiting.remove(id);
     }
 }
 
+// Batch requests that have come close to their deadline count as standard ones.
+void Scheduler::raiseBatch(Time now)
+{
+    for (const RequestId id : this->waiting.batch()) {
+        this->waiting.raise(id, this->effectivePriority(this->waiting.at(id), now));
+    }
+}
+
+bool Scheduler::hasFreeSlot(Time now) const
+{
+    for (size_t index = 0; index < this->table.size(); ++index) {
+        const auto target = static_cast<TargetIndex>(index);
+        if (this->table.inFlight(target, now) < this->table.limit(target, now) && this->table.why(target, 0, now) == TargetState::Usable) {
+            return true;
+        }
+    }
+    return false;
+}
+
 void Scheduler::pump(Time now, Commands &out)
 {
-    if (this->waiting.empty()) {
+    if (this->waiting.size() == 0 || !this->hasFreeSlot(now)) {
         return;
     }
-    struct Key
-    {
-        Priority priority;
-        Time deadline;
-        RequestId id;
-    };
-    std::vector<Key> order;
-    order.reserve(this->waiting.size());
-    for (const auto &[id, entry] : this->waiting) {
-        order.push_back({this->effectivePriority(entry.request, now), entry.request.firstTokenDeadline, id});
-    }
-    const size_t scan = std::min(MaxPumpScan, order.size());
-    std::partial_sort(order.begin(), order.begin() + static_cast<ptrdiff_t>(scan), order.end(), [](const Key &left, const Key &right) {
-        if (left.priority != right.priority) {
-            return left.priority > right.priority;
-        }
-        return left.deadline != right.deadline ? left.deadline < right.deadline : left.id < right.id;
-    });
-    for (size_t index = 0; index < scan; ++index) {
-        const auto found = this->waiting.find(order[index].id);
-        const RequestInfo request = found->second.request;
+    for (const RequestId id : this->waiting.first(MaxPumpScan)) {
+        const RequestInfo request = this->waiting.at(id);
         if (this->tryDispatch(request, now, out)) {
-            this->waiting.erase(request.id);
+            this->waiting.remove(id);
         }
     }
 }
--- a/pimentosail/decision/scheduler.h
+++ b/pimentosail/decision/scheduler.h
@@ -16,6 +16,7 @@
 
 #include "pimentosail/decision/policy.h"
 #include "pimentosail/decision/returnmodel.h"
+#include "pimentosail/decision/waitingqueue.h"
 
 namespace pimentosail
 {
@@ -120,11 +121,6 @@
     double copyValue(const std::string &team, Duration age, Duration horizon, std::optional<Duration> knownReturn) const;
 
 private:
-    struct Waiting
-    {
-        RequestInfo request;
-        Time since{};
-    };
     struct Running
     {
         RequestInfo request;
@@ -162,6 +158,8 @@
     bool preemptFor(const RequestInfo &request, Time now, Commands &out);
     std::optional<Error> refusalFor(const RequestInfo &request, Time now) const;
     void pump(Time now, Commands &out);
+    void raiseBatch(Time now);
+    bool hasFreeSlot(Time now) const;
     void release(Running &running);
     void noteSlotTime(double seconds);
     void noteLateness(double seconds);
@@ -177,7 +175,8 @@
     std::vector<Model> models;
     std::vector<std::string> storeNames;
     std::vector<std::array<LinkState, TierCount>> links;
-    std::map<RequestId, Waiting> waiting;
+    WaitingQueue waiting;
+    Time nextRaise{};
     std::unordered_map<RequestId, Running> running;
     std::vector<DecisionRecord> recent;
     size_t nextRecent = 0;
--- a/pimentosail/idempotency/idempotencytest.cpp
+++ b/pimentosail/idempotency/idempotencytest.cpp
@@ -11,6 +11,8 @@
 namespace
 {
 
+constexpr size_t MaxTestThreads = 128;
+
 constexpr Duration Day = std::chrono::hours(24);
 constexpr Time Never = std::chrono::hours(1'000'000);
 
@@ -180,6 +182,7 @@
     constexpr int Callers = 32;
     constexpr int KeysEach = 10;
     std::vector<std::thread> threads;
+    threads.reserve(MaxTestThreads);
     for (int caller = 0; caller < Callers; ++caller) {
         threads.emplace_back([&, caller] {
             for (int key = 0; key < KeysEach; ++key) {
--- a/testing/failureanswerstest.cpp
+++ b/testing/failureanswerstest.cpp
@@ -64,6 +64,7 @@
     const std::string innocentPrompt = makePrompt("innocent", ShortPrompt);
     std::atomic<int> wholeInnocents{0};
     std::vector<std::thread> innocents;
+    innocents.reserve(MaxTestThreads);
     for (int index = 0; index < 6; ++index) {
         innocents.emplace_back([&, index] {
             CompletionOptions options;
@@ -102,6 +103,7 @@
         }
     });
     std::vector<std::thread> callers;
+    callers.reserve(MaxTestThreads);
     std::atomic<int> whole{0};
     for (int index = 0; index < 24; ++index) {
         callers.emplace_back([&, index] {
@@ -185,6 +187,7 @@
     std::atomic<int64_t> used{0};
     std::atomic<int> refused{0};
     std::vector<std::thread> callers;
+    callers.reserve(MaxTestThreads);
     for (int index = 0; index < 6; ++index) {
         callers.emplace_back([&, index] {
             for (int number = 0; fixture.clock.now() < end; ++number) {
--- a/testing/failurebookingstest.cpp
+++ b/testing/failurebookingstest.cpp
@@ -28,6 +28,7 @@
     fixture.fleet.fault("trucks-1", "delay_ms", 300);
     std::atomic<int> confirmed{0};
     std::vector<std::thread> callers;
+    callers.reserve(MaxTestThreads);
     for (int index = 0; index < 12; ++index) {
         callers.emplace_back(
             [&, index] { confirmed += fixture.caller("entry-" + std::to_string(index % 3 + 1)).book("truck-booking/book", "k", "{}").status == 200 ? 1 : 0; });
@@ -47,6 +48,7 @@
     // Disturbs each host in turn while bookings are under way, some of which it keeps.
     for (const auto &[victim, signal] : {std::pair("entry-1", SIGKILL), std::pair("entry-2", SIGSTOP)}) {
         std::vector<std::thread> callers;
+        callers.reserve(MaxTestThreads);
         for (int index = 0; index < 8; ++index) {
             const std::string key = std::string(victim) + "-" + std::to_string(index);
             callers.emplace_back([&, key] {
--- a/testing/failurefixture.h
+++ b/testing/failurefixture.h
@@ -26,6 +26,7 @@
 {
 
 constexpr int FailureFirstPort = 20000;
+constexpr size_t MaxTestThreads = 128;
 constexpr int64_t ShortPrompt = 2000;
 
 inline std::string environment(const char *name, const char *fallback)
--- a/testing/failureoperationstest.cpp
+++ b/testing/failureoperationstest.cpp
@@ -36,6 +36,7 @@
     std::atomic<int> whole{0};
     std::atomic<int> failed{0};
     std::vector<std::thread> callers;
+    callers.reserve(MaxTestThreads);
     for (int index = 0; index < 4; ++index) {
         callers.emplace_back([&, index] {
             for (int number = 0; !stop.load(); ++number) {
@@ -104,6 +105,7 @@
     std::atomic<int> accepted{0};
     std::atomic<int> conflicts{0};
     std::vector<std::thread> operators;
+    operators.reserve(MaxTestThreads);
     for (const char *entry : {"entry-1", "entry-2", "entry-3"}) {
         operators.emplace_back([&, entry] {
             Json::Value body;
--- a/testing/fleetslopes.cpp
+++ b/testing/fleetslopes.cpp
@@ -71,6 +71,7 @@
     clock.sleepFor(Settle);
     const std::vector<std::string> names = fleet.names("entry");
     std::vector<Sample> before;
+    before.reserve(names.size());
     for (const std::string &name : names) {
         before.push_back(sampleOf(fleet, name));
     }
