--- a/pimentosail/config/settings.cpp
+++ b/pimentosail/config/settings.cpp
@@ -65,7 +65,7 @@
     settings.peers = readAddresses(reader, "peers");
     settings.leaseTtl = readMilliseconds(reader, "lease_ttl_ms", 6000, 500);
     settings.heartbeatInterval = readMilliseconds(reader, "heartbeat_ms", 500, 50);
-    settings.loadPollInterval = readMilliseconds(reader, "load_poll_ms", 1000, 20);
+    settings.loadPollInterval = readMilliseconds(reader, "load_poll_ms", 2000, 20);
     settings.progressTimeout = readMilliseconds(reader, "progress_timeout_ms", 3000, 50);
     settings.shutdownDeadline = readMilliseconds(reader, "shutdown_deadline_ms", 120'000);
     settings.recordRetention = readMilliseconds(reader, "record_retention_ms", MaxMilliseconds, 1000);
--- a/testing/failurefixture.h
+++ b/testing/failurefixture.h
@@ -74,7 +74,7 @@
     static FleetPlan makePlan(const std::function<void(FleetPlan &)> &change)
     {
         FleetPlan plan = FleetPlan::fromExample(environment("PIMENTOSAIL_SOURCE", "."), "winery", 3, true);
-        plan.settings = {{"lease_ttl_ms", "3000"}, {"progress_timeout_ms", "1500"}};
+        plan.settings = {{"lease_ttl_ms", "3000"}, {"progress_timeout_ms", "1500"}, {"load_poll_ms", "1000"}};
         if (change) {
             change(plan);
         }
