--- a/pimentosail/base/boundedring.h
+++ b/pimentosail/base/boundedring.h
@@ -74,6 +74,13 @@
         this->changed.notify_all();
     }
 
+    // Returns true once `close` was called and every item was taken.
+    bool isClosed() const
+    {
+        const std::lock_guard lock(this->mutex);
+        return this->closed && this->items.empty();
+    }
+
     // Returns the number of items waiting.
     size_t size() const
     {
--- a/pimentosail/base/clock.cpp
+++ b/pimentosail/base/clock.cpp
@@ -1,5 +1,7 @@
 #include "pimentosail/base/clock.h"
 
+#include <ctime>
+
 namespace pimentosail
 {
 
@@ -19,6 +21,17 @@
     return this->paused ? this->pausedAt : steadyNow();
 }
 
+Time Clock::nowWithSuspend() const
+{
+    const std::lock_guard lock(this->mutex);
+    if (this->paused) {
+        return this->pausedAt;
+    }
+    timespec moment{};
+    clock_gettime(CLOCK_BOOTTIME, &moment);
+    return std::chrono::duration_cast<Duration>(std::chrono::seconds(moment.tv_sec) + std::chrono::nanoseconds(moment.tv_nsec));
+}
+
 int64_t Clock::wallMilliseconds()
 {
     return std::chrono::duration_cast<Milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
--- a/pimentosail/base/clock.h
+++ b/pimentosail/base/clock.h
@@ -27,6 +27,9 @@
     // Returns the monotonic time.
     Time now() const;
 
+    // Returns the monotonic time including time in which the machine was suspended. Leases are judged by it.
+    Time nowWithSuspend() const;
+
     // Returns wall time in milliseconds since the Unix epoch. For display and for log lines only.
     static int64_t wallMilliseconds();
 
--- a/pimentosail/base/error.cpp
+++ b/pimentosail/base/error.cpp
@@ -37,6 +37,9 @@
     ErrorAnswer{ErrorKind::Conflict, "conflict", 409, true, 0},
     ErrorAnswer{ErrorKind::InvalidConfiguration, "invalid_configuration", 422, true, 0},
     ErrorAnswer{ErrorKind::Cancelled, "cancelled", 499, false, 0},
+    ErrorAnswer{ErrorKind::NotReady, "not_ready", 503, true, 1},
+    ErrorAnswer{ErrorKind::DeadlinePassed, "deadline_passed", 504, false, 0},
+    ErrorAnswer{ErrorKind::Blocked, "blocked", 502, true, 0},
     ErrorAnswer{ErrorKind::Internal, "internal", 500, false, 0},
 };
 
--- a/pimentosail/base/error.h
+++ b/pimentosail/base/error.h
@@ -47,6 +47,9 @@
     Conflict,
     InvalidConfiguration,
     Cancelled,
+    NotReady,
+    DeadlinePassed,
+    Blocked,
     Internal,
 };
 
--- /dev/null
+++ b/pimentosail/directory/directory.cpp
@@ -0,0 +1,185 @@
+#include "pimentosail/directory/directory.h"
+
+#include <algorithm>
+
+namespace pimentosail
+{
+
+namespace
+{
+
+// A live target registers again within this time after the store is back (the platform's page).
+constexpr Duration ReappearTime = std::chrono::seconds(2);
+// A vanished registration is never used for longer than this, so that a target that left stays inside the drain time.
+constexpr Duration LongestKept = Milliseconds(1500);
+// Pause before a target that could not be reached is tried again; doubles with each failure.
+constexpr Duration FirstAvoidance = Milliseconds(250);
+constexpr Duration LongestAvoidance = std::chrono::seconds(4);
+// Weight of one outcome in a moving average: one eighth.
+constexpr int OutcomeWeight = 8;
+
+} // namespace
+
+void noteOutcome(TargetState &target, bool failedRun)
+{
+    const int before = target.failurePermille.load();
+    target.failurePermille.store(before + ((failedRun ? 1000 : 0) - before) / OutcomeWeight);
+}
+
+void noteResponseTime(TargetState &target, Duration time)
+{
+    const int64_t before = target.responseTime.load();
+    target.responseTime.store(before == 0 ? time.count() : before + (time.count() - before) / OutcomeWeight);
+}
+
+void TargetDirectory::update(TargetState &state, const Registration &registration, Time now)
+{
+    state.gone = false;
+    if (registration.revision != 0 && registration.revision <= state.revision) {
+        return;
+    }
+    state.revision = registration.revision;
+    state.slots = registration.slots;
+    // Once acknowledged, leaving is final for this incarnation.
+    state.draining = state.draining || registration.isDraining;
+    for (const auto &[model, version] : registration.modelVersions) {
+        int64_t &known = state.modelVersions[model];
+        known = std::max(known, version);
+    }
+    if (registration.coldRemaining > Duration(0)) {
+        const Time until = now + registration.coldRemaining;
+        state.coldUntil.store(std::max(state.coldUntil.load(), until.count()));
+    }
+}
+
+void TargetDirectory::apply(const std::vector<Registration> &registrations, bool storeReachable, Time storeBackSince)
+{
+    const std::lock_guard lock(this->mutex);
+    const Time now = this->clock.now();
+    std::set<std::string> present;
+    for (const Registration &registration : registrations) {
+        present.insert(registration.id);
+        TargetPointer &state = this->targets[registration.id];
+        const bool restarted = state && (state->startedAt != registration.startedAt || state->address != registration.address);
+        if (!state || restarted) {
+            const bool isNew = restarted || this->populated;
+            state = std::make_shared<TargetState>();
+            state->id = registration.id;
+            state->service = registration.service;
+            state->address = registration.address;
+            state->zone = registration.zone;
+            state->startedAt = registration.startedAt;
+            const auto cold = this->coldDurations.find(registration.service);
+            if (isNew && cold != this->coldDurations.end()) {
+                state->coldUntil.store((now + cold->second).count());
+            }
+        }
+        this->update(*state, registration, now);
+        this->missingSince.erase(registration.id);
+    }
+    this->populated = this->populated || !registrations.empty();
+    const bool outageIsRecent = !storeReachable || (storeBackSince > Time(0) && now < storeBackSince + ReappearTime);
+    for (auto entry = this->targets.begin(); entry != this->targets.end();) {
+        if (present.contains(entry->first)) {
+            ++entry;
+            continue;
+        }
+        const Time since = this->missingSince.emplace(entry->first, now).first->second;
+        if (outageIsRecent && !entry->second->draining && now < since + LongestKept) {
+            ++entry;
+            continue;
+        }
+        entry->second->gone = true;
+        this->missingSince.erase(entry->first);
+        entry = this->targets.erase(entry);
+    }
+}
+
+void TargetDirectory::setEvacuated(std::set<std::string> zones)
+{
+    const std::lock_guard lock(this->mutex);
+    this->evacuated = std::move(zones);
+}
+
+void TargetDirectory::setColdDurations(std::map<std::string, Duration> durations)
+{
+    const std::lock_guard lock(this->mutex);
+    this->coldDurations = std::move(durations);
+}
+
+void TargetDirectory::noteVersion(const std::string &id, const std::string &model, int64_t version)
+{
+    const std::lock_guard lock(this->mutex);
+    const auto found = this->targets.find(id);
+    if (found != this->targets.end()) {
+        int64_t &known = found->second->modelVersions[model];
+        known = std::max(known, version);
+    }
+}
+
+bool TargetDirectory::mayReceiveLocked(const TargetState &target) const
+{
+    return !target.draining && !target.gone && !this->evacuated.contains(target.zone);
+}
+
+bool TargetDirectory::mayReceive(const TargetState &target) const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->mayReceiveLocked(target);
+}
+
+std::vector<TargetView> TargetDirectory::usable(const std::string &service, const std::string &model) const
+{
+    const std::lock_guard lock(this->mutex);
+    const int64_t now = this->clock.now().count();
+    std::vector<TargetView> result;
+    for (const auto &[id, target] : this->targets) {
+        if (target->service != service || !this->mayReceiveLocked(*target) || target->avoidUntil.load() > now) {
+            continue;
+        }
+        const auto version = target->modelVersions.find(model);
+        result.push_back({target, version == target->modelVersions.end() ? 0 : version->second});
+    }
+    return result;
+}
+
+std::vector<TargetView> TargetDirectory::all(const std::string &service, const std::string &model) const
+{
+    const std::lock_guard lock(this->mutex);
+    std::vector<TargetView> result;
+    for (const auto &[id, target] : this->targets) {
+        if (target->service == service) {
+            const auto version = target->modelVersions.find(model);
+            result.push_back({target, version == target->modelVersions.end() ? 0 : version->second});
+        }
+    }
+    return result;
+}
+
+TargetPointer TargetDirectory::find(const std::string &id) const
+{
+    const std::lock_guard lock(this->mutex);
+    const auto found = this->targets.find(id);
+    return found == this->targets.end() ? nullptr : found->second;
+}
+
+void TargetDirectory::noteUnreachable(TargetState &target)
+{
+    const int failures = target.connectFailures.fetch_add(1);
+    const Duration pause = std::min(FirstAvoidance * (1 << std::min(failures, 4)), LongestAvoidance);
+    const std::lock_guard lock(this->mutex);
+    const Time until = this->clock.now() + pause;
+    target.avoidUntil.store(std::max(target.avoidUntil.load(), until.count()));
+    const auto cold = this->coldDurations.find(target.service);
+    if (cold != this->coldDurations.end() && cold->second > Duration(0)) {
+        target.coldUntil.store(std::max(target.coldUntil.load(), (until + cold->second).count()));
+    }
+}
+
+size_t TargetDirectory::size() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->targets.size();
+}
+
+} // namespace pimentosail
--- /dev/null
+++ b/pimentosail/dispatch/limits.cpp
@@ -0,0 +1,71 @@
+#include "pimentosail/dispatch/limits.h"
+
+#include <algorithm>
+
+#include "pimentosail/base/hash.h"
+
+namespace pimentosail
+{
+
+namespace
+{
+
+// Part of the shared bounds that is handed out; the rest covers hosts whose number was not yet known.
+constexpr double SafeShare = 0.8;
+// A little over a second: requests sent close together may arrive closer still.
+constexpr Duration ColdWindow = Milliseconds(1100);
+
+} // namespace
+
+void RepeatBudget::noteFirst(const std::string &service)
+{
+    const std::lock_guard lock(this->mutex);
+    this->services[service].first.add(this->clock.now());
+}
+
+bool RepeatBudget::tryRepeat(const std::string &service, size_t hosts)
+{
+    const std::lock_guard lock(this->mutex);
+    const Time now = this->clock.now();
+    Counts &counts = this->services[service];
+    const auto first = static_cast<double>(counts.first.count(now, this->bounds.window));
+    const auto repeats = static_cast<double>(counts.repeats.count(now, this->bounds.window));
+    const double allowed = SafeShare * (this->bounds.ratio * first + this->bounds.extra / static_cast<double>(std::max<size_t>(1, hosts)));
+    if (repeats + 1 > allowed) {
+        return false;
+    }
+    counts.repeats.add(now);
+    return true;
+}
+
+int ColdLimiter::share(double requestsPerSecond, const std::string &target, const std::string &ownHost, const std::vector<std::string> &hosts)
+{
+    const double each = requestsPerSecond / static_cast<double>(std::max<size_t>(1, hosts.size()));
+    if (each >= 1) {
+        return static_cast<int>(each);
+    }
+    const std::vector<std::string> order = rendezvousOrder(target, hosts);
+    const auto rank = std::find(order.begin(), order.end(), ownHost) - order.begin();
+    return rank < static_cast<int64_t>(requestsPerSecond) ? 1 : 0;
+}
+
+bool ColdLimiter::tryTake(const std::string &target, int allowed)
+{
+    const std::lock_guard lock(this->mutex);
+    SlidingCount &count = this->sent[target];
+    const Time now = this->clock.now();
+    if (count.count(now, ColdWindow) >= static_cast<size_t>(std::max(0, allowed))) {
+        return false;
+    }
+    count.add(now);
+    return true;
+}
+
+bool ColdLimiter::hasRoom(const std::string &target, int allowed)
+{
+    const std::lock_guard lock(this->mutex);
+    const auto found = this->sent.find(target);
+    return found == this->sent.end() ? allowed > 0 : found->second.count(this->clock.now(), ColdWindow) < static_cast<size_t>(std::max(0, allowed));
+}
+
+} // namespace pimentosail
--- /dev/null
+++ b/pimentosail/dispatch/picker.h
@@ -0,0 +1,68 @@
+// Chooses the target of a request.
+//
+// For a prompt, the cost of a target is the prompt tokens that it has to read before this prompt's first token:
+// those waiting there and those of this prompt that it is not expected to have. A prompt's own target is the one that
+// rendezvous hashing ranks first for its last part; on another target its parts have to be fetched or read again.
+// Plain requests go to the target with the fewest requests for its size, preferably in the own zone.
+//
+//     std::optional<Choice> choice = picker.pick(query, candidates);
+//
+// A pure function of its arguments; thread-safe.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "pimentosail/base/clock.h"
+#include "pimentosail/directory/directory.h"
+
+namespace pimentosail
+{
+
+// A target with the load that is known of it.
+struct Candidate
+{
+    TargetPointer target;
+    int64_t version = 0;
+    // Requests in flight and prompt tokens to be read there, over all hosts as far as known.
+    double requests = 0;
+    double pendingTokens = 0;
+    // A cold target that has had its share of requests for now.
+    bool coldAndFull = false;
+    // This host's share of requests a second for a cold target; negative if the target is warm.
+    int coldShare = -1;
+};
+
+struct PickQuery
+{
+    // Name of the prompt part that decides its own target; empty for a plain request.
+    std::string affinity;
+    // Prompt tokens that only the own target is expected to have.
+    int64_t ownTokens = 0;
+    int64_t promptTokens = 0;
+    std::string ownZone;
+    // Version that new work should use, and whether targets with older weights may still be used.
+    int64_t newestVersion = 0;
+    bool allowsOlder = true;
+    // Targets that this request has tried.
+    std::set<std::string> tried;
+    // Uniform draw for ties and probes.
+    uint64_t draw = 0;
+};
+
+struct Choice
+{
+    TargetPointer target;
+    int64_t version = 0;
+    // Expected wait in prompt tokens, for the log.
+    double cost = 0;
+    bool isOwn = false;
+};
+
+// Returns the best candidate, or nothing if none may be used.
+std::optional<Choice> pickTarget(const PickQuery &query, const std::vector<Candidate> &candidates);
+
+} // namespace pimentosail
--- /dev/null
+++ b/pimentosail/entry/cacheeventduty.cpp
@@ -0,0 +1,112 @@
+#include <algorithm>
+
+#include "pimentosail/base/hash.h"
+#include "pimentosail/entry/storeduties.h"
+
+namespace pimentosail
+{
+
+namespace
+{
+
+constexpr Duration PollWait = Milliseconds(1000);
+constexpr Duration FailurePause = Milliseconds(400);
+constexpr Duration SuperviseInterval = Milliseconds(500);
+// A rank among the hosts is left free: polls of a host that was replaced may still be held open.
+constexpr int PollReserve = 2;
+
+} // namespace
+
+CacheEventDuty::CacheEventDuty(EntryContext &entryContext)
+    : context(entryContext)
+    , thread("cache-events", [this] { this->supervise(); })
+{
+}
+
+CacheEventDuty::~CacheEventDuty()
+{
+    this->stop();
+}
+
+void CacheEventDuty::start()
+{
+    this->thread.start();
+}
+
+void CacheEventDuty::stop()
+{
+    this->stopping.store(true);
+    this->thread.join();
+    this->followers.clear();
+}
+
+void CacheEventDuty::supervise()
+{
+    while (!this->stopping.load()) {
+        for (const CacheStore &store : this->context.caches.stores()) {
+            if (!this->followers.contains(store.name)) {
+                auto follower = std::make_unique<DutyThread>("cache-store", [this, name = store.name] { this->follow(name); });
+                follower->start();
+                this->followers.emplace(store.name, std::move(follower));
+            }
+        }
+        this->context.clock.sleepFor(SuperviseInterval);
+    }
+}
+
+// A store holds only so many polls open; the hosts that hashing ranks first for it follow it.
+bool CacheEventDuty::mayFollow(const CacheStore &store) const
+{
+    std::vector<std::string> hosts;
+    for (const HostEntry &host : this->context.state.hosts()) {
+        hosts.push_back(host.name);
+    }
+    const int most = std::max(1, store.maxEventPolls - PollReserve);
+    if (store.maxEventPolls == 0 || hosts.size() <= static_cast<size_t>(most)) {
+        return true;
+    }
+    const std::vector<std::string> order = rendezvousOrder(store.name, hosts);
+    return std::find(order.begin(), order.end(), this->context.settings.name) - order.begin() < most;
+}
+
+void CacheEventDuty::follow(const std::string &name)
+{
+    int64_t next = 0;
+    int64_t epoch = 0;
+    bool wasReachable = true;
+    while (!this->stopping.load()) {
+        const std::vector<CacheStore> stores = this->context.caches.stores();
+        const auto store = std::find_if(stores.begin(), stores.end(), [&name](const CacheStore &candidate) { return candidate.name == name; });
+        if (store == stores.end() || !this->mayFollow(*store)) {
+            this->context.clock.sleepFor(SuperviseInterval);
+            continue;
+        }
+        try {
+            const CacheEvents events = this->context.wire.pollStore(store->address, next, PollWait);
+            if (epoch != 0 && events.epoch != epoch) {
+                this->context.log.write(LogLevel::Warning, "cache_store_restarted", {{"store", name}, {"epoch", events.epoch}});
+                this->context.caches.apply(name, {events.epoch, 0, false, {}});
+                epoch = events.epoch;
+                next = 0;
+                continue;
+            }
+            epoch = events.epoch;
+            next = events.next;
+            this->context.caches.apply(name, events);
+            if (!wasReachable) {
+                wasReachable = true;
+                this->context.caches.setReachable(name, true);
+                this->context.log.write(LogLevel::Info, "dependency_regained", {{"dependency", "cache store " + name}});
+            }
+        } catch (const Failure &failure) {
+            if (wasReachable) {
+                wasReachable = false;
+                this->context.caches.setReachable(name, false);
+                this->context.log.write(LogLevel::Warning, "dependency_lost", {{"dependency", "cache store " + name}, {"reason", failure.what()}});
+            }
+            this->context.clock.sleepFor(FailurePause);
+        }
+    }
+}
+
+} // namespace pimentosail
--- /dev/null
+++ b/pimentosail/entry/context.h
@@ -0,0 +1,32 @@
+// The parts of the entry process that a request uses. All live as long as the process and are thread-safe.
+#pragma once
+
+#include "pimentosail/dispatch/limits.h"
+#include "pimentosail/dispatch/quarantine.h"
+#include "pimentosail/entry/entrysettings.h"
+#include "pimentosail/entry/entrystate.h"
+#include "pimentosail/entry/wire.h"
+#include "pimentosail/eventlog/eventlog.h"
+#include "pimentosail/metrics/metrics.h"
+#include "pimentosail/upstream/pool.h"
+
+namespace pimentosail
+{
+
+struct EntryContext
+{
+    Clock &clock;
+    EventLog &log;
+    Metrics &metrics;
+    const EntrySettings &settings;
+    const Wire &wire;
+    EntryState &state;
+    TargetDirectory &directory;
+    ConnectionPool &connections;
+    RepeatBudget &repeats;
+    ColdLimiter &coldLimiter;
+    Quarantine &quarantine;
+    CacheStores &caches;
+};
+
+} // namespace pimentosail
--- /dev/null
+++ b/pimentosail/entry/entryprocess.cpp
@@ -0,0 +1,308 @@
+#include "pimentosail/entry/entryprocess.h"
+
+#include <algorithm>
+#include <random>
+
+#include <Poco/Exception.h>
+
+#include "pimentosail/base/json.h"
+#include "pimentosail/entry/requestrunner.h"
+#include "pimentosail/entry/stateupdater.h"
+#include "pimentosail/entry/storeduties.h"
+#include "pimentosail/mirror/storemirror.h"
+#include "pimentosail/peer/peerclient.h"
+#include "pimentosail/peer/rpcserver.h"
+
+namespace pimentosail
+{
+
+namespace
+{
+
+// Descriptors kept for files, targets, stores and other hosts.
+constexpr int64_t ReservedDescriptors = 600;
+constexpr int64_t MaxCallerThreads = 2000;
+constexpr int64_t PeerConnections = 48;
+constexpr int64_t ReadyConnections = 16;
+// The balancer asks once a second and takes a host out after two misses.
+constexpr Duration BalancerNotice = Milliseconds(3200);
+// The process ends this long before it would be killed.
+constexpr Duration ShutdownMargin = Milliseconds(700);
+// A request may have been read but not counted yet; the process ends after this long without one.
+constexpr Duration QuietTime = Milliseconds(300);
+constexpr Duration ShutdownStep = Milliseconds(20);
+constexpr Duration RefreshInterval = Milliseconds(500);
+constexpr Duration LongestPeerWait = Milliseconds(1000);
+constexpr Duration PeerCallMargin = Milliseconds(500);
+
+int64_t callerConnections(const EntrySettings &settings)
+{
+    return std::clamp<int64_t>(settings.fileDescriptors - ReservedDescriptors, 64, MaxCallerThreads);
+}
+
+Json::Value changesToJson(const MirrorChanges &changes)
+{
+    Json::Value value;
+    value["revision"] = Json::Int64(changes.revision);
+    value["snapshot"] = changes.isSnapshot;
+    value["changes"] = Json::Value(Json::arrayValue);
+    for (const StoreChange &change : changes.changes) {
+        Json::Value entry;
+        entry["key"] = change.item.key;
+        entry["value"] = change.item.value;
+        entry["revision"] = Json::Int64(change.item.revision);
+        entry["removed"] = change.isRemoval;
+        value["changes"].append(entry);
+    }
+    return value;
+}
+
+MirrorChanges changesFromJson(const Json::Value &value)
+{
+    MirrorChanges changes;
+    changes.revision = jsonInteger(value, "revision");
+    changes.isSnapshot = jsonBoolean(value, "snapshot");
+    for (const Json::Value &entry : value["changes"]) {
+        changes.changes.push_back({{jsonString(entry, "key"), jsonString(entry, "value"), jsonInteger(entry, "revision")}, jsonBoolean(entry, "removed")});
+    }
+    return changes;
+}
+
+} // namespace
+
+class EntryProcess::Parts
+{
+public:
+    Parts(const EntrySettings &entrySettings, Clock &runtimeClock, EventLog &eventLog, const Wire &entryWire, const PrefixStore &store);
+
+    void start();
+    long shutDown();
+
+private:
+    void serveReady(HttpExchange &exchange);
+    void servePeer(HttpExchange &exchange);
+    MirrorChanges askPeer(int64_t revision, Duration wait);
+    Json::Value dumpState();
+    bool isReady();
+    void runRefresh();
+
+    EntrySettings settings;
+    Clock &clock;
+    EventLog &log;
+    Wire wire;
+    Metrics metrics;
+    EntryState state;
+    TargetDirectory directory;
+    ConnectionPool connections;
+    RepeatBudget repeats;
+    ColdLimiter coldLimiter;
+    Quarantine quarantine;
+    CacheStores caches;
+    EntryContext context;
+    StateUpdater updater;
+    std::mutex updaterMutex;
+    HttpClient peerHttp;
+    PeerClient peers;
+    StoreMirror mirror;
+    RpcServer rpc;
+    HostDuty hostDuty;
+    RolloutDuty rolloutDuty;
+    CacheEventDuty cacheDuty;
+    std::atomic<bool> stopping{false};
+    DutyThread refreshThread;
+    HttpServer callerServer;
+    HttpServer readyServer;
+    HttpServer peerServer;
+};
+
+EntryProcess::Parts::Parts(const EntrySettings &entrySettings, Clock &runtimeClock, EventLog &eventLog, const Wire &entryWire, const PrefixStore &store)
+    : settings(entrySettings)
+    , clock(runtimeClock)
+    , log(eventLog)
+    , wire(entryWire)
+    , directory(clock)
+    , connections(clock)
+    , repeats(clock, settings.repeats)
+    , coldLimiter(clock)
+    , quarantine(clock)
+    , caches(clock)
+    , context{clock, log, metrics, settings, wire, state, directory, connections, repeats, coldLimiter, quarantine, caches}
+    , updater(context)
+    , peers(peerHttp,
+          [this](const std::string &method, size_t bytes) {
+              this->metrics.count("pimentosail_peer_bytes_total", {{"method", method}}, static_cast<double>(bytes));
+          })
+    , mirror(
+          clock, log, store, [this](int64_t revision, Duration wait) { return this->askPeer(revision, wait); },
+          [this](const std::set<std::string> &keys) {
+              const std::lock_guard lock(this->updaterMutex);
+              this->updater.update(this->mirror, keys);
+          })
+    , rpc({{"store_changes",
+               [this](const Json::Value &arguments) {
+                   const Duration wait = std::min<Duration>(Milliseconds(jsonInteger(arguments, "wait_ms")), LongestPeerWait);
+                   return changesToJson(this->mirror.changesAfter(jsonInteger(arguments, "after"), wait));
+               }},
+          {"state",
+              [this](const Json::Value & /*arguments*/) {
+                  return this->dumpState();
+              }}})
+    , hostDuty(context, store)
+    , rolloutDuty(context, store, mirror)
+    , cacheDuty(context)
+    , refreshThread("refresh", [this] { this->runRefresh(); })
+    , callerServer(settings.listen, callerConnections(settings), [this](HttpExchange &exchange) { RequestRunner(this->context, exchange).run(); })
+    , readyServer(settings.readyListen, ReadyConnections, [this](HttpExchange &exchange) { this->serveReady(exchange); })
+    , peerServer(settings.peerListen, PeerConnections, [this](HttpExchange &exchange) { this->servePeer(exchange); })
+{
+}
+
+bool EntryProcess::Parts::isReady()
+{
+    return !this->state.isDraining.load() && this->state.serving() && this->directory.size() > 0;
+}
+
+void EntryProcess::Parts::serveReady(HttpExchange &exchange)
+{
+    const bool ready = this->isReady();
+    exchange.send(ready ? 200 : 503, "text/plain", ready ? "ready\n" : "not ready\n");
+}
+
+void EntryProcess::Parts::servePeer(HttpExchange &exchange)
+{
+    const std::string path = exchange.path();
+    if (path == "/rpc") {
+        exchange.send(200, "application/json", this->rpc.handle(exchange.readBody(1024 * 1024, this->clock, PeerCallMargin)));
+    } else if (path == "/metrics") {
+        exchange.send(200, "text/plain; version=0.0.4", this->metrics.print());
+    } else if (path == "/debug/state") {
+        exchange.send(200, "application/json", printJsonIndented(this->dumpState()));
+    } else {
+        exchange.sendError(Error(ErrorKind::NotFound, "unknown path"), "");
+    }
+}
+
+MirrorChanges EntryProcess::Parts::askPeer(int64_t revision, Duration wait)
+{
+    std::vector<std::string> addresses = this->settings.peers;
+    for (const HostEntry &host : this->state.hosts()) {
+        addresses.push_back(host.address);
+    }
+    std::erase(addresses, this->settings.peerListen);
+    if (addresses.empty()) {
+        throw Failure(ErrorKind::PeerLost, "no other host is known");
+    }
+    static thread_local std::mt19937_64 random{std::random_device{}()};
+    const std::string &address = addresses[random() % addresses.size()];
+    Json::Value arguments;
+    arguments["after"] = Json::Int64(revision);
+    arguments["wait_ms"] = Json::Int64(toMilliseconds(wait));
+    return changesFromJson(this->peers.call(address, "store_changes", arguments, wait + PeerCallMargin));
+}
+
+Json::Value EntryProcess::Parts::dumpState()
+{
+    Json::Value value;
+    value["name"] = this->settings.name;
+    value["zone"] = this->settings.zone;
+    value["ready"] = this->isReady();
+    const MirrorStatus status = this->mirror.status();
+    value["store"]["reachable"] = status.isReachable;
+    value["store"]["revision"] = Json::Int64(status.revision);
+    const ServingPointer serving = this->state.serving();
+    value["configuration"]["version"] = Json::Int64(serving ? serving->all().version : 0);
+    for (const HostEntry &host : this->state.hosts()) {
+        value["hosts"].append(host.name);
+    }
+    for (const auto &[model, wanted] : this->state.allWanted()) {
+        value["wanted_versions"][model] = Json::Int64(wanted.version);
+    }
+    for (const CacheStore &store : this->caches.stores()) {
+        value["cache_stores"][store.name]["held_tokens"] = Json::Int64(this->caches.heldTokens(store.name));
+        value["cache_stores"][store.name]["capacity_tokens"] = Json::Int64(store.capacityTokens);
+    }
+    value["targets"] = Json::Int64(static_cast<int64_t>(this->directory.size()));
+    value["idle_connections"] = Json::Int64(static_cast<int64_t>(this->connections.size()));
+    value["log"]["dropped"] = Json::Int64(this->log.dropped());
+    value["log"]["suppressed"] = Json::Int64(this->log.suppressed());
+    return value;
+}
+
+void EntryProcess::Parts::runRefresh()
+{
+    while (!this->stopping.load()) {
+        {
+            const std::lock_guard lock(this->updaterMutex);
+            this->updater.refreshTargets(this->mirror);
+        }
+        this->connections.closeExpired();
+        this->clock.sleepFor(RefreshInterval);
+    }
+}
+
+void EntryProcess::Parts::start()
+{
+    this->peerServer.start();
+    this->mirror.start();
+    this->hostDuty.start();
+    this->rolloutDuty.start();
+    this->cacheDuty.start();
+    this->refreshThread.start();
+    this->readyServer.start();
+    this->callerServer.start();
+    this->log.write(LogLevel::Info, "started", {{"zone", this->settings.zone}, {"listen", this->settings.listen}, {"store", this->settings.storeAddress}});
+}
+
+long EntryProcess::Parts::shutDown()
+{
+    const Time begin = this->clock.now();
+    this->log.write(LogLevel::Info, "draining", {{"requests", this->callerServer.running()}});
+    this->state.isDraining.store(true);
+    this->rolloutDuty.stop();
+    const Time end = begin + this->settings.shutdownGrace - ShutdownMargin;
+    Time quietSince = this->clock.now();
+    while (this->clock.now() < end) {
+        const Time now = this->clock.now();
+        if (this->callerServer.running() > 0) {
+            quietSince = now;
+        }
+        if (now > begin + BalancerNotice && now > quietSince + QuietTime) {
+            break;
+        }
+        this->clock.sleepFor(ShutdownStep);
+    }
+    const long cut = this->callerServer.running();
+    this->hostDuty.stop();
+    this->log.write(LogLevel::Info, "stopped", {{"cut", cut}, {"took_ms", toMilliseconds(this->clock.now() - begin)}});
+    return cut;
+}
+
+EntryProcess::EntryProcess(std::unique_ptr<Parts> processParts)
+    : parts(std::move(processParts))
+{
+}
+
+EntryProcess::~EntryProcess() = default;
+
+Result<std::unique_ptr<EntryProcess>> EntryProcess::create(
+    const EntrySettings &settings, Clock &clock, EventLog &log, const Wire &wire, const PrefixStore &store)
+{
+    try {
+        return std::unique_ptr<EntryProcess>(new EntryProcess(std::make_unique<Parts>(settings, clock, log, wire, store)));
+    } catch (const Poco::Exception &exception) {
+        return failed(ErrorKind::Internal,
+            "cannot bind " + settings.listen + ", " + settings.readyListen + " or " + settings.peerListen + ": " + exception.displayText());
+    }
+}
+
+void EntryProcess::start()
+{
+    this->parts->start();
+}
+
+long EntryProcess::shutDown()
+{
+    return this->parts->shutDown();
+}
+
+} // namespace pimentosail
--- /dev/null
+++ b/pimentosail/entry/hostduty.cpp
@@ -0,0 +1,110 @@
+#include "pimentosail/base/json.h"
+#include "pimentosail/entry/stateupdater.h"
+#include "pimentosail/entry/storeduties.h"
+
+namespace pimentosail
+{
+
+namespace
+{
+
+// Life of a host's entry. A host that is gone counts as a sharer of limits at most this much longer.
+constexpr Duration HostLease = std::chrono::seconds(4);
+constexpr Duration RenewInterval = Milliseconds(1300);
+// Observations are published at most once in this time.
+constexpr Duration PublishInterval = Milliseconds(400);
+
+} // namespace
+
+HostDuty::HostDuty(EntryContext &entryContext, PrefixStore platformStore)
+    : context(entryContext)
+    , store(std::move(platformStore))
+    , thread("host", [this] { this->run(); })
+{
+}
+
+HostDuty::~HostDuty()
+{
+    this->stopping.store(true);
+    this->thread.join();
+}
+
+void HostDuty::start()
+{
+    this->thread.start();
+}
+
+void HostDuty::stop()
+{
+    this->stopping.store(true);
+    this->thread.join();
+    if (this->lease != 0) {
+        try {
+            this->store.endLease(this->lease);
+        } catch (const Failure &failure) {
+            // The lease ends by itself.
+            this->context.log.write(LogLevel::Warning, "lease_not_ended", {{"lease", this->lease}, {"reason", failure.what()}});
+        }
+    }
+}
+
+void HostDuty::renew()
+{
+    try {
+        if (this->lease != 0 && !this->store.keepAlive(this->lease)) {
+            this->context.log.write(LogLevel::Warning, "host_lease_ended", {{"lease", this->lease}});
+            this->lease = 0;
+        }
+        if (this->lease == 0) {
+            this->lease = this->store.grantLease(HostLease);
+            this->isWritten = false;
+        }
+        if (!this->isWritten) {
+            Json::Value value;
+            value["address"] = this->context.settings.peerListen;
+            value["zone"] = this->context.settings.zone;
+            const CommitOutcome outcome = this->store.commit({{}, {{HostsPrefix + this->context.settings.name, printJson(value), this->lease}}, {}});
+            this->isWritten = outcome.status == CommitStatus::Committed;
+            this->lease = outcome.status == CommitStatus::LeaseEnded ? 0 : this->lease;
+        }
+    } catch (const Failure &) {
+        // The mirror logs that the store is out of reach; the next interval tries again.
+        this->context.metrics.count("pimentosail_store_failures_total", {{"duty", "host"}});
+    }
+}
+
+void HostDuty::publishObservations()
+{
+    const auto losses = this->context.quarantine.own();
+    if (losses.size() == this->publishedLosses) {
+        return;
+    }
+    Json::Value value;
+    for (const auto &[fingerprint, incarnation] : losses) {
+        Json::Value loss;
+        loss["request"] = std::to_string(fingerprint);
+        loss["target"] = incarnation;
+        value["losses"].append(loss);
+    }
+    try {
+        this->store.commit({{}, {{ObservationsPrefix + this->context.settings.name, printJson(value), 0}}, {}});
+        this->publishedLosses = losses.size();
+    } catch (const Failure &) {
+        this->context.metrics.count("pimentosail_store_failures_total", {{"duty", "observations"}});
+    }
+}
+
+void HostDuty::run()
+{
+    Time nextRenewal{};
+    while (!this->stopping.load()) {
+        if (this->context.clock.now() >= nextRenewal) {
+            this->renew();
+            nextRenewal = this->context.clock.now() + RenewInterval;
+        }
+        this->publishObservations();
+        this->context.clock.sleepFor(PublishInterval);
+    }
+}
+
+} // namespace pimentosail
--- /dev/null
+++ b/pimentosail/entry/rolloutduty.cpp
@@ -0,0 +1,307 @@
+#include <algorithm>
+
+#include "pimentosail/base/hash.h"
+#include "pimentosail/base/json.h"
+#include "pimentosail/entry/stateupdater.h"
+#include "pimentosail/entry/storeduties.h"
+
+namespace pimentosail
+{
+
+namespace
+{
+
+// Life of the right to give orders after a renewal. Its loss delays a rollout by about twice this.
+constexpr Duration RightLease = std::chrono::seconds(3);
+constexpr Duration RenewInterval = Milliseconds(900);
+// The right is not used this close to its end: an order must arrive before another host can have the right.
+constexpr Duration RightMargin = Milliseconds(700);
+// Time in which the other hosts learn that a target is about to load and stop sending to it.
+constexpr Duration NoticeTime = Milliseconds(120);
+// A load takes about two seconds after the runs have ended; reports lag by some hundred ms.
+constexpr Duration FirstReport = Milliseconds(1500);
+constexpr Duration ReportInterval = Milliseconds(350);
+// An unanswered order is given again if the target shows no sign of it after this time.
+constexpr Duration OrderRetry = Milliseconds(1500);
+// A target that refused an order or could not be reached is left out for this long.
+constexpr Duration Exclusion = Milliseconds(1000);
+constexpr Duration LongestLoad = std::chrono::seconds(10);
+constexpr Duration IdleStep = Milliseconds(100);
+
+} // namespace
+
+RolloutDuty::RolloutDuty(EntryContext &entryContext, PrefixStore platformStore, const StoreMirror &storeMirror)
+    : context(entryContext)
+    , store(std::move(platformStore))
+    , mirror(storeMirror)
+    , nonce(randomId())
+    , thread("rollout", [this] { this->run(); })
+{
+}
+
+RolloutDuty::~RolloutDuty()
+{
+    this->stopping.store(true);
+    this->thread.join();
+}
+
+void RolloutDuty::start()
+{
+    this->thread.start();
+}
+
+void RolloutDuty::stop()
+{
+    this->stopping.store(true);
+    this->thread.join();
+    if (this->lease != 0) {
+        try {
+            this->store.endLease(this->lease);
+        } catch (const Failure &failure) {
+            this->context.log.write(LogLevel::Warning, "lease_not_ended", {{"lease", this->lease}, {"reason", failure.what()}});
+        }
+    }
+}
+
+bool RolloutDuty::mayOrder() const
+{
+    const Time now = this->context.clock.nowWithSuspend();
+    return this->fence != 0 && now < this->trustedUntil - RightMargin && now >= this->mayOrderFrom && !this->stopping.load();
+}
+
+bool RolloutDuty::tryTakeRight()
+{
+    if (!this->mirror.items(RolloutHolderKey).empty()) {
+        return false;
+    }
+    const Time asked = this->context.clock.nowWithSuspend();
+    this->lease = this->store.grantLease(RightLease);
+    Json::Value value;
+    value["host"] = this->context.settings.name;
+    value["nonce"] = this->nonce;
+    const CommitOutcome outcome = this->store.commit({{{RolloutHolderKey, 0}}, {{RolloutHolderKey, printJson(value), this->lease}}, {}});
+    if (outcome.status != CommitStatus::Committed) {
+        this->store.endLease(this->lease);
+        this->lease = 0;
+        return false;
+    }
+    this->fence = outcome.revision;
+    this->trustedUntil = asked + RightLease;
+    // The holder before may have given its last order just before its lease ended.
+    this->mayOrderFrom = this->context.clock.nowWithSuspend() + this->context.settings.holderGap + RightMargin;
+    this->context.log.write(
+        LogLevel::Info, "rollout_right_taken", {{"fence", this->fence}, {"orders_from_ms", toMilliseconds(this->context.settings.holderGap + RightMargin)}});
+    return true;
+}
+
+void RolloutDuty::keepRight()
+{
+    const Time now = this->context.clock.nowWithSuspend();
+    if (now < this->nextRenewal) {
+        return;
+    }
+    this->nextRenewal = now + RenewInterval;
+    try {
+        if (this->fence == 0) {
+            this->tryTakeRight();
+            return;
+        }
+        if (this->store.keepAlive(this->lease)) {
+            this->trustedUntil = now + RightLease;
+            return;
+        }
+        this->context.log.write(LogLevel::Warning, "rollout_right_lost", {{"fence", this->fence}});
+        this->fence = 0;
+        this->lease = 0;
+    } catch (const Failure &) {
+        this->context.metrics.count("pimentosail_store_failures_total", {{"duty", "rollout"}});
+        if (this->fence != 0 && this->context.clock.nowWithSuspend() > this->trustedUntil) {
+            this->context.log.write(LogLevel::Warning, "rollout_right_lost", {{"fence", this->fence}, {"reason", "not renewed in time"}});
+            this->fence = 0;
+            this->lease = 0;
+        } else if (this->fence == 0) {
+            // A lost answer may have left the key behind; it ends with its lease.
+            this->lease = 0;
+        }
+    }
+}
+
+void RolloutDuty::publish(const std::string &model, int64_t version)
+{
+    Json::Value value;
+    value["model"] = model;
+    value["version"] = version;
+    for (const auto &[id, entry] : this->loading) {
+        value["loading"].append(id);
+    }
+    for (const std::string &id : this->done) {
+        value["done"].append(id);
+    }
+    for (const std::string &id : this->released) {
+        value["released"].append(id);
+    }
+    try {
+        this->store.commit({{}, {{RolloutStateKey, printJson(value), 0}}, {}});
+    } catch (const Failure &) {
+        // Other hosts learn the version from the registrations, and of the load by refusals.
+        this->context.metrics.count("pimentosail_store_failures_total", {{"duty", "rollout"}});
+    }
+}
+
+void RolloutDuty::orderOne(Loading &entry)
+{
+    try {
+        const TargetReport report = this->context.wire.report(*entry.target);
+        entry.orderCount = report.orderCount;
+        if (!this->mayOrder()) {
+            return;
+        }
+        const Time sent = this->context.clock.now();
+        const OrderOutcome outcome
+            = this->context.wire.order(*entry.target, {entry.model, entry.version, this->context.settings.name, this->fence, entry.orderCount});
+        entry.isAnswered = outcome == OrderOutcome::Accepted;
+        entry.orderedAt = this->context.clock.now();
+        entry.nextReport = entry.orderedAt + (entry.isAnswered ? FirstReport : ReportInterval);
+        this->context.log.write(LogLevel::Info, "load_ordered",
+            {{"target", entry.target->id}, {"model", entry.model}, {"version", entry.version}, {"fence", this->fence}, {"order_count", entry.orderCount},
+                {"outcome", static_cast<int>(outcome)}, {"took_ms", toMilliseconds(entry.orderedAt - sent)}});
+        if (outcome == OrderOutcome::Refused) {
+            this->excludedUntil[entry.target->id] = entry.orderedAt + Exclusion;
+            entry.orderedAt -= LongestLoad;
+        }
+    } catch (const Failure &failure) {
+        this->context.log.write(LogLevel::Warning, "load_not_ordered", {{"target", entry.target->id}, {"version", entry.version}, {"reason", failure.what()}});
+        this->excludedUntil[entry.target->id] = this->context.clock.now() + Exclusion;
+        entry.orderedAt = this->context.clock.now() - LongestLoad;
+    }
+}
+
+void RolloutDuty::startLoads(const std::string &model, int64_t version)
+{
+    std::vector<RolloutTarget> targets;
+    std::map<std::string, TargetPointer> byId;
+    const Time now = this->context.clock.now();
+    const ServingPointer serving = this->context.state.serving();
+    if (!serving) {
+        return;
+    }
+    for (const Service &service : serving->all().services) {
+        if (!service.engine || std::find(service.engine->models.begin(), service.engine->models.end(), model) == service.engine->models.end()) {
+            continue;
+        }
+        for (const TargetView &view : this->context.directory.all(service.name, model)) {
+            RolloutTarget target;
+            target.id = view.target->id;
+            target.version = view.version;
+            target.isLoading = this->loading.contains(target.id);
+            const auto excluded = this->excludedUntil.find(target.id);
+            target.isExcluded
+                = view.target->draining || view.target->connectFailures.load() > 0 || (excluded != this->excludedUntil.end() && now < excluded->second);
+            target.load = view.target->inFlight.load();
+            byId[target.id] = view.target;
+            targets.push_back(std::move(target));
+        }
+    }
+    const std::vector<std::string> next = planRollout(targets, version, RolloutLimits{});
+    if (next.empty()) {
+        return;
+    }
+    for (const std::string &id : next) {
+        Loading entry;
+        entry.target = byId[id];
+        entry.model = model;
+        entry.version = version;
+        entry.orderedAt = now;
+        entry.nextReport = now + FirstReport;
+        this->loading[id] = std::move(entry);
+    }
+    this->publish(model, version);
+    this->context.clock.sleepFor(NoticeTime);
+    for (const std::string &id : next) {
+        if (this->mayOrder()) {
+            this->orderOne(this->loading[id]);
+        }
+    }
+}
+
+void RolloutDuty::checkLoading()
+{
+    const Time now = this->context.clock.now();
+    bool isChanged = false;
+    std::string model;
+    int64_t version = 0;
+    for (auto entry = this->loading.begin(); entry != this->loading.end();) {
+        Loading &load = entry->second;
+        if (now < load.nextReport && !load.target->gone && now < load.orderedAt + LongestLoad) {
+            ++entry;
+            continue;
+        }
+        bool isDone = false;
+        bool isOver = load.target->gone || now >= load.orderedAt + LongestLoad;
+        if (!isOver) {
+            load.nextReport = now + ReportInterval;
+            try {
+                const TargetReport report = this->context.wire.report(*load.target);
+                const auto found = report.modelVersions.find(load.model);
+                const int64_t present = found == report.modelVersions.end() ? 0 : found->second;
+                isDone = present >= load.version && !report.isBusy;
+                if (!isDone && !report.isBusy && report.orderCount == load.orderCount && now > load.orderedAt + OrderRetry && this->mayOrder()) {
+                    this->orderOne(load);
+                }
+                this->context.directory.noteVersion(load.target->id, load.model, present);
+            } catch (const Failure &failure) {
+                this->context.log.write(LogLevel::Warning, "load_report_failed", {{"target", load.target->id}, {"reason", failure.what()}});
+                isOver = now > load.orderedAt + OrderRetry;
+                this->excludedUntil[load.target->id] = now + Exclusion;
+            }
+        }
+        if (!isDone && !isOver) {
+            ++entry;
+            continue;
+        }
+        this->context.log.write(isDone ? LogLevel::Info : LogLevel::Warning, isDone ? "load_done" : "load_given_up",
+            {{"target", load.target->id}, {"version", load.version}, {"took_ms", toMilliseconds(now - load.orderedAt)}});
+        model = load.model;
+        version = load.version;
+        (isDone ? this->done : this->released).push_back(entry->first);
+        if (isDone) {
+            this->released.push_back(entry->first);
+        }
+        load.target->avoidUntil.store(0);
+        entry = this->loading.erase(entry);
+        isChanged = true;
+    }
+    if (isChanged) {
+        this->publish(model, version);
+        this->released.clear();
+    }
+}
+
+void RolloutDuty::advance()
+{
+    this->checkLoading();
+    for (const auto &[model, wanted] : this->context.state.allWanted()) {
+        if (!this->done.empty()
+            && std::any_of(this->loading.begin(), this->loading.end(), [&wanted](const auto &entry) { return entry.second.version < wanted.version; })) {
+            // `done` speaks of the version before; it starts anew with this one.
+            this->done.clear();
+        }
+        this->startLoads(model, wanted.version);
+    }
+}
+
+void RolloutDuty::run()
+{
+    while (!this->stopping.load()) {
+        this->keepRight();
+        if (this->mayOrder()) {
+            this->advance();
+        } else if (this->fence == 0) {
+            this->loading.clear();
+            this->done.clear();
+        }
+        this->context.clock.sleepFor(IdleStep);
+    }
+}
+
+} // namespace pimentosail
--- /dev/null
+++ b/pimentosail/entry/stateupdater.cpp
@@ -0,0 +1,203 @@
+#include "pimentosail/entry/stateupdater.h"
+
+#include <algorithm>
+
+#include "pimentosail/base/json.h"
+
+namespace pimentosail
+{
+
+namespace
+{
+
+// A target that takes an order gets no work for this long unless its end is reported sooner.
+constexpr Duration LongestOrder = std::chrono::seconds(6);
+
+bool anyStartsWith(const std::set<std::string> &keys, const std::string &prefix)
+{
+    const auto first = keys.lower_bound(prefix);
+    return first != keys.end() && first->starts_with(prefix);
+}
+
+} // namespace
+
+void StateUpdater::reportUnreadable(const StoredItem &item, const std::string &reason)
+{
+    int64_t &revision = this->reported[item.key];
+    if (revision != item.revision) {
+        revision = item.revision;
+        this->context.metrics.count("pimentosail_unreadable_values_total", {});
+        this->context.log.write(LogLevel::Error, "value_unreadable", {{"key", item.key}, {"revision", item.revision}, {"reason", reason}});
+    }
+}
+
+void StateUpdater::update(const StoreMirror &mirror, const std::set<std::string> &changedKeys)
+{
+    const StoreLayout &layout = this->context.wire.layout;
+    if (changedKeys.contains(layout.servingKey)) {
+        this->updateServing(mirror);
+    }
+    if (anyStartsWith(changedKeys, layout.evacuationPrefix)) {
+        this->updateEvacuations(mirror);
+    }
+    if (anyStartsWith(changedKeys, layout.versionPrefix)) {
+        this->updateVersions(mirror);
+    }
+    if (anyStartsWith(changedKeys, layout.targetPrefix)) {
+        this->refreshTargets(mirror);
+    }
+    if (anyStartsWith(changedKeys, HostsPrefix)) {
+        this->updateHosts(mirror);
+    }
+    if (anyStartsWith(changedKeys, ObservationsPrefix)) {
+        this->updateObservations(mirror);
+    }
+    if (changedKeys.contains(RolloutStateKey)) {
+        this->updateRollout(mirror);
+    }
+}
+
+void StateUpdater::updateServing(const StoreMirror &mirror)
+{
+    for (const StoredItem &item : mirror.items(this->context.wire.layout.servingKey)) {
+        if (item.key != this->context.wire.layout.servingKey) {
+            continue;
+        }
+        Result<ServingPointer> serving = this->context.wire.layout.decodeServing(item.value);
+        if (!serving) {
+            this->reportUnreadable(item, serving.error().message);
+            continue;
+        }
+        const ServingParts &parts = (*serving)->all();
+        if (!this->context.state.offerServing(*serving, this->context.clock.now())) {
+            continue;
+        }
+        std::map<std::string, Duration> cold;
+        for (const Service &service : parts.services) {
+            cold[service.name] = service.coldDuration;
+        }
+        this->context.directory.setColdDurations(std::move(cold));
+        this->context.caches.setStores(parts.stores);
+        this->context.metrics.set("pimentosail_configuration_version", {}, static_cast<double>(parts.version));
+        this->context.log.write(LogLevel::Info, "configuration_in_force",
+            {{"version", parts.version}, {"revision", item.revision}, {"routes", parts.routes.size()}, {"services", parts.services.size()},
+                {"stores", parts.stores.size()}, {"teams", parts.teams.size()}, {"keys", parts.keys.size()}});
+    }
+}
+
+void StateUpdater::refreshTargets(const StoreMirror &mirror)
+{
+    const std::string &prefix = this->context.wire.layout.targetPrefix;
+    std::vector<Registration> registrations;
+    for (const StoredItem &item : mirror.items(prefix)) {
+        Result<Registration> registration = this->context.wire.layout.decodeRegistration(item.key.substr(prefix.size()), item);
+        if (!registration) {
+            this->reportUnreadable(item, registration.error().message);
+            continue;
+        }
+        registrations.push_back(std::move(*registration));
+    }
+    const MirrorStatus status = mirror.status();
+    this->context.directory.apply(registrations, status.isReachable, status.backSince);
+    const size_t size = this->context.directory.size();
+    if (size != this->knownTargets) {
+        this->context.log.write(LogLevel::Info, "targets_changed",
+            {{"targets", size}, {"before", this->knownTargets}, {"registered", registrations.size()}, {"store_reachable", status.isReachable},
+                {"revision", status.revision}});
+        this->knownTargets = size;
+    }
+}
+
+void StateUpdater::updateEvacuations(const StoreMirror &mirror)
+{
+    const std::string &prefix = this->context.wire.layout.evacuationPrefix;
+    std::set<std::string> zones;
+    for (const StoredItem &item : mirror.items(prefix)) {
+        zones.insert(item.key.substr(prefix.size()));
+    }
+    if (zones == this->evacuated) {
+        return;
+    }
+    std::string names;
+    for (const std::string &zone : zones) {
+        names += (names.empty() ? "" : ",") + zone;
+    }
+    this->evacuated = zones;
+    this->context.directory.setEvacuated(std::move(zones));
+    this->context.log.write(LogLevel::Info, "zones_evacuated", {{"zones", names}, {"revision", mirror.status().revision}});
+}
+
+void StateUpdater::updateVersions(const StoreMirror &mirror)
+{
+    const std::string &prefix = this->context.wire.layout.versionPrefix;
+    for (const StoredItem &item : mirror.items(prefix)) {
+        const Result<int64_t> version = this->context.wire.layout.decodeVersion(item.value);
+        if (!version) {
+            this->reportUnreadable(item, version.error().message);
+            continue;
+        }
+        const std::string model = item.key.substr(prefix.size());
+        if (this->context.state.offerVersion(model, *version, this->context.clock.now())) {
+            this->context.log.write(LogLevel::Info, "version_wanted", {{"model", model}, {"version", *version}, {"revision", item.revision}});
+        }
+    }
+}
+
+void StateUpdater::updateHosts(const StoreMirror &mirror)
+{
+    std::vector<HostEntry> hosts;
+    for (const StoredItem &item : mirror.items(HostsPrefix)) {
+        try {
+            const Json::Value value = parseJson(item.value);
+            hosts.push_back({item.key.substr(HostsPrefix.size()), jsonString(value, "address"), jsonString(value, "zone")});
+        } catch (const Failure &failure) {
+            this->reportUnreadable(item, failure.what());
+        }
+    }
+    this->context.log.write(LogLevel::Info, "hosts_changed", {{"hosts", hosts.size()}});
+    this->context.state.setHosts(std::move(hosts), this->context.clock.now());
+}
+
+void StateUpdater::updateObservations(const StoreMirror &mirror)
+{
+    for (const StoredItem &item : mirror.items(ObservationsPrefix)) {
+        try {
+            std::vector<std::pair<uint64_t, std::string>> losses;
+            const Json::Value value = parseJson(item.value);
+            for (const Json::Value &loss : value["losses"]) {
+                losses.emplace_back(std::stoull(jsonString(loss, "request", "0")), jsonString(loss, "target"));
+            }
+            this->context.quarantine.merge(losses);
+        } catch (const std::exception &exception) {
+            this->reportUnreadable(item, exception.what());
+        }
+    }
+}
+
+void StateUpdater::updateRollout(const StoreMirror &mirror)
+{
+    for (const StoredItem &item : mirror.items(RolloutStateKey)) {
+        try {
+            const Json::Value value = parseJson(item.value);
+            const std::string model = jsonString(value, "model");
+            const int64_t version = jsonInteger(value, "version");
+            for (const Json::Value &id : value["loading"]) {
+                if (const TargetPointer target = this->context.directory.find(id.asString())) {
+                    target->avoidUntil.store((this->context.clock.now() + LongestOrder).count());
+                }
+            }
+            for (const Json::Value &id : value["done"]) {
+                this->context.directory.noteVersion(id.asString(), model, version);
+            }
+            for (const Json::Value &id : value["released"]) {
+                if (const TargetPointer target = this->context.directory.find(id.asString())) {
+                    target->avoidUntil.store(0);
+                }
+            }
+        } catch (const std::exception &exception) {
+            this->reportUnreadable(item, exception.what());
+        }
+    }
+}
+
+} // namespace pimentosail
--- /dev/null
+++ b/pimentosail/entry/storeduties.h
@@ -0,0 +1,122 @@
+// Duties towards the platform's store and the cache stores: this host's entry and its observations, the weights
+// rollout, and the cache stores' change events.
+#pragma once
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "pimentosail/base/duty.h"
+#include "pimentosail/entry/context.h"
+#include "pimentosail/mirror/storemirror.h"
+#include "pimentosail/rollout/rollout.h"
+
+namespace pimentosail
+{
+
+// Keeps this host's entry alive under a lease and publishes its observations.
+class HostDuty
+{
+public:
+    HostDuty(EntryContext &entryContext, PrefixStore platformStore);
+    ~HostDuty();
+
+    void start();
+
+    // Ends the duty and removes this host's entry.
+    void stop();
+
+private:
+    void run();
+    void renew();
+    void publishObservations();
+
+    EntryContext &context;
+    PrefixStore store;
+    int64_t lease = 0;
+    bool isWritten = false;
+    size_t publishedLosses = 0;
+    std::atomic<bool> stopping{false};
+    DutyThread thread;
+};
+
+// Holds the right to give orders, if this host can get it, and brings targets to the wanted versions.
+//
+// The right is a key under a lease. It is trusted only for the lease's life after the start of the last renewal, on a
+// clock that counts suspension, and checked again right before each order.
+class RolloutDuty
+{
+public:
+    RolloutDuty(EntryContext &entryContext, PrefixStore platformStore, const StoreMirror &storeMirror);
+    ~RolloutDuty();
+
+    void start();
+
+    // Ends the duty and gives the right up.
+    void stop();
+
+private:
+    // A target that was ordered to load.
+    struct Loading
+    {
+        TargetPointer target;
+        std::string model;
+        int64_t version = 0;
+        int64_t orderCount = 0;
+        Time orderedAt{};
+        Time nextReport{};
+        bool isAnswered = false;
+    };
+
+    void run();
+    void keepRight();
+    bool tryTakeRight();
+    bool mayOrder() const;
+    void advance();
+    void checkLoading();
+    void startLoads(const std::string &model, int64_t version);
+    void orderOne(Loading &loading);
+    void publish(const std::string &model, int64_t version);
+
+    EntryContext &context;
+    PrefixStore store;
+    const StoreMirror &mirror;
+    std::string nonce;
+    int64_t lease = 0;
+    int64_t fence = 0;
+    // On the clock that counts suspension.
+    Time trustedUntil{};
+    Time mayOrderFrom{};
+    Time nextRenewal{};
+    std::map<std::string, Loading> loading;
+    std::vector<std::string> done;
+    std::vector<std::string> released;
+    std::map<std::string, Time> excludedUntil;
+    std::atomic<bool> stopping{false};
+    DutyThread thread;
+};
+
+// Follows the change events of every cache store, one thread for each.
+class CacheEventDuty
+{
+public:
+    explicit CacheEventDuty(EntryContext &entryContext);
+    ~CacheEventDuty();
+
+    void start();
+    void stop();
+
+private:
+    void supervise();
+    void follow(const std::string &name);
+    bool mayFollow(const CacheStore &store) const;
+
+    EntryContext &context;
+    std::atomic<bool> stopping{false};
+    std::map<std::string, std::unique_ptr<DutyThread>> followers;
+    DutyThread thread;
+};
+
+} // namespace pimentosail
--- /dev/null
+++ b/pimentosail/kv/memoryprefixstore.cpp
@@ -0,0 +1,178 @@
+#include "pimentosail/kv/memoryprefixstore.h"
+
+#include "pimentosail/base/error.h"
+
+namespace pimentosail
+{
+
+PrefixStore MemoryPrefixStore::port()
+{
+    PrefixStore store;
+    store.list = [this](const std::string &prefix) {
+        return this->list(prefix);
+    };
+    store.watch = [this](const std::string &prefix, int64_t afterRevision, Duration wait) {
+        return this->watch(prefix, afterRevision, wait);
+    };
+    store.commit = [this](const StoreTransaction &transaction) {
+        return this->commit(transaction);
+    };
+    store.grantLease = [this](Duration /*ttl*/) {
+        const std::lock_guard lock(this->mutex);
+        this->checkUp();
+        this->leases[this->nextLease] = true;
+        return this->nextLease++;
+    };
+    store.keepAlive = [this](int64_t lease) {
+        const std::lock_guard lock(this->mutex);
+        this->checkUp();
+        return this->leases[lease];
+    };
+    store.endLease = [this](int64_t lease) {
+        this->expire(lease);
+    };
+    return store;
+}
+
+void MemoryPrefixStore::checkUp() const
+{
+    if (this->down) {
+        throw Failure(ErrorKind::KeyValueUnavailable, "the store is down");
+    }
+}
+
+void MemoryPrefixStore::write(const std::string &key, const std::string &value, int64_t lease)
+{
+    this->entries[key] = {value, ++this->revision, lease};
+    this->history.push_back({{key, value, this->revision}, false});
+    this->changed.notify_all();
+}
+
+void MemoryPrefixStore::erase(const std::string &key)
+{
+    if (this->entries.erase(key) > 0) {
+        this->history.push_back({{key, "", ++this->revision}, true});
+        this->changed.notify_all();
+    }
+}
+
+void MemoryPrefixStore::put(const std::string &key, const std::string &value)
+{
+    const std::lock_guard lock(this->mutex);
+    this->write(key, value, 0);
+}
+
+void MemoryPrefixStore::remove(const std::string &key)
+{
+    const std::lock_guard lock(this->mutex);
+    this->erase(key);
+}
+
+void MemoryPrefixStore::setDown(bool isDown)
+{
+    const std::lock_guard lock(this->mutex);
+    this->down = isDown;
+    this->changed.notify_all();
+}
+
+void MemoryPrefixStore::compact()
+{
+    const std::lock_guard lock(this->mutex);
+    this->compactedAt = this->revision;
+    this->history.clear();
+}
+
+void MemoryPrefixStore::loseNextAnswers(int count)
+{
+    const std::lock_guard lock(this->mutex);
+    this->answersToLose = count;
+}
+
+void MemoryPrefixStore::expire(int64_t lease)
+{
+    const std::lock_guard lock(this->mutex);
+    this->leases[lease] = false;
+    std::vector<std::string> keys;
+    for (const auto &[key, entry] : this->entries) {
+        if (entry.lease == lease) {
+            keys.push_back(key);
+        }
+    }
+    for (const std::string &key : keys) {
+        this->erase(key);
+    }
+}
+
+std::string MemoryPrefixStore::value(const std::string &key) const
+{
+    const std::lock_guard lock(this->mutex);
+    const auto found = this->entries.find(key);
+    return found == this->entries.end() ? "" : found->second.value;
+}
+
+long MemoryPrefixStore::commits() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->commitCount;
+}
+
+StoreListing MemoryPrefixStore::list(const std::string &prefix)
+{
+    const std::lock_guard lock(this->mutex);
+    this->checkUp();
+    StoreListing listing;
+    listing.revision = this->revision;
+    for (const auto &[key, entry] : this->entries) {
+        if (key.starts_with(prefix)) {
+            listing.items.push_back({key, entry.value, entry.revision});
+        }
+    }
+    return listing;
+}
+
+StoreChanges MemoryPrefixStore::watch(const std::string &prefix, int64_t afterRevision, Duration wait)
+{
+    std::unique_lock lock(this->mutex);
+    this->changed.wait_for(lock, wait, [this, afterRevision] { return this->down || this->revision > afterRevision; });
+    this->checkUp();
+    StoreChanges result;
+    result.revision = this->revision;
+    result.isCompacted = afterRevision < this->compactedAt;
+    for (const StoreChange &change : this->history) {
+        if (change.item.revision > afterRevision && change.item.key.starts_with(prefix)) {
+            result.changes.push_back(change);
+        }
+    }
+    return result;
+}
+
+CommitOutcome MemoryPrefixStore::commit(const StoreTransaction &transaction)
+{
+    const std::lock_guard lock(this->mutex);
+    this->checkUp();
+    ++this->commitCount;
+    for (const StoreCondition &condition : transaction.conditions) {
+        const auto found = this->entries.find(condition.key);
+        if ((found == this->entries.end() ? 0 : found->second.revision) != condition.revision) {
+            return {CommitStatus::ConditionFailed, this->revision};
+        }
+    }
+    for (const StorePut &put : transaction.puts) {
+        if (put.lease != 0 && !this->leases[put.lease]) {
+            return {CommitStatus::LeaseEnded, this->revision};
+        }
+    }
+    for (const StorePut &put : transaction.puts) {
+        this->write(put.key, put.value, put.lease);
+    }
+    for (const std::string &key : transaction.removals) {
+        this->erase(key);
+    }
+    if (this->answersToLose > 0) {
+        --this->answersToLose;
+        throw Failure(ErrorKind::KeyValueUnavailable, "the answer was lost");
+    }
+    return {CommitStatus::Committed, this->revision};
+}
+
+} // namespace pimentosail
--- /dev/null
+++ b/pimentosail/kvcache/storecontents.h
@@ -0,0 +1,129 @@
+// What the cache stores hold, as their change events tell, and where a prompt part belongs.
+//
+// A part is offered for reading only after the store has reported it whole. A lost event makes this host read a part
+// again that a store has; it never makes it read one that is not whole.
+//
+//     CacheStores stores(clock);
+//     stores.setStores(serving->all().stores);
+//     stores.apply("jar-1", changes);
+//     CachePlan plan = stores.plan(salt, parts, targetZone);
+//
+// Thread-safe.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "pimentosail/base/clock.h"
+#include "pimentosail/routing/serving.h"
+
+namespace pimentosail
+{
+
+// One part of a prompt, in order from its beginning. Prompts that share leading parts share their cache.
+struct PromptPart
+{
+    std::string id;
+    int64_t tokens = 0;
+};
+
+// One change at a store.
+struct CacheEvent
+{
+    std::string salt;
+    std::string part;
+    int64_t tokens = 0;
+    bool isRemoval = false;
+};
+
+struct CacheEvents
+{
+    // Changes when the store restarts, and then it is empty.
+    int64_t epoch = 0;
+    // Number to ask on from.
+    int64_t next = 0;
+    // Some events are missing.
+    bool hasGap = false;
+    std::vector<CacheEvent> events;
+};
+
+// Where a target reads each part of a prompt from and saves it to; an empty address means nowhere.
+struct CachePlan
+{
+    std::vector<std::string> fetchFrom;
+    std::vector<std::string> saveTo;
+    int64_t fetchTokens = 0;
+    int64_t saveTokens = 0;
+
+    bool hasFetch() const
+    {
+        return this->fetchTokens > 0;
+    }
+    bool hasSave() const
+    {
+        return this->saveTokens > 0;
+    }
+};
+
+class CacheStores
+{
+public:
+    explicit CacheStores(const Clock &runtimeClock)
+        : clock(runtimeClock)
+    {
+    }
+
+    // Takes the stores of a configuration; forgets those that are gone.
+    void setStores(const std::vector<CacheStore> &stores);
+
+    std::vector<CacheStore> stores() const;
+
+    // Applies events of a store. Returns true if its contents were forgotten because of a new epoch.
+    bool apply(const std::string &store, const CacheEvents &events);
+
+    // Marks a store as out of reach or back; parts are not read from or saved to one that is out of reach.
+    void setReachable(const std::string &store, bool isReachable);
+
+    // Forgets the parts of `salt` and returns them by store, for freeing. Nothing plans to read them any more.
+    std::map<std::string, std::vector<std::string>> takeSalt(const std::string &salt);
+
+    // Plans the reading and saving of the shareable parts of a prompt for a target in `zone`. The last part is saved
+    // only if `savesLast`.
+    CachePlan plan(const std::string &salt, const std::vector<PromptPart> &parts, const std::string &zone);
+
+    // Returns the tokens held by a store as known here.
+    int64_t heldTokens(const std::string &store) const;
+
+    // Returns all salts of which something is held.
+    std::set<std::string> salts() const;
+
+private:
+    using PartKey = std::pair<std::string, std::string>;
+    struct Held
+    {
+        CacheStore store;
+        bool isReachable = true;
+        int64_t epoch = 0;
+        int64_t heldTokens = 0;
+        std::map<PartKey, int64_t> parts;
+        // Transfers planned lately: when, and how long each keeps the link busy.
+        Time busyUntil{};
+    };
+
+    Held *placeFor(const std::string &salt, const PromptPart &part);
+    Duration transferTime(const Held &held, int64_t tokens, const std::string &zone) const;
+
+    const Clock &clock;
+    mutable std::mutex mutex;
+    std::map<std::string, Held> held;
+    // Saves that were planned and not yet reported, so that concurrent requests do not save the same part.
+    std::map<PartKey, Time> pendingSaves;
+};
+
+} // namespace pimentosail
--- a/pimentosail/serve/metrics.cpp
+++ b/pimentosail/metrics/metrics.cpp
@@ -1,4 +1,4 @@
-#include "pimentosail/serve/metrics.h"
+#include "pimentosail/metrics/metrics.h"
 
 #include <prometheus/text_serializer.h>
 
--- a/pimentosail/serve/httpserver.cpp
+++ b/pimentosail/net/httpserver.cpp
@@ -1,8 +1,10 @@
-#include "pimentosail/serve/httpserver.h"
+#include "pimentosail/net/httpserver.h"
 
 #include <algorithm>
 #include <array>
 
+#include <sys/socket.h>
+
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPRequestHandler.h>
 #include <Poco/Net/HTTPRequestHandlerFactory.h>
@@ -105,6 +107,15 @@
     return this->request.get(name, "");
 }
 
+std::vector<std::pair<std::string, std::string>> HttpExchange::headers() const
+{
+    std::vector<std::pair<std::string, std::string>> result;
+    for (const auto &[name, value] : this->request) {
+        result.emplace_back(name, value);
+    }
+    return result;
+}
+
 // Reads up to `limit` bytes more than allowed, so that most callers have sent all and see the answer.
 void HttpExchange::discardBody(int64_t limit, Clock &clock, Duration timeout)
 {
@@ -169,6 +180,49 @@
     out.flush();
 }
 
+void HttpExchange::sendWithHeaders(int status, const std::vector<std::pair<std::string, std::string>> &headers, const std::string &body, bool hasBody)
+{
+    const auto code = static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status);
+    this->response.setStatusAndReason(code);
+    for (const auto &[name, value] : headers) {
+        this->response.add(name, value);
+    }
+    if (hasBody && code != Poco::Net::HTTPResponse::HTTP_NO_CONTENT && code != Poco::Net::HTTPResponse::HTTP_NOT_MODIFIED) {
+        this->response.setContentLength64(static_cast<Poco::Int64>(body.size()));
+    }
+    std::ostream &out = this->response.send();
+    if (hasBody) {
+        out.write(body.data(), static_cast<std::streamsize>(body.size()));
+    }
+    out.flush();
+}
+
+void HttpExchange::startStreamWithHeaders(int status, const std::vector<std::pair<std::string, std::string>> &headers)
+{
+    this->response.setStatusAndReason(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
+    for (const auto &[name, value] : headers) {
+        this->response.add(name, value);
+    }
+    this->response.setChunkedTransferEncoding(true);
+    this->stream = &this->response.send();
+}
+
+void HttpExchange::abort()
+{
+    this->response.setKeepAlive(false);
+    auto *implementation = dynamic_cast<Poco::Net::HTTPServerRequestImpl *>(&this->request);
+    if (implementation != nullptr) {
+        // POCO's chunked stream writes its last chunk when it is destroyed; the socket must refuse that.
+        ::shutdown(implementation->socket().impl()->sockfd(), SHUT_RDWR);
+    }
+}
+
+int HttpExchange::callerSocket() const
+{
+    auto *implementation = dynamic_cast<Poco::Net::HTTPServerRequestImpl *>(&this->request);
+    return implementation == nullptr ? -1 : implementation->socket().impl()->sockfd();
+}
+
 void HttpExchange::sendJson(int status, const Json::Value &value)
 {
     this->send(status, "application/json", printJson(value) + "\n");
@@ -251,6 +305,11 @@
     this->server->start();
 }
 
+void HttpServer::stopAccepting()
+{
+    this->server->stop();
+}
+
 void HttpServer::stop()
 {
     this->server->stopAll(true);
--- a/pimentosail/serve/httpserver.h
+++ b/pimentosail/net/httpserver.h
@@ -10,6 +10,8 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include <Poco/Net/HTTPServer.h>
 #include <Poco/Net/HTTPServerRequest.h>
@@ -47,6 +49,15 @@
     // Returns a header, or an empty string.
     std::string header(const std::string &name) const;
 
+    // Returns the request target as sent: path and query.
+    const std::string &target() const
+    {
+        return this->request.getURI();
+    }
+
+    // Returns all headers in their order.
+    std::vector<std::pair<std::string, std::string>> headers() const;
+
     // Reads the body. Throws `Failure`: BodyTooLarge over `limit` bytes, RequestTimeout after `timeout`, BadRequest if
     // it is cut off.
     std::string readBody(int64_t limit, Clock &clock, Duration timeout);
@@ -61,6 +72,24 @@
     // Sends the body of the closed list for `error`.
     void sendError(const Error &error, const std::string &requestId);
 
+    // Sends a whole answer with the given headers. `hasBody` is false for the answer to HEAD, whose body is not sent.
+    void sendWithHeaders(int status, const std::vector<std::pair<std::string, std::string>> &headers, const std::string &body, bool hasBody);
+
+    // Starts a streamed answer with the given headers; `write` adds to it.
+    void startStreamWithHeaders(int status, const std::vector<std::pair<std::string, std::string>> &headers);
+
+    // Breaks the connection off, so that a streamed answer is seen to be incomplete.
+    void abort();
+
+    // Closes the connection after the answer.
+    void closeAfterAnswer()
+    {
+        this->response.setKeepAlive(false);
+    }
+
+    // Returns the descriptor of the caller's connection, or -1.
+    int callerSocket() const;
+
     // Starts a streamed answer; `write` adds to it. Throws `Failure` (Cancelled) once the caller has gone.
     void startStream(const std::string &contentType);
     void write(const std::string &data);
@@ -96,6 +125,9 @@
     // Stops accepting connections and waits for running handlers.
     void stop();
 
+    // Closes the listening socket; open connections go on.
+    void stopAccepting();
+
     // Returns the number of handlers that run.
     long running() const
     {
--- /dev/null
+++ b/pimentosail/rollout/rollout.cpp
@@ -0,0 +1,30 @@
+#include "pimentosail/rollout/rollout.h"
+
+#include <algorithm>
+
+namespace pimentosail
+{
+
+std::vector<std::string> planRollout(const std::vector<RolloutTarget> &targets, int64_t version, const RolloutLimits &limits)
+{
+    const auto atOnce = std::max<int64_t>(1, static_cast<int64_t>(limits.share * static_cast<double>(targets.size()) + 1e-9));
+    const auto loading = std::count_if(targets.begin(), targets.end(), [](const RolloutTarget &target) { return target.isLoading; });
+    std::vector<const RolloutTarget *> waiting;
+    for (const RolloutTarget &target : targets) {
+        if (!target.isLoading && !target.isExcluded && target.version < version) {
+            waiting.push_back(&target);
+        }
+    }
+    std::stable_sort(waiting.begin(), waiting.end(),
+        [](const RolloutTarget *a, const RolloutTarget *b) { return a->version != b->version ? a->version < b->version : a->load < b->load; });
+    std::vector<std::string> result;
+    for (const RolloutTarget *target : waiting) {
+        if (loading + static_cast<int64_t>(result.size()) >= atOnce) {
+            break;
+        }
+        result.push_back(target->id);
+    }
+    return result;
+}
+
+} // namespace pimentosail
--- /dev/null
+++ b/pimentosail/routing/serving.cpp
@@ -0,0 +1,109 @@
+#include "pimentosail/routing/serving.h"
+
+#include <algorithm>
+
+namespace pimentosail
+{
+
+std::string_view requestKindName(RequestKind kind)
+{
+    switch (kind) {
+    case RequestKind::Safe:
+        return "safe";
+    case RequestKind::Unsafe:
+        return "unsafe";
+    case RequestKind::Streaming:
+        return "streaming";
+    }
+    return "unsafe";
+}
+
+Serving::Serving(ServingParts servingParts)
+    : parts(std::move(servingParts))
+{
+    for (const Route &route : this->parts.routes) {
+        this->routesByHost[route.host].push_back(&route);
+    }
+    for (auto &[host, routes] : this->routesByHost) {
+        std::stable_sort(routes.begin(), routes.end(), [](const Route *a, const Route *b) { return a->pathPrefix.size() > b->pathPrefix.size(); });
+    }
+    for (const Service &service : this->parts.services) {
+        this->servicesByName[service.name] = &service;
+    }
+    for (const auto &[key, name] : this->parts.keys) {
+        const auto team = std::find_if(this->parts.teams.begin(), this->parts.teams.end(), [&name](const Team &candidate) { return candidate.name == name; });
+        if (team != this->parts.teams.end()) {
+            this->teamsByKey[key] = &*team;
+        }
+    }
+}
+
+Result<ServingPointer> Serving::create(ServingParts parts)
+{
+    for (const Route &route : parts.routes) {
+        if (route.pathPrefix.empty() || route.pathPrefix.front() != '/' || route.pathPrefix.back() != '/') {
+            return failed(ErrorKind::InvalidConfiguration, "route " + route.name + ": the path prefix must begin and end with a slash");
+        }
+        if (route.services.empty()) {
+            return failed(ErrorKind::InvalidConfiguration, "route " + route.name + ": it names no service");
+        }
+        if (route.timeout <= Duration(0)) {
+            return failed(ErrorKind::InvalidConfiguration, "route " + route.name + ": the timeout must be positive");
+        }
+        for (const WeightedService &target : route.services) {
+            const bool known
+                = std::any_of(parts.services.begin(), parts.services.end(), [&target](const Service &service) { return service.name == target.service; });
+            if (!known || target.weight < 0) {
+                return failed(ErrorKind::InvalidConfiguration, "route " + route.name + ": service " + target.service + " is unknown or has a negative weight");
+            }
+        }
+    }
+    return ServingPointer(new Serving(std::move(parts)));
+}
+
+const Route *Serving::findRoute(std::string_view host, std::string_view path) const
+{
+    const auto found = this->routesByHost.find(host);
+    if (found == this->routesByHost.end()) {
+        return nullptr;
+    }
+    for (const Route *route : found->second) {
+        if (path.substr(0, route->pathPrefix.size()) == route->pathPrefix) {
+            return route;
+        }
+    }
+    return nullptr;
+}
+
+const Service *Serving::findService(std::string_view name) const
+{
+    const auto found = this->servicesByName.find(name);
+    return found == this->servicesByName.end() ? nullptr : found->second;
+}
+
+const Team *Serving::findTeam(std::string_view key) const
+{
+    const auto found = this->teamsByKey.find(key);
+    return found == this->teamsByKey.end() ? nullptr : found->second;
+}
+
+const std::string &pickService(const Route &route, uint64_t draw)
+{
+    int64_t total = 0;
+    for (const WeightedService &candidate : route.services) {
+        total += candidate.weight;
+    }
+    if (total <= 0) {
+        return route.services.front().service;
+    }
+    auto position = static_cast<int64_t>(draw % static_cast<uint64_t>(total));
+    for (const WeightedService &candidate : route.services) {
+        position -= candidate.weight;
+        if (position < 0) {
+            return candidate.service;
+        }
+    }
+    return route.services.back().service;
+}
+
+} // namespace pimentosail
--- a/pimentosail/serve/callerapi.h
+++ b/pimentosail/serve/callerapi.h
@@ -8,8 +8,8 @@
 
 #include <atomic>
 
+#include "pimentosail/net/httpserver.h"
 #include "pimentosail/serve/context.h"
-#include "pimentosail/serve/httpserver.h"
 #include "pimentosail/serve/runner.h"
 #include "pimentosail/serve/servicecalls.h"
 
--- a/pimentosail/serve/configurationduty.h
+++ b/pimentosail/serve/configurationduty.h
@@ -13,9 +13,9 @@
 #include <mutex>
 
 #include "pimentosail/base/boundedring.h"
+#include "pimentosail/base/duty.h"
 #include "pimentosail/config/configuration.h"
 #include "pimentosail/kv/keyvaluestore.h"
-#include "pimentosail/serve/duty.h"
 
 namespace pimentosail
 {
--- a/pimentosail/serve/context.h
+++ b/pimentosail/serve/context.h
@@ -3,6 +3,7 @@
 
 #include "pimentosail/config/settings.h"
 #include "pimentosail/idempotency/recordkeeper.h"
+#include "pimentosail/metrics/metrics.h"
 #include "pimentosail/net/httpclient.h"
 #include "pimentosail/peer/peerclient.h"
 #include "pimentosail/serve/allowanceduty.h"
@@ -10,7 +11,6 @@
 #include "pimentosail/serve/decisionduty.h"
 #include "pimentosail/serve/fleet.h"
 #include "pimentosail/serve/membershipduty.h"
-#include "pimentosail/serve/metrics.h"
 #include "pimentosail/serve/retrybudget.h"
 #include "pimentosail/serve/suspects.h"
 #include "pimentosail/serve/transferduty.h"
--- a/pimentosail/serve/decisionduty.h
+++ b/pimentosail/serve/decisionduty.h
@@ -15,9 +15,9 @@
 #include <unordered_map>
 
 #include "pimentosail/base/boundedring.h"
+#include "pimentosail/base/duty.h"
 #include "pimentosail/decision/scheduler.h"
 #include "pimentosail/peer/heartbeat.h"
-#include "pimentosail/serve/duty.h"
 
 namespace pimentosail
 {
--- a/pimentosail/serve/internalapi.h
+++ b/pimentosail/serve/internalapi.h
@@ -9,9 +9,9 @@
 
 #include <functional>
 
+#include "pimentosail/net/httpserver.h"
 #include "pimentosail/peer/rpcserver.h"
 #include "pimentosail/serve/context.h"
-#include "pimentosail/serve/httpserver.h"
 #include "pimentosail/serve/runner.h"
 #include "pimentosail/serve/servicecalls.h"
 #include "pimentosail/serve/transferduty.h"
--- a/pimentosail/serve/membershipduty.h
+++ b/pimentosail/serve/membershipduty.h
@@ -17,11 +17,11 @@
 
 #include <Poco/Net/DatagramSocket.h>
 
+#include "pimentosail/base/duty.h"
 #include "pimentosail/config/settings.h"
 #include "pimentosail/kv/keyvaluestore.h"
 #include "pimentosail/membership/membership.h"
 #include "pimentosail/peer/heartbeat.h"
-#include "pimentosail/serve/duty.h"
 
 namespace pimentosail
 {
--- a/pimentosail/serve/targetduty.h
+++ b/pimentosail/serve/targetduty.h
@@ -14,8 +14,8 @@
 #include <set>
 #include <vector>
 
+#include "pimentosail/base/duty.h"
 #include "pimentosail/serve/context.h"
-#include "pimentosail/serve/duty.h"
 
 namespace pimentosail
 {
--- a/pimentosail/serve/transferduty.h
+++ b/pimentosail/serve/transferduty.h
@@ -20,11 +20,11 @@
 #include <json/value.h>
 
 #include "pimentosail/base/boundedring.h"
+#include "pimentosail/base/duty.h"
 #include "pimentosail/decision/linkscheduler.h"
 #include "pimentosail/decision/returnmodel.h"
 #include "pimentosail/decision/storecontents.h"
 #include "pimentosail/peer/heartbeat.h"
-#include "pimentosail/serve/duty.h"
 #include "pimentosail/serve/fleet.h"
 #include "pimentosail/serve/linkturns.h"
 #include "pimentosail/serve/runspec.h"
--- /dev/null
+++ b/pimentosail/upstream/pool.cpp
@@ -0,0 +1,95 @@
+#include "pimentosail/upstream/pool.h"
+
+#include <algorithm>
+
+namespace pimentosail
+{
+
+namespace
+{
+
+// Idle connections kept for one target; a host has a small share of a target's connection limit.
+constexpr size_t MaxIdlePerTarget = 24;
+// Idle life if the target states none.
+constexpr Duration DefaultIdleLimit = std::chrono::seconds(4);
+// Taken off the stated idle life: a clock step of whole seconds and the way to the target.
+constexpr Duration IdleMargin = Milliseconds(1000);
+
+Duration usableIdle(const TargetConnection &connection)
+{
+    return connection.idleLimit > Duration(0) ? std::max(Duration(0), connection.idleLimit - IdleMargin) : DefaultIdleLimit;
+}
+
+} // namespace
+
+std::unique_ptr<TargetConnection> ConnectionPool::take(const std::string &address, Duration maxIdle)
+{
+    std::unique_ptr<TargetConnection> result;
+    std::deque<std::unique_ptr<TargetConnection>> rejected;
+    {
+        const std::lock_guard lock(this->mutex);
+        const auto found = this->idle.find(address);
+        if (found == this->idle.end()) {
+            return nullptr;
+        }
+        std::deque<std::unique_ptr<TargetConnection>> &connections = found->second;
+        const Time now = this->clock.now();
+        while (!connections.empty() && !result) {
+            std::unique_ptr<TargetConnection> connection = std::move(connections.back());
+            connections.pop_back();
+            const Duration idleFor = now - connection->lastUsed;
+            if (idleFor > usableIdle(*connection) || !connection->isQuiet()) {
+                rejected.push_back(std::move(connection));
+                continue;
+            }
+            if (idleFor > maxIdle) {
+                // The others have been idle for longer still, but serve requests that may be repeated.
+                connections.push_back(std::move(connection));
+                break;
+            }
+            result = std::move(connection);
+        }
+    }
+    return result;
+}
+
+void ConnectionPool::put(const std::string &address, std::unique_ptr<TargetConnection> connection)
+{
+    if (!connection->isReusable()) {
+        return;
+    }
+    connection->lastUsed = this->clock.now();
+    const std::lock_guard lock(this->mutex);
+    std::deque<std::unique_ptr<TargetConnection>> &connections = this->idle[address];
+    if (connections.size() < MaxIdlePerTarget) {
+        connections.push_back(std::move(connection));
+    }
+}
+
+void ConnectionPool::drop(const std::string &address)
+{
+    const std::lock_guard lock(this->mutex);
+    this->idle.erase(address);
+}
+
+void ConnectionPool::closeExpired()
+{
+    const Time now = this->clock.now();
+    const std::lock_guard lock(this->mutex);
+    for (auto entry = this->idle.begin(); entry != this->idle.end();) {
+        std::erase_if(entry->second, [now](const auto &connection) { return now - connection->lastUsed > usableIdle(*connection) || !connection->isQuiet(); });
+        entry = entry->second.empty() ? this->idle.erase(entry) : std::next(entry);
+    }
+}
+
+size_t ConnectionPool::size() const
+{
+    const std::lock_guard lock(this->mutex);
+    size_t total = 0;
+    for (const auto &[address, connections] : this->idle) {
+        total += connections.size();
+    }
+    return total;
+}
+
+} // namespace pimentosail
--- a/standins/standin.h
+++ b/standins/standin.h
@@ -12,7 +12,7 @@
 #include <string>
 
 #include "pimentosail/base/clock.h"
-#include "pimentosail/serve/httpserver.h"
+#include "pimentosail/net/httpserver.h"
 
 namespace pimentosail::standins
 {
