Rollout: versions judged each from its own time, which survives restarts; handover without a fixed wait

Ruled out: a slow watch (all hosts learn of a version within 30 ms). Left: requests that queue at a target past the limit.

--- a/pimentosail/directory/directory.cpp
+++ b/pimentosail/directory/directory.cpp
@@ -156,6 +156,16 @@
     return result;
 }
 
+std::vector<TargetPointer> TargetDirectory::everything() const
+{
+    const std::lock_guard lock(this->mutex);
+    std::vector<TargetPointer> result;
+    for (const auto &[id, target] : this->targets) {
+        result.push_back(target);
+    }
+    return result;
+}
+
 TargetPointer TargetDirectory::find(const std::string &id) const
 {
     const std::lock_guard lock(this->mutex);
--- a/pimentosail/directory/directory.h
+++ b/pimentosail/directory/directory.h
@@ -112,6 +112,9 @@
     // Returns all live targets of a service, draining and avoided ones included.
     std::vector<TargetView> all(const std::string &service, const std::string &model) const;
 
+    // Returns every live target of every service.
+    std::vector<TargetPointer> everything() const;
+
     // Returns the target `id`, or nullptr.
     TargetPointer find(const std::string &id) const;
 
--- a/pimentosail/dispatch/picker.cpp
+++ b/pimentosail/dispatch/picker.cpp
@@ -12,7 +12,7 @@
 {
 
 // Cost of a run on older weights, in prompt tokens: its answer is worth less, but not as little as one that is late.
-constexpr double OlderWeightsTokens = 20000;
+constexpr double OlderWeightsTokens = 12000;
 // Cost of each run in flight, in prompt tokens: it slows the steps of all others.
 constexpr double TokensPerRun = 250;
 // Part of the prompt's own tokens that its own target is expected to save.
@@ -46,7 +46,7 @@
     uint64_t ownWeight = 0;
     std::vector<const Candidate *> allowed;
     for (const Candidate &candidate : candidates) {
-        if (candidate.coldAndFull || query.tried.contains(candidate.target->id) || (!query.allowsOlder && candidate.version < query.newestVersion)) {
+        if (candidate.coldAndFull || query.tried.contains(candidate.target->id) || candidate.version < query.oldestVersion) {
             continue;
         }
         allowed.push_back(&candidate);
--- a/pimentosail/dispatch/picker.h
+++ b/pimentosail/dispatch/picker.h
@@ -44,9 +44,9 @@
     int64_t ownTokens = 0;
     int64_t promptTokens = 0;
     std::string ownZone;
-    // Version that new work should use, and whether targets with older weights may still be used.
+    // Version that new work should use, and the oldest on which it may begin.
     int64_t newestVersion = 0;
-    bool allowsOlder = true;
+    int64_t oldestVersion = 0;
     // Targets that this request has tried.
     std::set<std::string> tried;
     // Uniform draw for ties and probes.
--- a/pimentosail/entry/context.h
+++ b/pimentosail/entry/context.h
@@ -1,6 +1,7 @@
 // The parts of the entry process that a request uses. All live as long as the process and are thread-safe.
 #pragma once
 
+#include "pimentosail/directory/loadboard.h"
 #include "pimentosail/dispatch/limits.h"
 #include "pimentosail/dispatch/quarantine.h"
 #include "pimentosail/entry/entrysettings.h"
@@ -22,6 +23,7 @@
     const Wire &wire;
     EntryState &state;
     TargetDirectory &directory;
+    LoadBoard &loads;
     ConnectionPool &connections;
     RepeatBudget &repeats;
     ColdLimiter &coldLimiter;
--- a/pimentosail/entry/entryprocess.cpp
+++ b/pimentosail/entry/entryprocess.cpp
@@ -6,6 +6,7 @@
 #include <Poco/Exception.h>
 
 #include "pimentosail/base/json.h"
+#include "pimentosail/entry/loadduty.h"
 #include "pimentosail/entry/requestrunner.h"
 #include "pimentosail/entry/stateupdater.h"
 #include "pimentosail/entry/storeduties.h"
@@ -93,6 +94,7 @@
     Metrics metrics;
     EntryState state;
     TargetDirectory directory;
+    LoadBoard loads;
     ConnectionPool connections;
     RepeatBudget repeats;
     ColdLimiter coldLimiter;
@@ -108,6 +110,7 @@
     HostDuty hostDuty;
     RolloutDuty rolloutDuty;
     CacheEventDuty cacheDuty;
+    LoadDuty loadDuty;
     std::atomic<bool> stopping{false};
     DutyThread refreshThread;
     HttpServer callerServer;
@@ -126,7 +129,7 @@
     , coldLimiter(clock)
     , quarantine(clock)
     , caches(clock)
-    , context{clock, log, metrics, settings, wire, state, directory, connections, repeats, coldLimiter, quarantine, caches}
+    , context{clock, log, metrics, settings, wire, state, directory, loads, connections, repeats, coldLimiter, quarantine, caches}
     , updater(context)
     , peers(peerHttp,
           [this](const std::string &method, size_t bytes) {
@@ -147,9 +150,10 @@
               [this](const Json::Value & /*arguments*/) {
                   return this->dumpState();
               }}})
-    , hostDuty(context, store)
+    , hostDuty(context, store, mirror)
     , rolloutDuty(context, store, mirror)
     , cacheDuty(context)
+    , loadDuty(context)
     , refreshThread("refresh", [this] { this->runRefresh(); })
     , callerServer(settings.listen, callerConnections(settings), [this](HttpExchange &exchange) { RequestRunner(this->context, exchange).run(); })
     , readyServer(settings.readyListen, ReadyConnections, [this](HttpExchange &exchange) { this->serveReady(exchange); })
@@ -247,6 +251,7 @@
     this->hostDuty.start();
     this->rolloutDuty.start();
     this->cacheDuty.start();
+    this->loadDuty.start();
     this->refreshThread.start();
     this->readyServer.start();
     this->callerServer.start();
@@ -266,8 +271,11 @@
         if (this->callerServer.running() > 0) {
             quietSince = now;
         }
-        if (now > begin + BalancerNotice && now > quietSince + QuietTime) {
-            break;
+        if (now > begin + BalancerNotice) {
+            this->state.isClosing.store(true);
+            if (now > quietSince + QuietTime) {
+                break;
+            }
         }
         this->clock.sleepFor(ShutdownStep);
     }
--- a/pimentosail/entry/entrysettings.h
+++ b/pimentosail/entry/entrysettings.h
@@ -21,6 +21,8 @@
     std::string readyListen;
     // For other hosts and for the state dump.
     std::string peerListen;
+    // For load reports of other hosts (UDP).
+    std::string gossipListen;
     std::string storeAddress;
     // Addresses of some other hosts; they may be stale.
     std::vector<std::string> peers;
--- a/pimentosail/entry/entrystate.h
+++ b/pimentosail/entry/entrystate.h
@@ -24,6 +24,13 @@
     Time since{};
 };
 
+// The latest announcement of orders to targets.
+struct RolloutNotice
+{
+    int64_t fence = 0;
+    Time at{};
+};
+
 // Another entry host.
 struct HostEntry
 {
@@ -31,6 +38,8 @@
     // Address for calls between hosts.
     std::string address;
     std::string zone;
+    // Address for load reports (UDP).
+    std::string gossip;
 };
 
 class EntryState
@@ -61,29 +70,60 @@
         return this->servingAt;
     }
 
-    // Takes a wanted version if it is newer. Returns true if it is.
-    bool offerVersion(const std::string &model, int64_t version, Time now)
+    // Takes a wanted version and when it was named; an earlier time replaces a later one. Returns true if the version
+    // is new to this host.
+    bool offerVersion(const std::string &model, int64_t version, Time since)
     {
         const std::lock_guard lock(this->mutex);
-        WantedVersion &wanted = this->versions[model];
-        if (version <= wanted.version) {
-            return false;
-        }
-        wanted = {version, now};
-        return true;
+        const auto [entry, isNew] = this->versions[model].emplace(version, since);
+        entry->second = std::min(entry->second, since);
+        return isNew;
     }
 
+    // Returns the newest wanted version of `model`, or version 0.
     WantedVersion wanted(const std::string &model) const
     {
         const std::lock_guard lock(this->mutex);
         const auto found = this->versions.find(model);
-        return found == this->versions.end() ? WantedVersion{} : found->second;
+        return found == this->versions.end() ? WantedVersion{} : WantedVersion{found->second.rbegin()->first, found->second.rbegin()->second};
     }
 
+    // Returns the oldest version on which work may begin: the newest that was named at least `limit` ago.
+    int64_t oldestAllowed(const std::string &model, Time now, Duration limit) const
+    {
+        const std::lock_guard lock(this->mutex);
+        int64_t oldest = 0;
+        const auto found = this->versions.find(model);
+        if (found != this->versions.end()) {
+            for (const auto &[version, since] : found->second) {
+                oldest = since + limit <= now ? version : oldest;
+            }
+        }
+        return oldest;
+    }
+
+    // Returns the newest wanted version of every model.
     std::map<std::string, WantedVersion> allWanted() const
     {
         const std::lock_guard lock(this->mutex);
-        return this->versions;
+        std::map<std::string, WantedVersion> result;
+        for (const auto &[model, named] : this->versions) {
+            result[model] = {named.rbegin()->first, named.rbegin()->second};
+        }
+        return result;
+    }
+
+    // Records that the holder with `fence` announced orders; `at` is on the clock that counts suspension.
+    void noteRollout(int64_t fence, Time at)
+    {
+        const std::lock_guard lock(this->mutex);
+        this->announced = {fence, at};
+    }
+
+    RolloutNotice rollout() const
+    {
+        const std::lock_guard lock(this->mutex);
+        return this->announced;
     }
 
     void setHosts(std::vector<HostEntry> entries, Time now)
@@ -110,7 +150,10 @@
         return std::max(this->sharingHosts, std::max(MinSharing, this->hostEntries.size()));
     }
 
+    // The process is shutting down: answers close their connections.
     std::atomic<bool> isDraining{false};
+    // No further request is taken: the balancer has had time to notice.
+    std::atomic<bool> isClosing{false};
 
 private:
     // A vanished host's lease has ended, and so has its work, after this time.
@@ -121,7 +164,9 @@
     mutable std::mutex mutex;
     ServingPointer currentServing;
     Time servingAt{};
-    std::map<std::string, WantedVersion> versions;
+    // When each version of a model was named.
+    std::map<std::string, std::map<int64_t, Time>> versions;
+    RolloutNotice announced;
     std::vector<HostEntry> hostEntries;
     size_t sharingHosts = 0;
     Time shrinkAt{};
--- a/pimentosail/entry/hostduty.cpp
+++ b/pimentosail/entry/hostduty.cpp
@@ -1,3 +1,4 @@
+#include "pimentosail/base/hash.h"
 #include "pimentosail/base/json.h"
 #include "pimentosail/entry/stateupdater.h"
 #include "pimentosail/entry/storeduties.h"
@@ -13,12 +14,15 @@
 constexpr Duration RenewInterval = Milliseconds(1300);
 // Observations are published at most once in this time.
 constexpr Duration PublishInterval = Milliseconds(400);
+// The first host by hashing has this long to write when a version was named.
+constexpr Duration OthersPublishAfter = Milliseconds(1500);
 
 } // namespace
 
-HostDuty::HostDuty(EntryContext &entryContext, PrefixStore platformStore)
+HostDuty::HostDuty(EntryContext &entryContext, PrefixStore platformStore, const StoreMirror &storeMirror)
     : context(entryContext)
     , store(std::move(platformStore))
+    , mirror(storeMirror)
     , thread("host", [this] { this->run(); })
 {
 }
@@ -63,6 +67,7 @@
             Json::Value value;
             value["address"] = this->context.settings.peerListen;
             value["zone"] = this->context.settings.zone;
+            value["gossip"] = this->context.settings.gossipListen;
             const CommitOutcome outcome = this->store.commit({{}, {{HostsPrefix + this->context.settings.name, printJson(value), this->lease}}, {}});
             this->isWritten = outcome.status == CommitStatus::Committed;
             this->lease = outcome.status == CommitStatus::LeaseEnded ? 0 : this->lease;
@@ -94,6 +99,30 @@
     }
 }
 
+// One host writes the time, the others only if it does not.
+void HostDuty::publishVersionTimes()
+{
+    const Time now = this->context.clock.now();
+    std::vector<std::string> hosts;
+    for (const HostEntry &host : this->context.state.hosts()) {
+        hosts.push_back(host.name);
+    }
+    for (const auto &[model, wanted] : this->context.state.allWanted()) {
+        const std::string key = VersionTimesPrefix + model + "/" + std::to_string(wanted.version);
+        const bool isFirst = rendezvousOwner(key, hosts) == this->context.settings.name;
+        if ((!isFirst && now < wanted.since + OthersPublishAfter) || !this->mirror.items(key).empty()) {
+            continue;
+        }
+        Json::Value value;
+        value["named_ms"] = Json::Int64(Clock::wallMilliseconds() - toMilliseconds(now - wanted.since));
+        try {
+            this->store.commit({{{key, 0}}, {{key, printJson(value), 0}}, {}});
+        } catch (const Failure &) {
+            this->context.metrics.count("pimentosail_store_failures_total", {{"duty", "version_times"}});
+        }
+    }
+}
+
 void HostDuty::run()
 {
     Time nextRenewal{};
@@ -103,6 +132,7 @@
             nextRenewal = this->context.clock.now() + RenewInterval;
         }
         this->publishObservations();
+        this->publishVersionTimes();
         this->context.clock.sleepFor(PublishInterval);
     }
 }
--- a/pimentosail/entry/requestrunner.cpp
+++ b/pimentosail/entry/requestrunner.cpp
@@ -71,6 +71,9 @@
     this->request = this->context.wire.decodeRequest(this->exchange);
     this->serving = this->context.state.serving();
     this->readBody();
+    if (this->context.state.isClosing.load()) {
+        throw Failure(ErrorKind::ShuttingDown, "this host is shutting down");
+    }
     if (!this->serving) {
         throw Failure(ErrorKind::NotReady, "no configuration is known yet");
     }
@@ -116,8 +119,9 @@
     for (TargetView &view : this->context.directory.usable(this->service, model)) {
         Candidate candidate;
         candidate.version = view.version;
-        candidate.requests = view.target->inFlight.load();
-        candidate.pendingTokens = static_cast<double>(view.target->pendingTokens.load());
+        const TargetLoad others = this->context.loads.others(view.target->id, Time(now));
+        candidate.requests = view.target->inFlight.load() + others.requests;
+        candidate.pendingTokens = static_cast<double>(view.target->pendingTokens.load() + others.pendingTokens);
         if (view.target->coldUntil.load() > now && profile != nullptr && profile->coldRequestsPerSecond > 0) {
             if (hosts.empty()) {
                 for (const HostEntry &host : this->context.state.hosts()) {
@@ -148,7 +152,7 @@
         query.promptTokens = prompt.promptTokens;
         const WantedVersion wanted = this->context.state.wanted(prompt.model);
         query.newestVersion = wanted.version;
-        query.allowsOlder = this->context.clock.now() < wanted.since + this->context.settings.versionLimit - VersionMargin;
+        query.oldestVersion = this->context.state.oldestAllowed(prompt.model, this->context.clock.now(), this->context.settings.versionLimit - VersionMargin);
     }
     std::vector<Candidate> known = this->candidates();
     while (std::optional<Choice> choice = pickTarget(query, known)) {
--- a/pimentosail/entry/rolloutduty.cpp
+++ b/pimentosail/entry/rolloutduty.cpp
@@ -16,6 +16,8 @@
 constexpr Duration RenewInterval = Milliseconds(900);
 // The right is not used this close to its end: an order must arrive before another host can have the right.
 constexpr Duration RightMargin = Milliseconds(700);
+// An order is given at most this long after it was announced; a new holder counts from the last announcement.
+constexpr Duration OrderWindow = Milliseconds(1000);
 // Time in which the other hosts learn that a target is about to load and stop sending to it.
 constexpr Duration NoticeTime = Milliseconds(120);
 // A load takes about two seconds after the runs have ended; reports lag by some hundred ms.
@@ -69,10 +71,18 @@
     return this->fence != 0 && now < this->trustedUntil - RightMargin && now >= this->mayOrderFrom && !this->stopping.load();
 }
 
-bool RolloutDuty::tryTakeRight()
+void RolloutDuty::dropRight(const char *reason)
+{
+    this->context.log.write(LogLevel::Warning, "rollout_right_lost", {{"fence", this->fence}, {"reason", reason}});
+    this->fence = 0;
+    this->lease = 0;
+    this->mayOrderFrom = Time::max();
+}
+
+void RolloutDuty::tryTakeRight()
 {
     if (!this->mirror.items(RolloutHolderKey).empty()) {
-        return false;
+        return;
     }
     const Time asked = this->context.clock.nowWithSuspend();
     this->lease = this->store.grantLease(RightLease);
@@ -83,15 +93,23 @@
     if (outcome.status != CommitStatus::Committed) {
         this->store.endLease(this->lease);
         this->lease = 0;
-        return false;
+        return;
     }
     this->fence = outcome.revision;
     this->trustedUntil = asked + RightLease;
-    // The holder before may have given its last order just before its lease ended.
-    this->mayOrderFrom = this->context.clock.nowWithSuspend() + this->context.settings.holderGap + RightMargin;
-    this->context.log.write(
-        LogLevel::Info, "rollout_right_taken", {{"fence", this->fence}, {"orders_from_ms", toMilliseconds(this->context.settings.holderGap + RightMargin)}});
-    return true;
+    this->mayOrderFrom = Time::max();
+    this->context.log.write(LogLevel::Info, "rollout_right_taken", {{"fence", this->fence}});
+}
+
+// The holder before gave its last order at most `OrderWindow` after its last announcement, and can announce nothing
+// after this holder's key was written. So all depends on having seen the store as it was then.
+void RolloutDuty::settleRight()
+{
+    if (this->mayOrderFrom != Time::max() || this->mirror.status().revision < this->fence) {
+        return;
+    }
+    const RolloutNotice last = this->context.state.rollout();
+    this->mayOrderFrom = last.fence == 0 ? Time(0) : last.at + OrderWindow + this->context.settings.holderGap;
 }
 
 void RolloutDuty::keepRight()
@@ -110,15 +128,11 @@
             this->trustedUntil = now + RightLease;
             return;
         }
-        this->context.log.write(LogLevel::Warning, "rollout_right_lost", {{"fence", this->fence}});
-        this->fence = 0;
-        this->lease = 0;
+        this->dropRight("the lease has ended");
     } catch (const Failure &) {
         this->context.metrics.count("pimentosail_store_failures_total", {{"duty", "rollout"}});
         if (this->fence != 0 && this->context.clock.nowWithSuspend() > this->trustedUntil) {
-            this->context.log.write(LogLevel::Warning, "rollout_right_lost", {{"fence", this->fence}, {"reason", "not renewed in time"}});
-            this->fence = 0;
-            this->lease = 0;
+            this->dropRight("not renewed in time");
         } else if (this->fence == 0) {
             // A lost answer may have left the key behind; it ends with its lease.
             this->lease = 0;
@@ -126,11 +140,13 @@
     }
 }
 
-void RolloutDuty::publish(const std::string &model, int64_t version)
+bool RolloutDuty::publish(const std::string &model, int64_t version)
 {
+    const Time asked = this->context.clock.nowWithSuspend();
     Json::Value value;
+    value["fence"] = Json::Int64(this->fence);
     value["model"] = model;
-    value["version"] = version;
+    value["version"] = Json::Int64(version);
     for (const auto &[id, entry] : this->loading) {
         value["loading"].append(id);
     }
@@ -141,11 +157,17 @@
         value["released"].append(id);
     }
     try {
-        this->store.commit({{}, {{RolloutStateKey, printJson(value), 0}}, {}});
+        const CommitOutcome outcome = this->store.commit({{{RolloutHolderKey, this->fence}}, {{RolloutStateKey, printJson(value), 0}}, {}});
+        if (outcome.status == CommitStatus::Committed) {
+            this->announcedAt = asked;
+            return true;
+        }
+        this->dropRight("another host holds it");
     } catch (const Failure &) {
         // Other hosts learn the version from the registrations, and of the load by refusals.
         this->context.metrics.count("pimentosail_store_failures_total", {{"duty", "rollout"}});
     }
+    return false;
 }
 
 void RolloutDuty::orderOne(Loading &entry)
@@ -153,7 +175,7 @@
     try {
         const TargetReport report = this->context.wire.report(*entry.target);
         entry.orderCount = report.orderCount;
-        if (!this->mayOrder()) {
+        if (!this->mayOrder() || this->context.clock.nowWithSuspend() > this->announcedAt + OrderWindow) {
             return;
         }
         const Time sent = this->context.clock.now();
@@ -215,7 +237,12 @@
         entry.nextReport = now + FirstReport;
         this->loading[id] = std::move(entry);
     }
-    this->publish(model, version);
+    if (!this->publish(model, version)) {
+        for (const std::string &id : next) {
+            this->loading.erase(id);
+        }
+        return;
+    }
     this->context.clock.sleepFor(NoticeTime);
     for (const std::string &id : next) {
         if (this->mayOrder()) {
@@ -245,7 +272,8 @@
                 const auto found = report.modelVersions.find(load.model);
                 const int64_t present = found == report.modelVersions.end() ? 0 : found->second;
                 isDone = present >= load.version && !report.isBusy;
-                if (!isDone && !report.isBusy && report.orderCount == load.orderCount && now > load.orderedAt + OrderRetry && this->mayOrder()) {
+                if (!isDone && !report.isBusy && report.orderCount == load.orderCount && now > load.orderedAt + OrderRetry && this->mayOrder()
+                    && this->publish(load.model, load.version)) {
                     this->orderOne(load);
                 }
                 this->context.directory.noteVersion(load.target->id, load.model, present);
@@ -294,6 +322,9 @@
 {
     while (!this->stopping.load()) {
         this->keepRight();
+        if (this->fence != 0) {
+            this->settleRight();
+        }
         if (this->mayOrder()) {
             this->advance();
         } else if (this->fence == 0) {
--- a/pimentosail/entry/stateupdater.cpp
+++ b/pimentosail/entry/stateupdater.cpp
@@ -12,6 +12,8 @@
 
 // A target that takes an order gets no work for this long unless its end is reported sooner.
 constexpr Duration LongestOrder = std::chrono::seconds(6);
+// What a host learns this soon after its start was there before, at an unknown time.
+constexpr Duration StartTime = std::chrono::seconds(3);
 
 bool anyStartsWith(const std::set<std::string> &keys, const std::string &prefix)
 {
@@ -52,6 +54,9 @@
     if (anyStartsWith(changedKeys, ObservationsPrefix)) {
         this->updateObservations(mirror);
     }
+    if (anyStartsWith(changedKeys, VersionTimesPrefix)) {
+        this->updateVersionTimes(mirror);
+    }
     if (changedKeys.contains(RolloutStateKey)) {
         this->updateRollout(mirror);
     }
@@ -137,7 +142,11 @@
             continue;
         }
         const std::string model = item.key.substr(prefix.size());
-        if (this->context.state.offerVersion(model, *version, this->context.clock.now())) {
+        const Time now = this->context.clock.now();
+        if (this->context.state.offerVersion(model, *version, now)) {
+            if (now > this->createdAt + StartTime) {
+                this->seenNamed.insert(model + "/" + std::to_string(*version));
+            }
             this->context.log.write(LogLevel::Info, "version_wanted", {{"model", model}, {"version", *version}, {"revision", item.revision}});
         }
     }
@@ -149,7 +158,7 @@
     for (const StoredItem &item : mirror.items(HostsPrefix)) {
         try {
             const Json::Value value = parseJson(item.value);
-            hosts.push_back({item.key.substr(HostsPrefix.size()), jsonString(value, "address"), jsonString(value, "zone")});
+            hosts.push_back({item.key.substr(HostsPrefix.size()), jsonString(value, "address"), jsonString(value, "zone"), jsonString(value, "gossip")});
         } catch (const Failure &failure) {
             this->reportUnreadable(item, failure.what());
         }
@@ -174,6 +183,24 @@
     }
 }
 
+void StateUpdater::updateVersionTimes(const StoreMirror &mirror)
+{
+    for (const StoredItem &item : mirror.items(VersionTimesPrefix)) {
+        const std::string name = item.key.substr(VersionTimesPrefix.size());
+        if (this->seenNamed.contains(name)) {
+            continue;
+        }
+        try {
+            const size_t slash = name.rfind('/');
+            const Duration age = Milliseconds(Clock::wallMilliseconds() - jsonInteger(parseJson(item.value), "named_ms"));
+            this->context.state.offerVersion(name.substr(0, slash), std::stoll(name.substr(slash + 1)), this->context.clock.now() - std::max(Duration(0), age));
+            this->seenNamed.insert(name);
+        } catch (const std::exception &exception) {
+            this->reportUnreadable(item, exception.what());
+        }
+    }
+}
+
 void StateUpdater::updateRollout(const StoreMirror &mirror)
 {
     for (const StoredItem &item : mirror.items(RolloutStateKey)) {
@@ -181,6 +208,7 @@
             const Json::Value value = parseJson(item.value);
             const std::string model = jsonString(value, "model");
             const int64_t version = jsonInteger(value, "version");
+            this->context.state.noteRollout(jsonInteger(value, "fence"), this->context.clock.nowWithSuspend());
             for (const Json::Value &id : value["loading"]) {
                 if (const TargetPointer target = this->context.directory.find(id.asString())) {
                     target->avoidUntil.store((this->context.clock.now() + LongestOrder).count());
--- a/pimentosail/entry/stateupdater.h
+++ b/pimentosail/entry/stateupdater.h
@@ -20,12 +20,15 @@
 inline const std::string ObservationsPrefix = OwnPrefix + "observations/";
 inline const std::string RolloutHolderKey = OwnPrefix + "rollout/holder";
 inline const std::string RolloutStateKey = OwnPrefix + "rollout/state";
+// Followed by MODEL/VERSION: when the version was named, for hosts that start later.
+inline const std::string VersionTimesPrefix = OwnPrefix + "versions/";
 
 class StateUpdater
 {
 public:
     explicit StateUpdater(EntryContext &entryContext)
         : context(entryContext)
+        , createdAt(entryContext.clock.now())
     {
     }
 
@@ -42,10 +45,14 @@
     void updateHosts(const StoreMirror &mirror);
     void updateObservations(const StoreMirror &mirror);
     void updateRollout(const StoreMirror &mirror);
+    void updateVersionTimes(const StoreMirror &mirror);
     // Logs an unreadable value once for each revision.
     void reportUnreadable(const StoredItem &item, const std::string &reason);
 
     EntryContext &context;
+    Time createdAt;
+    // Versions that this host saw being named, as MODEL/VERSION; their time is known better than by the stored one.
+    std::set<std::string> seenNamed;
     std::map<std::string, int64_t> reported;
     std::set<std::string> evacuated;
     size_t knownTargets = 0;
--- a/pimentosail/entry/storeduties.h
+++ b/pimentosail/entry/storeduties.h
@@ -20,7 +20,7 @@
 class HostDuty
 {
 public:
-    HostDuty(EntryContext &entryContext, PrefixStore platformStore);
+    HostDuty(EntryContext &entryContext, PrefixStore platformStore, const StoreMirror &storeMirror);
     ~HostDuty();
 
     void start();
@@ -32,9 +32,11 @@
     void run();
     void renew();
     void publishObservations();
+    void publishVersionTimes();
 
     EntryContext &context;
     PrefixStore store;
+    const StoreMirror &mirror;
     int64_t lease = 0;
     bool isWritten = false;
     size_t publishedLosses = 0;
@@ -72,13 +74,16 @@
 
     void run();
     void keepRight();
-    bool tryTakeRight();
+    void tryTakeRight();
+    void dropRight(const char *reason);
+    void settleRight();
     bool mayOrder() const;
     void advance();
     void checkLoading();
     void startLoads(const std::string &model, int64_t version);
     void orderOne(Loading &loading);
-    void publish(const std::string &model, int64_t version);
+    // Announces which targets load, before they are ordered. Returns false if that is not certain.
+    bool publish(const std::string &model, int64_t version);
 
     EntryContext &context;
     PrefixStore store;
@@ -88,7 +93,9 @@
     int64_t fence = 0;
     // On the clock that counts suspension.
     Time trustedUntil{};
+    // Orders are given only from this time, and within a short time of their announcement.
     Time mayOrderFrom{};
+    Time announcedAt{};
     Time nextRenewal{};
     std::map<std::string, Loading> loading;
     std::vector<std::string> done;
