Cache: parts that belong to one request are neither saved nor decide the target

Cause: the third part of each prompt never returns, yet it was saved (a quarter of all saved tokens, stores full after 24 s) and decided the target, so that prompts of a session went to any target. Whether last parts return is learnt for each route. Ruled out: parts rounded to blocks in the stores (the traced fetches cover whole parts).

--- a/pimentosail/entry/context.h
+++ b/pimentosail/entry/context.h
@@ -8,6 +8,7 @@
 #include "pimentosail/entry/entrystate.h"
 #include "pimentosail/entry/wire.h"
 #include "pimentosail/eventlog/eventlog.h"
+#include "pimentosail/kvcache/partreuse.h"
 #include "pimentosail/metrics/metrics.h"
 #include "pimentosail/upstream/pool.h"
 
@@ -29,6 +30,7 @@
     ColdLimiter &coldLimiter;
     Quarantine &quarantine;
     CacheStores &caches;
+    PartReuse &partReuse;
 };
 
 } // namespace pimentosail
--- a/pimentosail/entry/entryprocess.cpp
+++ b/pimentosail/entry/entryprocess.cpp
@@ -100,6 +100,7 @@
     ColdLimiter coldLimiter;
     Quarantine quarantine;
     CacheStores caches;
+    PartReuse partReuse;
     EntryContext context;
     StateUpdater updater;
     std::mutex updaterMutex;
@@ -129,7 +130,7 @@
     , coldLimiter(clock)
     , quarantine(clock)
     , caches(clock)
-    , context{clock, log, metrics, settings, wire, state, directory, loads, connections, repeats, coldLimiter, quarantine, caches}
+    , context{clock, log, metrics, settings, wire, state, directory, loads, connections, repeats, coldLimiter, quarantine, caches, partReuse}
     , updater(context)
     , peers(peerHttp,
           [this](const std::string &method, size_t bytes) {
--- a/pimentosail/entry/requestrunner.cpp
+++ b/pimentosail/entry/requestrunner.cpp
@@ -83,6 +83,10 @@
     }
     this->checkTeam();
     this->service = pickService(*this->route, this->random());
+    if (this->request.prompt && !this->request.prompt->parts.empty()) {
+        const std::vector<PromptPart> &parts = this->request.prompt->parts;
+        this->sharedParts = parts.size() - (this->context.partReuse.note(this->route->name, parts.back().id) ? 0 : 1);
+    }
     const Duration patience = this->request.patience > Duration(0) ? this->request.patience : this->route->timeout;
     this->deadline = this->received + std::min(patience, this->route->timeout) - AnswerMargin;
     const std::string teamName = this->team == nullptr ? "" : this->team->name;
@@ -147,8 +151,9 @@
     query.draw = this->random();
     if (this->request.prompt && !this->request.prompt->parts.empty()) {
         const Prompt &prompt = *this->request.prompt;
-        query.affinity = prompt.parts.back().id;
-        query.ownTokens = prompt.parts.back().tokens;
+        const PromptPart &deciding = prompt.parts[std::max<size_t>(1, this->sharedParts) - 1];
+        query.affinity = deciding.id;
+        query.ownTokens = deciding.tokens;
         query.promptTokens = prompt.promptTokens;
         const WantedVersion wanted = this->context.state.wanted(prompt.model);
         query.newestVersion = wanted.version;
@@ -195,7 +200,7 @@
             plan.cacheSalt += "." + this->team->name;
         }
         if (choice.version > 0) {
-            plan.cache = this->context.caches.plan(plan.cacheSalt, this->request.prompt->parts, choice.target->zone);
+            plan.cache = this->context.caches.plan(plan.cacheSalt, this->request.prompt->parts, this->sharedParts, choice.target->zone);
         }
         this->fetchTokens += plan.cache.fetchTokens;
         this->saveTokens += plan.cache.saveTokens;
--- a/pimentosail/entry/requestrunner.h
+++ b/pimentosail/entry/requestrunner.h
@@ -65,6 +65,8 @@
     const Team *team = nullptr;
     std::string service;
     uint64_t fingerprint = 0;
+    // Number of leading prompt parts that other prompts are expected to share.
+    size_t sharedParts = 0;
 
     // Attempts whose outcome may be a run, and all that reached or may have reached a target.
     int runs = 0;
--- /dev/null
+++ b/pimentosail/kvcache/partreuse.cpp
@@ -0,0 +1,44 @@
+#include "pimentosail/kvcache/partreuse.h"
+
+#include "pimentosail/base/hash.h"
+
+namespace pimentosail
+{
+
+namespace
+{
+
+// Parts remembered for each route; about a minute of one host's traffic at its peak.
+constexpr size_t MaxRemembered = 4096;
+constexpr size_t MaxRoutes = 512;
+// Old observations fade: the counts settle at about this many.
+constexpr double Memory = 500;
+// With fewer repeats than this, the last part is taken to belong to one request.
+constexpr double ReturningShare = 0.02;
+constexpr double MinObservations = 50;
+
+} // namespace
+
+bool PartReuse::note(const std::string &route, const std::string &part)
+{
+    const std::lock_guard lock(this->mutex);
+    if (this->routes.size() >= MaxRoutes && !this->routes.contains(route)) {
+        this->routes.clear();
+    }
+    Seen &seen = this->routes[route];
+    const uint64_t hash = stableHash(part);
+    const bool isRepeat = !seen.parts.insert(hash).second;
+    if (!isRepeat) {
+        seen.order.push_back(hash);
+        if (seen.order.size() > MaxRemembered) {
+            seen.parts.erase(seen.order.front());
+            seen.order.pop_front();
+        }
+    }
+    const double keep = 1 - 1 / Memory;
+    seen.total = seen.total * keep + 1;
+    seen.repeated = seen.repeated * keep + (isRepeat ? 1 : 0);
+    return isRepeat || (seen.total >= MinObservations && seen.repeated / seen.total >= ReturningShare);
+}
+
+} // namespace pimentosail
--- a/pimentosail/kvcache/storecontents.cpp
+++ b/pimentosail/kvcache/storecontents.cpp
@@ -149,14 +149,14 @@
     return best;
 }
 
-CachePlan CacheStores::plan(const std::string &salt, const std::vector<PromptPart> &parts, const std::string &zone)
+CachePlan CacheStores::plan(const std::string &salt, const std::vector<PromptPart> &parts, size_t shared, const std::string &zone)
 {
     const std::lock_guard lock(this->mutex);
     CachePlan result;
     result.fetchFrom.resize(parts.size());
     result.saveTo.resize(parts.size());
     const Time now = this->clock.now();
-    for (size_t index = 0; index < parts.size(); ++index) {
+    for (size_t index = 0; index < std::min(shared, parts.size()); ++index) {
         const PromptPart &part = parts[index];
         const PartKey key{salt, part.id};
         Held *source = nullptr;
--- a/pimentosail/kvcache/storecontents.h
+++ b/pimentosail/kvcache/storecontents.h
@@ -93,9 +93,9 @@
     // Forgets the parts of `salt` and returns them by store, for freeing. Nothing plans to read them any more.
     std::map<std::string, std::vector<std::string>> takeSalt(const std::string &salt);
 
-    // Plans the reading and saving of the shareable parts of a prompt for a target in `zone`. The last part is saved
-    // only if `savesLast`.
-    CachePlan plan(const std::string &salt, const std::vector<PromptPart> &parts, const std::string &zone);
+    // Plans the reading and saving of the first `shared` parts of a prompt for a target in `zone`; the others belong to
+    // this prompt alone.
+    CachePlan plan(const std::string &salt, const std::vector<PromptPart> &parts, size_t shared, const std::string &zone);
 
     // Returns the tokens held by a store as known here.
     int64_t heldTokens(const std::string &store) const;
