--- a/pimentosail/entry/requestrunner.cpp
+++ b/pimentosail/entry/requestrunner.cpp
@@ -34,8 +34,8 @@
 constexpr Duration OtherInstancePause = Milliseconds(400);
 // Retry-After of a refusal without a better estimate: from this to twice this, so that callers return spread out.
 constexpr Duration RetryAfterBase = Milliseconds(250);
-// The newest version must be used this much before the limit on older weights.
-constexpr Duration VersionMargin = Milliseconds(1500);
+// No work is sent to older weights this long before their limit: it may wait at the target for about its deadline.
+constexpr Duration VersionMargin = Milliseconds(4200);
 constexpr Duration ReconnectProbe = Milliseconds(200);
 
 double milliseconds(Duration duration)
