Cache links: waits observed, busy links spared and copied from; connections take each call's time-out

Also found in the logs: the watch of the store ended after 900 ms although it may wait 2.2 s, since a kept POCO connection has the time-outs of the call that opened it. Ruled out: lost weights, unbalanced targets (all 18 alike). Now: the excess of the time to first token is the wait for a link; a busy link is read from less and its parts copied to another store; targets in the store's zone are preferred.

--- a/pimentosail/directory/directory.h
+++ b/pimentosail/directory/directory.h
@@ -67,6 +67,8 @@
     std::atomic<int> failurePermille{0};
     // Moving average of the time from sending to the first event or answer, in us. 0 before the first.
     std::atomic<int64_t> responseTime{0};
+    // When the target last sent a first event or answer to this host (us).
+    std::atomic<int64_t> lastResponse{0};
 
     // Guarded by the directory's mutex.
     bool draining = false;
--- a/pimentosail/dispatch/picker.cpp
+++ b/pimentosail/dispatch/picker.cpp
@@ -17,6 +17,9 @@
 constexpr double TokensPerRun = 250;
 // Part of the prompt's own tokens that its own target is expected to save.
 constexpr double OwnTargetSaving = 0.5;
+// Cost of reading the prompt's own part across zones, for each of its tokens: it keeps the store's link busy for twice
+// as long, which delays others.
+constexpr double OtherZoneFetch = 0.8;
 // A target that fails this share of its runs is used only if all do, but for a probe now and then.
 constexpr int FailingPermille = 250;
 constexpr double FailingCost = 1e6;
@@ -28,6 +31,7 @@
 {
     double cost = candidate.pendingTokens + candidate.requests * TokensPerRun;
     cost -= isOwn ? OwnTargetSaving * static_cast<double>(query.ownTokens) : 0;
+    cost += query.cacheZones.empty() || query.cacheZones.contains(candidate.target->zone) ? 0 : OtherZoneFetch * static_cast<double>(query.ownTokens);
     cost += candidate.version < query.newestVersion ? OlderWeightsTokens : 0;
     return cost;
 }
--- a/pimentosail/entry/attempt.cpp
+++ b/pimentosail/entry/attempt.cpp
@@ -12,6 +12,8 @@
 constexpr Duration ConnectTimeout = Milliseconds(400);
 // Largest plain answer that is collected.
 constexpr size_t MaxAnswerBytes = 64 * 1024 * 1024;
+// Stall limits for which a request waits at a target that answers others.
+constexpr int MaxStallRounds = 3;
 // Answers to earlier requests that are skipped on a connection before it is given up.
 constexpr int MaxStrayAnswers = 2;
 
@@ -102,10 +104,23 @@
     return "lost";
 }
 
-Wait Attempt::stallWait(const AttemptLimits &limits) const
+// Reads with the stall limit. A target that has answered others since the request was sent is busy rather than stuck,
+// so the request waits on there for some rounds.
+ReadStatus Attempt::readWithStall(const AttemptLimits &limits, const std::function<ReadStatus(const Wait &wait)> &read)
 {
-    const Time stallEnd = limits.stall > Duration(0) ? this->context.clock.now() + limits.stall : limits.deadline;
-    return {this->context.clock, std::min(stallEnd, limits.deadline), limits.callerSocket};
+    this->waitIsStall = false;
+    for (int round = 1;; ++round) {
+        const Time stallEnd = limits.stall > Duration(0) ? this->context.clock.now() + limits.stall : limits.deadline;
+        const Wait wait{this->context.clock, std::min(stallEnd, limits.deadline), limits.callerSocket};
+        const ReadStatus status = read(wait);
+        if (status != ReadStatus::Timeout || wait.end >= limits.deadline) {
+            return status;
+        }
+        if (round >= MaxStallRounds || this->plan.target->lastResponse.load() <= this->sentAt.count()) {
+            this->waitIsStall = true;
+            return status;
+        }
+    }
 }
 
 // Turns the status of a failed read into the end of the attempt. Returns false for the caller's convenience.
@@ -130,6 +145,7 @@
 {
     result.firstAfter = std::max(Duration(1), this->context.clock.now() - this->sentAt);
     noteResponseTime(*this->plan.target, result.firstAfter);
+    this->plan.target->lastResponse.store(this->context.clock.now().count());
 }
 
 std::unique_ptr<TargetConnection> Attempt::openConnection(const AttemptLimits &limits, AttemptResult &result)
@@ -184,10 +200,8 @@
 {
     for (int stray = 0; stray <= MaxStrayAnswers; ++stray) {
         Poco::Net::HTTPResponse head;
-        this->waitIsStall = limits.stall > Duration(0);
-        const Wait wait = this->stallWait(limits);
-        this->waitIsStall = this->waitIsStall && wait.end < limits.deadline;
-        const ReadStatus status = connection.readHead(head, this->request.method != "HEAD", wait);
+        const ReadStatus status
+            = this->readWithStall(limits, [&](const Wait &wait) { return connection.readHead(head, this->request.method != "HEAD", wait); });
         if (status != ReadStatus::Data) {
             return this->fail(status, "head", result);
         }
@@ -206,7 +220,7 @@
         ReadStatus body = ReadStatus::Data;
         while (body == ReadStatus::Data && skipped.size() < MaxAnswerBytes) {
             skipped.clear();
-            body = connection.readBody(skipped, wait);
+            body = connection.readBody(skipped, {this->context.clock, limits.deadline, limits.callerSocket});
         }
         if (body != ReadStatus::End) {
             return this->fail(body, "answer to another request", result);
@@ -218,9 +232,7 @@
 void Attempt::readPlainBody(TargetConnection &connection, const AttemptLimits &limits, AttemptResult &result)
 {
     while (result.body.size() <= MaxAnswerBytes) {
-        Wait wait = this->stallWait(limits);
-        this->waitIsStall = wait.end < limits.deadline;
-        const ReadStatus status = connection.readBody(result.body, wait);
+        const ReadStatus status = this->readWithStall(limits, [&](const Wait &wait) { return connection.readBody(result.body, wait); });
         if (status == ReadStatus::End) {
             this->noteFirst(result);
             result.end = result.facts.isNotRun || result.facts.isOtherInstance ? AttemptEnd::NotRun : AttemptEnd::Answered;
@@ -238,9 +250,7 @@
 {
     std::string data;
     while (true) {
-        Wait wait = this->stallWait(limits);
-        this->waitIsStall = wait.end < limits.deadline;
-        const ReadStatus status = connection.readBody(data, wait);
+        const ReadStatus status = this->readWithStall(limits, [&](const Wait &wait) { return connection.readBody(data, wait); });
         if (status == ReadStatus::Data) {
             for (size_t length = eventLength(data); length > 0; length = eventLength(data)) {
                 const std::string event = data.substr(0, length);
--- a/pimentosail/entry/attempt.h
+++ b/pimentosail/entry/attempt.h
@@ -83,7 +83,7 @@
     void readPlainBody(TargetConnection &connection, const AttemptLimits &limits, AttemptResult &result);
     void readEvents(TargetConnection &connection, const AttemptLimits &limits, const EventSink &sink, AttemptResult &result);
     bool fail(ReadStatus status, const char *where, AttemptResult &result);
-    Wait stallWait(const AttemptLimits &limits) const;
+    ReadStatus readWithStall(const AttemptLimits &limits, const std::function<ReadStatus(const Wait &wait)> &read);
     void noteFirst(AttemptResult &result);
 
     EntryContext &context;
--- a/pimentosail/entry/requestrunner.cpp
+++ b/pimentosail/entry/requestrunner.cpp
@@ -19,6 +19,8 @@
 constexpr Duration MinTimeLeft = Milliseconds(15);
 // Part of the target latency for which a request may wait for a target before it is refused.
 constexpr int HoldPart = 8;
+// Part of the target latency that the transfer of a cached part may take.
+constexpr int FetchPart = 3;
 constexpr Duration HoldStep = Milliseconds(10);
 constexpr int MaxUnsent = 6;
 constexpr int MaxArrivals = 4;
@@ -160,6 +162,13 @@
         query.oldestVersion = this->context.state.oldestAllowed(prompt.model, this->context.clock.now(), this->context.settings.versionLimit - VersionMargin);
     }
     std::vector<Candidate> known = this->candidates();
+    if (!query.affinity.empty()) {
+        int64_t version = query.newestVersion;
+        for (const Candidate &candidate : known) {
+            version = std::max(version, candidate.version);
+        }
+        query.cacheZones = this->context.caches.zonesOf(this->saltFor(version), query.affinity);
+    }
     while (std::optional<Choice> choice = pickTarget(query, known)) {
         const auto chosen = std::find_if(known.begin(), known.end(), [&choice](const Candidate &candidate) { return candidate.target == choice->target; });
         if (chosen->coldShare < 0 || this->context.coldLimiter.tryTake(choice->target->id, chosen->coldShare)) {
@@ -185,6 +194,13 @@
     }
 }
 
+// Cached parts are shared by all requests with the same weights, but for teams that share nothing.
+std::string RequestRunner::saltFor(int64_t version) const
+{
+    const std::string salt = "w" + std::to_string(version);
+    return this->team != nullptr && this->team->isIsolated ? salt + "." + this->team->name : salt;
+}
+
 AttemptPlan RequestRunner::planFor(const Choice &choice)
 {
     AttemptPlan plan;
@@ -195,13 +211,12 @@
     if (this->request.prompt) {
         plan.priority = this->team != nullptr && this->team->priority ? *this->team->priority : this->route->priority;
         plan.expectedVersion = choice.version;
-        plan.cacheSalt = "w" + std::to_string(choice.version);
-        if (this->team != nullptr && this->team->isIsolated) {
-            plan.cacheSalt += "." + this->team->name;
-        }
+        plan.cacheSalt = this->saltFor(choice.version);
         if (choice.version > 0) {
-            plan.cache = this->context.caches.plan(plan.cacheSalt, this->request.prompt->parts, this->sharedParts, choice.target->zone);
+            plan.cache = this->context.caches.plan(
+                plan.cacheSalt, this->request.prompt->parts, this->sharedParts, choice.target->zone, this->route->targetLatency / FetchPart, this->random());
         }
+        this->cacheSource = plan.cache.mainSource;
         this->fetchTokens += plan.cache.fetchTokens;
         this->saveTokens += plan.cache.saveTokens;
     }
@@ -267,6 +282,9 @@
     if (failedRun || result.end == AttemptEnd::Answered) {
         noteOutcome(target, failedRun);
     }
+    if (this->request.prompt && result.firstAfter > Duration(0) && result.facts.isEventStream) {
+        this->context.caches.noteFirstToken(this->cacheSource, result.firstAfter);
+    }
     if (result.end == AttemptEnd::NotRun) {
         const Duration pause = result.facts.isOtherInstance ? OtherInstancePause : RefusalPause;
         target.avoidUntil.store(std::max(target.avoidUntil.load(), (now + pause).count()));
@@ -448,8 +466,8 @@
             {"arrivals", this->arrivals}, {"unsent", this->unsent},
             {"first_ms", this->firstEventAt > Time(0) ? milliseconds(this->firstEventAt - this->received) : 0.0},
             {"total_ms", milliseconds(now - this->received)}, {"config", this->serving ? this->serving->all().version : 0},
-            {"config_age_ms", toMilliseconds(now - this->context.state.servingSince())}, {"weights", this->weightVersion}, {"fetch_tokens", this->fetchTokens},
-            {"save_tokens", this->saveTokens}});
+            {"config_age_ms", toMilliseconds(now - this->context.state.servingSince())}, {"weights", this->weightVersion}, {"cache_source", this->cacheSource},
+            {"fetch_tokens", this->fetchTokens}, {"save_tokens", this->saveTokens}});
 }
 
 } // namespace pimentosail
--- a/pimentosail/entry/requestrunner.h
+++ b/pimentosail/entry/requestrunner.h
@@ -37,6 +37,7 @@
     Choice chooseTarget();
     std::optional<Choice> tryChoose();
     std::vector<Candidate> candidates() const;
+    std::string saltFor(int64_t version) const;
     AttemptPlan planFor(const Choice &choice);
     AttemptLimits limitsFor(const TargetState &target) const;
     bool forwardEvent(const ReplyFacts &facts, const std::string &event, const std::string &id);
@@ -89,6 +90,7 @@
     std::string lastTarget;
     std::string lastReason;
     int64_t weightVersion = 0;
+    std::string cacheSource;
     int64_t fetchTokens = 0;
     int64_t saveTokens = 0;
 };
--- a/pimentosail/kvcache/storecontents.cpp
+++ b/pimentosail/kvcache/storecontents.cpp
@@ -1,6 +1,7 @@
 #include "pimentosail/kvcache/storecontents.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "pimentosail/base/hash.h"
 
@@ -18,8 +19,10 @@
 // Bytes of KV cache of a token, for link times only.
 constexpr double BytesPerToken = 18432;
 constexpr double OtherZoneFactor = 2;
-// Tokens that a target reads in a millisecond: a part is read again where its transfer would take longer.
-constexpr double ReadTokensPerMillisecond = 112;
+// An observed wait for a link is taken to have halved after this time without a new observation.
+constexpr Duration WaitHalfLife = std::chrono::seconds(1);
+// Weight of one observation in the moving averages.
+constexpr double ObservationWeight = 0.2;
 
 } // namespace
 
@@ -127,67 +130,123 @@
     return fromSeconds(seconds);
 }
 
-// The store with the fastest link that has room; among equals by rendezvous hashing.
-CacheStores::Held *CacheStores::placeFor(const std::string &salt, const PromptPart &part)
+Duration CacheStores::linkWait(const Held &entry, Time now) const
+{
+    if (entry.observedAt == Time(0)) {
+        return Duration(0);
+    }
+    double base = this->plainFirstTokenMs > 0 ? this->plainFirstTokenMs : entry.firstTokenMs;
+    for (const auto &[name, other] : this->held) {
+        base = other.firstTokenMs > 0 ? std::min(base, other.firstTokenMs) : base;
+    }
+    const double halvings = toSeconds(now - entry.observedAt) / toSeconds(WaitHalfLife);
+    return fromSeconds(std::max(0.0, entry.firstTokenMs - base) / 1000 * std::exp2(-halvings));
+}
+
+void CacheStores::noteFirstToken(const std::string &store, Duration time)
+{
+    const std::lock_guard lock(this->mutex);
+    const double milliseconds = static_cast<double>(time.count()) / 1000;
+    const auto fold = [milliseconds](double &average) {
+        average = average <= 0 ? milliseconds : average + (milliseconds - average) * ObservationWeight;
+    };
+    if (store.empty()) {
+        fold(this->plainFirstTokenMs);
+        return;
+    }
+    const auto found = this->held.find(store);
+    if (found != this->held.end()) {
+        fold(found->second.firstTokenMs);
+        found->second.observedAt = this->clock.now();
+    }
+}
+
+std::set<std::string> CacheStores::zonesOf(const std::string &salt, const std::string &part) const
+{
+    const std::lock_guard lock(this->mutex);
+    std::set<std::string> result;
+    for (const auto &[name, entry] : this->held) {
+        if (entry.isReachable && entry.parts.contains({salt, part})) {
+            result.insert(entry.store.zone);
+        }
+    }
+    return result;
+}
+
+// The store with the fastest link that has room; among equals the one in the target's zone, then by rendezvous hashing.
+CacheStores::Held *CacheStores::placeFor(const std::string &salt, const PromptPart &part, const std::string &zone, const Held *other)
 {
     Held *best = nullptr;
-    uint64_t bestWeight = 0;
+    double bestRank = 0;
     const uint64_t key = combineHashes(stableHash(salt), stableHash(part.id));
     for (auto &[name, entry] : this->held) {
-        const double room = FullShare * static_cast<double>(entry.store.capacityTokens) - static_cast<double>(entry.heldTokens);
-        if (!entry.isReachable || entry.epoch == 0 || room < static_cast<double>(part.tokens)) {
+        const auto capacity = static_cast<double>(entry.store.capacityTokens);
+        const double room = FullShare * capacity - static_cast<double>(entry.heldTokens);
+        if (&entry == other || !entry.isReachable || entry.epoch == 0 || room < static_cast<double>(part.tokens)) {
             continue;
         }
-        const uint64_t weight = combineHashes(key, stableHash(name));
-        const bool isFaster = best != nullptr && entry.store.linkMbps > best->store.linkMbps;
-        const bool isEqual = best != nullptr && entry.store.linkMbps == best->store.linkMbps;
-        if (best == nullptr || isFaster || (isEqual && weight > bestWeight)) {
+        // Steps of a tenth of the capacity decide before the zone, so that stores fill evenly.
+        const double fill = std::floor(10 * static_cast<double>(entry.heldTokens) / std::max(1.0, capacity));
+        const double hash = static_cast<double>(combineHashes(key, stableHash(name)) >> 32U) / 4294967296.0;
+        const double rank = entry.store.linkMbps * 100 - fill * 2 + (entry.store.zone == zone ? 3 : 0) + hash;
+        if (best == nullptr || rank > bestRank) {
             best = &entry;
-            bestWeight = weight;
+            bestRank = rank;
+        }
+    }
+    return best;
+}
+
+std::pair<CacheStores::Held *, Duration> CacheStores::sourceFor(const PartKey &key, int64_t tokens, const std::string &zone, Time now)
+{
+    std::pair<Held *, Duration> best{nullptr, Duration(0)};
+    for (auto &[name, entry] : this->held) {
+        const auto known = entry.parts.find(key);
+        if (!entry.isReachable || known == entry.parts.end() || known->second < tokens) {
+            continue;
+        }
+        const Duration time = this->transferTime(entry, tokens, zone) + entry.store.firstByteDelay + this->linkWait(entry, now);
+        if (best.first == nullptr || time < best.second) {
+            best = {&entry, time};
         }
     }
     return best;
 }
 
-CachePlan CacheStores::plan(const std::string &salt, const std::vector<PromptPart> &parts, size_t shared, const std::string &zone)
+CachePlan CacheStores::plan(
+    const std::string &salt, const std::vector<PromptPart> &parts, size_t shared, const std::string &zone, Duration patience, uint64_t draw)
 {
     const std::lock_guard lock(this->mutex);
     CachePlan result;
     result.fetchFrom.resize(parts.size());
     result.saveTo.resize(parts.size());
     const Time now = this->clock.now();
+    const double uniform = static_cast<double>(draw >> 11U) / 9007199254740992.0;
+    int64_t mainTokens = 0;
     for (size_t index = 0; index < std::min(shared, parts.size()); ++index) {
         const PromptPart &part = parts[index];
         const PartKey key{salt, part.id};
-        Held *source = nullptr;
-        Duration sourceTime{};
-        for (auto &[name, entry] : this->held) {
-            const auto known = entry.parts.find(key);
-            if (!entry.isReachable || known == entry.parts.end() || known->second < part.tokens) {
-                continue;
-            }
-            const Duration time = this->transferTime(entry, part.tokens, zone) + entry.store.firstByteDelay + std::max(Duration(0), entry.busyUntil - now);
-            if (source == nullptr || time < sourceTime) {
-                source = &entry;
-                sourceTime = time;
-            }
-        }
+        const auto [source, sourceTime] = this->sourceFor(key, part.tokens, zone, now);
         if (source != nullptr) {
-            const Duration readTime = fromSeconds(static_cast<double>(part.tokens) / ReadTokensPerMillisecond / 1000);
-            if (sourceTime > 3 * readTime) {
+            const double share = static_cast<double>(patience.count()) / static_cast<double>(std::max<int64_t>(1, sourceTime.count()));
+            if (uniform < share * share) {
+                result.fetchFrom[index] = source->store.address;
+                result.fetchTokens += part.tokens;
+                if (part.tokens > mainTokens) {
+                    mainTokens = part.tokens;
+                    result.mainSource = source->store.name;
+                }
                 continue;
             }
-            source->busyUntil = std::max(now, source->busyUntil) + this->transferTime(*source, part.tokens, zone);
-            result.fetchFrom[index] = source->store.address;
-            result.fetchTokens += part.tokens;
-            continue;
         }
         const auto pending = this->pendingSaves.find(key);
         if (pending != this->pendingSaves.end() && now < pending->second + SaveReportTime) {
             continue;
         }
-        Held *place = this->placeFor(salt, part);
-        if (place != nullptr) {
+        const Held *place = this->placeFor(salt, part, zone, source);
+        // A second copy goes only to a link that is less busy.
+        const bool isUseful = place != nullptr && (source == nullptr || 2 * this->linkWait(*place, now) < this->linkWait(*source, now));
+        if (isUseful) {
             if (this->pendingSaves.size() >= MaxPendingSaves) {
                 std::erase_if(this->pendingSaves, [now](const auto &entry) { return now >= entry.second + SaveReportTime; });
             }
--- a/pimentosail/kvcache/storecontents.h
+++ b/pimentosail/kvcache/storecontents.h
@@ -60,6 +60,8 @@
     std::vector<std::string> saveTo;
     int64_t fetchTokens = 0;
     int64_t saveTokens = 0;
+    // Name of the store that gives most tokens; empty if none does.
+    std::string mainSource;
 
     bool hasFetch() const
     {
@@ -94,8 +96,16 @@
     std::map<std::string, std::vector<std::string>> takeSalt(const std::string &salt);
 
     // Plans the reading and saving of the first `shared` parts of a prompt for a target in `zone`; the others belong to
-    // this prompt alone.
-    CachePlan plan(const std::string &salt, const std::vector<PromptPart> &parts, size_t shared, const std::string &zone);
+    // this prompt alone. A part whose transfer is expected to take longer than `patience` is mostly read again and
+    // saved to another store; `draw` (uniform) spreads that choice over requests.
+    CachePlan plan(const std::string &salt, const std::vector<PromptPart> &parts, size_t shared, const std::string &zone, Duration patience, uint64_t draw);
+
+    // Records the time to the first token of a prompt that read from `store`, or from none (empty) . The excess over
+    // prompts that did not wait for it is the wait for the store's link.
+    void noteFirstToken(const std::string &store, Duration time);
+
+    // Returns the zones of the stores that have `part` whole.
+    std::set<std::string> zonesOf(const std::string &salt, const std::string &part) const;
 
     // Returns the tokens held by a store as known here.
     int64_t heldTokens(const std::string &store) const;
@@ -112,18 +122,24 @@
         int64_t epoch = 0;
         int64_t heldTokens = 0;
         std::map<PartKey, int64_t> parts;
-        // Transfers planned lately: when, and how long each keeps the link busy.
-        Time busyUntil{};
+        // Moving average of the times to first token of prompts that read from here, and when it was last updated.
+        double firstTokenMs = 0;
+        Time observedAt{};
     };
 
-    Held *placeFor(const std::string &salt, const PromptPart &part);
-    Duration transferTime(const Held &held, int64_t tokens, const std::string &zone) const;
+    Held *placeFor(const std::string &salt, const PromptPart &part, const std::string &zone, const Held *other);
+    // Returns the store that has the part and is expected to deliver it first, with that time.
+    std::pair<Held *, Duration> sourceFor(const PartKey &key, int64_t tokens, const std::string &zone, Time now);
+    Duration transferTime(const Held &entry, int64_t tokens, const std::string &zone) const;
+    Duration linkWait(const Held &entry, Time now) const;
 
     const Clock &clock;
     mutable std::mutex mutex;
     std::map<std::string, Held> held;
     // Saves that were planned and not yet reported, so that concurrent requests do not save the same part.
     std::map<PartKey, Time> pendingSaves;
+    // Moving average of the times to first token of prompts that read from no store.
+    double plainFirstTokenMs = 0;
 };
 
 } // namespace pimentosail
--- a/pimentosail/net/httpclient.cpp
+++ b/pimentosail/net/httpclient.cpp
@@ -97,6 +97,11 @@
             session = makeSession(address);
         }
         session->setTimeout(toTimespan(timeout));
+        if (reused) {
+            // The session's timeouts hold from its next connect; this connection has those of an earlier call.
+            session->socket().setSendTimeout(toTimespan(timeout));
+            session->socket().setReceiveTimeout(toTimespan(timeout));
+        }
         sendOn(*session, request, connected);
         Poco::Net::HTTPResponse response;
         std::istream &in = session->receiveResponse(response);
