Tests of the entry service's libraries and of the platform's codec; orderly destruction of the entry process

Cause: the entry tests hung, since the process's destructor waited for duties that nobody had told to end (the daemon leaves without destroying).

--- /dev/null
+++ b/pimentosail/directory/directorytest.cpp
@@ -0,0 +1,134 @@
+#include <criterion/criterion.h>
+
+#include "pimentosail/directory/directory.h"
+#include "pimentosail/directory/loadboard.h"
+
+using namespace pimentosail;
+
+namespace
+{
+
+Registration makeRegistration(const std::string &id, int64_t revision)
+{
+    Registration registration;
+    registration.id = id;
+    registration.service = "loom";
+    registration.address = "10.0.0.1:80";
+    registration.zone = "z1";
+    registration.slots = 4;
+    registration.startedAt = 1000;
+    registration.modelVersions["m"] = 1;
+    registration.revision = revision;
+    return registration;
+}
+
+struct Fixture
+{
+    Fixture()
+    {
+        this->clock.pause();
+        this->clock.advance(std::chrono::seconds(100));
+    }
+    Clock clock;
+    TargetDirectory directory{this->clock};
+};
+
+} // namespace
+
+Test(directory, a_draining_target_gets_no_work_and_does_not_come_back)
+{
+    Fixture fixture;
+    Registration registration = makeRegistration("a", 1);
+    fixture.directory.apply({registration}, true, Time(0));
+    cr_assert_eq(fixture.directory.usable("loom", "m").size(), 1);
+    registration.isDraining = true;
+    registration.revision = 2;
+    fixture.directory.apply({registration}, true, Time(0));
+    cr_assert(fixture.directory.usable("loom", "m").empty());
+    registration.isDraining = false;
+    registration.revision = 3;
+    fixture.directory.apply({registration}, true, Time(0));
+    cr_assert(fixture.directory.usable("loom", "m").empty(), "a host that acknowledged the leaving is bound by it");
+}
+
+Test(directory, a_registration_that_vanished_with_the_store_up_is_gone_at_once)
+{
+    Fixture fixture;
+    fixture.directory.apply({makeRegistration("a", 1)}, true, Time(0));
+    fixture.directory.apply({}, true, Time(0));
+    cr_assert(fixture.directory.usable("loom", "m").empty());
+}
+
+Test(directory, a_registration_that_lapsed_in_an_outage_is_kept_for_a_short_time)
+{
+    Fixture fixture;
+    fixture.directory.apply({makeRegistration("a", 1)}, true, Time(0));
+    const Time back = fixture.clock.now();
+    fixture.directory.apply({}, true, back);
+    cr_assert_eq(fixture.directory.usable("loom", "m").size(), 1);
+    fixture.clock.advance(Milliseconds(1600));
+    fixture.directory.apply({}, true, back);
+    cr_assert(fixture.directory.usable("loom", "m").empty(), "one that is still missing is gone");
+}
+
+Test(directory, a_restart_under_the_same_id_is_a_new_cold_target)
+{
+    Fixture fixture;
+    fixture.directory.setColdDurations({{"loom", std::chrono::seconds(3)}});
+    Registration registration = makeRegistration("a", 1);
+    fixture.directory.apply({registration}, true, Time(0));
+    const TargetPointer before = fixture.directory.find("a");
+    cr_assert_eq(before->coldUntil.load(), 0, "targets that were there at the start of the host are not taken to be cold");
+    registration.startedAt = 2000;
+    registration.revision = 2;
+    fixture.directory.apply({registration}, true, Time(0));
+    const TargetPointer after = fixture.directory.find("a");
+    cr_assert_neq(before.get(), after.get());
+    cr_assert_eq(after->coldUntil.load(), (fixture.clock.now() + std::chrono::seconds(3)).count());
+}
+
+Test(directory, cold_time_counts_from_the_write_and_not_from_each_look)
+{
+    Fixture fixture;
+    Registration registration = makeRegistration("a", 1);
+    registration.coldRemaining = Milliseconds(2000);
+    fixture.directory.apply({registration}, true, Time(0));
+    const int64_t until = fixture.directory.find("a")->coldUntil.load();
+    fixture.clock.advance(Milliseconds(1000));
+    fixture.directory.apply({registration}, true, Time(0));
+    cr_assert_eq(fixture.directory.find("a")->coldUntil.load(), until);
+}
+
+Test(directory, an_evacuated_zone_gets_no_work_until_it_is_taken_back)
+{
+    Fixture fixture;
+    fixture.directory.apply({makeRegistration("a", 1)}, true, Time(0));
+    fixture.directory.setEvacuated({"z1"});
+    cr_assert(fixture.directory.usable("loom", "m").empty());
+    cr_assert_not(fixture.directory.mayReceive(*fixture.directory.find("a")));
+    fixture.directory.setEvacuated({});
+    cr_assert_eq(fixture.directory.usable("loom", "m").size(), 1);
+}
+
+Test(directory, a_target_out_of_reach_is_avoided_and_then_taken_to_be_cold)
+{
+    Fixture fixture;
+    fixture.directory.setColdDurations({{"loom", std::chrono::seconds(3)}});
+    fixture.directory.apply({makeRegistration("a", 1)}, true, Time(0));
+    const TargetPointer target = fixture.directory.find("a");
+    fixture.directory.noteUnreachable(*target);
+    cr_assert(fixture.directory.usable("loom", "m").empty());
+    fixture.clock.advance(std::chrono::seconds(1));
+    cr_assert_eq(fixture.directory.usable("loom", "m").size(), 1);
+    cr_assert(target->coldUntil.load() > fixture.clock.now().count());
+}
+
+Test(directory, the_load_board_adds_up_other_hosts_and_forgets_silent_ones)
+{
+    LoadBoard board;
+    board.note("h1", {{"a", 2, 1000}}, Milliseconds(0));
+    board.note("h2", {{"a", 1, 500}, {"b", 9, 9}}, Milliseconds(500));
+    cr_assert_eq(board.others("a", Milliseconds(600)).requests, 3);
+    cr_assert_eq(board.others("a", Milliseconds(600)).pendingTokens, 1500);
+    cr_assert_eq(board.others("a", Milliseconds(1000)).requests, 1);
+}
--- /dev/null
+++ b/pimentosail/dispatch/dispatchtest.cpp
@@ -0,0 +1,167 @@
+#include <criterion/criterion.h>
+
+#include "pimentosail/dispatch/limits.h"
+#include "pimentosail/dispatch/picker.h"
+#include "pimentosail/dispatch/quarantine.h"
+
+using namespace pimentosail;
+
+namespace
+{
+
+Candidate makeCandidate(const std::string &id, int64_t version = 1, const std::string &zone = "z1")
+{
+    Candidate candidate;
+    candidate.target = std::make_shared<TargetState>();
+    candidate.target->id = id;
+    candidate.target->zone = zone;
+    candidate.target->slots = 6;
+    candidate.version = version;
+    return candidate;
+}
+
+struct PausedClock : Clock
+{
+    PausedClock()
+    {
+        this->pause();
+    }
+};
+
+PickQuery makePrompt(const std::string &part)
+{
+    PickQuery query;
+    query.affinity = part;
+    query.ownTokens = 5000;
+    query.promptTokens = 9000;
+    query.draw = 1;
+    return query;
+}
+
+} // namespace
+
+Test(dispatch, a_prompt_returns_to_its_own_target_while_that_is_not_busier)
+{
+    std::vector<Candidate> candidates{makeCandidate("a"), makeCandidate("b"), makeCandidate("c")};
+    const std::optional<Choice> first = pickTarget(makePrompt("session"), candidates);
+    cr_assert(first && first->isOwn);
+    for (uint64_t draw = 1; draw < 40; ++draw) {
+        PickQuery query = makePrompt("session");
+        query.draw = draw;
+        cr_assert_eq(pickTarget(query, candidates)->target->id, first->target->id);
+    }
+    for (Candidate &candidate : candidates) {
+        candidate.pendingTokens = candidate.target == first->target ? 50000 : 0;
+    }
+    cr_assert_neq(pickTarget(makePrompt("session"), candidates)->target->id, first->target->id);
+}
+
+Test(dispatch, newer_weights_are_preferred_until_they_are_much_busier)
+{
+    std::vector<Candidate> candidates{makeCandidate("old", 1), makeCandidate("new", 2)};
+    PickQuery query = makePrompt("session");
+    query.newestVersion = 2;
+    cr_assert_eq(pickTarget(query, candidates)->target->id, "new");
+    candidates[1].pendingTokens = 60000;
+    cr_assert_eq(pickTarget(query, candidates)->target->id, "old");
+    query.oldestVersion = 2;
+    cr_assert_eq(pickTarget(query, candidates)->target->id, "new", "past the limit no work begins on older weights");
+}
+
+Test(dispatch, a_failing_target_gets_a_probe_now_and_then_only)
+{
+    std::vector<Candidate> candidates{makeCandidate("good"), makeCandidate("bad")};
+    candidates[1].target->failurePermille.store(500);
+    candidates[0].requests = 5;
+    int bad = 0;
+    for (uint64_t draw = 0; draw < 500; ++draw) {
+        PickQuery query;
+        query.ownZone = "z1";
+        query.draw = draw;
+        bad += pickTarget(query, candidates)->target->id == "bad" ? 1 : 0;
+    }
+    cr_assert_eq(bad, 10);
+}
+
+Test(dispatch, targets_that_were_tried_or_are_cold_and_full_are_left_out)
+{
+    std::vector<Candidate> candidates{makeCandidate("a"), makeCandidate("b")};
+    PickQuery query;
+    query.tried = {"a"};
+    candidates[1].coldAndFull = true;
+    cr_assert_not(pickTarget(query, candidates).has_value());
+}
+
+Test(dispatch, repeats_of_all_hosts_together_stay_inside_the_bounds)
+{
+    PausedClock clock;
+    const RepeatBounds bounds{0.2, 52, std::chrono::seconds(10)};
+    constexpr int Hosts = 6;
+    std::vector<std::unique_ptr<RepeatBudget>> budgets;
+    for (int host = 0; host < Hosts; ++host) {
+        budgets.push_back(std::make_unique<RepeatBudget>(clock, bounds));
+    }
+    int repeats = 0;
+    int first = 0;
+    for (int step = 0; step < 900; ++step) {
+        budgets[static_cast<size_t>(step % Hosts)]->noteFirst("desk");
+        ++first;
+        for (int attempt = 0; attempt < 3; ++attempt) {
+            repeats += budgets[static_cast<size_t>(step % Hosts)]->tryRepeat("desk", Hosts) ? 1 : 0;
+        }
+        clock.advance(Milliseconds(10));
+    }
+    cr_assert_leq(repeats, static_cast<int>(bounds.ratio * first + bounds.extra));
+    cr_assert_gt(repeats, 100, "most of the bounds can be used");
+}
+
+Test(dispatch, cold_targets_get_their_limit_from_all_hosts_together)
+{
+    for (const size_t count : {1U, 6U, 17U, 18U, 75U, 410U}) {
+        std::vector<std::string> hosts;
+        for (size_t index = 0; index < count; ++index) {
+            hosts.push_back("host-" + std::to_string(index));
+        }
+        for (const std::string target : {"a", "b", "c"}) {
+            int total = 0;
+            for (const std::string &host : hosts) {
+                total += ColdLimiter::share(17, target, host, hosts);
+            }
+            cr_assert_leq(total, 17, "%zu hosts sent %d", count, total);
+            cr_assert_geq(total, 9, "%zu hosts used only %d", count, total);
+        }
+    }
+}
+
+Test(dispatch, a_cold_share_holds_in_every_second)
+{
+    PausedClock clock;
+    ColdLimiter limiter(clock);
+    std::vector<Time> sent;
+    for (int step = 0; step < 500; ++step) {
+        if (limiter.tryTake("a", 3)) {
+            sent.push_back(clock.now());
+        }
+        clock.advance(Milliseconds(10));
+    }
+    for (size_t index = 3; index < sent.size(); ++index) {
+        cr_assert(sent[index] - sent[index - 3] >= std::chrono::seconds(1));
+    }
+}
+
+Test(dispatch, a_request_is_blocked_after_three_targets_ended_under_it)
+{
+    PausedClock clock;
+    Quarantine first(clock);
+    Quarantine second(clock);
+    first.noteLost(7, "a/1");
+    first.noteLost(7, "a/1");
+    first.noteLost(7, "b/1");
+    cr_assert_not(first.isBlocked(7));
+    second.noteLost(7, "c/1");
+    first.merge(second.own());
+    cr_assert(first.isBlocked(7));
+    cr_assert_not(first.isBlocked(8));
+    second.merge(first.own());
+    cr_assert(second.isBlocked(7));
+}
--- a/pimentosail/entry/entryprocess.cpp
+++ b/pimentosail/entry/entryprocess.cpp
@@ -76,6 +76,8 @@
 public:
     Parts(const EntrySettings &entrySettings, Clock &runtimeClock, EventLog &eventLog, const Wire &entryWire, const PrefixStore &store);
 
+    ~Parts();
+
     void start();
     long shutDown();
 
@@ -162,6 +164,20 @@
 {
 }
 
+EntryProcess::Parts::~Parts()
+{
+    this->stopping.store(true);
+    this->callerServer.stop();
+    this->readyServer.stop();
+    this->peerServer.stop();
+    this->refreshThread.join();
+    this->loadDuty.stop();
+    this->cacheDuty.stop();
+    this->rolloutDuty.stop();
+    this->hostDuty.stop();
+    this->mirror.stop();
+}
+
 bool EntryProcess::Parts::isReady()
 {
     return !this->state.isDraining.load() && this->state.serving() && this->directory.size() > 0;
--- a/pimentosail/entry/hostduty.cpp
+++ b/pimentosail/entry/hostduty.cpp
@@ -1,3 +1,5 @@
+#include <utility>
+
 #include "pimentosail/base/hash.h"
 #include "pimentosail/base/json.h"
 #include "pimentosail/entry/stateupdater.h"
@@ -44,7 +46,7 @@
     this->thread.join();
     if (this->lease != 0) {
         try {
-            this->store.endLease(this->lease);
+            this->store.endLease(std::exchange(this->lease, 0));
         } catch (const Failure &failure) {
             // The lease ends by itself.
             this->context.log.write(LogLevel::Warning, "lease_not_ended", {{"lease", this->lease}, {"reason", failure.what()}});
--- a/pimentosail/entry/rolloutduty.cpp
+++ b/pimentosail/entry/rolloutduty.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <utility>
 
 #include "pimentosail/base/hash.h"
 #include "pimentosail/base/json.h"
@@ -58,7 +59,7 @@
     this->thread.join();
     if (this->lease != 0) {
         try {
-            this->store.endLease(this->lease);
+            this->store.endLease(std::exchange(this->lease, 0));
         } catch (const Failure &failure) {
             this->context.log.write(LogLevel::Warning, "lease_not_ended", {{"lease", this->lease}, {"reason", failure.what()}});
         }
--- /dev/null
+++ b/pimentosail/kvcache/kvcachetest.cpp
@@ -0,0 +1,134 @@
+#include <criterion/criterion.h>
+
+#include "pimentosail/kvcache/partreuse.h"
+#include "pimentosail/kvcache/storecontents.h"
+
+using namespace pimentosail;
+
+namespace
+{
+
+CacheStore makeStore(const std::string &name, double linkMbps, int64_t capacity)
+{
+    CacheStore store;
+    store.name = name;
+    store.address = name + ":80";
+    store.zone = "z1";
+    store.linkMbps = linkMbps;
+    store.capacityTokens = capacity;
+    return store;
+}
+
+constexpr Duration Patience = Milliseconds(200);
+const std::vector<PromptPart> Parts{{"shared", 2000}, {"session", 5000}, {"own", 1500}};
+
+struct Fixture
+{
+    Fixture()
+    {
+        this->clock.pause();
+        this->clock.advance(std::chrono::seconds(10));
+        this->stores.setStores({makeStore("fast", 200000, 10000), makeStore("slow", 58000, 1000000), makeStore("slow2", 58000, 1000000)});
+        for (const char *name : {"fast", "slow", "slow2"}) {
+            this->stores.apply(name, {1, 0, false, {}});
+        }
+    }
+    Clock clock;
+    CacheStores stores{this->clock};
+};
+
+} // namespace
+
+Test(kvcache, a_part_is_read_only_once_its_store_reported_it_whole)
+{
+    Fixture fixture;
+    const CachePlan first = fixture.stores.plan("w1", Parts, 2, "z1", Patience, 0);
+    cr_assert_eq(first.fetchTokens, 0);
+    cr_assert_eq(first.saveTo[0], "fast:80");
+    cr_assert(first.saveTo[2].empty(), "a part of one request takes no room");
+    const CachePlan second = fixture.stores.plan("w1", Parts, 2, "z1", Patience, 0);
+    cr_assert_eq(second.fetchTokens, 0);
+    cr_assert_eq(second.saveTokens, 0, "a save on its way is not repeated");
+    fixture.stores.apply("fast", {1, 1, false, {{"w1", "session", 5000, false}}});
+    const CachePlan third = fixture.stores.plan("w1", Parts, 2, "z1", Patience, 0);
+    cr_assert_eq(third.fetchFrom[1], "fast:80");
+    cr_assert(third.fetchFrom[0].empty());
+}
+
+Test(kvcache, parts_of_other_weights_or_walls_are_never_offered)
+{
+    Fixture fixture;
+    fixture.stores.apply("fast", {1, 1, false, {{"w1", "session", 5000, false}}});
+    cr_assert_eq(fixture.stores.plan("w2", Parts, 2, "z1", Patience, 0).fetchTokens, 0);
+    cr_assert_eq(fixture.stores.plan("w1.team", Parts, 2, "z1", Patience, 0).fetchTokens, 0);
+}
+
+Test(kvcache, a_part_that_is_partly_there_is_not_read)
+{
+    Fixture fixture;
+    fixture.stores.apply("fast", {1, 1, false, {{"w1", "session", 4000, false}}});
+    cr_assert_eq(fixture.stores.plan("w1", Parts, 2, "z1", Patience, 0).fetchTokens, 0);
+}
+
+Test(kvcache, a_restarted_store_is_empty)
+{
+    Fixture fixture;
+    fixture.stores.apply("fast", {1, 1, false, {{"w1", "session", 5000, false}}});
+    cr_assert(fixture.stores.apply("fast", {2, 0, false, {}}));
+    cr_assert_eq(fixture.stores.plan("w1", Parts, 2, "z1", Patience, 0).fetchTokens, 0);
+    cr_assert_eq(fixture.stores.heldTokens("fast"), 0);
+}
+
+Test(kvcache, a_full_store_gets_no_more_parts)
+{
+    Fixture fixture;
+    fixture.stores.apply("fast", {1, 1, false, {{"w1", "x", 9000, false}}});
+    const CachePlan plan = fixture.stores.plan("w1", Parts, 2, "z1", Patience, 0);
+    cr_assert(plan.saveTo[1] == "slow:80" || plan.saveTo[1] == "slow2:80");
+}
+
+// Pattern: one store holds most sessions and its link is saturated.
+Test(kvcache, a_saturated_link_is_read_from_less_and_copied_to_another)
+{
+    Fixture fixture;
+    fixture.stores.apply("fast", {1, 1, false, {{"w1", "x", 9900, false}}});
+    fixture.stores.apply("slow", {1, 1, false, {{"w1", "session", 5000, false}}});
+    cr_assert_eq(fixture.stores.plan("w1", Parts, 2, "z1", Patience, UINT64_MAX).fetchFrom[1], "slow:80");
+    for (int observation = 0; observation < 20; ++observation) {
+        fixture.stores.noteFirstToken("", Milliseconds(90));
+        fixture.stores.noteFirstToken("slow", Milliseconds(1500));
+    }
+    const CachePlan plan = fixture.stores.plan("w1", Parts, 2, "z1", Patience, UINT64_MAX);
+    cr_assert(plan.fetchFrom[1].empty());
+    cr_assert_eq(plan.saveTo[1], "slow2:80");
+    fixture.stores.apply("slow2", {1, 1, false, {{"w1", "session", 5000, false}}});
+    cr_assert_eq(fixture.stores.plan("w1", Parts, 2, "z1", Patience, UINT64_MAX).fetchFrom[1], "slow2:80");
+    fixture.clock.advance(std::chrono::seconds(6));
+    cr_assert_neq(fixture.stores.plan("w1", Parts, 2, "z1", Patience, UINT64_MAX).fetchFrom[1], "", "an old observation fades");
+}
+
+Test(kvcache, a_store_out_of_reach_is_neither_read_from_nor_saved_to)
+{
+    Fixture fixture;
+    fixture.stores.apply("fast", {1, 1, false, {{"w1", "session", 5000, false}}});
+    fixture.stores.setReachable("fast", false);
+    const CachePlan plan = fixture.stores.plan("w1", Parts, 2, "z1", Patience, 0);
+    cr_assert_eq(plan.fetchTokens, 0);
+    cr_assert_neq(plan.saveTo[0], "fast:80");
+}
+
+Test(kvcache, last_parts_that_return_are_told_from_those_of_one_request)
+{
+    PartReuse reuse;
+    int returning = 0;
+    for (int index = 0; index < 500; ++index) {
+        returning += reuse.note("single", "part-" + std::to_string(index)) ? 1 : 0;
+    }
+    cr_assert_eq(returning, 0);
+    for (int index = 0; index < 500; ++index) {
+        reuse.note("sessions", "session-" + std::to_string(index % 100));
+    }
+    cr_assert(reuse.note("sessions", "a new session"), "on a route whose last parts return, a new one is expected to");
+    cr_assert_not(reuse.note("single", "another"));
+    cr_assert(reuse.note("single", "another"), "a part that was seen before returns");
+}
--- /dev/null
+++ b/pimentosail/mirror/mirrortest.cpp
@@ -0,0 +1,125 @@
+#include <criterion/criterion.h>
+
+#include "pimentosail/base/error.h"
+#include "pimentosail/kv/memoryprefixstore.h"
+#include "pimentosail/mirror/storemirror.h"
+
+using namespace pimentosail;
+
+namespace
+{
+
+struct Fixture
+{
+    Clock clock;
+    MemoryPrefixStore memory{this->clock};
+    EventLog log{this->clock, "front-1", [](const std::string &) {
+                 }};
+    std::mutex mutex;
+    std::set<std::string> changedKeys;
+    PeerSource peers = [](int64_t, Duration) -> MirrorChanges {
+        throw Failure(ErrorKind::PeerLost, "no peer");
+    };
+
+    std::unique_ptr<StoreMirror> make()
+    {
+        return std::make_unique<StoreMirror>(
+            this->clock, this->log, this->memory.port(), [this](int64_t revision, Duration wait) { return this->peers(revision, wait); },
+            [this](const std::set<std::string> &keys) {
+                const std::lock_guard lock(this->mutex);
+                this->changedKeys.insert(keys.begin(), keys.end());
+            });
+    }
+
+    // Waits until `key` has `value` in `mirror`; an empty value means absent.
+    bool eventually(const StoreMirror &mirror, const std::string &key, const std::string &value, Duration limit = Milliseconds(4000))
+    {
+        const Time end = this->clock.now() + limit;
+        while (this->clock.now() < end) {
+            const std::vector<StoredItem> items = mirror.items(key);
+            if ((items.empty() && value.empty()) || (!items.empty() && items.front().value == value)) {
+                return true;
+            }
+            this->clock.sleepFor(Milliseconds(5));
+        }
+        return false;
+    }
+};
+
+} // namespace
+
+Test(mirror, changes_and_removals_arrive)
+{
+    Fixture fixture;
+    fixture.memory.put("op/a", "1");
+    const auto mirror = fixture.make();
+    mirror->start();
+    cr_assert(fixture.eventually(*mirror, "op/a", "1"));
+    fixture.memory.put("op/a", "2");
+    cr_assert(fixture.eventually(*mirror, "op/a", "2"));
+    fixture.memory.remove("op/a");
+    cr_assert(fixture.eventually(*mirror, "op/a", ""));
+}
+
+Test(mirror, a_lost_history_is_replaced_by_a_listing_that_also_removes)
+{
+    Fixture fixture;
+    fixture.memory.put("op/a", "1");
+    fixture.memory.put("op/b", "1");
+    const auto mirror = fixture.make();
+    mirror->start();
+    cr_assert(fixture.eventually(*mirror, "op/b", "1"));
+    fixture.memory.setDown(true);
+    fixture.clock.sleepFor(Milliseconds(50));
+    fixture.memory.remove("op/a");
+    fixture.memory.put("op/b", "2");
+    fixture.memory.compact();
+    fixture.memory.setDown(false);
+    cr_assert(fixture.eventually(*mirror, "op/b", "2"));
+    cr_assert(fixture.eventually(*mirror, "op/a", ""));
+}
+
+Test(mirror, a_host_that_the_store_refuses_learns_from_others)
+{
+    Fixture fixture;
+    fixture.memory.put("op/a", "1");
+    const auto mirror = fixture.make();
+    mirror->start();
+    cr_assert(fixture.eventually(*mirror, "op/a", "1"));
+    fixture.memory.setDown(true);
+    const int64_t later = mirror->status().revision + 10;
+    fixture.peers = [later](int64_t, Duration) {
+        return MirrorChanges{{{{"op/a", "from a peer", later}, false}}, later, false};
+    };
+    cr_assert(fixture.eventually(*mirror, "op/a", "from a peer"));
+    cr_assert_not(mirror->status().isReachable);
+}
+
+Test(mirror, a_key_never_goes_back)
+{
+    Fixture fixture;
+    const auto mirror = fixture.make();
+    mirror->merge({{{{"op/a", "new", 20}, false}}, 20, false});
+    mirror->merge({{{{"op/a", "old", 10}, false}}, 10, false});
+    cr_assert_eq(mirror->items("op/a").front().value, "new");
+    mirror->merge({{{{"op/a", "", 30}, true}}, 30, false});
+    mirror->merge({{{{"op/a", "late", 25}, false}}, 25, false});
+    cr_assert(mirror->items("op/a").empty(), "a removed key does not come back with a late change");
+    mirror->merge({{}, 5, true});
+    mirror->merge({{{{"op/a", "again", 40}, false}}, 40, false});
+    mirror->merge({{}, 35, true});
+    cr_assert_eq(mirror->items("op/a").front().value, "again", "an old snapshot removes nothing");
+}
+
+Test(mirror, other_hosts_get_changes_or_a_snapshot)
+{
+    Fixture fixture;
+    const auto mirror = fixture.make();
+    mirror->merge({{{{"op/a", "1", 10}, false}, {{"op/b", "1", 11}, false}}, 11, true});
+    const MirrorChanges all = mirror->changesAfter(0, Duration(0));
+    cr_assert(all.isSnapshot);
+    cr_assert_eq(all.changes.size(), 2);
+    const MirrorChanges some = mirror->changesAfter(10, Duration(0));
+    cr_assert_not(some.isSnapshot);
+    cr_assert_eq(some.changes.size(), 1);
+}
--- /dev/null
+++ b/pimentosail/rollout/rollouttest.cpp
@@ -0,0 +1,57 @@
+#include <criterion/criterion.h>
+
+#include "pimentosail/rollout/rollout.h"
+
+using namespace pimentosail;
+
+namespace
+{
+
+std::vector<RolloutTarget> makeTargets(size_t count)
+{
+    std::vector<RolloutTarget> targets(count);
+    for (size_t index = 0; index < count; ++index) {
+        targets[index].id = "t" + std::to_string(index);
+        targets[index].version = 1;
+        targets[index].load = static_cast<double>(count - index);
+    }
+    return targets;
+}
+
+} // namespace
+
+Test(rollout, only_the_permitted_number_loads_at_once)
+{
+    std::vector<RolloutTarget> targets = makeTargets(12);
+    cr_assert_eq(planRollout(targets, 2, {}).size(), 2);
+    cr_assert_eq(planRollout(makeTargets(18), 2, {}).size(), 3);
+    cr_assert_eq(planRollout(makeTargets(3), 2, {}).size(), 1);
+    targets[4].isLoading = true;
+    cr_assert_eq(planRollout(targets, 2, {}).size(), 1);
+    targets[5].isLoading = true;
+    cr_assert(planRollout(targets, 2, {}).empty());
+}
+
+Test(rollout, those_farthest_behind_go_first_then_the_least_loaded)
+{
+    std::vector<RolloutTarget> targets = makeTargets(12);
+    for (RolloutTarget &target : targets) {
+        target.version = 2;
+    }
+    targets[0].version = 1;
+    const std::vector<std::string> plan = planRollout(targets, 3, {});
+    cr_assert_eq(plan[0], "t0");
+    cr_assert_eq(plan[1], "t11");
+}
+
+Test(rollout, targets_that_have_the_version_or_are_excluded_are_left_alone)
+{
+    std::vector<RolloutTarget> targets = makeTargets(12);
+    for (RolloutTarget &target : targets) {
+        target.version = 2;
+    }
+    cr_assert(planRollout(targets, 2, {}).empty());
+    targets[3].version = 1;
+    targets[3].isExcluded = true;
+    cr_assert(planRollout(targets, 2, {}).empty());
+}
--- /dev/null
+++ b/pimentosail/routing/routingtest.cpp
@@ -0,0 +1,71 @@
+#include <criterion/criterion.h>
+
+#include "pimentosail/routing/serving.h"
+
+using namespace pimentosail;
+
+namespace
+{
+
+Route makeRoute(const std::string &name, const std::string &prefix)
+{
+    Route route;
+    route.name = name;
+    route.host = "cards.example";
+    route.pathPrefix = prefix;
+    route.timeout = Milliseconds(1000);
+    route.services = {{"desk", 1}};
+    return route;
+}
+
+ServingParts makeParts()
+{
+    ServingParts parts;
+    parts.version = 1;
+    parts.services.push_back({"desk", "/health", 0, Duration(0), 0, std::nullopt});
+    parts.services.push_back({"loom", "/health", 0, Duration(0), 0, std::nullopt});
+    parts.routes = {makeRoute("short", "/a/"), makeRoute("long", "/a/b/")};
+    parts.teams.push_back({"t1", 3, false});
+    parts.keys["k1"] = "t1";
+    parts.hasTeams = true;
+    return parts;
+}
+
+} // namespace
+
+Test(routing, the_longest_prefix_wins)
+{
+    const Result<ServingPointer> serving = Serving::create(makeParts());
+    cr_assert(serving);
+    cr_assert_eq((*serving)->findRoute("cards.example", "/a/b/c")->name, "long");
+    cr_assert_eq((*serving)->findRoute("cards.example", "/a/bc")->name, "short");
+    cr_assert_null((*serving)->findRoute("cards.example", "/b/"));
+    cr_assert_null((*serving)->findRoute("other.example", "/a/"));
+}
+
+Test(routing, a_key_names_its_team)
+{
+    const Result<ServingPointer> serving = Serving::create(makeParts());
+    cr_assert_eq((*serving)->findTeam("k1")->name, "t1");
+    cr_assert_null((*serving)->findTeam("k2"));
+}
+
+Test(routing, a_route_to_an_unknown_service_is_an_error_that_names_it)
+{
+    ServingParts parts = makeParts();
+    parts.routes[0].services = {{"nowhere", 1}};
+    const Result<ServingPointer> serving = Serving::create(std::move(parts));
+    cr_assert_not(serving.has_value());
+    cr_assert(serving.error().message.find("nowhere") != std::string::npos);
+}
+
+Test(routing, services_are_picked_by_weight)
+{
+    Route route = makeRoute("split", "/s/");
+    route.services = {{"desk", 90}, {"loom", 10}};
+    int loom = 0;
+    for (uint64_t draw = 0; draw < 1000; ++draw) {
+        loom += pickService(route, draw) == "loom" ? 1 : 0;
+    }
+    cr_assert_eq(loom, 100);
+}
--- /dev/null
+++ b/pimentosail/upstream/upstreamtest.cpp
@@ -0,0 +1,259 @@
+// Framing of targets' answers against a scripted peer on a loopback socket.
+#include <atomic>
+#include <functional>
+#include <thread>
+
+#include <criterion/criterion.h>
+
+#include <sys/socket.h>
+
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/SocketAddress.h>
+
+#include "pimentosail/upstream/pool.h"
+
+using namespace pimentosail;
+
+namespace
+{
+
+constexpr Duration TestWait = Milliseconds(2000);
+
+// A peer that runs one script on the first connection.
+class ScriptedPeer
+{
+public:
+    using Script = std::function<void(Poco::Net::StreamSocket &socket)>;
+
+    explicit ScriptedPeer(Script peerScript)
+        : server(Poco::Net::SocketAddress("127.0.0.1:0"))
+        , script(std::move(peerScript))
+        , thread([this] {
+            Poco::Net::StreamSocket socket = this->server.acceptConnection();
+            this->script(socket);
+        })
+    {
+    }
+    ~ScriptedPeer()
+    {
+        this->thread.join();
+    }
+
+    std::string address() const
+    {
+        return this->server.address().toString();
+    }
+
+private:
+    Poco::Net::ServerSocket server;
+    Script script;
+    std::thread thread;
+};
+
+void say(Poco::Net::StreamSocket &socket, const std::string &text)
+{
+    socket.sendBytes(text.data(), static_cast<int>(text.size()));
+}
+
+// Reads until the head of a request has arrived.
+void hear(Poco::Net::StreamSocket &socket)
+{
+    std::string text;
+    char block[4096];
+    while (text.find("\r\n\r\n") == std::string::npos) {
+        const int count = socket.receiveBytes(block, sizeof(block));
+        if (count <= 0) {
+            return;
+        }
+        text.append(block, static_cast<size_t>(count));
+    }
+}
+
+void reset(Poco::Net::StreamSocket &socket)
+{
+    socket.setLinger(true, 0);
+    socket.close();
+}
+
+struct Exchange
+{
+    ReadStatus head = ReadStatus::Broken;
+    ReadStatus end = ReadStatus::Broken;
+    std::string body;
+    bool isReusable = false;
+};
+
+// Sends one request and reads its answer to the end.
+Exchange exchangeWith(const std::string &address)
+{
+    Clock clock;
+    Exchange result;
+    Result<std::unique_ptr<TargetConnection>> connection = TargetConnection::connect(address, TestWait);
+    cr_assert(connection);
+    const Wait wait{clock, clock.now() + TestWait, -1};
+    bool anySent = false;
+    cr_assert((*connection)->send("GET / HTTP/1.1\r\nHost: x\r\n\r\n", wait, anySent) == SendStatus::Sent);
+    Poco::Net::HTTPResponse head;
+    result.head = (*connection)->readHead(head, true, wait);
+    if (result.head != ReadStatus::Data) {
+        return result;
+    }
+    do {
+        result.end = (*connection)->readBody(result.body, wait);
+    } while (result.end == ReadStatus::Data);
+    result.isReusable = (*connection)->isReusable();
+    return result;
+}
+
+} // namespace
+
+Test(upstream, a_chunked_answer_is_whole_only_with_its_last_chunk)
+{
+    ScriptedPeer whole([](Poco::Net::StreamSocket &socket) {
+        hear(socket);
+        say(socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n");
+        std::this_thread::sleep_for(Milliseconds(50));
+    });
+    const Exchange good = exchangeWith(whole.address());
+    cr_assert(good.end == ReadStatus::End);
+    cr_assert_eq(good.body, "hello");
+
+    ScriptedPeer cut([](Poco::Net::StreamSocket &socket) {
+        hear(socket);
+        say(socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n");
+    });
+    cr_assert(exchangeWith(cut.address()).end == ReadStatus::Broken, "a close between chunks is no end");
+}
+
+Test(upstream, an_answer_shorter_than_its_length_is_broken)
+{
+    ScriptedPeer peer([](Poco::Net::StreamSocket &socket) {
+        hear(socket);
+        say(socket, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhello");
+    });
+    cr_assert(exchangeWith(peer.address()).end == ReadStatus::Broken);
+}
+
+Test(upstream, an_answer_without_length_ends_with_an_orderly_close_only)
+{
+    ScriptedPeer orderly([](Poco::Net::StreamSocket &socket) {
+        hear(socket);
+        say(socket, "HTTP/1.1 200 OK\r\n\r\nhello");
+    });
+    const Exchange good = exchangeWith(orderly.address());
+    cr_assert(good.end == ReadStatus::End);
+    cr_assert_not(good.isReusable);
+
+    ScriptedPeer broken([](Poco::Net::StreamSocket &socket) {
+        hear(socket);
+        say(socket, "HTTP/1.1 200 OK\r\n\r\nhello");
+        std::this_thread::sleep_for(Milliseconds(50));
+        reset(socket);
+    });
+    cr_assert(exchangeWith(broken.address()).end == ReadStatus::Broken);
+}
+
+Test(upstream, bytes_after_an_answer_end_the_connection)
+{
+    ScriptedPeer peer([](Poco::Net::StreamSocket &socket) {
+        hear(socket);
+        say(socket, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno");
+        std::this_thread::sleep_for(Milliseconds(50));
+    });
+    const Exchange exchange = exchangeWith(peer.address());
+    cr_assert_eq(exchange.body, "ok");
+    cr_assert_not(exchange.isReusable);
+}
+
+Test(upstream, bytes_that_are_no_answer_are_broken)
+{
+    ScriptedPeer peer([](Poco::Net::StreamSocket &socket) {
+        hear(socket);
+        say(socket, "\x01\x02 what is this\r\n\r\n");
+    });
+    cr_assert(exchangeWith(peer.address()).head == ReadStatus::Broken);
+}
+
+Test(upstream, an_early_answer_stops_the_sending_and_the_connection_is_not_kept)
+{
+    ScriptedPeer peer([](Poco::Net::StreamSocket &socket) {
+        hear(socket);
+        say(socket, "HTTP/1.1 400 Bad Request\r\nContent-Length: 2\r\n\r\nno");
+        std::this_thread::sleep_for(Milliseconds(300));
+    });
+    Clock clock;
+    Result<std::unique_ptr<TargetConnection>> connection = TargetConnection::connect(peer.address(), TestWait);
+    cr_assert(connection);
+    const Wait wait{clock, clock.now() + TestWait, -1};
+    const std::string body(32 * 1024 * 1024, 'x');
+    bool anySent = false;
+    const SendStatus sent = (*connection)->send("POST / HTTP/1.1\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body, wait, anySent);
+    cr_assert(sent == SendStatus::AnsweredEarly);
+    Poco::Net::HTTPResponse head;
+    cr_assert((*connection)->readHead(head, true, wait) == ReadStatus::Data);
+    std::string answer;
+    while ((*connection)->readBody(answer, wait) == ReadStatus::Data) { }
+    cr_assert_eq(answer, "no");
+    cr_assert_not((*connection)->isReusable());
+}
+
+Test(upstream, a_caller_who_leaves_ends_the_wait)
+{
+    ScriptedPeer peer([](Poco::Net::StreamSocket &socket) {
+        hear(socket);
+        std::this_thread::sleep_for(Milliseconds(800));
+    });
+    int pair[2];
+    cr_assert_eq(::socketpair(AF_UNIX, SOCK_STREAM, 0, pair), 0);
+    Clock clock;
+    Result<std::unique_ptr<TargetConnection>> connection = TargetConnection::connect(peer.address(), TestWait);
+    cr_assert(connection);
+    const Wait wait{clock, clock.now() + TestWait, pair[0]};
+    bool anySent = false;
+    (*connection)->send("GET / HTTP/1.1\r\n\r\n", wait, anySent);
+    std::thread leaving([&pair] {
+        std::this_thread::sleep_for(Milliseconds(100));
+        ::close(pair[1]);
+    });
+    Poco::Net::HTTPResponse head;
+    const Time before = clock.now();
+    cr_assert((*connection)->readHead(head, true, wait) == ReadStatus::CallerGone);
+    cr_assert(clock.now() - before < Milliseconds(500));
+    leaving.join();
+    ::close(pair[0]);
+}
+
+Test(upstream, a_refused_connection_proves_that_nothing_was_sent)
+{
+    Poco::Net::ServerSocket closed(Poco::Net::SocketAddress("127.0.0.1:0"));
+    const std::string address = closed.address().toString();
+    closed.close();
+    const Result<std::unique_ptr<TargetConnection>> connection = TargetConnection::connect(address, TestWait);
+    cr_assert_not(connection.has_value());
+    cr_assert(connection.error().notRun);
+}
+
+Test(upstream, a_kept_connection_that_the_target_closed_is_not_handed_out)
+{
+    ScriptedPeer peer([](Poco::Net::StreamSocket &socket) {
+        hear(socket);
+        say(socket, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        std::this_thread::sleep_for(Milliseconds(200));
+    });
+    Clock clock;
+    ConnectionPool pool(clock);
+    Result<std::unique_ptr<TargetConnection>> connection = TargetConnection::connect(peer.address(), TestWait);
+    cr_assert(connection);
+    const Wait wait{clock, clock.now() + TestWait, -1};
+    bool anySent = false;
+    (*connection)->send("GET / HTTP/1.1\r\n\r\n", wait, anySent);
+    Poco::Net::HTTPResponse head;
+    std::string body;
+    cr_assert((*connection)->readHead(head, true, wait) == ReadStatus::Data);
+    while ((*connection)->readBody(body, wait) == ReadStatus::Data) { }
+    cr_assert((*connection)->isReusable());
+    pool.put(peer.address(), std::move(*connection));
+    cr_assert_eq(pool.size(), 1);
+    std::this_thread::sleep_for(Milliseconds(500));
+    cr_assert_null(pool.take(peer.address(), std::chrono::seconds(10)).get());
+}
