Overload: prompts that would be late yield to those in time, or are refused at once

Now the rate is learnt, the wait predicted from the tokens to be read over all hosts, late prompts are sent with the lowest priority, and those that would not begin in half of their time are refused with a Retry-After spread over the backlog. A prompt that was sent is never refused as not run.

--- a/pimentosail/directory/directory.h
+++ b/pimentosail/directory/directory.h
@@ -57,6 +57,8 @@
     // Requests of this host that the target works on, and their prompt tokens that are still to be read.
     std::atomic<int> inFlight{0};
     std::atomic<int64_t> pendingTokens{0};
+    // The same for requests that are late already and yield to all others.
+    std::atomic<int64_t> lateTokens{0};
     // No request is sent before this time (us): the target refused, failed to connect, or is taking an order.
     std::atomic<int64_t> avoidUntil{0};
     // The target counts as cold until this time (us).
--- a/pimentosail/directory/loadboard.cpp
+++ b/pimentosail/directory/loadboard.cpp
@@ -40,6 +40,7 @@
         if (found != report.loads.end()) {
             total.requests += found->second.requests;
             total.pendingTokens += found->second.pendingTokens;
+            total.lateTokens += found->second.lateTokens;
         }
     }
     return total;
--- a/pimentosail/directory/loadboard.h
+++ b/pimentosail/directory/loadboard.h
@@ -23,6 +23,8 @@
     std::string target;
     int requests = 0;
     int64_t pendingTokens = 0;
+    // Of requests that yield to all others.
+    int64_t lateTokens = 0;
 };
 
 class LoadBoard
--- /dev/null
+++ b/pimentosail/dispatch/forecast.h
@@ -0,0 +1,48 @@
+// Predicts the time to the first token of a prompt from the prompt tokens that its target still has to read, and
+// remembers how long callers of a route usually wait.
+//
+// The rate at which targets read is learnt from the requests themselves, so it includes all that slows them: other
+// runs' steps, waits for memory and for transfers.
+//
+//     forecast.note("loom", 24000, Milliseconds(310));
+//     Duration expected = forecast.predict("loom", 30000);
+//
+// Thread-safe.
+#pragma once
+
+#include <map>
+#include <mutex>
+#include <string>
+
+#include "pimentosail/base/clock.h"
+
+namespace pimentosail
+{
+
+class FirstTokenForecast
+{
+public:
+    // Records that a prompt sent while `pendingTokens` (its own included) were to be read there had its first token
+    // after `time`.
+    void note(const std::string &service, double pendingTokens, Duration time);
+
+    // Returns the expected time to first token behind `pendingTokens`.
+    Duration predict(const std::string &service, double pendingTokens) const;
+
+    // Returns the time for which a caller has been waiting, if it waits `patience` from now: callers that come back
+    // after a refusal wait for less than the others of their route.
+    Duration spent(const std::string &route, Duration patience);
+
+private:
+    struct Rate
+    {
+        double tokensPerMillisecond = 0;
+        double baseMs = 0;
+    };
+
+    mutable std::mutex mutex;
+    std::map<std::string, Rate> rates;
+    std::map<std::string, Duration> longestPatience;
+};
+
+} // namespace pimentosail
--- a/pimentosail/dispatch/picker.cpp
+++ b/pimentosail/dispatch/picker.cpp
@@ -76,7 +76,7 @@
         }
         if (cost < bestCost) {
             bestCost = cost;
-            best = Choice{candidate.target, candidate.version, cost, isOwn};
+            best = Choice{candidate.target, candidate.version, candidate.pendingTokens, candidate.lateTokens, isOwn};
         }
     }
     return best;
--- a/pimentosail/dispatch/picker.h
+++ b/pimentosail/dispatch/picker.h
@@ -30,6 +30,8 @@
     // Requests in flight and prompt tokens to be read there, over all hosts as far as known.
     double requests = 0;
     double pendingTokens = 0;
+    // The part of them that belongs to requests which yield to all others.
+    double lateTokens = 0;
     // A cold target that has had its share of requests for now.
     bool coldAndFull = false;
     // This host's share of requests a second for a cold target; negative if the target is warm.
@@ -59,8 +61,9 @@
 {
     TargetPointer target;
     int64_t version = 0;
-    // Expected wait in prompt tokens, for the log.
-    double cost = 0;
+    // Prompt tokens to be read there before this prompt, and those of requests that yield to it.
+    double pendingTokens = 0;
+    double lateTokens = 0;
     bool isOwn = false;
 };
 
--- a/pimentosail/entry/attempt.cpp
+++ b/pimentosail/entry/attempt.cpp
@@ -21,12 +21,13 @@
 class LoadMark
 {
 public:
-    LoadMark(TargetState &targetState, int64_t promptTokens)
+    LoadMark(TargetState &targetState, int64_t readTokens, bool isLate)
         : target(targetState)
-        , tokens(promptTokens)
+        , pending(isLate ? targetState.lateTokens : targetState.pendingTokens)
+        , tokens(readTokens)
     {
         this->target.inFlight.fetch_add(1);
-        this->target.pendingTokens.fetch_add(this->tokens);
+        this->pending.fetch_add(this->tokens);
     }
     ~LoadMark()
     {
@@ -39,12 +40,13 @@
     // The prompt has been read: its first token is there.
     void promptRead()
     {
-        this->target.pendingTokens.fetch_sub(this->tokens);
+        this->pending.fetch_sub(this->tokens);
         this->tokens = 0;
     }
 
 private:
     TargetState &target;
+    std::atomic<int64_t> &pending;
     int64_t tokens;
 };
 
@@ -279,7 +281,7 @@
 AttemptResult Attempt::run(const AttemptLimits &limits, const EventSink &sink)
 {
     AttemptResult result;
-    LoadMark load(*this->plan.target, this->request.prompt ? this->request.prompt->promptTokens : 0);
+    LoadMark load(*this->plan.target, this->plan.readTokens, this->plan.isLate);
     std::unique_ptr<TargetConnection> opened = this->openConnection(limits, result);
     if (!opened) {
         return result;
--- a/pimentosail/entry/context.h
+++ b/pimentosail/entry/context.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "pimentosail/directory/loadboard.h"
+#include "pimentosail/dispatch/forecast.h"
 #include "pimentosail/dispatch/limits.h"
 #include "pimentosail/dispatch/quarantine.h"
 #include "pimentosail/entry/entrysettings.h"
@@ -31,6 +32,7 @@
     Quarantine &quarantine;
     CacheStores &caches;
     PartReuse &partReuse;
+    FirstTokenForecast &forecast;
 };
 
 } // namespace pimentosail
--- a/pimentosail/entry/entryprocess.cpp
+++ b/pimentosail/entry/entryprocess.cpp
@@ -103,6 +103,7 @@
     Quarantine quarantine;
     CacheStores caches;
     PartReuse partReuse;
+    FirstTokenForecast forecast;
     EntryContext context;
     StateUpdater updater;
     std::mutex updaterMutex;
@@ -132,7 +133,7 @@
     , coldLimiter(clock)
     , quarantine(clock)
     , caches(clock)
-    , context{clock, log, metrics, settings, wire, state, directory, loads, connections, repeats, coldLimiter, quarantine, caches, partReuse}
+    , context{clock, log, metrics, settings, wire, state, directory, loads, connections, repeats, coldLimiter, quarantine, caches, partReuse, forecast}
     , updater(context)
     , peers(peerHttp,
           [this](const std::string &method, size_t bytes) {
--- a/pimentosail/entry/loadduty.cpp
+++ b/pimentosail/entry/loadduty.cpp
@@ -61,6 +61,7 @@
             row.append(target->id);
             row.append(requests);
             row.append(Json::Int64(target->pendingTokens.load()));
+            row.append(Json::Int64(target->lateTokens.load()));
             value["loads"].append(row);
         }
     }
@@ -108,7 +109,7 @@
             const Json::Value value = parseJson(std::string_view(buffer.data(), static_cast<size_t>(std::max(0, size))));
             std::vector<TargetLoad> loads;
             for (const Json::Value &row : value["loads"]) {
-                loads.push_back({row[0].asString(), row[1].asInt(), row[2].asInt64()});
+                loads.push_back({row[0].asString(), row[1].asInt(), row[2].asInt64(), row[3].asInt64()});
             }
             this->context.loads.note(jsonString(value, "host"), std::move(loads), this->context.clock.now());
         } catch (const std::exception &) {
--- a/pimentosail/entry/requestrunner.cpp
+++ b/pimentosail/entry/requestrunner.cpp
@@ -21,6 +21,8 @@
 constexpr int HoldPart = 8;
 // Part of the target latency that the transfer of a cached part may take.
 constexpr int FetchPart = 3;
+// A late prompt is sent if it is expected to begin within this part of the time left.
+constexpr double LateShare = 0.5;
 constexpr Duration HoldStep = Milliseconds(10);
 constexpr int MaxUnsent = 6;
 constexpr int MaxArrivals = 4;
@@ -90,6 +92,7 @@
         this->sharedParts = parts.size() - (this->context.partReuse.note(this->route->name, parts.back().id) ? 0 : 1);
     }
     const Duration patience = this->request.patience > Duration(0) ? this->request.patience : this->route->timeout;
+    this->spentBefore = this->context.forecast.spent(this->route->name, patience);
     this->deadline = this->received + std::min(patience, this->route->timeout) - AnswerMargin;
     const std::string teamName = this->team == nullptr ? "" : this->team->name;
     this->fingerprint = combineHashes(stableHash(this->request.method + this->request.target + "\n" + teamName), stableHash(this->request.body));
@@ -128,6 +131,7 @@
         const TargetLoad others = this->context.loads.others(view.target->id, Time(now));
         candidate.requests = view.target->inFlight.load() + others.requests;
         candidate.pendingTokens = static_cast<double>(view.target->pendingTokens.load() + others.pendingTokens);
+        candidate.lateTokens = static_cast<double>(view.target->lateTokens.load() + others.lateTokens);
         if (view.target->coldUntil.load() > now && profile != nullptr && profile->coldRequestsPerSecond > 0) {
             if (hosts.empty()) {
                 for (const HostEntry &host : this->context.state.hosts()) {
@@ -168,6 +172,7 @@
             version = std::max(version, candidate.version);
         }
         query.cacheZones = this->context.caches.zonesOf(this->saltFor(version), query.affinity);
+        this->isCached = !query.cacheZones.empty();
     }
     while (std::optional<Choice> choice = pickTarget(query, known)) {
         const auto chosen = std::find_if(known.begin(), known.end(), [&choice](const Candidate &candidate) { return candidate.target == choice->target; });
@@ -179,6 +184,42 @@
     return std::nullopt;
 }
 
+// The first part is shared by so many prompts that every target has it; the deciding part is read from a store.
+int64_t RequestRunner::expectedReadTokens() const
+{
+    const Prompt &prompt = *this->request.prompt;
+    int64_t tokens = prompt.promptTokens;
+    for (size_t index = 0; index < this->sharedParts; ++index) {
+        const bool isKept = index == 0 ? this->sharedParts > 1 : this->isCached;
+        tokens -= isKept ? prompt.parts[index].tokens : 0;
+    }
+    return std::max<int64_t>(0, tokens);
+}
+
+void RequestRunner::judgeLoad(const Choice &choice)
+{
+    if (!this->request.prompt || this->streaming) {
+        return;
+    }
+    const double own = static_cast<double>(this->expectedReadTokens());
+    this->pendingAtSend = choice.pendingTokens + own;
+    const Duration waited = this->spentBefore + (this->context.clock.now() - this->received);
+    const Duration expected = this->context.forecast.predict(this->service, this->pendingAtSend);
+    this->isLate = waited + expected > this->route->targetLatency;
+    if (!this->isLate) {
+        return;
+    }
+    const Duration left = this->deadline - this->context.clock.now();
+    const Duration behindAll = this->context.forecast.predict(this->service, this->pendingAtSend + choice.lateTokens);
+    if (behindAll <= fromSeconds(toSeconds(left) * LateShare)) {
+        return;
+    }
+    // Callers come back when about half of the backlog is done, spread out over as long again.
+    const double spread = 0.5 + static_cast<double>(this->random() % 1000) / 1000;
+    this->retryAfter = std::min<Duration>(left / 3, fromSeconds(toSeconds(behindAll) / 2 * spread));
+    throw Failure(ErrorKind::Overloaded, "expected after " + std::to_string(toMilliseconds(behindAll)) + " ms");
+}
+
 // Waits a small part of the target latency for a target to become free.
 Choice RequestRunner::chooseTarget()
 {
@@ -210,6 +251,8 @@
     plan.resumeAfter = this->lastEvent.empty() ? this->request.resumeAfter : this->lastEvent;
     if (this->request.prompt) {
         plan.priority = this->team != nullptr && this->team->priority ? *this->team->priority : this->route->priority;
+        plan.isLate = this->isLate;
+        plan.readTokens = this->expectedReadTokens();
         plan.expectedVersion = choice.version;
         plan.cacheSalt = this->saltFor(choice.version);
         if (choice.version > 0) {
@@ -284,6 +327,9 @@
     }
     if (this->request.prompt && result.firstAfter > Duration(0) && result.facts.isEventStream) {
         this->context.caches.noteFirstToken(this->cacheSource, result.firstAfter);
+        if (!this->isLate) {
+            this->context.forecast.note(this->service, this->pendingAtSend, result.firstAfter);
+        }
     }
     if (result.end == AttemptEnd::NotRun) {
         const Duration pause = result.facts.isOtherInstance ? OtherInstancePause : RefusalPause;
@@ -410,6 +456,8 @@
                                  : Failure(ErrorKind::NoTarget, "too little time is left");
         }
         if (this->arrivals == 0) {
+            // Once sent, a request must not be refused as not run.
+            this->judgeLoad(choice);
             this->context.repeats.noteFirst(this->service);
         }
         const AttemptPlan plan = this->planFor(choice);
@@ -434,7 +482,8 @@
     HeaderList headers = this->context.wire.ownAnswerHeaders(this->request);
     headers.emplace_back("Content-Type", "application/json");
     if (answer.retryAfterSeconds > 0) {
-        const double seconds = toSeconds(RetryAfterBase) * (1 + static_cast<double>(this->random() % 1000) / 1000);
+        const double spread = 1 + static_cast<double>(this->random() % 1000) / 1000;
+        const double seconds = this->retryAfter > Duration(0) ? toSeconds(this->retryAfter) : toSeconds(RetryAfterBase) * spread;
         headers.emplace_back("Retry-After", std::to_string(seconds).substr(0, 5));
     }
     if (this->context.state.isDraining.load()) {
@@ -466,8 +515,9 @@
             {"arrivals", this->arrivals}, {"unsent", this->unsent},
             {"first_ms", this->firstEventAt > Time(0) ? milliseconds(this->firstEventAt - this->received) : 0.0},
             {"total_ms", milliseconds(now - this->received)}, {"config", this->serving ? this->serving->all().version : 0},
-            {"config_age_ms", toMilliseconds(now - this->context.state.servingSince())}, {"weights", this->weightVersion}, {"cache_source", this->cacheSource},
-            {"fetch_tokens", this->fetchTokens}, {"save_tokens", this->saveTokens}});
+            {"config_age_ms", toMilliseconds(now - this->context.state.servingSince())}, {"weights", this->weightVersion}, {"late", this->isLate},
+            {"pending_tokens", this->pendingAtSend}, {"cache_source", this->cacheSource}, {"fetch_tokens", this->fetchTokens},
+            {"save_tokens", this->saveTokens}});
 }
 
 } // namespace pimentosail
--- a/pimentosail/entry/requestrunner.h
+++ b/pimentosail/entry/requestrunner.h
@@ -40,6 +40,9 @@
     std::string saltFor(int64_t version) const;
     AttemptPlan planFor(const Choice &choice);
     AttemptLimits limitsFor(const TargetState &target) const;
+    // Decides whether a prompt is sent in its turn, yields to others, or is refused because it would not be served.
+    void judgeLoad(const Choice &choice);
+    int64_t expectedReadTokens() const;
     bool forwardEvent(const ReplyFacts &facts, const std::string &event, const std::string &id);
     // Returns true if the request was answered or must not be tried again.
     bool finishAttempt(const Choice &choice, AttemptResult &result);
@@ -68,6 +71,12 @@
     uint64_t fingerprint = 0;
     // Number of leading prompt parts that other prompts are expected to share.
     size_t sharedParts = 0;
+    // How long the caller has been waiting since its first attempt, before this one.
+    Duration spentBefore{};
+    bool isLate = false;
+    double pendingAtSend = 0;
+    Duration retryAfter{};
+    bool isCached = false;
 
     // Attempts whose outcome may be a run, and all that reached or may have reached a target.
     int runs = 0;
--- a/pimentosail/entry/wire.h
+++ b/pimentosail/entry/wire.h
@@ -60,6 +60,10 @@
     Duration timeLeft{};
     std::string team;
     std::optional<int> priority;
+    // The request yields to all others at the target.
+    bool isLate = false;
+    // Prompt tokens that the target has to read.
+    int64_t readTokens = 0;
     std::string resumeAfter;
     // Of prompts: namespace of cached parts, weight version the target must have, and cache transfers.
     std::string cacheSalt;
