Shutdown: nothing is taken later than 2.6 s after SIGTERM; the right to order ages by a lease in the store

Also: after a restart of all hosts the first order waited 4 s for a holder that was long gone; the last announcement now has a lease in the store, whose absence proves its age. Reports of loading targets each 0.2 s from 1.9 s on.

--- a/pimentosail/entry/entryprocess.cpp
+++ b/pimentosail/entry/entryprocess.cpp
@@ -25,10 +25,11 @@
 constexpr int64_t MaxCallerThreads = 2000;
 constexpr int64_t PeerConnections = 48;
 constexpr int64_t ReadyConnections = 16;
-// The balancer asks once a second and takes a host out after two misses.
-constexpr Duration BalancerNotice = Milliseconds(3200);
+// The balancer asks once a second and takes a host out after two misses. What is taken later than three seconds after
+// SIGTERM must be finished, and a long stream could not be.
+constexpr Duration BalancerNotice = Milliseconds(2600);
 // The process ends this long before it would be killed.
-constexpr Duration ShutdownMargin = Milliseconds(700);
+constexpr Duration ShutdownMargin = Milliseconds(500);
 // A request may have been read but not counted yet; the process ends after this long without one.
 constexpr Duration QuietTime = Milliseconds(300);
 constexpr Duration ShutdownStep = Milliseconds(20);
--- a/pimentosail/entry/entrystate.h
+++ b/pimentosail/entry/entrystate.h
@@ -29,6 +29,8 @@
 {
     int64_t fence = 0;
     Time at{};
+    // This host saw it being written, and did not find it at its start.
+    bool isSeen = false;
 };
 
 // Another entry host.
@@ -114,10 +116,10 @@
     }
 
     // Records that the holder with `fence` announced orders; `at` is on the clock that counts suspension.
-    void noteRollout(int64_t fence, Time at)
+    void noteRollout(int64_t fence, Time at, bool isSeen)
     {
         const std::lock_guard lock(this->mutex);
-        this->announced = {fence, at};
+        this->announced = {fence, at, isSeen};
     }
 
     RolloutNotice rollout() const
--- a/pimentosail/entry/rolloutduty.cpp
+++ b/pimentosail/entry/rolloutduty.cpp
@@ -22,8 +22,8 @@
 // Time in which the other hosts learn that a target is about to load and stop sending to it.
 constexpr Duration NoticeTime = Milliseconds(120);
 // A load takes about two seconds after the runs have ended; reports lag by some hundred ms.
-constexpr Duration FirstReport = Milliseconds(1500);
-constexpr Duration ReportInterval = Milliseconds(350);
+constexpr Duration FirstReport = Milliseconds(1900);
+constexpr Duration ReportInterval = Milliseconds(200);
 // An unanswered order is given again if the target shows no sign of it after this time.
 constexpr Duration OrderRetry = Milliseconds(1500);
 // A target that refused an order or could not be reached is left out for this long.
@@ -110,7 +110,12 @@
         return;
     }
     const RolloutNotice last = this->context.state.rollout();
-    this->mayOrderFrom = last.fence == 0 ? Time(0) : last.at + OrderWindow + this->context.settings.holderGap;
+    if (last.fence == 0 || (!last.isSeen && this->mirror.items(RolloutRecentKey).empty())) {
+        // No order at all, or the last announcement is older than its lease.
+        this->mayOrderFrom = Time(0);
+        return;
+    }
+    this->mayOrderFrom = last.at + OrderWindow + this->context.settings.holderGap;
 }
 
 void RolloutDuty::keepRight()
@@ -158,11 +163,17 @@
         value["released"].append(id);
     }
     try {
-        const CommitOutcome outcome = this->store.commit({{{RolloutHolderKey, this->fence}}, {{RolloutStateKey, printJson(value), 0}}, {}});
+        // Granted before the announcement, so that it ends no earlier than the last order allowed by it plus the gap.
+        const int64_t recent = this->store.grantLease(2 * OrderWindow + this->context.settings.holderGap);
+        const CommitOutcome outcome = this->store.commit(
+            {{{RolloutHolderKey, this->fence}}, {{RolloutStateKey, printJson(value), 0}, {RolloutRecentKey, std::to_string(this->fence), recent}}, {}});
         if (outcome.status == CommitStatus::Committed) {
             this->announcedAt = asked;
             return true;
         }
+        if (outcome.status == CommitStatus::LeaseEnded) {
+            return false;
+        }
         this->dropRight("another host holds it");
     } catch (const Failure &) {
         // Other hosts learn the version from the registrations, and of the load by refusals.
--- a/pimentosail/entry/stateupdater.cpp
+++ b/pimentosail/entry/stateupdater.cpp
@@ -208,7 +208,8 @@
             const Json::Value value = parseJson(item.value);
             const std::string model = jsonString(value, "model");
             const int64_t version = jsonInteger(value, "version");
-            this->context.state.noteRollout(jsonInteger(value, "fence"), this->context.clock.nowWithSuspend());
+            const bool isSeen = this->context.clock.now() > this->createdAt + StartTime;
+            this->context.state.noteRollout(jsonInteger(value, "fence"), this->context.clock.nowWithSuspend(), isSeen);
             for (const Json::Value &id : value["loading"]) {
                 if (const TargetPointer target = this->context.directory.find(id.asString())) {
                     target->avoidUntil.store((this->context.clock.now() + LongestOrder).count());
--- a/pimentosail/entry/stateupdater.h
+++ b/pimentosail/entry/stateupdater.h
@@ -20,6 +20,8 @@
 inline const std::string ObservationsPrefix = OwnPrefix + "observations/";
 inline const std::string RolloutHolderKey = OwnPrefix + "rollout/holder";
 inline const std::string RolloutStateKey = OwnPrefix + "rollout/state";
+// Exists, under a lease, for as long as an order may just have been given.
+inline const std::string RolloutRecentKey = OwnPrefix + "rollout/recent";
 // Followed by MODEL/VERSION: when the version was named, for hosts that start later.
 inline const std::string VersionTimesPrefix = OwnPrefix + "versions/";
 
