--- a/cli/main.cpp
+++ b/cli/main.cpp
@@ -13,6 +13,7 @@
 #include "cli/printing.h"
 #include "pimentosail/base/json.h"
 #include "pimentosail/config/configuration.h"
+#include "pimentosail/eventlog/explain.h"
 #include "pimentosail/net/httpclient.h"
 
 namespace
@@ -38,6 +39,7 @@
   host out|in NAME       take a host out of service or back in
   status                 revision in force on each entry host, draining hosts, cold targets
   dump [HOST]            print the state of an entry host
+  explain ID [FILE...]   tell the story of a request from log files or standard input
 
 Examples:
   pimentosail check examples/winery
@@ -198,6 +200,8 @@
     return 0;
 }
 
+int explain(const Invocation &invocation);
+
 int run(const Invocation &invocation)
 {
     const std::string &command = invocation.word(0, "command");
@@ -229,10 +233,46 @@
         std::cout << printJsonIndented(callDaemon(invocation, "GET", "/admin/v1/dump" + host, Json::Value())) << "\n";
         return 0;
     }
-    const std::string nearest = nearestName(command, {"check", "diff", "apply", "get", "history", "zone", "host", "status", "dump"});
+    if (command == "explain") {
+        return explain(invocation);
+    }
+    const std::string nearest = nearestName(command, {"check", "diff", "apply", "get", "history", "zone", "host", "status", "dump", "explain"});
     throw UsageError("unknown command '" + command + "'" + (nearest.empty() ? "" : "; did you mean '" + nearest + "'?"));
 }
 
+// Prints the story of a request from log files, or from standard input for "-" or without files.
+int explain(const Invocation &invocation)
+{
+    if (invocation.words.size() < 2) {
+        throw UsageError("explain: a request id is needed");
+    }
+    std::vector<std::string> paths(invocation.words.begin() + 2, invocation.words.end());
+    if (paths.empty()) {
+        paths.emplace_back("-");
+    }
+    std::vector<std::string> lines;
+    for (const std::string &path : paths) {
+        std::ifstream file;
+        if (path != "-") {
+            file.open(path);
+            if (!file) {
+                throw UsageError(path + ": cannot be read");
+            }
+        }
+        std::istream &in = path == "-" ? std::cin : file;
+        for (std::string line; std::getline(in, line);) {
+            lines.push_back(std::move(line));
+        }
+    }
+    const std::string story = explainRequest(invocation.words[1], lines);
+    if (story.empty()) {
+        std::cerr << "no log line has the id " << invocation.words[1] << "\n";
+        return ExitRefused;
+    }
+    std::cout << story;
+    return 0;
+}
+
 int exitCodeOf(const Error &error)
 {
     switch (error.kind) {
--- a/pimentosail/entry/entryprocess.cpp
+++ b/pimentosail/entry/entryprocess.cpp
@@ -85,6 +85,8 @@
 private:
     void serveReady(HttpExchange &exchange);
     void servePeer(HttpExchange &exchange);
+    void serveMetrics(HttpExchange &exchange);
+    void updateGauges();
     MirrorChanges askPeer(int64_t revision, Duration wait);
     Json::Value dumpState();
     bool isReady();
@@ -121,6 +123,7 @@
     HttpServer callerServer;
     HttpServer readyServer;
     HttpServer peerServer;
+    HttpServer metricsServer;
 };
 
 EntryProcess::Parts::Parts(const EntrySettings &entrySettings, Clock &runtimeClock, EventLog &eventLog, const Wire &entryWire, const PrefixStore &store)
@@ -163,6 +166,7 @@
     , callerServer(settings.listen, callerConnections(settings), [this](HttpExchange &exchange) { RequestRunner(this->context, exchange).run(); })
     , readyServer(settings.readyListen, ReadyConnections, [this](HttpExchange &exchange) { this->serveReady(exchange); })
     , peerServer(settings.peerListen, PeerConnections, [this](HttpExchange &exchange) { this->servePeer(exchange); })
+    , metricsServer(settings.metricsListen, ReadyConnections, [this](HttpExchange &exchange) { this->serveMetrics(exchange); })
 {
 }
 
@@ -172,6 +176,7 @@
     this->callerServer.stop();
     this->readyServer.stop();
     this->peerServer.stop();
+    this->metricsServer.stop();
     this->refreshThread.join();
     this->loadDuty.stop();
     this->cacheDuty.stop();
@@ -196,8 +201,6 @@
     const std::string path = exchange.path();
     if (path == "/rpc") {
         exchange.send(200, "application/json", this->rpc.handle(exchange.readBody(1024 * 1024, this->clock, PeerCallMargin)));
-    } else if (path == "/metrics") {
-        exchange.send(200, "text/plain; version=0.0.4", this->metrics.print());
     } else if (path == "/debug/state") {
         exchange.send(200, "application/json", printJsonIndented(this->dumpState()));
     } else {
@@ -205,6 +208,28 @@
     }
 }
 
+void EntryProcess::Parts::serveMetrics(HttpExchange &exchange)
+{
+    this->updateGauges();
+    exchange.send(200, "text/plain; version=0.0.4", this->metrics.print());
+}
+
+void EntryProcess::Parts::updateGauges()
+{
+    const MirrorStatus status = this->mirror.status();
+    this->metrics.set("pimentosail_store_reachable", {}, status.isReachable ? 1 : 0);
+    this->metrics.set("pimentosail_store_answer_age_seconds", {}, toSeconds(this->clock.now() - status.lastAnswer));
+    this->metrics.set("pimentosail_configuration_age_seconds", {}, toSeconds(this->clock.now() - this->state.servingSince()));
+    this->metrics.set("pimentosail_targets", {}, static_cast<double>(this->directory.size()));
+    this->metrics.set("pimentosail_hosts", {}, static_cast<double>(this->state.hosts().size()));
+    this->metrics.set("pimentosail_idle_connections", {}, static_cast<double>(this->connections.size()));
+    this->metrics.set("pimentosail_log_lines_dropped", {}, static_cast<double>(this->log.dropped()));
+    this->metrics.set("pimentosail_log_lines_suppressed", {}, static_cast<double>(this->log.suppressed()));
+    for (const CacheStore &store : this->caches.stores()) {
+        this->metrics.set("pimentosail_cache_store_held_tokens", {{"store", store.name}}, static_cast<double>(this->caches.heldTokens(store.name)));
+    }
+}
+
 MirrorChanges EntryProcess::Parts::askPeer(int64_t revision, Duration wait)
 {
     std::vector<std::string> addresses = this->settings.peers;
@@ -273,6 +298,7 @@
     this->loadDuty.start();
     this->refreshThread.start();
     this->readyServer.start();
+    this->metricsServer.start();
     this->callerServer.start();
     this->log.write(LogLevel::Info, "started", {{"zone", this->settings.zone}, {"listen", this->settings.listen}, {"store", this->settings.storeAddress}});
 }
--- a/pimentosail/entry/entrysettings.h
+++ b/pimentosail/entry/entrysettings.h
@@ -21,6 +21,8 @@
     std::string readyListen;
     // For other hosts and for the state dump.
     std::string peerListen;
+    // For metrics.
+    std::string metricsListen;
     // For load reports of other hosts (UDP).
     std::string gossipListen;
     std::string storeAddress;
--- a/pimentosail/entry/requestrunner.cpp
+++ b/pimentosail/entry/requestrunner.cpp
@@ -505,6 +505,12 @@
     const std::string kind = this->route == nullptr ? "none" : std::string(requestKindName(this->route->kind));
     const bool isGood = this->answeredStatus >= 200 && this->answeredStatus < 300 && !this->isAborted() && !this->callerGone;
     this->context.metrics.count("pimentosail_requests_total", {{"kind", kind}, {"status", std::to_string(this->answeredStatus)}, {"outcome", this->outcome}});
+    if (this->fetchTokens > 0) {
+        this->context.metrics.count("pimentosail_cache_fetch_tokens_total", {{"store", this->cacheSource}}, static_cast<double>(this->fetchTokens));
+    }
+    if (this->saveTokens > 0) {
+        this->context.metrics.count("pimentosail_cache_save_tokens_total", {}, static_cast<double>(this->saveTokens));
+    }
     this->context.metrics.observeSeconds("pimentosail_request_seconds", {{"kind", kind}}, toSeconds(now - this->received));
     if (this->firstEventAt > Time(0)) {
         this->context.metrics.observeSeconds("pimentosail_first_event_seconds", {{"kind", kind}}, toSeconds(this->firstEventAt - this->received));
