--- a/pimentosail/dispatch/forecast.cpp
+++ b/pimentosail/dispatch/forecast.cpp
@@ -16,6 +16,8 @@
 // Below this many tokens the time says little about the rate; it is the time of an idle target.
 constexpr double BusyTokens = 8000;
 constexpr double ObservationWeight = 0.05;
+constexpr Duration PatienceStep = Milliseconds(20);
+constexpr size_t MaxPatienceSteps = 64;
 
 } // namespace
 
@@ -43,9 +45,19 @@
 Duration FirstTokenForecast::spent(const std::string &route, Duration patience)
 {
     const std::lock_guard lock(this->mutex);
-    Duration &longest = this->longestPatience[route];
-    longest = std::max(longest, patience);
-    return longest - patience;
+    std::map<int64_t, double> &counts = this->patienceCounts[route];
+    ++counts[patience / PatienceStep];
+    if (counts.size() > MaxPatienceSteps) {
+        for (auto &[step, count] : counts) {
+            count /= 2;
+        }
+        std::erase_if(counts, [](const auto &entry) { return entry.second < 1; });
+    }
+    if (counts.empty()) {
+        return Duration(0);
+    }
+    const auto usual = std::max_element(counts.begin(), counts.end(), [](const auto &a, const auto &b) { return a.second < b.second; });
+    return std::max(Duration(0), usual->first * PatienceStep - patience);
 }
 
 } // namespace pimentosail
--- a/pimentosail/dispatch/forecast.h
+++ b/pimentosail/dispatch/forecast.h
@@ -30,7 +30,7 @@
     Duration predict(const std::string &service, double pendingTokens) const;
 
     // Returns the time for which a caller has been waiting, if it waits `patience` from now: callers that come back
-    // after a refusal wait for less than the others of their route.
+    // after a refusal wait for less than is usual on their route. Usual is what most callers say.
     Duration spent(const std::string &route, Duration patience);
 
 private:
@@ -42,7 +42,8 @@
 
     mutable std::mutex mutex;
     std::map<std::string, Rate> rates;
-    std::map<std::string, Duration> longestPatience;
+    // For each route, how often each patience (in steps of `PatienceStep`) was stated lately.
+    std::map<std::string, std::map<int64_t, double>> patienceCounts;
 };
 
 } // namespace pimentosail
