--- a/pimentosail/dispatch/dispatchtest.cpp
+++ b/pimentosail/dispatch/dispatchtest.cpp
@@ -98,6 +98,7 @@
     const RepeatBounds bounds{0.2, 52, std::chrono::seconds(10)};
     constexpr int Hosts = 6;
     std::vector<std::unique_ptr<RepeatBudget>> budgets;
+    budgets.reserve(Hosts);
     for (int host = 0; host < Hosts; ++host) {
         budgets.push_back(std::make_unique<RepeatBudget>(clock, bounds));
     }
--- a/pimentosail/entry/requestrunner.cpp
+++ b/pimentosail/entry/requestrunner.cpp
@@ -260,6 +260,7 @@
                 plan.cacheSalt, this->request.prompt->parts, this->sharedParts, choice.target->zone, this->route->targetLatency / FetchPart, this->random());
         }
         this->cacheSource = plan.cache.mainSource;
+        this->expectedTransfer = plan.cache.expectedTime;
         this->fetchTokens += plan.cache.fetchTokens;
         this->saveTokens += plan.cache.saveTokens;
     }
@@ -522,8 +523,8 @@
             {"first_ms", this->firstEventAt > Time(0) ? milliseconds(this->firstEventAt - this->received) : 0.0},
             {"total_ms", milliseconds(now - this->received)}, {"config", this->serving ? this->serving->all().version : 0},
             {"config_age_ms", toMilliseconds(now - this->context.state.servingSince())}, {"weights", this->weightVersion}, {"late", this->isLate},
-            {"pending_tokens", this->pendingAtSend}, {"cache_source", this->cacheSource}, {"fetch_tokens", this->fetchTokens},
-            {"save_tokens", this->saveTokens}});
+            {"pending_tokens", this->pendingAtSend}, {"cache_source", this->cacheSource}, {"fetch_expected_ms", milliseconds(this->expectedTransfer)},
+            {"fetch_tokens", this->fetchTokens}, {"save_tokens", this->saveTokens}});
 }
 
 } // namespace pimentosail
--- a/pimentosail/entry/requestrunner.h
+++ b/pimentosail/entry/requestrunner.h
@@ -100,6 +100,7 @@
     std::string lastReason;
     int64_t weightVersion = 0;
     std::string cacheSource;
+    Duration expectedTransfer{};
     int64_t fetchTokens = 0;
     int64_t saveTokens = 0;
 };
--- a/pimentosail/entry/rolloutduty.cpp
+++ b/pimentosail/entry/rolloutduty.cpp
@@ -29,7 +29,9 @@
 // A target that refused an order or could not be reached is left out for this long.
 constexpr Duration Exclusion = Milliseconds(1000);
 constexpr Duration LongestLoad = std::chrono::seconds(10);
-constexpr Duration IdleStep = Milliseconds(100);
+// Finished loads that an announcement repeats, for hosts that missed one.
+constexpr size_t MaxFinished = 64;
+constexpr Duration IdleStep = Milliseconds(50);
 
 } // namespace
 
@@ -146,27 +148,21 @@
     }
 }
 
-bool RolloutDuty::publish(const std::string &model, int64_t version)
+bool RolloutDuty::publish()
 {
     const Time asked = this->context.clock.nowWithSuspend();
-    Json::Value value;
-    value["fence"] = Json::Int64(this->fence);
-    value["model"] = model;
-    value["version"] = Json::Int64(version);
+    RolloutAnnouncement announcement;
+    announcement.fence = this->fence;
     for (const auto &[id, entry] : this->loading) {
-        value["loading"].append(id);
-    }
-    for (const std::string &id : this->done) {
-        value["done"].append(id);
-    }
-    for (const std::string &id : this->released) {
-        value["released"].append(id);
+        announcement.loading.push_back(id);
     }
+    announcement.finished.assign(this->finished.begin(), this->finished.end());
+    announcement.released = this->released;
     try {
         // Granted before the announcement, so that it ends no earlier than the last order allowed by it plus the gap.
         const int64_t recent = this->store.grantLease(2 * OrderWindow + this->context.settings.holderGap);
-        const CommitOutcome outcome = this->store.commit(
-            {{{RolloutHolderKey, this->fence}}, {{RolloutStateKey, printJson(value), 0}, {RolloutRecentKey, std::to_string(this->fence), recent}}, {}});
+        const CommitOutcome outcome = this->store.commit({{{RolloutHolderKey, this->fence}},
+            {{RolloutStateKey, encodeAnnouncement(announcement), 0}, {RolloutRecentKey, std::to_string(this->fence), recent}}, {}});
         if (outcome.status == CommitStatus::Committed) {
             this->announcedAt = asked;
             return true;
@@ -245,20 +241,31 @@
         entry.target = byId[id];
         entry.model = model;
         entry.version = version;
+        entry.preparedAt = now;
         entry.orderedAt = now;
-        entry.nextReport = now + FirstReport;
         this->loading[id] = std::move(entry);
     }
-    if (!this->publish(model, version)) {
+    if (!this->publish()) {
         for (const std::string &id : next) {
             this->loading.erase(id);
         }
-        return;
     }
-    this->context.clock.sleepFor(NoticeTime);
-    for (const std::string &id : next) {
-        if (this->mayOrder()) {
-            this->orderOne(this->loading[id]);
+}
+
+// Orders prepared targets while fewer than the permitted number load.
+void RolloutDuty::orderPrepared()
+{
+    const Time now = this->context.clock.now();
+    for (auto &[id, entry] : this->loading) {
+        const auto ordered = std::count_if(this->loading.begin(), this->loading.end(), [](const auto &other) { return other.second.isOrdered; });
+        const auto atOnce = loadsAtOnce(this->context.directory.all(entry.target->service, entry.model).size(), RolloutLimits{});
+        if (entry.isOrdered || ordered >= atOnce || now < entry.preparedAt + NoticeTime) {
+            continue;
+        }
+        const bool isAnnounced = this->context.clock.nowWithSuspend() < this->announcedAt + OrderWindow - NoticeTime;
+        if (this->mayOrder() && (isAnnounced || this->publish())) {
+            entry.isOrdered = true;
+            this->orderOne(entry);
         }
     }
 }
@@ -267,11 +274,10 @@
 {
     const Time now = this->context.clock.now();
     bool isChanged = false;
-    std::string model;
-    int64_t version = 0;
     for (auto entry = this->loading.begin(); entry != this->loading.end();) {
         Loading &load = entry->second;
-        if (now < load.nextReport && !load.target->gone && now < load.orderedAt + LongestLoad) {
+        const bool isWaiting = !load.isOrdered || now < load.nextReport;
+        if (isWaiting && !load.target->gone && now < load.orderedAt + LongestLoad) {
             ++entry;
             continue;
         }
@@ -285,7 +291,7 @@
                 const int64_t present = found == report.modelVersions.end() ? 0 : found->second;
                 isDone = present >= load.version && !report.isBusy;
                 if (!isDone && !report.isBusy && report.orderCount == load.orderCount && now > load.orderedAt + OrderRetry && this->mayOrder()
-                    && this->publish(load.model, load.version)) {
+                    && this->publish()) {
                     this->orderOne(load);
                 }
                 this->context.directory.noteVersion(load.target->id, load.model, present);
@@ -301,18 +307,19 @@
         }
         this->context.log.write(isDone ? LogLevel::Info : LogLevel::Warning, isDone ? "load_done" : "load_given_up",
             {{"target", load.target->id}, {"version", load.version}, {"took_ms", toMilliseconds(now - load.orderedAt)}});
-        model = load.model;
-        version = load.version;
-        (isDone ? this->done : this->released).push_back(entry->first);
+        this->released.push_back(entry->first);
         if (isDone) {
-            this->released.push_back(entry->first);
+            this->finished.push_back({entry->first, load.model, load.version});
+            if (this->finished.size() > MaxFinished) {
+                this->finished.pop_front();
+            }
         }
         load.target->avoidUntil.store(0);
         entry = this->loading.erase(entry);
         isChanged = true;
     }
     if (isChanged) {
-        this->publish(model, version);
+        this->publish();
         this->released.clear();
     }
 }
@@ -321,13 +328,9 @@
 {
     this->checkLoading();
     for (const auto &[model, wanted] : this->context.state.allWanted()) {
-        if (!this->done.empty()
-            && std::any_of(this->loading.begin(), this->loading.end(), [&wanted](const auto &entry) { return entry.second.version < wanted.version; })) {
-            // `done` speaks of the version before; it starts anew with this one.
-            this->done.clear();
-        }
         this->startLoads(model, wanted.version);
     }
+    this->orderPrepared();
 }
 
 void RolloutDuty::run()
@@ -341,7 +344,7 @@
             this->advance();
         } else if (this->fence == 0) {
             this->loading.clear();
-            this->done.clear();
+            this->finished.clear();
         }
         this->context.clock.sleepFor(IdleStep);
     }
--- a/pimentosail/entry/stateupdater.cpp
+++ b/pimentosail/entry/stateupdater.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "pimentosail/base/json.h"
+#include "pimentosail/rollout/announcement.h"
 
 namespace pimentosail
 {
@@ -205,21 +206,19 @@
 {
     for (const StoredItem &item : mirror.items(RolloutStateKey)) {
         try {
-            const Json::Value value = parseJson(item.value);
-            const std::string model = jsonString(value, "model");
-            const int64_t version = jsonInteger(value, "version");
+            const RolloutAnnouncement announcement = decodeAnnouncement(item.value);
             const bool isSeen = this->context.clock.now() > this->createdAt + StartTime;
-            this->context.state.noteRollout(jsonInteger(value, "fence"), this->context.clock.nowWithSuspend(), isSeen);
-            for (const Json::Value &id : value["loading"]) {
-                if (const TargetPointer target = this->context.directory.find(id.asString())) {
+            this->context.state.noteRollout(announcement.fence, this->context.clock.nowWithSuspend(), isSeen);
+            for (const std::string &id : announcement.loading) {
+                if (const TargetPointer target = this->context.directory.find(id)) {
                     target->avoidUntil.store((this->context.clock.now() + LongestOrder).count());
                 }
             }
-            for (const Json::Value &id : value["done"]) {
-                this->context.directory.noteVersion(id.asString(), model, version);
+            for (const FinishedLoad &load : announcement.finished) {
+                this->context.directory.noteVersion(load.target, load.model, load.version);
             }
-            for (const Json::Value &id : value["released"]) {
-                if (const TargetPointer target = this->context.directory.find(id.asString())) {
+            for (const std::string &id : announcement.released) {
+                if (const TargetPointer target = this->context.directory.find(id)) {
                     target->avoidUntil.store(0);
                 }
             }
--- a/pimentosail/entry/storeduties.h
+++ b/pimentosail/entry/storeduties.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <atomic>
+#include <deque>
 #include <map>
 #include <memory>
 #include <string>
@@ -11,6 +12,7 @@
 #include "pimentosail/base/duty.h"
 #include "pimentosail/entry/context.h"
 #include "pimentosail/mirror/storemirror.h"
+#include "pimentosail/rollout/announcement.h"
 #include "pimentosail/rollout/rollout.h"
 
 namespace pimentosail
@@ -67,8 +69,10 @@
         std::string model;
         int64_t version = 0;
         int64_t orderCount = 0;
+        Time preparedAt{};
         Time orderedAt{};
         Time nextReport{};
+        bool isOrdered = false;
         bool isAnswered = false;
     };
 
@@ -81,9 +85,10 @@
     void advance();
     void checkLoading();
     void startLoads(const std::string &model, int64_t version);
+    void orderPrepared();
     void orderOne(Loading &loading);
     // Announces which targets load, before they are ordered. Returns false if that is not certain.
-    bool publish(const std::string &model, int64_t version);
+    bool publish();
 
     EntryContext &context;
     PrefixStore store;
@@ -98,7 +103,7 @@
     Time announcedAt{};
     Time nextRenewal{};
     std::map<std::string, Loading> loading;
-    std::vector<std::string> done;
+    std::deque<FinishedLoad> finished;
     std::vector<std::string> released;
     std::map<std::string, Time> excludedUntil;
     std::atomic<bool> stopping{false};
--- a/pimentosail/eventlog/explain.cpp
+++ b/pimentosail/eventlog/explain.cpp
@@ -1,6 +1,8 @@
 #include "pimentosail/eventlog/explain.h"
 
 #include <algorithm>
+#include <array>
+#include <cstdio>
 #include <set>
 
 #include <json/value.h>
@@ -51,19 +53,32 @@
 // Events of a host that say what it believes, not what it did with a request.
 bool isBelief(const std::string &event)
 {
-    static const std::set<std::string> Events{"started", "draining", "stopped", "configuration_in_force", "targets_changed", "zones_evacuated",
+    static const std::set<std::string> events{"started", "draining", "stopped", "configuration_in_force", "targets_changed", "zones_evacuated",
         "version_wanted", "dependency_lost", "dependency_regained", "cache_store_restarted", "load_ordered", "load_done", "load_given_up", "value_unreadable",
         "log_suppressed", "settings_reloaded", "settings_unreadable"};
-    return Events.contains(event);
+    return events.contains(event);
+}
+
+std::string printValue(const Json::Value &value)
+{
+    if (value.isString()) {
+        return value.asString();
+    }
+    if (value.type() == Json::realValue) {
+        std::array<char, 32> digits{};
+        std::snprintf(digits.data(), digits.size(), "%.1f", value.asDouble());
+        return digits.data();
+    }
+    return printJson(value);
 }
 
 std::string printLine(const Line &line, int64_t start)
 {
     std::string text = std::to_string(line.at - start) + " ms  " + line.host + "  " + line.event;
     for (const std::string &name : line.fields.getMemberNames()) {
-        static const std::set<std::string> Shown{"ts", "up", "host", "event", "id"};
-        if (!Shown.contains(name)) {
-            text += "  " + name + "=" + (line.fields[name].isString() ? line.fields[name].asString() : printJson(line.fields[name]));
+        static const std::set<std::string> shown{"ts", "up", "host", "event", "id"};
+        if (!shown.contains(name)) {
+            text += "  " + name + "=" + printValue(line.fields[name]);
         }
     }
     return text + "\n";
--- a/pimentosail/kvcache/storecontents.cpp
+++ b/pimentosail/kvcache/storecontents.cpp
@@ -235,6 +235,7 @@
                 if (part.tokens > mainTokens) {
                     mainTokens = part.tokens;
                     result.mainSource = source->store.name;
+                    result.expectedTime = sourceTime;
                 }
                 continue;
             }
--- a/pimentosail/kvcache/storecontents.h
+++ b/pimentosail/kvcache/storecontents.h
@@ -62,6 +62,8 @@
     int64_t saveTokens = 0;
     // Name of the store that gives most tokens; empty if none does.
     std::string mainSource;
+    // How long the transfer from there is expected to take, the wait for its link included.
+    Duration expectedTime{};
 
     bool hasFetch() const
     {
--- /dev/null
+++ b/pimentosail/rollout/announcement.cpp
@@ -0,0 +1,65 @@
+#include "pimentosail/rollout/announcement.h"
+
+#include "pimentosail/base/error.h"
+#include "pimentosail/base/json.h"
+
+namespace pimentosail
+{
+
+namespace
+{
+
+Json::Value toArray(const std::vector<std::string> &names)
+{
+    Json::Value array(Json::arrayValue);
+    for (const std::string &name : names) {
+        array.append(name);
+    }
+    return array;
+}
+
+std::vector<std::string> fromArray(const Json::Value &array)
+{
+    std::vector<std::string> names;
+    for (const Json::Value &name : array) {
+        if (!name.isString()) {
+            throw Failure(ErrorKind::BadRequest, "a target's name must be a string");
+        }
+        names.push_back(name.asString());
+    }
+    return names;
+}
+
+} // namespace
+
+std::string encodeAnnouncement(const RolloutAnnouncement &announcement)
+{
+    Json::Value value;
+    value["fence"] = Json::Int64(announcement.fence);
+    value["loading"] = toArray(announcement.loading);
+    value["released"] = toArray(announcement.released);
+    value["finished"] = Json::Value(Json::arrayValue);
+    for (const FinishedLoad &load : announcement.finished) {
+        Json::Value row;
+        row["target"] = load.target;
+        row["model"] = load.model;
+        row["version"] = Json::Int64(load.version);
+        value["finished"].append(row);
+    }
+    return printJson(value);
+}
+
+RolloutAnnouncement decodeAnnouncement(const std::string &value)
+{
+    const Json::Value document = parseJson(value);
+    RolloutAnnouncement announcement;
+    announcement.fence = jsonInteger(document, "fence");
+    announcement.loading = fromArray(document["loading"]);
+    announcement.released = fromArray(document["released"]);
+    for (const Json::Value &row : document["finished"]) {
+        announcement.finished.push_back({jsonString(row, "target"), jsonString(row, "model"), jsonInteger(row, "version")});
+    }
+    return announcement;
+}
+
+} // namespace pimentosail
--- a/pimentosail/rollout/rollout.cpp
+++ b/pimentosail/rollout/rollout.cpp
@@ -5,9 +5,14 @@
 namespace pimentosail
 {
 
+int64_t loadsAtOnce(size_t targets, const RolloutLimits &limits)
+{
+    return std::max<int64_t>(1, static_cast<int64_t>(limits.share * static_cast<double>(targets) + 1e-9));
+}
+
 std::vector<std::string> planRollout(const std::vector<RolloutTarget> &targets, int64_t version, const RolloutLimits &limits)
 {
-    const auto atOnce = std::max<int64_t>(1, static_cast<int64_t>(limits.share * static_cast<double>(targets.size()) + 1e-9));
+    const int64_t atOnce = loadsAtOnce(targets.size(), limits);
     const auto loading = std::count_if(targets.begin(), targets.end(), [](const RolloutTarget &target) { return target.isLoading; });
     std::vector<const RolloutTarget *> waiting;
     for (const RolloutTarget &target : targets) {
--- a/pimentosail/rollout/rollout.h
+++ b/pimentosail/rollout/rollout.h
@@ -34,7 +34,10 @@
     double share = 1.0 / 6;
 };
 
-// Returns the ids of the targets to order now to load `version`, in order.
+// Returns how many of `targets` targets may load at once.
+int64_t loadsAtOnce(size_t targets, const RolloutLimits &limits);
+
+// Returns the ids of the targets to prepare or order now to load `version`, in order.
 std::vector<std::string> planRollout(const std::vector<RolloutTarget> &targets, int64_t version, const RolloutLimits &limits);
 
 } // namespace pimentosail
--- a/pimentosail/rollout/rollouttest.cpp
+++ b/pimentosail/rollout/rollouttest.cpp
@@ -1,5 +1,6 @@
 #include <criterion/criterion.h>
 
+#include "pimentosail/rollout/announcement.h"
 #include "pimentosail/rollout/rollout.h"
 
 using namespace pimentosail;
@@ -55,3 +56,21 @@
     targets[3].isExcluded = true;
     cr_assert(planRollout(targets, 2, {}).empty());
 }
+
+// Once, loads of version 2 were announced as loads of version 3 after that had been named: their targets were taken
+// to have it, got prompts that they refused, and were never ordered to load it.
+Test(rollout, a_finished_load_keeps_the_version_it_was_for)
+{
+    RolloutAnnouncement announcement;
+    announcement.fence = 7;
+    announcement.loading = {"b"};
+    announcement.finished = {{"a", "m", 2}, {"c", "m", 3}};
+    announcement.released = {"a"};
+    const RolloutAnnouncement read = decodeAnnouncement(encodeAnnouncement(announcement));
+    cr_assert_eq(read.fence, 7);
+    cr_assert_eq(read.finished.size(), 2);
+    cr_assert_eq(read.finished[0].version, 2);
+    cr_assert_eq(read.finished[1].version, 3);
+    cr_assert_eq(read.loading[0], "b");
+    cr_assert_eq(read.released[0], "a");
+}
--- a/pimentosail/routing/serving.cpp
+++ b/pimentosail/routing/serving.cpp
@@ -30,10 +30,14 @@
     for (const Service &service : this->parts.services) {
         this->servicesByName[service.name] = &service;
     }
-    for (const auto &[key, name] : this->parts.keys) {
-        const auto team = std::find_if(this->parts.teams.begin(), this->parts.teams.end(), [&name](const Team &candidate) { return candidate.name == name; });
-        if (team != this->parts.teams.end()) {
-            this->teamsByKey[key] = &*team;
+    std::map<std::string, const Team *, std::less<>> teamsByName;
+    for (const Team &team : this->parts.teams) {
+        teamsByName[team.name] = &team;
+    }
+    for (const auto &[key, teamName] : this->parts.keys) {
+        const auto found = teamsByName.find(teamName);
+        if (found != teamsByName.end()) {
+            this->teamsByKey[key] = found->second;
         }
     }
 }
