Cache: parts of weights that are out of use are freed; salts name their model

The holder frees them two seconds after the limit on older weights. Two models with one version number shared a salt; they no longer do.

--- a/pimentosail/entry/requestrunner.cpp
+++ b/pimentosail/entry/requestrunner.cpp
@@ -238,8 +238,8 @@
 // Cached parts are shared by all requests with the same weights, but for teams that share nothing.
 std::string RequestRunner::saltFor(int64_t version) const
 {
-    const std::string salt = "w" + std::to_string(version);
-    return this->team != nullptr && this->team->isIsolated ? salt + "." + this->team->name : salt;
+    const bool isIsolated = this->team != nullptr && this->team->isIsolated;
+    return CacheSalt{this->request.prompt->model, version, isIsolated ? this->team->name : ""}.text();
 }
 
 AttemptPlan RequestRunner::planFor(const Choice &choice)
--- a/pimentosail/entry/rolloutduty.cpp
+++ b/pimentosail/entry/rolloutduty.cpp
@@ -31,6 +31,10 @@
 constexpr Duration LongestLoad = std::chrono::seconds(10);
 // Finished loads that an announcement repeats, for hosts that missed one.
 constexpr size_t MaxFinished = 64;
+// A transfer that would wait for over two seconds is not begun; a fetch is over well before this.
+constexpr Duration FreeDelay = std::chrono::seconds(2);
+constexpr Duration FreeingInterval = std::chrono::seconds(1);
+constexpr size_t PartsPerCall = 200;
 constexpr Duration IdleStep = Milliseconds(50);
 
 } // namespace
@@ -324,6 +328,36 @@
     }
 }
 
+// Parts of weights on which no work may begin any more are freed some seconds later, when no transfer can still read them.
+void RolloutDuty::freeOldParts()
+{
+    const Time now = this->context.clock.now();
+    if (now < this->nextFreeing) {
+        return;
+    }
+    this->nextFreeing = now + FreeingInterval;
+    for (const std::string &text : this->context.caches.salts()) {
+        const std::optional<CacheSalt> salt = CacheSalt::parse(text);
+        if (!salt || salt->version >= this->context.state.oldestAllowed(salt->model, now, this->context.settings.versionLimit + FreeDelay)) {
+            continue;
+        }
+        for (const PartsToFree &freed : this->context.caches.takeSalt(text)) {
+            for (size_t first = 0; first < freed.parts.size(); first += PartsPerCall) {
+                const size_t last = std::min(freed.parts.size(), first + PartsPerCall);
+                bool isFreed = false;
+                try {
+                    isFreed = this->context.wire.freeParts(
+                        freed.storeAddress, freed.epoch, text, {freed.parts.begin() + static_cast<long>(first), freed.parts.begin() + static_cast<long>(last)});
+                } catch (const Failure &failure) {
+                    this->context.log.write(LogLevel::Warning, "parts_not_freed", {{"store", freed.storeAddress}, {"salt", text}, {"reason", failure.what()}});
+                }
+                this->context.log.write(
+                    LogLevel::Info, "parts_freed", {{"store", freed.storeAddress}, {"salt", text}, {"parts", last - first}, {"freed", isFreed}});
+            }
+        }
+    }
+}
+
 void RolloutDuty::advance()
 {
     this->checkLoading();
@@ -331,6 +365,7 @@
         this->startLoads(model, wanted.version);
     }
     this->orderPrepared();
+    this->freeOldParts();
 }
 
 void RolloutDuty::run()
--- a/pimentosail/entry/storeduties.h
+++ b/pimentosail/entry/storeduties.h
@@ -84,6 +84,7 @@
     bool mayOrder() const;
     void advance();
     void checkLoading();
+    void freeOldParts();
     void startLoads(const std::string &model, int64_t version);
     void orderPrepared();
     void orderOne(Loading &loading);
@@ -106,6 +107,7 @@
     std::deque<FinishedLoad> finished;
     std::vector<std::string> released;
     std::map<std::string, Time> excludedUntil;
+    Time nextFreeing{};
     std::atomic<bool> stopping{false};
     DutyThread thread;
 };
--- a/pimentosail/kvcache/kvcachetest.cpp
+++ b/pimentosail/kvcache/kvcachetest.cpp
@@ -107,6 +107,35 @@
     cr_assert_neq(fixture.stores.plan("w1", Parts, 2, "z1", Patience, UINT64_MAX).fetchFrom[1], "", "an old observation fades");
 }
 
+Test(kvcache, parts_of_old_weights_can_be_taken_for_freeing)
+{
+    Fixture fixture;
+    const std::string old = CacheSalt{"m", 1, ""}.text();
+    const std::string present = CacheSalt{"m", 2, ""}.text();
+    CacheStore managed = makeStore("fast", 200000, 10000);
+    managed.isManaged = true;
+    fixture.stores.setStores({managed, makeStore("slow", 58000, 1000000)});
+    fixture.stores.apply(
+        "fast", {1, 1, false, {{old, "session", 5000, false}, {present, "session", 4000, false}, {CacheSalt{"m", 1, "t"}.text(), "session", 300, false}}});
+    const std::vector<PartsToFree> freed = fixture.stores.takeSalt(old);
+    cr_assert_eq(freed.size(), 1);
+    cr_assert_eq(freed[0].parts.size(), 1);
+    cr_assert_eq(freed[0].epoch, 1);
+    cr_assert_eq(fixture.stores.heldTokens("fast"), 4300);
+    cr_assert_eq(fixture.stores.salts().size(), 2);
+}
+
+Test(kvcache, a_salt_is_read_back_as_it_was_made)
+{
+    for (const CacheSalt &salt : {CacheSalt{"m0", 12, ""}, CacheSalt{"m0", 1, "team 7"}}) {
+        const std::optional<CacheSalt> read = CacheSalt::parse(salt.text());
+        cr_assert(read && read->model == salt.model && read->version == salt.version && read->team == salt.team);
+    }
+    for (const char *text : {"", "m", "m/", "m/x", "m/12x/t", "/99999999999999999999"}) {
+        cr_assert_not(CacheSalt::parse(text).has_value(), "%s", text);
+    }
+}
+
 Test(kvcache, a_store_out_of_reach_is_neither_read_from_nor_saved_to)
 {
     Fixture fixture;
--- a/pimentosail/kvcache/storecontents.cpp
+++ b/pimentosail/kvcache/storecontents.cpp
@@ -90,20 +90,47 @@
     }
 }
 
-std::map<std::string, std::vector<std::string>> CacheStores::takeSalt(const std::string &salt)
+std::vector<PartsToFree> CacheStores::takeSalt(const std::string &salt)
 {
     const std::lock_guard lock(this->mutex);
-    std::map<std::string, std::vector<std::string>> result;
+    std::vector<PartsToFree> result;
     for (auto &[name, entry] : this->held) {
+        PartsToFree freed{entry.store.address, entry.epoch, salt, {}};
         for (auto part = entry.parts.lower_bound({salt, ""}); part != entry.parts.end() && part->first.first == salt;) {
-            result[name].push_back(part->first.second);
+            freed.parts.push_back(part->first.second);
             entry.heldTokens -= part->second;
             part = entry.parts.erase(part);
         }
+        if (!freed.parts.empty() && entry.store.isManaged) {
+            result.push_back(std::move(freed));
+        }
     }
     return result;
 }
 
+std::string CacheSalt::text() const
+{
+    return this->model + "/" + std::to_string(this->version) + (this->team.empty() ? "" : "/" + this->team);
+}
+
+std::optional<CacheSalt> CacheSalt::parse(const std::string &text)
+{
+    const size_t first = text.find('/');
+    if (first == std::string::npos) {
+        return std::nullopt;
+    }
+    const size_t second = text.find('/', first + 1);
+    CacheSalt salt;
+    salt.model = text.substr(0, first);
+    const std::string version = text.substr(first + 1, second == std::string::npos ? second : second - first - 1);
+    if (version.empty() || version.size() > 18 || version.find_first_not_of("0123456789") != std::string::npos) {
+        return std::nullopt;
+    }
+    salt.version = std::stoll(version);
+    salt.team = second == std::string::npos ? "" : text.substr(second + 1);
+    return salt;
+}
+
 int64_t CacheStores::heldTokens(const std::string &store) const
 {
     const std::lock_guard lock(this->mutex);
--- a/pimentosail/kvcache/storecontents.h
+++ b/pimentosail/kvcache/storecontents.h
@@ -75,6 +75,29 @@
     }
 };
 
+// Parts of one salt that a store need not keep.
+struct PartsToFree
+{
+    std::string storeAddress;
+    int64_t epoch = 0;
+    std::string salt;
+    std::vector<std::string> parts;
+};
+
+// The namespace of the cached parts of a model's weight version, shared by all teams but those that share nothing.
+struct CacheSalt
+{
+    std::string model;
+    int64_t version = 0;
+    // Empty for all teams that share.
+    std::string team;
+
+    std::string text() const;
+
+    // Returns the salt that `text` was made from, or nothing if it is none of ours.
+    static std::optional<CacheSalt> parse(const std::string &text);
+};
+
 class CacheStores
 {
 public:
@@ -94,8 +117,8 @@
     // Marks a store as out of reach or back; parts are not read from or saved to one that is out of reach.
     void setReachable(const std::string &store, bool isReachable);
 
-    // Forgets the parts of `salt` and returns them by store, for freeing. Nothing plans to read them any more.
-    std::map<std::string, std::vector<std::string>> takeSalt(const std::string &salt);
+    // Forgets the parts of `salt` and returns them for freeing. Nothing may plan to read them any more.
+    std::vector<PartsToFree> takeSalt(const std::string &salt);
 
     // Plans the reading and saving of the first `shared` parts of a prompt for a target in `zone`; the others belong to
     // this prompt alone. A part whose transfer is expected to take longer than `patience` is mostly read again and
