--- a/pimentosail/entry/requestrunner.h
+++ b/pimentosail/entry/requestrunner.h
@@ -1,4 +1,5 @@
-// The way of one request through this host: admission, the choice of a target, attempts, and the answer.
+// The way of one request through this host: admission, attempts and the answer (requestrunner.cpp), and the choice of a
+// target and what is sent there (requestplanning.cpp).
 //
 // What ends a request early is thrown as `Failure` with one of the closed list of error kinds; an answer that says
 // "not run" is given only if every attempt is known not to have run.
--- a/pimentosail/net/nettest.cpp
+++ b/pimentosail/net/nettest.cpp
@@ -14,7 +14,7 @@
 {
     HttpServer server("127.0.0.1:18931", 8, [](HttpExchange &exchange) {
         if (exchange.path() == "/slow") {
-            std::this_thread::sleep_for(Milliseconds(600));
+            Clock().sleepFor(Milliseconds(600));
         }
         exchange.send(200, "text/plain", "ok");
     });
--- a/pimentosail/upstream/upstreamtest.cpp
+++ b/pimentosail/upstream/upstreamtest.cpp
@@ -112,7 +112,7 @@
     ScriptedPeer whole([](Poco::Net::StreamSocket &socket) {
         hear(socket);
         say(socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n");
-        std::this_thread::sleep_for(Milliseconds(50));
+        Clock().sleepFor(Milliseconds(50));
     });
     const Exchange good = exchangeWith(whole.address());
     cr_assert(good.end == ReadStatus::End);
@@ -147,7 +147,7 @@
     ScriptedPeer broken([](Poco::Net::StreamSocket &socket) {
         hear(socket);
         say(socket, "HTTP/1.1 200 OK\r\n\r\nhello");
-        std::this_thread::sleep_for(Milliseconds(50));
+        Clock().sleepFor(Milliseconds(50));
         reset(socket);
     });
     cr_assert(exchangeWith(broken.address()).end == ReadStatus::Broken);
@@ -158,7 +158,7 @@
     ScriptedPeer peer([](Poco::Net::StreamSocket &socket) {
         hear(socket);
         say(socket, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno");
-        std::this_thread::sleep_for(Milliseconds(50));
+        Clock().sleepFor(Milliseconds(50));
     });
     const Exchange exchange = exchangeWith(peer.address());
     cr_assert_eq(exchange.body, "ok");
@@ -179,7 +179,7 @@
     ScriptedPeer peer([](Poco::Net::StreamSocket &socket) {
         hear(socket);
         say(socket, "HTTP/1.1 400 Bad Request\r\nContent-Length: 2\r\n\r\nno");
-        std::this_thread::sleep_for(Milliseconds(300));
+        Clock().sleepFor(Milliseconds(300));
     });
     Clock clock;
     Result<std::unique_ptr<TargetConnection>> connection = TargetConnection::connect(peer.address(), TestWait);
@@ -201,7 +201,7 @@
 {
     ScriptedPeer peer([](Poco::Net::StreamSocket &socket) {
         hear(socket);
-        std::this_thread::sleep_for(Milliseconds(800));
+        Clock().sleepFor(Milliseconds(800));
     });
     int pair[2];
     cr_assert_eq(::socketpair(AF_UNIX, SOCK_STREAM, 0, pair), 0);
@@ -212,7 +212,7 @@
     bool anySent = false;
     (*connection)->send("GET / HTTP/1.1\r\n\r\n", wait, anySent);
     std::thread leaving([&pair] {
-        std::this_thread::sleep_for(Milliseconds(100));
+        Clock().sleepFor(Milliseconds(100));
         ::close(pair[1]);
     });
     Poco::Net::HTTPResponse head;
@@ -238,7 +238,7 @@
     ScriptedPeer peer([](Poco::Net::StreamSocket &socket) {
         hear(socket);
         say(socket, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
-        std::this_thread::sleep_for(Milliseconds(200));
+        Clock().sleepFor(Milliseconds(200));
     });
     Clock clock;
     ConnectionPool pool(clock);
@@ -254,6 +254,6 @@
     cr_assert((*connection)->isReusable());
     pool.put(peer.address(), std::move(*connection));
     cr_assert_eq(pool.size(), 1);
-    std::this_thread::sleep_for(Milliseconds(500));
+    Clock().sleepFor(Milliseconds(500));
     cr_assert_null(pool.take(peer.address(), std::chrono::seconds(10)).get());
 }
