--- a/pimentosail/dispatch/dispatchtest.cpp
+++ b/pimentosail/dispatch/dispatchtest.cpp
@@ -33,7 +33,6 @@
     PickQuery query;
     query.affinity = part;
     query.ownTokens = 5000;
-    query.promptTokens = 9000;
     query.draw = 1;
     return query;
 }
--- a/pimentosail/dispatch/picker.h
+++ b/pimentosail/dispatch/picker.h
@@ -44,7 +44,6 @@
     std::string affinity;
     // Prompt tokens that only the own target is expected to have.
     int64_t ownTokens = 0;
-    int64_t promptTokens = 0;
     // Zones of the stores that have the deciding part; a target elsewhere takes twice as long to read it.
     std::set<std::string> cacheZones;
     std::string ownZone;
--- a/pimentosail/entry/attempt.cpp
+++ b/pimentosail/entry/attempt.cpp
@@ -212,8 +212,11 @@
         } catch (const Failure &failure) {
             return this->fail(ReadStatus::Broken, failure.what(), result);
         }
-        const bool needsOwnId = result.facts.status < 300;
-        const bool isOwn = result.facts.requestId.empty() ? !needsOwnId : result.facts.requestId == this->request.id;
+        const bool isSuccess = result.facts.status < 300;
+        const bool isOwn = result.facts.requestId.empty() ? !isSuccess : result.facts.requestId == this->request.id;
+        if (isOwn && isSuccess && !result.facts.isSigned) {
+            return this->fail(ReadStatus::Broken, "a success without the target's signature", result);
+        }
         if (isOwn) {
             return true;
         }
--- a/pimentosail/entry/requestplanning.cpp
+++ b/pimentosail/entry/requestplanning.cpp
@@ -73,7 +73,6 @@
         const PromptPart &deciding = prompt.parts[std::max<size_t>(1, this->sharedParts) - 1];
         query.affinity = deciding.id;
         query.ownTokens = deciding.tokens;
-        query.promptTokens = prompt.promptTokens;
         const WantedVersion wanted = this->context.state.wanted(prompt.model);
         query.newestVersion = wanted.version;
         query.oldestVersion = this->context.state.oldestAllowed(prompt.model, this->context.clock.now(), this->context.settings.versionLimit - VersionMargin);
--- a/pimentosail/entry/wire.h
+++ b/pimentosail/entry/wire.h
@@ -82,6 +82,7 @@
     // The target states that it did not and will not run the request.
     bool isNotRun = false;
     bool isOtherInstance = false;
+    // A success is a target's own only with its signature.
     bool isSigned = false;
     bool isEventStream = false;
     std::optional<int64_t> weightVersion;
