--- a/pimentosail/kvcache/kvcachetest.cpp
+++ b/pimentosail/kvcache/kvcachetest.cpp
@@ -172,6 +172,7 @@
     for (uint64_t request = 0; request < 500; ++request) {
         const std::string part = "part-" + std::to_string(request);
         returning += reuse.note("single", part, request, false) ? 1 : 0;
+        returning += reuse.note("single", part, request, false) ? 1 : 0;
         returning += reuse.note("single", part, request + 1000, true) ? 1 : 0;
     }
     cr_assert_eq(returning, 0);
