--- a/pimentosail/entry/cacheeventduty.cpp
+++ b/pimentosail/entry/cacheeventduty.cpp
@@ -85,7 +85,8 @@
             continue;
         }
         try {
-            const CacheEvents events = this->context.wire.pollStore(store->address, next, PollWait);
+            // The first poll is not held open: nothing is saved in a store before it is known.
+            const CacheEvents events = this->context.wire.pollStore(store->address, next, epoch == 0 ? Duration(0) : PollWait);
             if (epoch != 0 && events.epoch != epoch) {
                 this->context.log.write(LogLevel::Warning, "cache_store_restarted", {{"store", name}, {"epoch", events.epoch}});
                 this->context.caches.apply(name, {events.epoch, 0, false, {}});
--- a/pimentosail/kv/memoryprefixstore.cpp
+++ b/pimentosail/kv/memoryprefixstore.cpp
@@ -1,10 +1,20 @@
 #include "pimentosail/kv/memoryprefixstore.h"
 
+#include <algorithm>
+
 #include "pimentosail/base/error.h"
 
 namespace pimentosail
 {
 
+namespace
+{
+
+// A watch looks for leases that have ended this often.
+constexpr Duration LeaseCheckInterval = Milliseconds(50);
+
+} // namespace
+
 PrefixStore MemoryPrefixStore::port()
 {
     PrefixStore store;
@@ -17,16 +27,20 @@
     store.commit = [this](const StoreTransaction &transaction) {
         return this->commit(transaction);
     };
-    store.grantLease = [this](Duration /*ttl*/) {
+    store.grantLease = [this](Duration life) {
         const std::lock_guard lock(this->mutex);
         this->checkUp();
-        this->leases[this->nextLease] = true;
+        this->leases[this->nextLease] = {life, this->clock.nowWithSuspend() + life};
         return this->nextLease++;
     };
     store.keepAlive = [this](int64_t lease) {
         const std::lock_guard lock(this->mutex);
         this->checkUp();
-        return this->leases[lease];
+        this->endDueLeases();
+        Lease &known = this->leases[lease];
+        const bool isAlive = known.end > Time(0);
+        known.end = isAlive ? this->clock.nowWithSuspend() + known.life : Time(0);
+        return isAlive;
     };
     store.endLease = [this](int64_t lease) {
         this->expire(lease);
@@ -91,7 +105,22 @@
 void MemoryPrefixStore::expire(int64_t lease)
 {
     const std::lock_guard lock(this->mutex);
-    this->leases[lease] = false;
+    this->endLease(lease);
+}
+
+void MemoryPrefixStore::endDueLeases()
+{
+    const Time now = this->clock.nowWithSuspend();
+    for (const auto &[id, lease] : this->leases) {
+        if (lease.end > Time(0) && lease.end <= now) {
+            this->endLease(id);
+        }
+    }
+}
+
+void MemoryPrefixStore::endLease(int64_t lease)
+{
+    this->leases[lease].end = Time(0);
     std::vector<std::string> keys;
     for (const auto &[key, entry] : this->entries) {
         if (entry.lease == lease) {
@@ -120,6 +149,7 @@
 {
     const std::lock_guard lock(this->mutex);
     this->checkUp();
+    this->endDueLeases();
     StoreListing listing;
     listing.revision = this->revision;
     for (const auto &[key, entry] : this->entries) {
@@ -133,7 +163,15 @@
 StoreChanges MemoryPrefixStore::watch(const std::string &prefix, int64_t afterRevision, Duration wait)
 {
     std::unique_lock lock(this->mutex);
-    this->changed.wait_for(lock, wait, [this, afterRevision] { return this->down || this->revision > afterRevision; });
+    const auto isOver = [this, afterRevision] {
+        this->endDueLeases();
+        return this->down || this->revision > afterRevision;
+    };
+    for (Duration left = wait; left > Duration(0); left -= LeaseCheckInterval) {
+        if (this->changed.wait_for(lock, std::min(left, LeaseCheckInterval), isOver)) {
+            break;
+        }
+    }
     this->checkUp();
     StoreChanges result;
     result.revision = this->revision;
@@ -150,6 +188,7 @@
 {
     const std::lock_guard lock(this->mutex);
     this->checkUp();
+    this->endDueLeases();
     ++this->commitCount;
     for (const StoreCondition &condition : transaction.conditions) {
         const auto found = this->entries.find(condition.key);
@@ -158,7 +197,7 @@
         }
     }
     for (const StorePut &put : transaction.puts) {
-        if (put.lease != 0 && !this->leases[put.lease]) {
+        if (put.lease != 0 && this->leases[put.lease].end == Time(0)) {
             return {CommitStatus::LeaseEnded, this->revision};
         }
     }
--- a/pimentosail/kv/memoryprefixstore.h
+++ b/pimentosail/kv/memoryprefixstore.h
@@ -4,6 +4,8 @@
 //     PrefixStore store = memory.port();
 //     memory.setDown(true);   // every call throws
 //
+// Leases end on the runtime's clock, looked at with each call and a few times in each watch.
+//
 // Thread-safe. Must outlive its ports.
 #pragma once
 
@@ -53,7 +55,17 @@
         int64_t lease = 0;
     };
 
+    struct Lease
+    {
+        Duration life{};
+        // Zero: the lease has ended.
+        Time end{};
+    };
+
     void checkUp() const;
+    // Ends the leases that were not renewed in time.
+    void endDueLeases();
+    void endLease(int64_t lease);
     void write(const std::string &key, const std::string &value, int64_t lease);
     void erase(const std::string &key);
     StoreListing list(const std::string &prefix);
@@ -64,7 +76,7 @@
     mutable std::mutex mutex;
     std::condition_variable changed;
     std::map<std::string, Entry> entries;
-    std::map<int64_t, bool> leases;
+    std::map<int64_t, Lease> leases;
     std::vector<StoreChange> history;
     int64_t revision = 1;
     int64_t compactedAt = 0;
--- a/pimentosail/net/httpserver.cpp
+++ b/pimentosail/net/httpserver.cpp
@@ -285,14 +285,14 @@
 
 HttpServer::HttpServer(const std::string &address, int64_t maxConnections, Handler requestHandler)
     : pool(MinThreads, static_cast<int>(maxConnections) + MinThreads)
+    , listener(Poco::Net::SocketAddress(address), Backlog)
 {
-    const Poco::Net::ServerSocket socket(Poco::Net::SocketAddress(address), Backlog);
     auto *params = new Poco::Net::HTTPServerParams();
     params->setMaxThreads(static_cast<int>(maxConnections));
     params->setMaxQueued(static_cast<int>(maxConnections));
     params->setTimeout(Poco::Timespan(ReceiveTimeoutSeconds, 0));
     params->setKeepAliveTimeout(Poco::Timespan(KeepAliveSeconds, 0));
-    this->server = std::make_unique<Poco::Net::HTTPServer>(new Factory(std::move(requestHandler), this->active), this->pool, socket, params);
+    this->server = std::make_unique<Poco::Net::HTTPServer>(new Factory(std::move(requestHandler), this->active), this->pool, this->listener, params);
 }
 
 HttpServer::~HttpServer()
@@ -308,6 +308,8 @@
 void HttpServer::stopAccepting()
 {
     this->server->stop();
+    // POCO only stops to accept: the system would still take connections into its queue.
+    this->listener.close();
 }
 
 void HttpServer::stop()
--- a/pimentosail/net/httpserver.h
+++ b/pimentosail/net/httpserver.h
@@ -16,6 +16,7 @@
 #include <Poco/Net/HTTPServer.h>
 #include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/Net/ServerSocket.h>
 #include <Poco/ThreadPool.h>
 #include <json/value.h>
 
@@ -139,6 +140,7 @@
 
     std::atomic<long> active{0};
     Poco::ThreadPool pool;
+    Poco::Net::ServerSocket listener;
     std::unique_ptr<Poco::Net::HTTPServer> server;
 };
 
--- a/pimentosail/net/nettest.cpp
+++ b/pimentosail/net/nettest.cpp
@@ -24,3 +24,28 @@
     cr_assert_eq(client.call("127.0.0.1:18931", {"GET", "/slow", {}, ""}, Milliseconds(3000)).status, 200);
     server.stop();
 }
+
+// The system once took connections into the queue of a server that had stopped to accept, and they hung.
+Test(net, a_server_that_stops_accepting_refuses_connections_and_finishes_its_requests)
+{
+    std::atomic<bool> isRunning{false};
+    HttpServer server("127.0.0.1:18932", 8, [&isRunning](HttpExchange &exchange) {
+        isRunning = true;
+        Clock().sleepFor(Milliseconds(500));
+        exchange.send(200, "text/plain", "ok");
+    });
+    server.start();
+    HttpClient client;
+    std::atomic<int> status{0};
+    std::thread caller([&] { status = client.call("127.0.0.1:18932", {"GET", "/", {}, ""}, Milliseconds(3000)).status; });
+    while (!isRunning) {
+        Clock().sleepFor(Milliseconds(5));
+    }
+    server.stopAccepting();
+    HttpClient other;
+    const Time before = Clock().now();
+    cr_assert_throw(other.call("127.0.0.1:18932", {"GET", "/", {}, ""}, Milliseconds(3000)), Failure);
+    cr_assert(Clock().now() - before < Milliseconds(1000), "refused, not left waiting");
+    caller.join();
+    cr_assert_eq(status.load(), 200);
+}
