Relays: in deployments of over ten hosts few read the platform's store and the cache stores, the others follow them

Now 4 to 10 relays, the largest hosts spread over the zones, watch the store and poll the cache stores; the others follow one relay by long polls, go to the store themselves when it fails or is out of date, and take the next.

--- /dev/null
+++ b/pimentosail/directory/relaystest.cpp
@@ -0,0 +1,68 @@
+// Who reads shared state at its source when there are many hosts.
+#include <algorithm>
+#include <map>
+#include <set>
+
+#include <criterion/criterion.h>
+
+#include "pimentosail/directory/relays.h"
+
+using namespace pimentosail;
+
+namespace
+{
+
+std::vector<HostEntry> hostsIn(size_t count, size_t zones, size_t large)
+{
+    std::vector<HostEntry> hosts;
+    for (size_t index = 0; index < count; ++index) {
+        const std::string name = "host-" + std::to_string(index);
+        hosts.push_back({name, name + ":1", "z" + std::to_string(index % zones), name + ":2", index < large ? 0.5 : 0.12});
+    }
+    return hosts;
+}
+
+} // namespace
+
+Test(relays, few_hosts_read_for_themselves)
+{
+    const std::vector<HostEntry> hosts = hostsIn(7, 3, 0);
+    for (const HostEntry &host : hosts) {
+        const RelayPlan plan = RelayPlan::make(hosts, host.name, host.zone);
+        cr_assert(plan.readsItself);
+        cr_assert(plan.order.empty());
+    }
+}
+
+Test(relays, a_host_that_the_others_do_not_know_reads_for_itself)
+{
+    cr_assert(RelayPlan::make(hostsIn(70, 4, 8), "newcomer", "z1").readsItself);
+}
+
+Test(relays, the_sources_are_read_by_a_bounded_number_of_large_hosts_in_all_zones)
+{
+    for (const size_t count : {11UL, 30UL, 75UL, 410UL}) {
+        const std::vector<HostEntry> hosts = hostsIn(count, 4, 12);
+        size_t readers = 0;
+        std::set<std::string> zones;
+        std::map<std::string, size_t> followers;
+        for (const HostEntry &host : hosts) {
+            const RelayPlan plan = RelayPlan::make(hosts, host.name, host.zone);
+            readers += plan.readsItself ? 1 : 0;
+            cr_assert(plan.order.front().zone == host.zone || plan.readsItself, "the first relay to ask is in the own zone");
+            cr_assert_geq(plan.order.size(), 3, "another relay can be asked when one is lost");
+            if (!plan.readsItself) {
+                ++followers[plan.order.front().name];
+            }
+            for (const HostEntry &relay : plan.relays) {
+                zones.insert(relay.zone);
+                cr_assert_eq(relay.cores, 0.5);
+            }
+        }
+        cr_assert_leq(readers, 10, "%zu of %zu hosts read at the source", readers, count);
+        cr_assert_eq(zones.size(), 4);
+        for (const auto &[name, load] : followers) {
+            cr_assert_leq(load, 3 * count / readers, "%s serves %zu hosts", name.c_str(), load);
+        }
+    }
+}
--- a/pimentosail/entry/entryprocess.cpp
+++ b/pimentosail/entry/entryprocess.cpp
@@ -23,7 +23,8 @@
 // Descriptors kept for files, targets, stores and other hosts.
 constexpr int64_t ReservedDescriptors = 600;
 constexpr int64_t MaxCallerThreads = 2000;
-constexpr int64_t PeerConnections = 48;
+// Each follower of a relay holds two long polls open.
+constexpr int64_t PeerConnections = 160;
 constexpr int64_t ReadyConnections = 16;
 // The balancer asks once a second and takes a host out after two misses. What is taken later than three seconds after
 // SIGTERM must be finished, and a long stream could not be.
@@ -47,6 +48,9 @@
     Json::Value value;
     value["revision"] = Json::Int64(changes.revision);
     value["snapshot"] = changes.isSnapshot;
+    value["reachable"] = changes.isReachable;
+    value["answer_age_ms"] = Json::Int64(toMilliseconds(changes.answerAge));
+    value["back_age_ms"] = Json::Int64(changes.backAge < Duration(0) ? -1 : toMilliseconds(changes.backAge));
     value["changes"] = Json::Value(Json::arrayValue);
     for (const StoreChange &change : changes.changes) {
         Json::Value entry;
@@ -64,12 +68,67 @@
     MirrorChanges changes;
     changes.revision = jsonInteger(value, "revision");
     changes.isSnapshot = jsonBoolean(value, "snapshot");
+    changes.isReachable = jsonBoolean(value, "reachable");
+    changes.answerAge = Milliseconds(jsonInteger(value, "answer_age_ms"));
+    const int64_t backAge = jsonInteger(value, "back_age_ms");
+    changes.backAge = backAge < 0 ? Duration(-1) : Milliseconds(backAge);
     for (const Json::Value &entry : value["changes"]) {
         changes.changes.push_back({{jsonString(entry, "key"), jsonString(entry, "value"), jsonInteger(entry, "revision")}, jsonBoolean(entry, "removed")});
     }
     return changes;
 }
 
+Json::Value cacheChangesToJson(const CacheChanges &changes)
+{
+    Json::Value value;
+    value["journal"] = changes.journal;
+    value["next"] = Json::Int64(changes.next);
+    value["snapshot"] = changes.isSnapshot;
+    value["stores"] = Json::Value(Json::arrayValue);
+    std::map<std::string, int> numbers;
+    for (const CacheStoreStatus &status : changes.stores) {
+        Json::Value row(Json::arrayValue);
+        row.append(status.store);
+        row.append(Json::Int64(status.epoch));
+        row.append(status.isReachable);
+        numbers.emplace(status.store, static_cast<int>(value["stores"].size()));
+        value["stores"].append(row);
+    }
+    // Rows and not objects, and stores by number: there may be hundreds a second.
+    value["changes"] = Json::Value(Json::arrayValue);
+    for (const CacheChange &change : changes.changes) {
+        const auto number = numbers.find(change.store);
+        if (number == numbers.end()) {
+            continue;
+        }
+        Json::Value row(Json::arrayValue);
+        row.append(number->second);
+        row.append(Json::Int64(change.epoch));
+        row.append(change.event.salt);
+        row.append(change.event.part);
+        row.append(change.event.isRemoval ? Json::Int64(-1) : Json::Int64(change.event.tokens));
+        value["changes"].append(row);
+    }
+    return value;
+}
+
+CacheChanges cacheChangesFromJson(const Json::Value &value)
+{
+    CacheChanges changes;
+    changes.journal = jsonString(value, "journal");
+    changes.next = jsonInteger(value, "next");
+    changes.isSnapshot = jsonBoolean(value, "snapshot");
+    for (const Json::Value &row : value["stores"]) {
+        changes.stores.push_back({row[0].asString(), row[1].asInt64(), row[2].asBool()});
+    }
+    for (const Json::Value &row : value["changes"]) {
+        const int64_t tokens = row[4].asInt64();
+        changes.changes.push_back(
+            {changes.stores.at(row[0].asUInt()).store, row[1].asInt64(), {row[2].asString(), row[3].asString(), std::max<int64_t>(0, tokens), tokens < 0}});
+    }
+    return changes;
+}
+
 } // namespace
 
 class EntryProcess::Parts
@@ -87,7 +146,10 @@
     void servePeer(HttpExchange &exchange);
     void serveMetrics(HttpExchange &exchange);
     void updateGauges();
-    MirrorChanges askPeer(int64_t revision, Duration wait);
+    MirrorPeers mirrorPeers();
+    CacheChanges askCacheChanges(const HostEntry &relay, const std::string &journal, int64_t position, Duration wait);
+    MirrorChanges askAnyHost(int64_t revision, Duration wait);
+    MirrorChanges askHost(const std::string &address, int64_t revision, Duration wait);
     Json::Value dumpState();
     bool isReady();
     void runRefresh();
@@ -105,6 +167,7 @@
     ColdLimiter coldLimiter;
     Quarantine quarantine;
     CacheStores caches;
+    CacheJournal cacheJournal;
     PartReuse partReuse;
     FirstTokenForecast forecast;
     EntryContext context;
@@ -137,14 +200,14 @@
     , coldLimiter(clock)
     , quarantine(clock)
     , caches(clock)
+    , cacheJournal(caches)
     , context{clock, log, metrics, settings, wire, state, directory, loads, connections, repeats, coldLimiter, quarantine, caches, partReuse, forecast}
     , updater(context)
     , peers(peerHttp,
           [this](const std::string &method, size_t bytes) {
               this->metrics.count("pimentosail_peer_bytes_total", {{"method", method}}, static_cast<double>(bytes));
           })
-    , mirror(
-          clock, log, store, [this](int64_t revision, Duration wait) { return this->askPeer(revision, wait); },
+    , mirror(clock, log, store, this->mirrorPeers(),
           [this](const std::set<std::string> &keys) {
               const std::lock_guard lock(this->updaterMutex);
               this->updater.update(this->mirror, keys);
@@ -154,13 +217,21 @@
                    const Duration wait = std::min<Duration>(Milliseconds(jsonInteger(arguments, "wait_ms")), LongestPeerWait);
                    return changesToJson(this->mirror.changesAfter(jsonInteger(arguments, "after"), wait));
                }},
+          {"cache_changes",
+              [this](const Json::Value &arguments) {
+                  const Duration wait = std::min<Duration>(Milliseconds(jsonInteger(arguments, "wait_ms")), LongestPeerWait);
+                  return cacheChangesToJson(this->cacheJournal.changesAfter(jsonString(arguments, "journal"), jsonInteger(arguments, "after"), wait));
+              }},
           {"state",
               [this](const Json::Value & /*arguments*/) {
                   return this->dumpState();
               }}})
     , hostDuty(context, store, mirror)
     , rolloutDuty(context, store, mirror)
-    , cacheDuty(context)
+    , cacheDuty(context, cacheJournal,
+          [this](const HostEntry &relay, const std::string &journal, int64_t position, Duration wait) {
+              return this->askCacheChanges(relay, journal, position, wait);
+          })
     , loadDuty(context)
     , refreshThread("refresh", [this] { this->runRefresh(); })
     , callerServer(settings.listen, callerConnections(settings), [this](HttpExchange &exchange) { RequestRunner(this->context, exchange).run(); })
@@ -230,7 +301,56 @@
     }
 }
 
-MirrorChanges EntryProcess::Parts::askPeer(int64_t revision, Duration wait)
+MirrorPeers EntryProcess::Parts::mirrorPeers()
+{
+    MirrorPeers result;
+    result.any = [this](int64_t revision, Duration wait) {
+        return this->askAnyHost(revision, wait);
+    };
+    result.relay = [this](int64_t revision, Duration wait) {
+        const std::optional<HostEntry> relay = this->state.relay();
+        if (!relay) {
+            throw Failure(ErrorKind::PeerLost, "no relay is known");
+        }
+        return this->askHost(relay->address, revision, wait);
+    };
+    result.skipRelay = [this] {
+        if (const std::optional<HostEntry> relay = this->state.relay()) {
+            this->state.skipRelay(relay->name);
+        }
+    };
+    result.readsItself = [this] {
+        return this->state.readsItself();
+    };
+    result.hasFollowers = [this] {
+        return !this->state.relays().empty();
+    };
+    return result;
+}
+
+MirrorChanges EntryProcess::Parts::askHost(const std::string &address, int64_t revision, Duration wait)
+{
+    Json::Value arguments;
+    arguments["after"] = Json::Int64(revision);
+    arguments["wait_ms"] = Json::Int64(toMilliseconds(wait));
+    return changesFromJson(this->peers.call(address, "store_changes", arguments, wait + PeerCallMargin));
+}
+
+CacheChanges EntryProcess::Parts::askCacheChanges(const HostEntry &relay, const std::string &journal, int64_t position, Duration wait)
+{
+    Json::Value arguments;
+    arguments["journal"] = journal;
+    arguments["after"] = Json::Int64(position);
+    arguments["wait_ms"] = Json::Int64(toMilliseconds(wait));
+    const Json::Value answer = this->peers.call(relay.address, "cache_changes", arguments, wait + PeerCallMargin);
+    try {
+        return cacheChangesFromJson(answer);
+    } catch (const std::exception &exception) {
+        throw Failure(ErrorKind::PeerLost, std::string("unreadable changes of cache stores: ") + exception.what());
+    }
+}
+
+MirrorChanges EntryProcess::Parts::askAnyHost(int64_t revision, Duration wait)
 {
     std::vector<std::string> addresses = this->settings.peers;
     for (const HostEntry &host : this->state.hosts()) {
@@ -241,11 +361,7 @@
         throw Failure(ErrorKind::PeerLost, "no other host is known");
     }
     static thread_local std::mt19937_64 random{std::random_device{}()};
-    const std::string &address = addresses[random() % addresses.size()];
-    Json::Value arguments;
-    arguments["after"] = Json::Int64(revision);
-    arguments["wait_ms"] = Json::Int64(toMilliseconds(wait));
-    return changesFromJson(this->peers.call(address, "store_changes", arguments, wait + PeerCallMargin));
+    return this->askHost(addresses[random() % addresses.size()], revision, wait);
 }
 
 Json::Value EntryProcess::Parts::dumpState()
--- a/pimentosail/entry/entrysettings.h
+++ b/pimentosail/entry/entrysettings.h
@@ -29,6 +29,8 @@
     // Addresses of some other hosts; they may be stale.
     std::vector<std::string> peers;
     int64_t fileDescriptors = 1024;
+    // Share of the processor.
+    double cores = 1;
 
     // From SIGTERM to SIGKILL.
     Duration shutdownGrace = std::chrono::seconds(8);
--- a/pimentosail/entry/entrystate.h
+++ b/pimentosail/entry/entrystate.h
@@ -7,10 +7,12 @@
 #include <atomic>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "pimentosail/base/clock.h"
+#include "pimentosail/directory/relays.h"
 #include "pimentosail/routing/serving.h"
 
 namespace pimentosail
@@ -33,17 +35,6 @@
     bool isSeen = false;
 };
 
-// Another entry host.
-struct HostEntry
-{
-    std::string name;
-    // Address for calls between hosts.
-    std::string address;
-    std::string zone;
-    // Address for load reports (UDP).
-    std::string gossip;
-};
-
 class EntryState
 {
 public:
@@ -145,6 +136,46 @@
         return this->hostEntries;
     }
 
+    // Sets who reads shared state at its source.
+    void setRelayPlan(RelayPlan plan)
+    {
+        const std::lock_guard lock(this->mutex);
+        this->relayPlan = std::move(plan);
+    }
+
+    // Returns true if this host reads shared state at its source.
+    bool readsItself() const
+    {
+        const std::lock_guard lock(this->mutex);
+        return this->relayPlan.readsItself;
+    }
+
+    std::vector<HostEntry> relays() const
+    {
+        const std::lock_guard lock(this->mutex);
+        return this->relayPlan.relays;
+    }
+
+    // Returns the relay to ask now, or nothing.
+    std::optional<HostEntry> relay() const
+    {
+        const std::lock_guard lock(this->mutex);
+        if (this->relayPlan.order.empty()) {
+            return std::nullopt;
+        }
+        return this->relayPlan.order[this->relayTurn % this->relayPlan.order.size()];
+    }
+
+    // Records that a relay did not answer or is out of date: the next in order is asked.
+    void skipRelay(const std::string &name)
+    {
+        const std::lock_guard lock(this->mutex);
+        const std::vector<HostEntry> &order = this->relayPlan.order;
+        if (!order.empty() && order[this->relayTurn % order.size()].name == name) {
+            ++this->relayTurn;
+        }
+    }
+
     // Returns the number of hosts by which shared limits are divided.
     size_t sharing() const
     {
@@ -170,6 +201,8 @@
     std::map<std::string, std::map<int64_t, Time>> versions;
     RolloutNotice announced;
     std::vector<HostEntry> hostEntries;
+    RelayPlan relayPlan;
+    size_t relayTurn = 0;
     size_t sharingHosts = 0;
     Time shrinkAt{};
 };
--- a/pimentosail/entry/hostduty.cpp
+++ b/pimentosail/entry/hostduty.cpp
@@ -70,6 +70,7 @@
             value["address"] = this->context.settings.peerListen;
             value["zone"] = this->context.settings.zone;
             value["gossip"] = this->context.settings.gossipListen;
+            value["cores"] = this->context.settings.cores;
             const CommitOutcome outcome = this->store.commit({{}, {{HostsPrefix + this->context.settings.name, printJson(value), this->lease}}, {}});
             this->isWritten = outcome.status == CommitStatus::Committed;
             this->lease = outcome.status == CommitStatus::LeaseEnded ? 0 : this->lease;
--- a/pimentosail/entry/stateupdater.cpp
+++ b/pimentosail/entry/stateupdater.cpp
@@ -159,12 +159,17 @@
     for (const StoredItem &item : mirror.items(HostsPrefix)) {
         try {
             const Json::Value value = parseJson(item.value);
-            hosts.push_back({item.key.substr(HostsPrefix.size()), jsonString(value, "address"), jsonString(value, "zone"), jsonString(value, "gossip")});
+            hosts.push_back({item.key.substr(HostsPrefix.size()), jsonString(value, "address"), jsonString(value, "zone"), jsonString(value, "gossip"),
+                value["cores"].isNumeric() ? value["cores"].asDouble() : 0.0});
         } catch (const Failure &failure) {
             this->reportUnreadable(item, failure.what());
         }
     }
-    this->context.log.write(LogLevel::Info, "hosts_changed", {{"hosts", hosts.size()}});
+    RelayPlan plan = RelayPlan::make(hosts, this->context.settings.name, this->context.settings.zone);
+    this->context.log.write(LogLevel::Info, "hosts_changed",
+        {{"hosts", hosts.size()}, {"relays", plan.relays.size()}, {"reads_itself", plan.readsItself},
+            {"relay", plan.order.empty() ? std::string() : plan.order.front().name}});
+    this->context.state.setRelayPlan(std::move(plan));
     this->context.state.setHosts(std::move(hosts), this->context.clock.now());
 }
 
--- a/pimentosail/entry/storeduties.h
+++ b/pimentosail/entry/storeduties.h
@@ -11,6 +11,7 @@
 
 #include "pimentosail/base/duty.h"
 #include "pimentosail/entry/context.h"
+#include "pimentosail/kvcache/cachejournal.h"
 #include "pimentosail/mirror/storemirror.h"
 #include "pimentosail/rollout/announcement.h"
 #include "pimentosail/rollout/rollout.h"
@@ -112,11 +113,14 @@
     DutyThread thread;
 };
 
-// Follows the change events of every cache store, one thread for each.
+// Asks a relay for changes of the cache stores. Throws `Failure` (PeerLost).
+using CacheRelay = std::function<CacheChanges(const HostEntry &relay, const std::string &journal, int64_t position, Duration wait)>;
+
+// Follows the change events of every cache store, one thread for each, or those of a relay.
 class CacheEventDuty
 {
 public:
-    explicit CacheEventDuty(EntryContext &entryContext);
+    CacheEventDuty(EntryContext &entryContext, CacheJournal &cacheJournal, CacheRelay relayCall);
     ~CacheEventDuty();
 
     void start();
@@ -125,12 +129,18 @@
 private:
     void supervise();
     void follow(const std::string &name);
+    void takeEvents(const std::string &name, const CacheEvents &events);
+    void runRelay();
+    void takeChanges(const CacheChanges &changes);
     bool mayFollow(const CacheStore &store) const;
 
     EntryContext &context;
+    CacheJournal &journal;
+    CacheRelay askRelay;
     std::atomic<bool> stopping{false};
     std::map<std::string, std::unique_ptr<DutyThread>> followers;
     DutyThread thread;
+    DutyThread relayThread;
 };
 
 } // namespace pimentosail
--- a/pimentosail/kvcache/storecontents.cpp
+++ b/pimentosail/kvcache/storecontents.cpp
@@ -82,6 +82,53 @@
     return forgotten;
 }
 
+std::vector<CacheStoreStatus> CacheStores::status() const
+{
+    const std::lock_guard lock(this->mutex);
+    std::vector<CacheStoreStatus> result;
+    for (const auto &[name, entry] : this->held) {
+        result.push_back({name, entry.epoch, entry.isReachable});
+    }
+    return result;
+}
+
+std::vector<CacheChange> CacheStores::everything() const
+{
+    const std::lock_guard lock(this->mutex);
+    std::vector<CacheChange> result;
+    for (const auto &[name, entry] : this->held) {
+        for (const auto &[key, tokens] : entry.parts) {
+            result.push_back({name, entry.epoch, {key.first, key.second, tokens, false}});
+        }
+    }
+    return result;
+}
+
+void CacheStores::replace(const std::vector<CacheStoreStatus> &known, const std::vector<CacheChange> &contents)
+{
+    const std::lock_guard lock(this->mutex);
+    for (auto &[name, entry] : this->held) {
+        entry.parts.clear();
+        entry.heldTokens = 0;
+    }
+    for (const CacheStoreStatus &status : known) {
+        const auto found = this->held.find(status.store);
+        if (found != this->held.end()) {
+            found->second.unreportedTokens = found->second.epoch == status.epoch ? found->second.unreportedTokens : 0;
+            found->second.epoch = status.epoch;
+            found->second.isReachable = status.isReachable;
+        }
+    }
+    for (const CacheChange &change : contents) {
+        const auto found = this->held.find(change.store);
+        if (found != this->held.end() && found->second.epoch == change.epoch) {
+            found->second.parts[{change.event.salt, change.event.part}] = change.event.tokens;
+            found->second.heldTokens += change.event.tokens;
+            this->pendingSaves.erase({change.event.salt, change.event.part});
+        }
+    }
+}
+
 void CacheStores::setReachable(const std::string &store, bool isReachable)
 {
     const std::lock_guard lock(this->mutex);
--- a/pimentosail/kvcache/storecontents.h
+++ b/pimentosail/kvcache/storecontents.h
@@ -75,6 +75,22 @@
     }
 };
 
+// What is known of one store.
+struct CacheStoreStatus
+{
+    std::string store;
+    int64_t epoch = 0;
+    bool isReachable = false;
+};
+
+// A change at one of several stores. What a store held under another epoch is gone.
+struct CacheChange
+{
+    std::string store;
+    int64_t epoch = 0;
+    CacheEvent event;
+};
+
 // Parts of one salt that a store need not keep.
 struct PartsToFree
 {
@@ -114,6 +130,13 @@
     // Applies events of a store. Returns true if its contents were forgotten because of a new epoch.
     bool apply(const std::string &store, const CacheEvents &events);
 
+    // Returns what is known of each store, and all parts of all stores as additions.
+    std::vector<CacheStoreStatus> status() const;
+    std::vector<CacheChange> everything() const;
+
+    // Replaces all that is known by what another host knows.
+    void replace(const std::vector<CacheStoreStatus> &known, const std::vector<CacheChange> &contents);
+
     // Marks a store as out of reach or back; parts are not read from or saved to one that is out of reach.
     void setReachable(const std::string &store, bool isReachable);
 
--- a/pimentosail/mirror/mirrortest.cpp
+++ b/pimentosail/mirror/mirrortest.cpp
@@ -1,3 +1,5 @@
+#include <atomic>
+
 #include <criterion/criterion.h>
 
 #include "pimentosail/base/error.h"
@@ -20,11 +22,21 @@
     PeerSource peers = [](int64_t, Duration) -> MirrorChanges {
         throw Failure(ErrorKind::PeerLost, "no peer");
     };
+    PeerSource relay = [](int64_t, Duration) -> MirrorChanges {
+        throw Failure(ErrorKind::PeerLost, "no relay");
+    };
+    std::atomic<bool> readsItself{true};
+    std::atomic<int> skipped{0};
 
     std::unique_ptr<StoreMirror> make()
     {
-        return std::make_unique<StoreMirror>(
-            this->clock, this->log, this->memory.port(), [this](int64_t revision, Duration wait) { return this->peers(revision, wait); },
+        return std::make_unique<StoreMirror>(this->clock, this->log, this->memory.port(),
+            MirrorPeers{[this](int64_t revision, Duration wait) { return this->peers(revision, wait); },
+                [this](int64_t revision, Duration wait) { return this->relay(revision, wait); }, [this] { ++this->skipped; },
+                [this] { return this->readsItself.load(); },
+                [] {
+                    return false;
+                }},
             [this](const std::set<std::string> &keys) {
                 const std::lock_guard lock(this->mutex);
                 this->changedKeys.insert(keys.begin(), keys.end());
@@ -123,3 +135,54 @@
     cr_assert_not(some.isSnapshot);
     cr_assert_eq(some.changes.size(), 1);
 }
+
+// Many hosts watching the store for themselves once made most of the calls to it.
+Test(mirror, a_follower_takes_changes_from_its_relay_and_leaves_the_store_alone)
+{
+    Fixture fixture;
+    const auto relay = fixture.make();
+    relay->start();
+    cr_assert(fixture.eventually(*relay, "op/none", ""));
+    Fixture other;
+    other.readsItself = false;
+    other.memory.setDown(true);
+    other.relay = [&relay](int64_t revision, Duration wait) {
+        return relay->changesAfter(revision, wait);
+    };
+    const auto follower = other.make();
+    follower->start();
+    fixture.memory.put("op/a", "1");
+    cr_assert(other.eventually(*follower, "op/a", "1", Milliseconds(1000)));
+    fixture.memory.remove("op/a");
+    cr_assert(other.eventually(*follower, "op/a", "", Milliseconds(1000)));
+    cr_assert(follower->status().isReachable, "a relay that reaches the store speaks for it");
+    cr_assert_eq(other.skipped.load(), 0);
+}
+
+// A change must be in force within about two seconds, whatever becomes of the relay.
+Test(mirror, a_follower_reads_the_store_itself_when_its_relay_fails_or_has_lost_the_store)
+{
+    for (const bool isCutOff : {true, false}) {
+        Fixture fixture;
+        fixture.readsItself = false;
+        const Clock clock;
+        const Time begin = clock.now();
+        fixture.relay = [&clock, begin, isCutOff](int64_t, Duration wait) -> MirrorChanges {
+            Clock().sleepFor(wait);
+            if (!isCutOff) {
+                throw Failure(ErrorKind::PeerLost, "silent");
+            }
+            MirrorChanges changes;
+            changes.revision = 1;
+            changes.isSnapshot = true;
+            changes.isReachable = true;
+            changes.answerAge = clock.now() - begin;
+            return changes;
+        };
+        const auto follower = fixture.make();
+        follower->start();
+        fixture.memory.put("op/a", "1");
+        cr_assert(fixture.eventually(*follower, "op/a", "1", Milliseconds(2000)));
+        cr_assert_geq(fixture.skipped.load(), 1);
+    }
+}
--- a/pimentosail/mirror/storemirror.cpp
+++ b/pimentosail/mirror/storemirror.cpp
@@ -19,16 +19,27 @@
 constexpr Duration PeerWait = Milliseconds(400);
 constexpr Duration PeerPause = Milliseconds(150);
 constexpr Duration IdlePause = Milliseconds(100);
+// A relay asks for less, so that its followers soon notice that it has lost the store.
+constexpr Duration RelayWatchWait = Milliseconds(600);
+constexpr Duration FollowWait = Milliseconds(500);
+// Changes of this long are taken together, by relays and by followers.
+constexpr Duration BatchPause = Milliseconds(60);
+// A relay that has not heard from the store for longer may have lost it.
+constexpr Duration LongestAnswerAge = Milliseconds(1200);
+// How long a host whose relay failed watches the store itself.
+constexpr Duration DirectTime = std::chrono::seconds(3);
+// Many hosts may lose the store and their relays at once.
+constexpr Duration FollowerProbePause = Milliseconds(1000);
 constexpr size_t RecentChanges = 4096;
 constexpr size_t RemovedKeys = 8192;
 
 } // namespace
 
-StoreMirror::StoreMirror(Clock &runtimeClock, EventLog &eventLog, PrefixStore platformStore, PeerSource peerSource, Listener changeListener)
+StoreMirror::StoreMirror(Clock &runtimeClock, EventLog &eventLog, PrefixStore platformStore, MirrorPeers otherHosts, Listener changeListener)
     : clock(runtimeClock)
     , log(eventLog)
     , store(std::move(platformStore))
-    , peers(std::move(peerSource))
+    , peers(std::move(otherHosts))
     , listener(std::move(changeListener))
     , storeThread("mirror", [this] { this->runStore(); })
     , peerThread("mirror-peers", [this] { this->runPeers(); })
@@ -76,7 +87,11 @@
         this->changed.wait_for(lock, wait, [this, revision] { return this->state.revision > revision || this->stopping.load(); });
     }
     MirrorChanges result;
+    const Time now = this->clock.now();
     result.revision = this->state.revision;
+    result.isReachable = this->state.isReachable;
+    result.answerAge = now - this->state.lastAnswer;
+    result.backAge = this->state.backSince == Time(0) ? Duration(-1) : now - this->state.backSince;
     result.isSnapshot = revision == 0 || revision < this->recentSince;
     if (result.isSnapshot) {
         for (const auto &[key, item] : this->contents) {
@@ -188,27 +203,60 @@
     this->merge(changes);
 }
 
+bool StoreMirror::follow()
+{
+    try {
+        const MirrorChanges changes = this->peers.relay(this->status().revision, FollowWait);
+        this->merge(changes);
+        if (!changes.isReachable || changes.answerAge > LongestAnswerAge) {
+            throw Failure(ErrorKind::PeerLost, "the relay has not heard from the store for " + std::to_string(toMilliseconds(changes.answerAge)) + " ms");
+        }
+        this->setReachable(true, "relay answered");
+        const std::lock_guard lock(this->mutex);
+        const Time now = this->clock.now();
+        this->state.lastAnswer = now - changes.answerAge;
+        this->state.backSince = changes.backAge < Duration(0) ? this->state.backSince : std::max(this->state.backSince, now - changes.backAge);
+        return true;
+    } catch (const Failure &failure) {
+        this->log.write(LogLevel::Warning, "relay_skipped", {{"reason", failure.what()}});
+        this->peers.skipRelay();
+        return false;
+    }
+}
+
 void StoreMirror::runStore()
 {
-    bool isListed = false;
     while (!this->stopping.load()) {
+        const bool readsItself = this->peers.readsItself();
+        if (!readsItself && this->clock.now() >= this->directUntil) {
+            if (!this->follow()) {
+                this->directUntil = this->clock.now() + DirectTime;
+            }
+            this->clock.sleepFor(BatchPause);
+            continue;
+        }
         try {
-            if (!isListed) {
+            const MirrorStatus before = this->status();
+            if (before.revision == 0) {
                 this->listAll();
-                isListed = true;
+                continue;
             }
-            const MirrorStatus before = this->status();
-            const StoreChanges changes = this->store.watch("", before.revision, before.isReachable ? WatchWait : ProbeWait);
+            const bool isRelay = readsItself && this->peers.hasFollowers();
+            const Duration wait = isRelay ? RelayWatchWait : WatchWait;
+            const StoreChanges changes = this->store.watch("", before.revision, before.isReachable ? wait : ProbeWait);
             this->setReachable(true, "watch answered");
             if (changes.isCompacted) {
                 this->log.write(LogLevel::Info, "store_history_lost", {{"revision", before.revision}});
-                isListed = false;
+                this->listAll();
                 continue;
             }
             this->merge({changes.changes, changes.revision, false});
+            if (isRelay && !changes.changes.empty()) {
+                this->clock.sleepFor(BatchPause);
+            }
         } catch (const Failure &failure) {
             this->setReachable(false, failure.what());
-            this->clock.sleepFor(ProbePause);
+            this->clock.sleepFor(readsItself ? ProbePause : FollowerProbePause);
         }
     }
 }
@@ -223,7 +271,7 @@
             continue;
         }
         try {
-            this->merge(this->peers(before.revision, PeerWait));
+            this->merge(this->peers.any(before.revision, PeerWait));
         } catch (const Failure &) {
             // Counted by the peer client; another host is asked next time.
             this->clock.sleepFor(PeerPause);
--- a/pimentosail/mirror/storemirror.h
+++ b/pimentosail/mirror/storemirror.h
@@ -1,7 +1,8 @@
-// A copy of the platform's store in this process, kept by one watch. While the store cannot be reached, the copy is
-// kept by asking other hosts for theirs, since the store may refuse one host and serve the others.
+// A copy of the platform's store in this process, kept by one watch, or by following a host that has one. While the
+// store cannot be reached, the copy is kept by asking other hosts for theirs, since the store may refuse one host and
+// serve the others.
 //
-//     StoreMirror mirror(clock, log, store, peerSource, [](const std::set<std::string> &keys) { ... });
+//     StoreMirror mirror(clock, log, store, peers, [](const std::set<std::string> &keys) { ... });
 //     mirror.start();
 //     std::vector<StoredItem> targets = mirror.items("servers/");
 //
@@ -32,11 +33,29 @@
     int64_t revision = 0;
     // The changes are the whole contents; keys that are absent have been removed.
     bool isSnapshot = false;
+    // What the sender knows of the store: whether it reaches it, how long ago the store answered it, and how long ago
+    // the last outage ended (negative: there was none).
+    bool isReachable = false;
+    Duration answerAge{};
+    Duration backAge{-1};
 };
 
-// Asks some other host for its changes after `revision`. Throws `Failure` if none answers.
+// Asks another host for its changes after `revision`. Throws `Failure` if it does not answer.
 using PeerSource = std::function<MirrorChanges(int64_t revision, Duration wait)>;
 
+// Other hosts as sources.
+struct MirrorPeers
+{
+    // Any other host, for times without the store.
+    PeerSource any;
+    // The host that this one follows, and how to go on to the next one if it fails or is out of date.
+    PeerSource relay;
+    std::function<void()> skipRelay;
+    // Return true if this host watches the store itself, and if others follow it.
+    std::function<bool()> readsItself;
+    std::function<bool()> hasFollowers;
+};
+
 struct MirrorStatus
 {
     bool isReachable = false;
@@ -52,7 +71,7 @@
 public:
     using Listener = std::function<void(const std::set<std::string> &changedKeys)>;
 
-    StoreMirror(Clock &runtimeClock, EventLog &eventLog, PrefixStore platformStore, PeerSource peerSource, Listener changeListener);
+    StoreMirror(Clock &runtimeClock, EventLog &eventLog, PrefixStore platformStore, MirrorPeers otherHosts, Listener changeListener);
     ~StoreMirror();
 
     void start();
@@ -73,13 +92,15 @@
 private:
     void runStore();
     void runPeers();
+    // Takes changes from the relay. Returns false if the relay failed or is out of date.
+    bool follow();
     void setReachable(bool isReachable, const std::string &reason);
     void listAll();
 
     Clock &clock;
     EventLog &log;
     PrefixStore store;
-    PeerSource peers;
+    MirrorPeers peers;
     Listener listener;
     mutable std::mutex mutex;
     mutable std::condition_variable changed;
@@ -91,6 +112,8 @@
     std::map<std::string, int64_t> removedAt;
     int64_t recentSince = 0;
     MirrorStatus state;
+    // After a relay has failed, this host watches the store itself until this time.
+    Time directUntil{};
     std::atomic<bool> stopping{false};
     DutyThread storeThread;
     DutyThread peerThread;
