Load reports go to the relays, which tell each follower the load of all other hosts

Cause: each host told 12 of 67 others every 100 ms, so a view of a target's load was 0.3 s old on average and partly missing; requests met on the same targets. Sums are kept, not made for each candidate of each request. Test: loads/a_relay_tells_a_host_the_load_of_all_others.

--- a/pimentosail/directory/directorytest.cpp
+++ b/pimentosail/directory/directorytest.cpp
@@ -132,3 +132,22 @@
     cr_assert_eq(board.others("a", Milliseconds(600)).pendingTokens, 1500);
     cr_assert_eq(board.others("a", Milliseconds(1000)).requests, 1);
 }
+
+// Reports of each host to each other host once grew with the square of their number.
+Test(loads, a_relay_tells_a_host_the_load_of_all_others)
+{
+    LoadBoard relay;
+    const Time now = std::chrono::seconds(10);
+    relay.note("front-1", {{"t", 2, 300, 10}}, now);
+    relay.note("front-2", {{"t", 1, 50, 0}, {"u", 4, 400, 0}}, now);
+    const std::vector<TargetLoad> totals = relay.totalsWithout("front-1", {{"t", 5, 1000, 0}}, now);
+    cr_assert_eq(totals.size(), 2);
+    cr_assert_eq(totals[0].requests, 6);
+    cr_assert_eq(totals[0].pendingTokens, 1050);
+    cr_assert_eq(totals[1].requests, 4);
+    LoadBoard follower;
+    follower.note("front-9", {{"t", 100, 1, 0}}, now);
+    follower.noteTotals(totals, now);
+    cr_assert_eq(follower.others("t", now).requests, 6, "the totals go before single reports");
+    cr_assert_eq(follower.others("t", now + std::chrono::seconds(1)).requests, 0, "totals that are too old are not used");
+}
--- a/pimentosail/directory/loadboard.cpp
+++ b/pimentosail/directory/loadboard.cpp
@@ -8,8 +8,16 @@
 
 // Reports come about ten times a second; after this long a host is taken to be gone.
 constexpr Duration ReportLife = Milliseconds(700);
+constexpr Duration SumInterval = Milliseconds(100);
 constexpr size_t MaxHosts = 512;
 
+void add(TargetLoad &sum, const TargetLoad &load, int sign)
+{
+    sum.requests += sign * load.requests;
+    sum.pendingTokens += sign * load.pendingTokens;
+    sum.lateTokens += sign * load.lateTokens;
+}
+
 } // namespace
 
 void LoadBoard::note(const std::string &host, std::vector<TargetLoad> loads, Time now)
@@ -25,25 +33,76 @@
         const std::string id = load.target;
         report.loads.emplace(id, std::move(load));
     }
+    this->isChanged = true;
+}
+
+void LoadBoard::noteTotals(std::vector<TargetLoad> loads, Time now)
+{
+    const std::lock_guard lock(this->mutex);
+    this->relayed.clear();
+    for (TargetLoad &load : loads) {
+        const std::string id = load.target;
+        this->relayed.emplace(id, std::move(load));
+    }
+    this->relayedAt = now;
+}
+
+const LoadBoard::Loads &LoadBoard::sums(Time now) const
+{
+    if (this->isChanged || this->summedAt + SumInterval < now) {
+        this->summed.clear();
+        for (const auto &[host, report] : this->reports) {
+            if (report.at + ReportLife < now) {
+                continue;
+            }
+            for (const auto &[target, load] : report.loads) {
+                add(this->summed[target], load, 1);
+            }
+        }
+        this->summedAt = now;
+        this->isChanged = false;
+    }
+    return this->summed;
 }
 
 TargetLoad LoadBoard::others(const std::string &target, Time now) const
 {
     const std::lock_guard lock(this->mutex);
-    TargetLoad total;
-    total.target = target;
-    for (const auto &[host, report] : this->reports) {
-        if (report.at + ReportLife < now) {
-            continue;
+    const bool isRelayed = this->relayedAt > Time(0) && now <= this->relayedAt + ReportLife;
+    const Loads &loads = isRelayed ? this->relayed : this->sums(now);
+    const auto found = loads.find(target);
+    TargetLoad result = found == loads.end() ? TargetLoad{} : found->second;
+    result.target = target;
+    return result;
+}
+
+std::vector<TargetLoad> LoadBoard::totalsWithout(const std::string &host, const std::vector<TargetLoad> &own, Time now) const
+{
+    const std::lock_guard lock(this->mutex);
+    Loads totals = this->sums(now);
+    for (const TargetLoad &load : own) {
+        add(totals[load.target], load, 1);
+    }
+    const auto report = this->reports.find(host);
+    if (report != this->reports.end() && report->second.at + ReportLife >= now) {
+        for (const auto &[target, load] : report->second.loads) {
+            add(totals[target], load, -1);
         }
-        const auto found = report.loads.find(target);
-        if (found != report.loads.end()) {
-            total.requests += found->second.requests;
-            total.pendingTokens += found->second.pendingTokens;
-            total.lateTokens += found->second.lateTokens;
+    }
+    std::vector<TargetLoad> result;
+    for (auto &[target, load] : totals) {
+        if (load.requests > 0) {
+            load.target = target;
+            result.push_back(load);
         }
     }
-    return total;
+    return result;
+}
+
+Time LoadBoard::totalsAt() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->relayedAt;
 }
 
 } // namespace pimentosail
--- a/pimentosail/entry/loadduty.cpp
+++ b/pimentosail/entry/loadduty.cpp
@@ -1,12 +1,11 @@
 #include "pimentosail/entry/loadduty.h"
 
-#include <array>
+#include <map>
 
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Timespan.h>
 
-#include "pimentosail/base/hash.h"
 #include "pimentosail/base/json.h"
 
 namespace pimentosail
@@ -17,9 +16,28 @@
 
 constexpr Duration ReportInterval = Milliseconds(100);
 constexpr Duration ReceiveWait = Milliseconds(1000);
-constexpr size_t MaxDatagram = 16 * 1024;
-// Hosts told in one interval. With more hosts each interval tells others, in turn.
-constexpr size_t HostsPerInterval = 12;
+constexpr size_t MaxDatagram = 60 * 1024;
+// A host that asked for totals gets them for this long, and asks another relay if it gets none for as long.
+constexpr Duration FollowTime = std::chrono::seconds(1);
+
+void appendLoad(Json::Value &rows, const TargetLoad &load)
+{
+    Json::Value row(Json::arrayValue);
+    row.append(load.target);
+    row.append(load.requests);
+    row.append(Json::Int64(load.pendingTokens));
+    row.append(Json::Int64(load.lateTokens));
+    rows.append(row);
+}
+
+std::vector<TargetLoad> readLoads(const Json::Value &rows)
+{
+    std::vector<TargetLoad> loads;
+    for (const Json::Value &row : rows) {
+        loads.push_back({row[0].asString(), row[1].asInt(), row[2].asInt64(), row[3].asInt64()});
+    }
+    return loads;
+}
 
 } // namespace
 
@@ -49,56 +67,118 @@
     this->receiver.join();
 }
 
-std::string LoadDuty::encodeReport(bool &isEmpty) const
+std::vector<TargetLoad> LoadDuty::ownLoads() const
 {
-    Json::Value value;
-    value["host"] = this->context.settings.name;
-    value["loads"] = Json::Value(Json::arrayValue);
+    std::vector<TargetLoad> loads;
     for (const TargetPointer &target : this->context.directory.everything()) {
         const int requests = target->inFlight.load();
         if (requests > 0) {
-            Json::Value row(Json::arrayValue);
-            row.append(target->id);
-            row.append(requests);
-            row.append(Json::Int64(target->pendingTokens.load()));
-            row.append(Json::Int64(target->lateTokens.load()));
-            value["loads"].append(row);
+            loads.push_back({target->id, requests, target->pendingTokens.load(), target->lateTokens.load()});
         }
     }
-    isEmpty = value["loads"].empty();
+    return loads;
+}
+
+std::string LoadDuty::encodeReport(const std::vector<TargetLoad> &own, const std::string &relay) const
+{
+    Json::Value value;
+    value["host"] = this->context.settings.name;
+    if (!relay.empty()) {
+        value["follows"] = relay;
+        value["gossip"] = this->context.settings.gossipListen;
+    }
+    value["loads"] = Json::Value(Json::arrayValue);
+    for (const TargetLoad &load : own) {
+        appendLoad(value["loads"], load);
+    }
     return printJson(value);
 }
 
+void LoadDuty::send(const std::string &report, const HostEntry &host)
+{
+    if (host.name == this->context.settings.name || host.gossip.empty()) {
+        return;
+    }
+    try {
+        this->socket.sendTo(report.data(), static_cast<int>(report.size()), Poco::Net::SocketAddress(host.gossip));
+    } catch (const Poco::Exception &) {
+        this->context.metrics.count("pimentosail_load_reports_unsent_total", {});
+    }
+}
+
+// Sends each follower the load of all other hosts.
+void LoadDuty::sendTotals(const std::vector<TargetLoad> &own, Time now)
+{
+    std::map<std::string, Follower> current;
+    {
+        const std::lock_guard lock(this->mutex);
+        std::erase_if(this->followers, [now](const auto &entry) { return entry.second.askedAt + FollowTime < now; });
+        current = this->followers;
+    }
+    for (const auto &[name, follower] : current) {
+        Json::Value value;
+        value["totals"] = Json::Value(Json::arrayValue);
+        for (const TargetLoad &load : this->context.loads.totalsWithout(name, own, now)) {
+            appendLoad(value["totals"], load);
+        }
+        this->send(printJson(value), {name, "", "", follower.gossip, 0});
+    }
+}
+
+// A relay that sends no totals is left.
+void LoadDuty::checkRelay(const std::string &relay, Time now)
+{
+    if (relay != this->asked) {
+        this->asked = relay;
+        this->askedSince = now;
+    } else if (!relay.empty() && now > std::max(this->askedSince, this->context.loads.totalsAt()) + FollowTime) {
+        this->context.log.write(LogLevel::Warning, "relay_skipped", {{"reason", "no totals of load"}, {"relay", relay}});
+        this->context.state.skipRelay(relay);
+    }
+}
+
 void LoadDuty::runSend()
 {
     bool wasEmpty = false;
-    size_t turn = 0;
     while (!this->stopping.load()) {
         this->context.clock.sleepFor(ReportInterval);
-        bool isEmpty = false;
-        const std::string report = this->encodeReport(isEmpty);
-        if (isEmpty && wasEmpty) {
+        const Time now = this->context.clock.now();
+        const std::vector<HostEntry> relays = this->context.state.relays();
+        const std::optional<HostEntry> followed = this->context.state.readsItself() ? std::nullopt : this->context.state.relay();
+        const std::string relay = followed ? followed->name : "";
+        this->checkRelay(relay, now);
+        const std::vector<TargetLoad> own = this->ownLoads();
+        // A follower asks with each report, also with an empty one.
+        if (own.empty() && wasEmpty && relays.empty()) {
             continue;
         }
-        wasEmpty = isEmpty;
-        const std::vector<HostEntry> hosts = this->context.state.hosts();
-        for (size_t index = 0; index < std::min(hosts.size(), HostsPerInterval); ++index) {
-            const HostEntry &host = hosts[turn++ % hosts.size()];
-            if (host.name == this->context.settings.name || host.gossip.empty()) {
-                continue;
-            }
-            try {
-                this->socket.sendTo(report.data(), static_cast<int>(report.size()), Poco::Net::SocketAddress(host.gossip));
-            } catch (const Poco::Exception &) {
-                this->context.metrics.count("pimentosail_load_reports_unsent_total", {});
-            }
+        wasEmpty = own.empty();
+        const std::string report = this->encodeReport(own, relay);
+        for (const HostEntry &host : relays.empty() ? this->context.state.hosts() : relays) {
+            this->send(report, host);
         }
+        this->sendTotals(own, now);
+    }
+}
+
+void LoadDuty::take(const Json::Value &value)
+{
+    const Time now = this->context.clock.now();
+    if (value.isMember("totals")) {
+        this->context.loads.noteTotals(readLoads(value["totals"]), now);
+        return;
+    }
+    const std::string host = jsonString(value, "host");
+    this->context.loads.note(host, readLoads(value["loads"]), now);
+    if (jsonString(value, "follows") == this->context.settings.name) {
+        const std::lock_guard lock(this->mutex);
+        this->followers[host] = {jsonString(value, "gossip"), now};
     }
 }
 
 void LoadDuty::runReceive()
 {
-    std::array<char, MaxDatagram> buffer{};
+    std::vector<char> buffer(MaxDatagram);
     while (!this->stopping.load()) {
         try {
             if (!this->socket.poll(Poco::Timespan(ReceiveWait.count()), Poco::Net::Socket::SELECT_READ)) {
@@ -106,12 +186,7 @@
             }
             Poco::Net::SocketAddress from;
             const int size = this->socket.receiveFrom(buffer.data(), static_cast<int>(buffer.size()), from);
-            const Json::Value value = parseJson(std::string_view(buffer.data(), static_cast<size_t>(std::max(0, size))));
-            std::vector<TargetLoad> loads;
-            for (const Json::Value &row : value["loads"]) {
-                loads.push_back({row[0].asString(), row[1].asInt(), row[2].asInt64(), row[3].asInt64()});
-            }
-            this->context.loads.note(jsonString(value, "host"), std::move(loads), this->context.clock.now());
+            this->take(parseJson(std::string_view(buffer.data(), static_cast<size_t>(std::max(0, size)))));
         } catch (const std::exception &) {
             // A datagram of another program or a refused earlier send.
             this->context.metrics.count("pimentosail_load_reports_unreadable_total", {});
