Long answers get targets of their own; hosts compare a few targets drawn at random

Routes whose ratio of answer to prompt differs eightfold are kept apart, softly: a part of the targets is mostly theirs (dispatch/workmix). A host now compares at least three targets drawn at random, twice its part of all targets.

--- a/pimentosail/dispatch/dispatchtest.cpp
+++ b/pimentosail/dispatch/dispatchtest.cpp
@@ -1,5 +1,8 @@
 #include <criterion/criterion.h>
 
+#include <map>
+
+#include "pimentosail/base/hash.h"
 #include "pimentosail/dispatch/limits.h"
 #include "pimentosail/dispatch/picker.h"
 #include "pimentosail/dispatch/quarantine.h"
@@ -165,3 +168,26 @@
     second.merge(first.own());
     cr_assert(second.isBlocked(7));
 }
+
+// Pattern: many hosts decide at the same time by the same view of the load.
+Test(dispatch, hosts_with_the_same_view_do_not_all_choose_the_same_target)
+{
+    std::vector<Candidate> candidates;
+    for (int index = 0; index < 30; ++index) {
+        candidates.push_back(makeCandidate("t" + std::to_string(index)));
+        candidates.back().pendingTokens = 1000 * index;
+    }
+    std::map<std::string, int> chosen;
+    constexpr int Requests = 600;
+    for (int request = 0; request < Requests; ++request) {
+        PickQuery query = makePrompt("part-" + std::to_string(request));
+        query.ownTokens = 0;
+        query.sample = 3;
+        query.draw = stableHash(std::to_string(request));
+        ++chosen[pickTarget(query, candidates)->target->id];
+    }
+    for (const auto &[id, count] : chosen) {
+        cr_assert_leq(count, Requests / 5, "%s was chosen %d times", id.c_str(), count);
+    }
+    cr_assert_eq(chosen["t29"], 0, "the busiest is never the best of three");
+}
--- a/pimentosail/dispatch/picker.cpp
+++ b/pimentosail/dispatch/picker.cpp
@@ -1,7 +1,10 @@
 #include "pimentosail/dispatch/picker.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
+#include <map>
+#include <numeric>
 
 #include "pimentosail/base/hash.h"
 
@@ -20,6 +23,10 @@
 // Cost of reading the prompt's own part across zones, for each of its tokens: it keeps the store's link busy for twice
 // as long, which delays others.
 constexpr double OtherZoneFetch = 0.8;
+// Cost of a prompt on a target of the other kind, in prompt tokens: about five steps of an engine that reads prompts.
+constexpr double OtherLaneTokens = 16000;
+// With fewer targets none is kept for one kind of work.
+constexpr size_t FewestForLanes = 4;
 // A target that fails this share of its runs is used only if all do, but for a probe now and then.
 constexpr int FailingPermille = 250;
 constexpr double FailingCost = 1e6;
@@ -32,10 +39,58 @@
     double cost = candidate.pendingTokens + candidate.requests * TokensPerRun;
     cost -= isOwn ? OwnTargetSaving * static_cast<double>(query.ownTokens) : 0;
     cost += query.cacheZones.empty() || query.cacheZones.contains(candidate.target->zone) ? 0 : OtherZoneFetch * static_cast<double>(query.ownTokens);
-    cost += candidate.version < query.newestVersion ? OlderWeightsTokens : 0;
     return cost;
 }
 
+// What speaks against a candidate whatever its load.
+double surcharge(const PickQuery &query, const Candidate &candidate, const std::set<const Candidate *> &quiet, bool isProbe)
+{
+    double cost = !query.affinity.empty() && candidate.version < query.newestVersion ? OlderWeightsTokens : 0;
+    if (!quiet.empty() && quiet.contains(&candidate) != (query.lane == Lane::LongAnswers)) {
+        cost += OtherLaneTokens;
+    }
+    if (!isProbe && candidate.target->failurePermille.load() > FailingPermille) {
+        cost += FailingCost;
+    }
+    return cost;
+}
+
+// Returns a step that visits each of `size` places once, in an order that `draw` decides.
+size_t permutationStep(uint64_t draw, size_t size)
+{
+    size_t step = 1 + static_cast<size_t>(draw % size);
+    while (std::gcd(step, size) != 1) {
+        ++step;
+    }
+    return step;
+}
+
+// Returns the targets for long answers: the first by a hash that is the same on every host, among those with the
+// newest weights that are there.
+std::set<const Candidate *> quietTargets(const PickQuery &query, const std::vector<const Candidate *> &allowed)
+{
+    std::vector<std::pair<uint64_t, const Candidate *>> ranked;
+    int64_t newest = 0;
+    for (const Candidate *candidate : allowed) {
+        newest = std::max(newest, candidate->version);
+    }
+    for (const Candidate *candidate : allowed) {
+        if (candidate->version == newest) {
+            ranked.emplace_back(stableHash(candidate->target->id), candidate);
+        }
+    }
+    std::set<const Candidate *> quiet;
+    if (query.lane == Lane::Any || query.longAnswerShare <= 0 || ranked.size() < FewestForLanes) {
+        return quiet;
+    }
+    const auto count = std::clamp<size_t>(static_cast<size_t>(std::llround(query.longAnswerShare * static_cast<double>(ranked.size()))), 1, ranked.size() - 1);
+    std::nth_element(ranked.begin(), ranked.begin() + static_cast<int64_t>(count), ranked.end());
+    for (size_t index = 0; index < count; ++index) {
+        quiet.insert(ranked[index].second);
+    }
+    return quiet;
+}
+
 double plainCost(const PickQuery &query, const Candidate &candidate)
 {
     const double slots = std::max(1, candidate.target->slots);
@@ -63,17 +118,22 @@
     if (allowed.empty()) {
         return std::nullopt;
     }
+    const std::set<const Candidate *> quiet = quietTargets(query, allowed);
     const bool isProbe = query.draw % ProbeOneIn == 0;
     const size_t offset = static_cast<size_t>(query.draw / ProbeOneIn) % allowed.size();
+    const size_t step = permutationStep(query.draw / ProbeOneIn / allowed.size(), allowed.size());
+    // Number of candidates compared so far, by surcharge.
+    std::map<double, size_t> compared;
     std::optional<Choice> best;
     double bestCost = std::numeric_limits<double>::max();
     for (size_t index = 0; index < allowed.size(); ++index) {
-        const Candidate &candidate = *allowed[(index + offset) % allowed.size()];
+        const Candidate &candidate = *allowed[(index * step + offset) % allowed.size()];
         const bool isOwn = &candidate == own;
-        double cost = query.affinity.empty() ? plainCost(query, candidate) : promptCost(query, candidate, isOwn);
-        if (!isProbe && candidate.target->failurePermille.load() > FailingPermille) {
-            cost += FailingCost;
+        double cost = surcharge(query, candidate, quiet, isProbe);
+        if (query.sample > 0 && !isOwn && ++compared[cost] > query.sample) {
+            continue;
         }
+        cost += query.affinity.empty() ? plainCost(query, candidate) : promptCost(query, candidate, isOwn);
         if (cost < bestCost) {
             bestCost = cost;
             best = Choice{candidate.target, candidate.version, candidate.pendingTokens, candidate.lateTokens, isOwn};
--- a/pimentosail/dispatch/picker.h
+++ b/pimentosail/dispatch/picker.h
@@ -3,6 +3,7 @@
 // For a prompt, the cost of a target is the prompt tokens that it has to read before this prompt's first token:
 // those waiting there and those of this prompt that it is not expected to have. A prompt's own target is the one that
 // rendezvous hashing ranks first for its last part; on another target its parts have to be fetched or read again.
+// Some targets are kept mostly for prompts with long answers, whose pauses long prompts would stretch.
 // Plain requests go to the target with the fewest requests for its size, preferably in the own zone.
 //
 //     std::optional<Choice> choice = picker.pick(query, candidates);
@@ -18,6 +19,7 @@
 
 #include "pimentosail/base/clock.h"
 #include "pimentosail/directory/directory.h"
+#include "pimentosail/dispatch/workmix.h"
 
 namespace pimentosail
 {
@@ -47,9 +49,15 @@
     // Zones of the stores that have the deciding part; a target elsewhere takes twice as long to read it.
     std::set<std::string> cacheZones;
     std::string ownZone;
+    // Kind of the prompt's work, and the part of the targets that those with long answers should have.
+    Lane lane = Lane::Any;
+    double longAnswerShare = 0;
     // Version that new work should use, and the oldest on which it may begin.
     int64_t newestVersion = 0;
     int64_t oldestVersion = 0;
+    // Number of targets to compare, drawn at random from those that are equally good but for their load; the own target
+    // is always compared. Zero compares all. Many hosts that see the same load would else all choose the same target.
+    size_t sample = 0;
     // Targets that this request has tried.
     std::set<std::string> tried;
     // Uniform draw for ties and probes.
--- a/pimentosail/entry/context.h
+++ b/pimentosail/entry/context.h
@@ -5,6 +5,7 @@
 #include "pimentosail/dispatch/forecast.h"
 #include "pimentosail/dispatch/limits.h"
 #include "pimentosail/dispatch/quarantine.h"
+#include "pimentosail/dispatch/workmix.h"
 #include "pimentosail/entry/entrysettings.h"
 #include "pimentosail/entry/entrystate.h"
 #include "pimentosail/entry/wire.h"
@@ -33,6 +34,7 @@
     CacheStores &caches;
     PartReuse &partReuse;
     FirstTokenForecast &forecast;
+    WorkMix &workMix;
 };
 
 } // namespace pimentosail
--- a/pimentosail/entry/entryprocess.cpp
+++ b/pimentosail/entry/entryprocess.cpp
@@ -170,6 +170,7 @@
     CacheJournal cacheJournal;
     PartReuse partReuse;
     FirstTokenForecast forecast;
+    WorkMix workMix;
     EntryContext context;
     StateUpdater updater;
     std::mutex updaterMutex;
@@ -201,7 +202,7 @@
     , quarantine(clock)
     , caches(clock)
     , cacheJournal(caches)
-    , context{clock, log, metrics, settings, wire, state, directory, loads, connections, repeats, coldLimiter, quarantine, caches, partReuse, forecast}
+    , context{clock, log, metrics, settings, wire, state, directory, loads, connections, repeats, coldLimiter, quarantine, caches, partReuse, forecast, workMix}
     , updater(context)
     , peers(peerHttp,
           [this](const std::string &method, size_t bytes) {
--- a/pimentosail/entry/requestplanning.cpp
+++ b/pimentosail/entry/requestplanning.cpp
@@ -18,6 +18,9 @@
 constexpr int FetchPart = 3;
 // A late prompt is sent if it is expected to begin within this part of the time left.
 constexpr double LateShare = 0.5;
+// Targets that a host compares for a prompt: at least so many, and so many times its part of all targets.
+constexpr size_t SmallestSample = 3;
+constexpr size_t SampleFactor = 2;
 constexpr Duration HoldStep = Milliseconds(10);
 // A kept connection is used for a request that may not be repeated only if it was used this lately: targets close
 // connections that have been idle for seconds.
@@ -73,11 +76,17 @@
         const PromptPart &deciding = prompt.parts[std::max<size_t>(1, this->sharedParts) - 1];
         query.affinity = deciding.id;
         query.ownTokens = deciding.tokens;
+        query.lane = this->context.workMix.laneOf(this->route->name);
+        query.longAnswerShare = this->context.workMix.longAnswerShare();
         const WantedVersion wanted = this->context.state.wanted(prompt.model);
         query.newestVersion = wanted.version;
         query.oldestVersion = this->context.state.oldestAllowed(prompt.model, this->context.clock.now(), this->context.settings.versionLimit - VersionMargin);
     }
     std::vector<Candidate> known = this->candidates();
+    if (!query.affinity.empty()) {
+        const size_t hosts = std::max<size_t>(1, this->context.state.hosts().size());
+        query.sample = std::max(SmallestSample, SampleFactor * known.size() / hosts);
+    }
     if (!query.affinity.empty()) {
         int64_t version = query.newestVersion;
         for (const Candidate &candidate : known) {
@@ -114,6 +123,7 @@
         return;
     }
     const double own = static_cast<double>(this->expectedReadTokens());
+    this->context.workMix.note(this->route->name, own, static_cast<double>(this->request.prompt->maxOutputTokens));
     this->pendingAtSend = choice.pendingTokens + own;
     const Duration waited = this->spentBefore + (this->context.clock.now() - this->received);
     const Duration expected = this->context.forecast.predict(this->service, this->pendingAtSend);
