Old weights cost less while few targets have the new; parts of weights that no target has are freed

The cost of older weights now grows with the part of targets that have the newest; targets for long answers are chosen within each version. Stores were full of parts of replaced weights (1,036 parts found no room), freed only after the version's limit; they are freed two seconds after the last target left those weights. Test: fleet/a_shared_part (failed first: 15 s without freeing; passes now).

--- a/pimentosail/dispatch/picker.cpp
+++ b/pimentosail/dispatch/picker.cpp
@@ -14,7 +14,8 @@
 namespace
 {
 
-// Cost of a run on older weights, in prompt tokens: its answer is worth less, but not as little as one that is late.
+// Cost of a run on older weights when all others have the newest, in prompt tokens: its answer is worth less, but not as
+// little as one that is late.
 constexpr double OlderWeightsTokens = 12000;
 // Cost of each run in flight, in prompt tokens: it slows the steps of all others.
 constexpr double TokensPerRun = 250;
@@ -43,9 +44,9 @@
 }
 
 // What speaks against a candidate whatever its load.
-double surcharge(const PickQuery &query, const Candidate &candidate, const std::set<const Candidate *> &quiet, bool isProbe)
+double surcharge(const PickQuery &query, const Candidate &candidate, const std::set<const Candidate *> &quiet, double olderCost, bool isProbe)
 {
-    double cost = !query.affinity.empty() && candidate.version < query.newestVersion ? OlderWeightsTokens : 0;
+    double cost = !query.affinity.empty() && candidate.version < query.newestVersion ? olderCost : 0;
     if (!quiet.empty() && quiet.contains(&candidate) != (query.lane == Lane::LongAnswers)) {
         cost += OtherLaneTokens;
     }
@@ -65,32 +66,35 @@
     return step;
 }
 
-// Returns the targets for long answers: the first by a hash that is the same on every host, among those with the
-// newest weights that are there.
+// Returns the targets for long answers: of each weight version the first by a hash that is the same on every host.
 std::set<const Candidate *> quietTargets(const PickQuery &query, const std::vector<const Candidate *> &allowed)
 {
-    std::vector<std::pair<uint64_t, const Candidate *>> ranked;
-    int64_t newest = 0;
-    for (const Candidate *candidate : allowed) {
-        newest = std::max(newest, candidate->version);
-    }
-    for (const Candidate *candidate : allowed) {
-        if (candidate->version == newest) {
-            ranked.emplace_back(stableHash(candidate->target->id), candidate);
-        }
-    }
     std::set<const Candidate *> quiet;
-    if (query.lane == Lane::Any || query.longAnswerShare <= 0 || ranked.size() < FewestForLanes) {
+    if (query.lane == Lane::Any || query.longAnswerShare <= 0 || allowed.size() < FewestForLanes) {
         return quiet;
     }
-    const auto count = std::clamp<size_t>(static_cast<size_t>(std::llround(query.longAnswerShare * static_cast<double>(ranked.size()))), 1, ranked.size() - 1);
-    std::nth_element(ranked.begin(), ranked.begin() + static_cast<int64_t>(count), ranked.end());
-    for (size_t index = 0; index < count; ++index) {
-        quiet.insert(ranked[index].second);
+    std::map<int64_t, std::vector<std::pair<uint64_t, const Candidate *>>> byVersion;
+    for (const Candidate *candidate : allowed) {
+        byVersion[candidate->version].emplace_back(stableHash(candidate->target->id), candidate);
+    }
+    for (auto &[version, ranked] : byVersion) {
+        const auto count = std::min(ranked.size(), static_cast<size_t>(std::llround(query.longAnswerShare * static_cast<double>(ranked.size()))));
+        std::nth_element(ranked.begin(), ranked.begin() + static_cast<int64_t>(count), ranked.end());
+        for (size_t index = 0; index < count; ++index) {
+            quiet.insert(ranked[index].second);
+        }
     }
     return quiet;
 }
 
+// Cost of a run on older weights. While few targets have the newest, they could not bear all the work.
+double olderWeightsCost(const PickQuery &query, const std::vector<const Candidate *> &allowed)
+{
+    const auto newest
+        = std::count_if(allowed.begin(), allowed.end(), [&query](const Candidate *candidate) { return candidate->version >= query.newestVersion; });
+    return OlderWeightsTokens * static_cast<double>(newest) / static_cast<double>(allowed.size());
+}
+
 double plainCost(const PickQuery &query, const Candidate &candidate)
 {
     const double slots = std::max(1, candidate.target->slots);
@@ -119,6 +123,7 @@
         return std::nullopt;
     }
     const std::set<const Candidate *> quiet = quietTargets(query, allowed);
+    const double olderCost = olderWeightsCost(query, allowed);
     const bool isProbe = query.draw % ProbeOneIn == 0;
     const size_t offset = static_cast<size_t>(query.draw / ProbeOneIn) % allowed.size();
     const size_t step = permutationStep(query.draw / ProbeOneIn / allowed.size(), allowed.size());
@@ -129,7 +134,7 @@
     for (size_t index = 0; index < allowed.size(); ++index) {
         const Candidate &candidate = *allowed[(index * step + offset) % allowed.size()];
         const bool isOwn = &candidate == own;
-        double cost = surcharge(query, candidate, quiet, isProbe);
+        double cost = surcharge(query, candidate, quiet, olderCost, isProbe);
         if (query.sample > 0 && !isOwn && ++compared[cost] > query.sample) {
             continue;
         }
--- a/pimentosail/entry/rolloutduty.cpp
+++ b/pimentosail/entry/rolloutduty.cpp
@@ -218,32 +218,40 @@
     }
 }
 
-void RolloutDuty::startLoads(const std::string &model, int64_t version)
+// Returns all live targets that serve `model`.
+std::vector<TargetView> RolloutDuty::targetsOf(const std::string &model) const
 {
-    std::vector<RolloutTarget> targets;
-    std::map<std::string, TargetPointer> byId;
-    const Time now = this->context.clock.now();
+    std::vector<TargetView> result;
     const ServingPointer serving = this->context.state.serving();
     if (!serving) {
-        return;
+        return result;
     }
     for (const Service &service : serving->all().services) {
-        if (!service.engine || std::find(service.engine->models.begin(), service.engine->models.end(), model) == service.engine->models.end()) {
-            continue;
-        }
-        for (const TargetView &view : this->context.directory.all(service.name, model)) {
-            RolloutTarget target;
-            target.id = view.target->id;
-            target.version = view.version;
-            target.isLoading = this->loading.contains(target.id);
-            const auto excluded = this->excludedUntil.find(target.id);
-            target.isExcluded
-                = view.target->draining || view.target->connectFailures.load() > 0 || (excluded != this->excludedUntil.end() && now < excluded->second);
-            target.load = view.target->inFlight.load();
-            byId[target.id] = view.target;
-            targets.push_back(std::move(target));
+        if (service.engine && std::find(service.engine->models.begin(), service.engine->models.end(), model) != service.engine->models.end()) {
+            const std::vector<TargetView> own = this->context.directory.all(service.name, model);
+            result.insert(result.end(), own.begin(), own.end());
         }
     }
+    return result;
+}
+
+void RolloutDuty::startLoads(const std::string &model, int64_t version)
+{
+    std::vector<RolloutTarget> targets;
+    std::map<std::string, TargetPointer> byId;
+    const Time now = this->context.clock.now();
+    for (const TargetView &view : this->targetsOf(model)) {
+        RolloutTarget target;
+        target.id = view.target->id;
+        target.version = view.version;
+        target.isLoading = this->loading.contains(target.id);
+        const auto excluded = this->excludedUntil.find(target.id);
+        target.isExcluded
+            = view.target->draining || view.target->connectFailures.load() > 0 || (excluded != this->excludedUntil.end() && now < excluded->second);
+        target.load = view.target->inFlight.load();
+        byId[target.id] = view.target;
+        targets.push_back(std::move(target));
+    }
     const std::vector<std::string> next = planRollout(targets, version, RolloutLimits{});
     if (next.empty()) {
         return;
@@ -336,6 +344,17 @@
     }
 }
 
+// Returns the oldest version of `model` on which work may still begin: one that a target has, and that is allowed.
+int64_t RolloutDuty::oldestInUse(const std::string &model, Time now) const
+{
+    const int64_t allowed = this->context.state.oldestAllowed(model, now, this->context.settings.versionLimit);
+    int64_t present = 0;
+    for (const TargetView &view : this->targetsOf(model)) {
+        present = present == 0 ? view.version : std::min(present, view.version);
+    }
+    return std::max(allowed, present);
+}
+
 // Parts of weights on which no work may begin any more are freed some seconds later, when no transfer can still read them.
 void RolloutDuty::freeOldParts()
 {
@@ -346,9 +365,14 @@
     this->nextFreeing = now + FreeingInterval;
     for (const std::string &text : this->context.caches.salts()) {
         const std::optional<CacheSalt> salt = CacheSalt::parse(text);
-        if (!salt || salt->version >= this->context.state.oldestAllowed(salt->model, now, this->context.settings.versionLimit + FreeDelay)) {
+        if (!salt || salt->version >= this->oldestInUse(salt->model, now)) {
+            this->unusedSince.erase(text);
+            continue;
+        }
+        if (now < this->unusedSince.try_emplace(text, now).first->second + FreeDelay) {
             continue;
         }
+        this->unusedSince.erase(text);
         for (const PartsToFree &freed : this->context.caches.takeSalt(text)) {
             for (size_t first = 0; first < freed.parts.size(); first += PartsPerCall) {
                 const size_t last = std::min(freed.parts.size(), first + PartsPerCall);
--- a/pimentosail/entry/storeduties.h
+++ b/pimentosail/entry/storeduties.h
@@ -86,6 +86,8 @@
     void advance();
     void checkLoading();
     void freeOldParts();
+    std::vector<TargetView> targetsOf(const std::string &model) const;
+    int64_t oldestInUse(const std::string &model, Time now) const;
     void startLoads(const std::string &model, int64_t version);
     void orderPrepared();
     void orderOne(Loading &loading);
@@ -111,6 +113,8 @@
     std::vector<std::string> released;
     std::map<std::string, Time> excludedUntil;
     Time nextFreeing{};
+    // Since when no work may begin on the weights that a salt of cached parts belongs to.
+    std::map<std::string, Time> unusedSince;
     std::atomic<bool> stopping{false};
     DutyThread thread;
 };
