Prompts go where their tokens fit; the own target lies among those for the prompt's kind of work

The load reports now carry the tokens that runs hold; a target's cost counts what does not fit and runs beyond its number. Long prompts leave the targets for long answers alone until the others are 30,000 tokens busier (16,000). Test: dispatch/a_prompt_goes_where_its_tokens_fit.

--- a/pimentosail/directory/directory.h
+++ b/pimentosail/directory/directory.h
@@ -59,6 +59,8 @@
     std::atomic<int64_t> pendingTokens{0};
     // The same for requests that are late already and yield to all others.
     std::atomic<int64_t> lateTokens{0};
+    // Tokens of the prompts and answers of all runs: the memory that they need there.
+    std::atomic<int64_t> heldTokens{0};
     // No request is sent before this time (us): the target refused, failed to connect, or is taking an order.
     std::atomic<int64_t> avoidUntil{0};
     // The target counts as cold until this time (us).
--- a/pimentosail/directory/loadboard.cpp
+++ b/pimentosail/directory/loadboard.cpp
@@ -16,6 +16,7 @@
     sum.requests += sign * load.requests;
     sum.pendingTokens += sign * load.pendingTokens;
     sum.lateTokens += sign * load.lateTokens;
+    sum.heldTokens += sign * load.heldTokens;
 }
 
 } // namespace
--- a/pimentosail/directory/loadboard.h
+++ b/pimentosail/directory/loadboard.h
@@ -25,6 +25,8 @@
     int64_t pendingTokens = 0;
     // Of requests that yield to all others.
     int64_t lateTokens = 0;
+    // Memory that the runs need, in tokens.
+    int64_t heldTokens = 0;
 };
 
 class LoadBoard
--- a/pimentosail/dispatch/dispatchtest.cpp
+++ b/pimentosail/dispatch/dispatchtest.cpp
@@ -191,3 +191,24 @@
     }
     cr_assert_eq(chosen["t29"], 0, "the busiest is never the best of three");
 }
+
+// Pattern: long prompts need a sixth of an engine's memory each. One too many puts off another run in the middle of its
+// answer.
+Test(dispatch, a_prompt_goes_where_its_tokens_fit)
+{
+    std::vector<Candidate> candidates{makeCandidate("full"), makeCandidate("busy")};
+    for (Candidate &candidate : candidates) {
+        candidate.capacityTokens = 48000;
+        candidate.runs = 12;
+    }
+    candidates[0].heldTokens = 45000;
+    candidates[1].pendingTokens = 6000;
+    PickQuery query = makePrompt("session");
+    query.ownTokens = 0;
+    query.heldTokens = 9000;
+    cr_assert_eq(pickTarget(query, candidates)->target->id, "busy");
+    candidates[0].heldTokens = 20000;
+    cr_assert_eq(pickTarget(query, candidates)->target->id, "full");
+    candidates[0].requests = 16;
+    cr_assert_eq(pickTarget(query, candidates)->target->id, "busy", "runs beyond the engine's number wait");
+}
--- a/pimentosail/dispatch/picker.cpp
+++ b/pimentosail/dispatch/picker.cpp
@@ -24,8 +24,12 @@
 // Cost of reading the prompt's own part across zones, for each of its tokens: it keeps the store's link busy for twice
 // as long, which delays others.
 constexpr double OtherZoneFetch = 0.8;
-// Cost of a prompt on a target of the other kind, in prompt tokens: about five steps of an engine that reads prompts.
-constexpr double OtherLaneTokens = 16000;
+// Cost of a prompt on a target of the other kind, in prompt tokens: about seven steps of an engine that reads prompts.
+constexpr double OtherLaneTokens = 30000;
+// Cost of each token beyond a target's memory: the prompt waits for it, or another run is put off and read again.
+constexpr double OverflowCost = 2;
+// Cost of each run that has to wait for another to end, in prompt tokens.
+constexpr double WaitingRunTokens = 3000;
 // With fewer targets none is kept for one kind of work.
 constexpr size_t FewestForLanes = 4;
 // A target that fails this share of its runs is used only if all do, but for a probe now and then.
@@ -40,6 +44,12 @@
     double cost = candidate.pendingTokens + candidate.requests * TokensPerRun;
     cost -= isOwn ? OwnTargetSaving * static_cast<double>(query.ownTokens) : 0;
     cost += query.cacheZones.empty() || query.cacheZones.contains(candidate.target->zone) ? 0 : OtherZoneFetch * static_cast<double>(query.ownTokens);
+    if (candidate.capacityTokens > 0) {
+        cost += OverflowCost * std::max(0.0, candidate.heldTokens + query.heldTokens - candidate.capacityTokens);
+    }
+    if (candidate.runs > 0) {
+        cost += WaitingRunTokens * std::max(0.0, candidate.requests + 1 - candidate.runs);
+    }
     return cost;
 }
 
@@ -95,6 +105,25 @@
     return OlderWeightsTokens * static_cast<double>(newest) / static_cast<double>(allowed.size());
 }
 
+// Returns the target that rendezvous hashing ranks first for the prompt, among those for its kind of work.
+const Candidate *ownTarget(const PickQuery &query, const std::vector<const Candidate *> &allowed, const std::set<const Candidate *> &quiet)
+{
+    const Candidate *own = nullptr;
+    uint64_t ownWeight = 0;
+    const uint64_t key = stableHash(query.affinity);
+    for (const Candidate *candidate : allowed) {
+        if (!quiet.empty() && quiet.contains(candidate) != (query.lane == Lane::LongAnswers)) {
+            continue;
+        }
+        const uint64_t weight = combineHashes(key, stableHash(candidate->target->id));
+        if (own == nullptr || weight >= ownWeight) {
+            own = candidate;
+            ownWeight = weight;
+        }
+    }
+    return own;
+}
+
 double plainCost(const PickQuery &query, const Candidate &candidate)
 {
     const double slots = std::max(1, candidate.target->slots);
@@ -105,24 +134,17 @@
 
 std::optional<Choice> pickTarget(const PickQuery &query, const std::vector<Candidate> &candidates)
 {
-    const Candidate *own = nullptr;
-    uint64_t ownWeight = 0;
     std::vector<const Candidate *> allowed;
     for (const Candidate &candidate : candidates) {
-        if (candidate.coldAndFull || query.tried.contains(candidate.target->id) || candidate.version < query.oldestVersion) {
-            continue;
-        }
-        allowed.push_back(&candidate);
-        const uint64_t weight = query.affinity.empty() ? 0 : combineHashes(stableHash(query.affinity), stableHash(candidate.target->id));
-        if (!query.affinity.empty() && weight >= ownWeight) {
-            own = &candidate;
-            ownWeight = weight;
+        if (!candidate.coldAndFull && !query.tried.contains(candidate.target->id) && candidate.version >= query.oldestVersion) {
+            allowed.push_back(&candidate);
         }
     }
     if (allowed.empty()) {
         return std::nullopt;
     }
     const std::set<const Candidate *> quiet = quietTargets(query, allowed);
+    const Candidate *own = query.affinity.empty() ? nullptr : ownTarget(query, allowed, quiet);
     const double olderCost = olderWeightsCost(query, allowed);
     const bool isProbe = query.draw % ProbeOneIn == 0;
     const size_t offset = static_cast<size_t>(query.draw / ProbeOneIn) % allowed.size();
--- a/pimentosail/dispatch/picker.h
+++ b/pimentosail/dispatch/picker.h
@@ -34,6 +34,10 @@
     double pendingTokens = 0;
     // The part of them that belongs to requests which yield to all others.
     double lateTokens = 0;
+    // Memory that the runs there need, what there is, and how many runs there can be at once; 0 if unknown.
+    double heldTokens = 0;
+    double capacityTokens = 0;
+    int runs = 0;
     // A cold target that has had its share of requests for now.
     bool coldAndFull = false;
     // This host's share of requests a second for a cold target; negative if the target is warm.
@@ -46,6 +50,8 @@
     std::string affinity;
     // Prompt tokens that only the own target is expected to have.
     int64_t ownTokens = 0;
+    // Memory that the prompt and its answer need, in tokens.
+    double heldTokens = 0;
     // Zones of the stores that have the deciding part; a target elsewhere takes twice as long to read it.
     std::set<std::string> cacheZones;
     std::string ownZone;
--- a/pimentosail/entry/attempt.cpp
+++ b/pimentosail/entry/attempt.cpp
@@ -21,18 +21,21 @@
 class LoadMark
 {
 public:
-    LoadMark(TargetState &targetState, int64_t readTokens, bool isLate)
+    LoadMark(TargetState &targetState, int64_t readTokens, int64_t heldTokens, bool isLate)
         : target(targetState)
         , pending(isLate ? targetState.lateTokens : targetState.pendingTokens)
         , tokens(readTokens)
+        , held(heldTokens)
     {
         this->target.inFlight.fetch_add(1);
+        this->target.heldTokens.fetch_add(this->held);
         this->pending.fetch_add(this->tokens);
     }
     ~LoadMark()
     {
         this->promptRead();
         this->target.inFlight.fetch_sub(1);
+        this->target.heldTokens.fetch_sub(this->held);
     }
     LoadMark(const LoadMark &) = delete;
     LoadMark &operator=(const LoadMark &) = delete;
@@ -48,6 +51,7 @@
     TargetState &target;
     std::atomic<int64_t> &pending;
     int64_t tokens;
+    int64_t held;
 };
 
 // Returns the length of the first whole event in `data` with its end, or 0.
@@ -284,7 +288,7 @@
 AttemptResult Attempt::run(const AttemptLimits &limits, const EventSink &sink)
 {
     AttemptResult result;
-    LoadMark load(*this->plan.target, this->plan.readTokens, this->plan.isLate);
+    LoadMark load(*this->plan.target, this->plan.readTokens, this->plan.heldTokens, this->plan.isLate);
     std::unique_ptr<TargetConnection> opened = this->openConnection(limits, result);
     if (!opened) {
         return result;
--- a/pimentosail/entry/loadduty.cpp
+++ b/pimentosail/entry/loadduty.cpp
@@ -27,6 +27,7 @@
     row.append(load.requests);
     row.append(Json::Int64(load.pendingTokens));
     row.append(Json::Int64(load.lateTokens));
+    row.append(Json::Int64(load.heldTokens));
     rows.append(row);
 }
 
@@ -34,7 +35,7 @@
 {
     std::vector<TargetLoad> loads;
     for (const Json::Value &row : rows) {
-        loads.push_back({row[0].asString(), row[1].asInt(), row[2].asInt64(), row[3].asInt64()});
+        loads.push_back({row[0].asString(), row[1].asInt(), row[2].asInt64(), row[3].asInt64(), row[4].asInt64()});
     }
     return loads;
 }
@@ -73,7 +74,7 @@
     for (const TargetPointer &target : this->context.directory.everything()) {
         const int requests = target->inFlight.load();
         if (requests > 0) {
-            loads.push_back({target->id, requests, target->pendingTokens.load(), target->lateTokens.load()});
+            loads.push_back({target->id, requests, target->pendingTokens.load(), target->lateTokens.load(), target->heldTokens.load()});
         }
     }
     return loads;
--- a/pimentosail/entry/requestplanning.cpp
+++ b/pimentosail/entry/requestplanning.cpp
@@ -47,6 +47,11 @@
         const TargetLoad others = this->context.loads.others(view.target->id, Time(now));
         candidate.requests = view.target->inFlight.load() + others.requests;
         candidate.pendingTokens = static_cast<double>(view.target->pendingTokens.load() + others.pendingTokens);
+        candidate.heldTokens = static_cast<double>(view.target->heldTokens.load() + others.heldTokens);
+        if (profile != nullptr && profile->engine) {
+            candidate.capacityTokens = static_cast<double>(profile->engine->cacheTokens);
+            candidate.runs = profile->engine->slots;
+        }
         candidate.lateTokens = static_cast<double>(view.target->lateTokens.load() + others.lateTokens);
         if (view.target->coldUntil.load() > now && profile != nullptr && profile->coldRequestsPerSecond > 0) {
             if (hosts.empty()) {
@@ -76,6 +81,7 @@
         const PromptPart &deciding = prompt.parts[std::max<size_t>(1, this->sharedParts) - 1];
         query.affinity = deciding.id;
         query.ownTokens = deciding.tokens;
+        query.heldTokens = static_cast<double>(prompt.promptTokens + prompt.maxOutputTokens);
         query.lane = this->context.workMix.laneOf(this->route->name);
         query.longAnswerShare = this->context.workMix.longAnswerShare();
         const WantedVersion wanted = this->context.state.wanted(prompt.model);
@@ -175,6 +181,7 @@
         plan.priority = this->team != nullptr && this->team->priority ? *this->team->priority : this->route->priority;
         plan.isLate = this->isLate;
         plan.readTokens = this->expectedReadTokens();
+        plan.heldTokens = this->request.prompt->promptTokens + this->request.prompt->maxOutputTokens;
         plan.expectedVersion = choice.version;
         plan.cacheSalt = this->saltFor(choice.version);
         if (choice.version > 0) {
--- a/pimentosail/entry/wire.h
+++ b/pimentosail/entry/wire.h
@@ -64,6 +64,8 @@
     bool isLate = false;
     // Prompt tokens that the target has to read.
     int64_t readTokens = 0;
+    // Tokens of the prompt and its answer, which take memory at the target.
+    int64_t heldTokens = 0;
     std::string resumeAfter;
     // Of prompts: namespace of cached parts, weight version the target must have, and cache transfers.
     std::string cacheSalt;
