Second copies of cached parts are made of hot parts only

A second copy now needs a use by this host within the last two seconds. Test: kvcache/a_second_copy_is_made_of_hot_parts_only (failed without it).

--- a/pimentosail/kvcache/kvcachetest.cpp
+++ b/pimentosail/kvcache/kvcachetest.cpp
@@ -107,6 +107,22 @@
     cr_assert_neq(fixture.stores.plan("w1", Parts, 2, "z1", Patience, UINT64_MAX).fetchFrom[1], "", "an old observation fades");
 }
 
+// Pattern: thousands of sessions fill the stores; second copies of parts that return once a minute took the room of others.
+Test(kvcache, a_second_copy_is_made_of_hot_parts_only)
+{
+    Fixture fixture;
+    fixture.stores.apply("fast", {1, 1, false, {{"w1", "x", 9900, false}}});
+    fixture.stores.apply("slow", {1, 1, false, {{"w1", "session", 5000, false}, {"w1", "shared", 2000, false}}});
+    for (int observation = 0; observation < 20; ++observation) {
+        fixture.stores.noteFirstToken("", Milliseconds(90));
+        fixture.stores.noteFirstToken("slow", Milliseconds(1500));
+    }
+    cr_assert_eq(fixture.stores.plan("w1", Parts, 2, "z1", Patience, UINT64_MAX).saveTokens, 0);
+    const std::vector<PromptPart> other{{"shared", 2000}, {"another session", 4000}, {"own", 10}};
+    const CachePlan plan = fixture.stores.plan("w1", other, 2, "z1", Patience, UINT64_MAX);
+    cr_assert_eq(plan.saveTo[0], "slow2:80", "the shared part was asked for twice in a moment");
+}
+
 Test(kvcache, parts_of_old_weights_can_be_taken_for_freeing)
 {
     Fixture fixture;
--- a/pimentosail/kvcache/storecontents.cpp
+++ b/pimentosail/kvcache/storecontents.cpp
@@ -16,6 +16,9 @@
 constexpr size_t MaxPendingSaves = 8192;
 // A store is not given more parts once it is this full: a part is written whole or lost, and other hosts save as well.
 constexpr double FullShare = 0.97;
+// A part that this host was asked for again within this time is hot: only such parts are worth a second copy.
+constexpr Duration HotTime = std::chrono::seconds(2);
+constexpr size_t MaxRecentUses = 4096;
 // Bytes of KV cache of a token, for link times only.
 constexpr double BytesPerToken = 18432;
 constexpr double OtherZoneFactor = 2;
@@ -310,6 +313,17 @@
     return best;
 }
 
+bool CacheStores::noteUse(const PartKey &key, Time now)
+{
+    if (this->lastUses.size() >= MaxRecentUses) {
+        std::erase_if(this->lastUses, [now](const auto &entry) { return entry.second + HotTime < now; });
+    }
+    const auto [entry, isNew] = this->lastUses.emplace(key, now);
+    const bool isHot = !isNew && now < entry->second + HotTime;
+    entry->second = now;
+    return isHot;
+}
+
 CachePlan CacheStores::plan(
     const std::string &salt, const std::vector<PromptPart> &parts, size_t shared, const std::string &zone, Duration patience, uint64_t draw)
 {
@@ -323,6 +337,7 @@
     for (size_t index = 0; index < std::min(shared, parts.size()); ++index) {
         const PromptPart &part = parts[index];
         const PartKey key{salt, part.id};
+        const bool isHot = this->noteUse(key, now);
         const auto [source, sourceTime] = this->sourceFor(key, part.tokens, zone, now);
         if (source != nullptr) {
             const double share = static_cast<double>(patience.count()) / static_cast<double>(std::max<int64_t>(1, sourceTime.count()));
@@ -342,8 +357,8 @@
             continue;
         }
         const Held *place = this->placeFor(salt, part, zone, source);
-        // A second copy goes only to a link that is less busy.
-        const bool isUseful = place != nullptr && (source == nullptr || 2 * this->linkWait(*place, now) < this->linkWait(*source, now));
+        // A second copy is made of hot parts only, and on a link that is less busy.
+        const bool isUseful = place != nullptr && (source == nullptr || (isHot && 2 * this->linkWait(*place, now) < this->linkWait(*source, now)));
         if (isUseful) {
             if (this->pendingSaves.size() < MaxPendingSaves) {
                 this->pendingSaves[key] = {now, place->store.name, part.tokens};
--- a/pimentosail/kvcache/storecontents.h
+++ b/pimentosail/kvcache/storecontents.h
@@ -190,6 +190,8 @@
     Held *placeFor(const std::string &salt, const PromptPart &part, const std::string &zone, const Held *other);
     // Returns the store that has the part and is expected to deliver it first, with that time.
     std::pair<Held *, Duration> sourceFor(const PartKey &key, int64_t tokens, const std::string &zone, Time now);
+    // Records the use of a part; returns true if it was used a short time ago.
+    bool noteUse(const PartKey &key, Time now);
     Duration transferTime(const Held &entry, int64_t tokens, const std::string &zone) const;
     Duration linkWait(const Held &entry, Time now) const;
 
@@ -198,6 +200,7 @@
     std::map<std::string, Held> held;
     // Saves that were planned and not yet reported, so that concurrent requests do not save the same part.
     std::map<PartKey, PendingSave> pendingSaves;
+    std::map<PartKey, Time> lastUses;
     // Moving average of the times to first token of prompts that read from no store.
     double plainFirstTokenMs = 0;
 };
