--- a/pimentosail/entry/entryprocess.cpp
+++ b/pimentosail/entry/entryprocess.cpp
@@ -7,6 +7,7 @@
 
 #include "pimentosail/base/json.h"
 #include "pimentosail/entry/loadduty.h"
+#include "pimentosail/entry/peermessages.h"
 #include "pimentosail/entry/requestrunner.h"
 #include "pimentosail/entry/stateupdater.h"
 #include "pimentosail/entry/storeduties.h"
@@ -43,92 +44,6 @@
     return std::clamp<int64_t>(settings.fileDescriptors - ReservedDescriptors, 64, MaxCallerThreads);
 }
 
-Json::Value changesToJson(const MirrorChanges &changes)
-{
-    Json::Value value;
-    value["revision"] = Json::Int64(changes.revision);
-    value["snapshot"] = changes.isSnapshot;
-    value["reachable"] = changes.isReachable;
-    value["answer_age_ms"] = Json::Int64(toMilliseconds(changes.answerAge));
-    value["back_age_ms"] = Json::Int64(changes.backAge < Duration(0) ? -1 : toMilliseconds(changes.backAge));
-    value["changes"] = Json::Value(Json::arrayValue);
-    for (const StoreChange &change : changes.changes) {
-        Json::Value entry;
-        entry["key"] = change.item.key;
-        entry["value"] = change.item.value;
-        entry["revision"] = Json::Int64(change.item.revision);
-        entry["removed"] = change.isRemoval;
-        value["changes"].append(entry);
-    }
-    return value;
-}
-
-MirrorChanges changesFromJson(const Json::Value &value)
-{
-    MirrorChanges changes;
-    changes.revision = jsonInteger(value, "revision");
-    changes.isSnapshot = jsonBoolean(value, "snapshot");
-    changes.isReachable = jsonBoolean(value, "reachable");
-    changes.answerAge = Milliseconds(jsonInteger(value, "answer_age_ms"));
-    const int64_t backAge = jsonInteger(value, "back_age_ms");
-    changes.backAge = backAge < 0 ? Duration(-1) : Milliseconds(backAge);
-    for (const Json::Value &entry : value["changes"]) {
-        changes.changes.push_back({{jsonString(entry, "key"), jsonString(entry, "value"), jsonInteger(entry, "revision")}, jsonBoolean(entry, "removed")});
-    }
-    return changes;
-}
-
-Json::Value cacheChangesToJson(const CacheChanges &changes)
-{
-    Json::Value value;
-    value["journal"] = changes.journal;
-    value["next"] = Json::Int64(changes.next);
-    value["snapshot"] = changes.isSnapshot;
-    value["stores"] = Json::Value(Json::arrayValue);
-    std::map<std::string, int> numbers;
-    for (const CacheStoreStatus &status : changes.stores) {
-        Json::Value row(Json::arrayValue);
-        row.append(status.store);
-        row.append(Json::Int64(status.epoch));
-        row.append(status.isReachable);
-        numbers.emplace(status.store, static_cast<int>(value["stores"].size()));
-        value["stores"].append(row);
-    }
-    // Rows and not objects, and stores by number: there may be hundreds a second.
-    value["changes"] = Json::Value(Json::arrayValue);
-    for (const CacheChange &change : changes.changes) {
-        const auto number = numbers.find(change.store);
-        if (number == numbers.end()) {
-            continue;
-        }
-        Json::Value row(Json::arrayValue);
-        row.append(number->second);
-        row.append(Json::Int64(change.epoch));
-        row.append(change.event.salt);
-        row.append(change.event.part);
-        row.append(change.event.isRemoval ? Json::Int64(-1) : Json::Int64(change.event.tokens));
-        value["changes"].append(row);
-    }
-    return value;
-}
-
-CacheChanges cacheChangesFromJson(const Json::Value &value)
-{
-    CacheChanges changes;
-    changes.journal = jsonString(value, "journal");
-    changes.next = jsonInteger(value, "next");
-    changes.isSnapshot = jsonBoolean(value, "snapshot");
-    for (const Json::Value &row : value["stores"]) {
-        changes.stores.push_back({row[0].asString(), row[1].asInt64(), row[2].asBool()});
-    }
-    for (const Json::Value &row : value["changes"]) {
-        const int64_t tokens = row[4].asInt64();
-        changes.changes.push_back(
-            {changes.stores.at(row[0].asUInt()).store, row[1].asInt64(), {row[2].asString(), row[3].asString(), std::max<int64_t>(0, tokens), tokens < 0}});
-    }
-    return changes;
-}
-
 } // namespace
 
 class EntryProcess::Parts
@@ -216,12 +131,12 @@
     , rpc({{"store_changes",
                [this](const Json::Value &arguments) {
                    const Duration wait = std::min<Duration>(Milliseconds(jsonInteger(arguments, "wait_ms")), LongestPeerWait);
-                   return changesToJson(this->mirror.changesAfter(jsonInteger(arguments, "after"), wait));
+                   return encodeStoreChanges(this->mirror.changesAfter(jsonInteger(arguments, "after"), wait));
                }},
           {"cache_changes",
               [this](const Json::Value &arguments) {
                   const Duration wait = std::min<Duration>(Milliseconds(jsonInteger(arguments, "wait_ms")), LongestPeerWait);
-                  return cacheChangesToJson(this->cacheJournal.changesAfter(jsonString(arguments, "journal"), jsonInteger(arguments, "after"), wait));
+                  return encodeCacheChanges(this->cacheJournal.changesAfter(jsonString(arguments, "journal"), jsonInteger(arguments, "after"), wait));
               }},
           {"state",
               [this](const Json::Value & /*arguments*/) {
@@ -334,7 +249,7 @@
     Json::Value arguments;
     arguments["after"] = Json::Int64(revision);
     arguments["wait_ms"] = Json::Int64(toMilliseconds(wait));
-    return changesFromJson(this->peers.call(address, "store_changes", arguments, wait + PeerCallMargin));
+    return decodeStoreChanges(this->peers.call(address, "store_changes", arguments, wait + PeerCallMargin));
 }
 
 CacheChanges EntryProcess::Parts::askCacheChanges(const HostEntry &relay, const std::string &journal, int64_t position, Duration wait)
@@ -343,12 +258,7 @@
     arguments["journal"] = journal;
     arguments["after"] = Json::Int64(position);
     arguments["wait_ms"] = Json::Int64(toMilliseconds(wait));
-    const Json::Value answer = this->peers.call(relay.address, "cache_changes", arguments, wait + PeerCallMargin);
-    try {
-        return cacheChangesFromJson(answer);
-    } catch (const std::exception &exception) {
-        throw Failure(ErrorKind::PeerLost, std::string("unreadable changes of cache stores: ") + exception.what());
-    }
+    return decodeCacheChanges(this->peers.call(relay.address, "cache_changes", arguments, wait + PeerCallMargin));
 }
 
 MirrorChanges EntryProcess::Parts::askAnyHost(int64_t revision, Duration wait)
