--- a/pimentosail/net/httpclient.cpp
+++ b/pimentosail/net/httpclient.cpp
@@ -89,7 +89,7 @@
 
 HttpReply HttpClient::call(const std::string &address, const HttpRequest &request, Duration timeout, ConnectionUse use)
 {
-    std::unique_ptr<PollableSession> session = use == ConnectionUse::Pooled ? this->take(address) : nullptr;
+    std::unique_ptr<PollableSession> session = use == ConnectionUse::Fresh ? nullptr : this->take(address);
     const bool reused = session != nullptr;
     bool connected = reused;
     try {
@@ -120,7 +120,7 @@
     } catch (const Poco::TimeoutException &exception) {
         throwLost(address, "timeout " + exception.message(), connected);
     } catch (const Poco::Exception &exception) {
-        if (reused) {
+        if (reused && use == ConnectionUse::Pooled) {
             return this->call(address, request, timeout, ConnectionUse::Fresh);
         }
         throwLost(address, exception.displayText(), connected);
--- a/pimentosail/net/httpclient.h
+++ b/pimentosail/net/httpclient.h
@@ -59,9 +59,12 @@
 };
 
 // Whether a call may use a connection that an earlier call left open. A reused connection can fail after the
-// peer has read the request, so calls that must not run twice use a fresh one.
+// peer has read the request.
 enum class ConnectionUse {
+    // If a reused connection fails, the request is sent again on a fresh one: it may be carried out twice.
     Pooled,
+    // A reused connection may be taken, but the request is never sent again.
+    PooledOnce,
     Fresh,
 };
 
