--- a/pimentosail/entry/hostduty.cpp
+++ b/pimentosail/entry/hostduty.cpp
@@ -121,7 +121,10 @@
         Json::Value value;
         value["named_ms"] = Json::Int64(Clock::wallMilliseconds() - toMilliseconds(now - wanted.since));
         try {
-            this->store.commit({{{key, 0}}, {{key, printJson(value), 0}}, {}});
+            const CommitOutcome outcome = this->store.commit({{{key, 0}}, {{key, printJson(value), 0}}, {}});
+            this->context.log.write(LogLevel::Info, "version_time_recorded",
+                {{"model", model}, {"version", wanted.version}, {"age_ms", toMilliseconds(now - wanted.since)},
+                    {"written", outcome.status == CommitStatus::Committed}});
         } catch (const Failure &) {
             this->context.metrics.count("pimentosail_store_failures_total", {{"duty", "version_times"}});
         }
--- a/pimentosail/entry/requestplanning.cpp
+++ b/pimentosail/entry/requestplanning.cpp
@@ -91,6 +91,8 @@
         query.longAnswerShare = this->context.workMix.longAnswerShare();
         const WantedVersion wanted = this->context.state.wantedVersion(prompt.model);
         query.newestVersion = wanted.version;
+        this->wantedVersion = wanted.version;
+        this->wantedVersionAge = wanted.version == 0 ? Duration(0) : this->context.clock.now() - wanted.since;
         query.oldestVersion
             = this->context.state.oldestAllowedVersion(prompt.model, this->context.clock.now(), this->context.settings.versionLimit - VersionMargin);
     }
@@ -192,6 +194,7 @@
         plan.prefillTokens = this->expectedPrefillTokens();
         plan.heldTokens = this->request.prompt->promptTokens + this->request.prompt->maxOutputTokens;
         plan.expectedVersion = choice.version;
+        this->expectedVersion = choice.version;
         plan.cacheSalt = this->saltFor(choice.version);
         if (choice.version > 0) {
             plan.cache = this->context.cacheStores.plan(plan.cacheSalt, this->request.prompt->blocks, this->sharedBlocks, choice.target->zone,
--- a/pimentosail/entry/requestrunner.h
+++ b/pimentosail/entry/requestrunner.h
@@ -110,6 +110,11 @@
     std::string lastTarget;
     std::string lastReason;
     int64_t weightVersion = 0;
+    // The version that the last target was expected to have, the newest wanted version, and the age of the latter at that
+    // time as this host knows it.
+    int64_t expectedVersion = 0;
+    int64_t wantedVersion = 0;
+    Duration wantedVersionAge{};
     std::string cacheSource;
     Duration expectedTransfer{};
     int64_t fetchTokens = 0;
--- a/pimentosail/entry/stateupdater.cpp
+++ b/pimentosail/entry/stateupdater.cpp
@@ -202,6 +202,9 @@
             this->context.state.addWantedVersion(
                 modelAndVersion.substr(0, slash), std::stoll(modelAndVersion.substr(slash + 1)), this->context.clock.now() - std::max(Duration(0), age));
             this->timedVersions.insert(modelAndVersion);
+            this->context.log.write(LogLevel::Info, "version_time_read",
+                {{"model", modelAndVersion.substr(0, slash)}, {"version", modelAndVersion.substr(slash + 1)}, {"age_ms", toMilliseconds(age)},
+                    {"record", item.value}, {"revision", item.revision}});
         } catch (const std::exception &exception) {
             this->reportUnreadable(item, exception.what());
         }
