--- a/pimentosail/base/clock.cpp
+++ b/pimentosail/base/clock.cpp
@@ -1,5 +1,6 @@
 #include "pimentosail/base/clock.h"
 
+#include <atomic>
 #include <ctime>
 
 namespace pimentosail
@@ -8,6 +9,9 @@
 namespace
 {
 
+// Sum of all steps of the wall clock, in milliseconds.
+std::atomic<int64_t> wallClockOffset{0};
+
 Time steadyNow()
 {
     return std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch());
@@ -34,7 +38,12 @@
 
 int64_t Clock::wallMilliseconds()
 {
-    return std::chrono::duration_cast<Milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+    return std::chrono::duration_cast<Milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count() + wallClockOffset.load();
+}
+
+void Clock::stepWallClock(Duration step)
+{
+    wallClockOffset.fetch_add(toMilliseconds(step));
 }
 
 void Clock::sleepFor(Duration duration)
--- a/pimentosail/base/clock.h
+++ b/pimentosail/base/clock.h
@@ -31,9 +31,13 @@
     // they also expire while the machine is suspended.
     Time nowWithSuspend() const;
 
-    // Returns wall time in milliseconds since the Unix epoch. For display and for log lines only.
+    // Returns wall time in milliseconds since the Unix epoch. For display and for log lines only: the wall clocks of two hosts
+    // may differ by seconds, and each may jump.
     static int64_t wallMilliseconds();
 
+    // Moves the wall clock of this process by `step`, as an operator or a time server does. For tests.
+    static void stepWallClock(Duration step);
+
     // Blocks until `duration` has passed on this clock or `interrupt` is called.
     void sleepFor(Duration duration);
 
