Weights: time in suspension counts toward the limit for outdated weights

A host that was suspended went on sending prompts to outdated weights for as long as the suspension had lasted, since the age of the wanted version was measured on the steady clock, which stands still meanwhile. Callers count that time. The age is now measured on the clock that leases use.

--- a/pimentosail/base/clock.cpp
+++ b/pimentosail/base/clock.cpp
@@ -29,11 +29,11 @@
 {
     const std::lock_guard lock(this->mutex);
     if (this->paused) {
-        return this->pausedAt;
+        return this->pausedAt + this->suspended;
     }
     timespec bootTime{};
     clock_gettime(CLOCK_BOOTTIME, &bootTime);
-    return std::chrono::duration_cast<Duration>(std::chrono::seconds(bootTime.tv_sec) + std::chrono::nanoseconds(bootTime.tv_nsec));
+    return std::chrono::duration_cast<Duration>(std::chrono::seconds(bootTime.tv_sec) + std::chrono::nanoseconds(bootTime.tv_nsec)) + this->suspended;
 }
 
 int64_t Clock::wallMilliseconds()
@@ -71,6 +71,12 @@
     this->changed.notify_all();
 }
 
+void Clock::suspend(Duration duration)
+{
+    const std::lock_guard lock(this->mutex);
+    this->suspended += duration;
+}
+
 void Clock::pause()
 {
     const std::lock_guard lock(this->mutex);
--- a/pimentosail/base/clock.h
+++ b/pimentosail/base/clock.h
@@ -44,6 +44,9 @@
     // Makes every running and every later `sleepFor` return at once. Used at process shutdown.
     void interrupt();
 
+    // Moves the time that includes suspension ahead by `duration`, and not the other. For tests.
+    void suspend(Duration duration);
+
     // Stops the clock at its current value. Only `advance` changes it afterwards.
     void pause();
 
@@ -56,6 +59,8 @@
     bool paused = false;
     bool interrupted = false;
     Time pausedAt{0};
+    // Time that `suspend` has added.
+    Duration suspended{};
 };
 
 // Returns `time` in whole milliseconds, truncated.
--- a/pimentosail/entry/entrystate.h
+++ b/pimentosail/entry/entrystate.h
@@ -26,7 +26,8 @@
 struct WantedVersion
 {
     int64_t version = 0;
-    // Time since when the version is wanted: when this host first saw it, or an earlier time that another host recorded.
+    // Time since when the version is wanted: when this host first saw it, or an earlier time that another host recorded. A time
+    // of `Clock::nowWithSuspend`, because callers count time in which this host is suspended.
     Time since{};
 };
 
@@ -70,7 +71,7 @@
     }
 
     // Records a wanted version and the time since when it is wanted; an earlier time replaces a later one. Returns true
-    // if the version was not recorded before.
+    // if the version was not recorded before. `since` is a time of `Clock::nowWithSuspend`.
     bool addWantedVersion(const std::string &model, int64_t version, Time since)
     {
         const std::lock_guard lock(this->mutex);
@@ -87,7 +88,8 @@
         return found == this->versions.end() ? WantedVersion{} : WantedVersion{found->second.rbegin()->first, found->second.rbegin()->second};
     }
 
-    // Returns the oldest version on which work may begin: the newest version that has been wanted for at least `limit`.
+    // Returns the oldest version on which work may begin: the newest version that has been wanted for at least `limit`. `now`
+    // is a time of `Clock::nowWithSuspend`.
     int64_t oldestAllowedVersion(const std::string &model, Time now, Duration limit) const
     {
         const std::lock_guard lock(this->mutex);
--- a/pimentosail/entry/hostduty.cpp
+++ b/pimentosail/entry/hostduty.cpp
@@ -107,7 +107,7 @@
 // Publishes when each wanted version was set, for hosts that start later.
 void HostDuty::publishVersionTimes()
 {
-    const Time now = this->context.clock.now();
+    const Time now = this->context.clock.nowWithSuspend();
     std::vector<std::string> hosts;
     for (const HostEntry &host : this->context.state.hosts()) {
         hosts.push_back(host.name);
--- a/pimentosail/entry/requestplanning.cpp
+++ b/pimentosail/entry/requestplanning.cpp
@@ -92,9 +92,9 @@
         const WantedVersion wanted = this->context.state.wantedVersion(prompt.model);
         query.newestVersion = wanted.version;
         this->wantedVersion = wanted.version;
-        this->wantedVersionAge = wanted.version == 0 ? Duration(0) : this->context.clock.now() - wanted.since;
-        query.oldestVersion
-            = this->context.state.oldestAllowedVersion(prompt.model, this->context.clock.now(), this->context.settings.versionLimit - VersionMargin);
+        const Time now = this->context.clock.nowWithSuspend();
+        this->wantedVersionAge = wanted.version == 0 ? Duration(0) : now - wanted.since;
+        query.oldestVersion = this->context.state.oldestAllowedVersion(prompt.model, now, this->context.settings.versionLimit - VersionMargin);
     }
     std::vector<Candidate> targets = this->candidates();
     if (!query.affinity.empty()) {
--- a/pimentosail/entry/rolloutduty.cpp
+++ b/pimentosail/entry/rolloutduty.cpp
@@ -356,9 +356,9 @@
 }
 
 // Returns the oldest version of `model` on which a request may still start: one that is allowed and that a target has.
-int64_t RolloutDuty::oldestInUse(const std::string &model, Time now) const
+int64_t RolloutDuty::oldestInUse(const std::string &model) const
 {
-    const int64_t allowed = this->context.state.oldestAllowedVersion(model, now, this->context.settings.versionLimit);
+    const int64_t allowed = this->context.state.oldestAllowedVersion(model, this->context.clock.nowWithSuspend(), this->context.settings.versionLimit);
     int64_t present = 0;
     for (const TargetView &view : this->targetsOf(model)) {
         present = present == 0 ? view.version : std::min(present, view.version);
@@ -377,7 +377,7 @@
     this->nextFreeing = now + FreeingInterval;
     for (const std::string &text : this->context.cacheStores.salts()) {
         const std::optional<CacheSalt> salt = CacheSalt::parse(text);
-        if (!salt || salt->version >= this->oldestInUse(salt->model, now)) {
+        if (!salt || salt->version >= this->oldestInUse(salt->model)) {
             this->unusedSince.erase(text);
             continue;
         }
--- a/pimentosail/entry/stateupdater.cpp
+++ b/pimentosail/entry/stateupdater.cpp
@@ -143,9 +143,8 @@
             continue;
         }
         const std::string model = item.key.substr(prefix.size());
-        const Time now = this->context.clock.now();
-        if (this->context.state.addWantedVersion(model, *version, now)) {
-            if (now > this->createdAt + StartupWindow) {
+        if (this->context.state.addWantedVersion(model, *version, this->context.clock.nowWithSuspend())) {
+            if (this->context.clock.now() > this->createdAt + StartupWindow) {
                 this->timedVersions.insert(model + "/" + std::to_string(*version));
             }
             this->context.log.write(LogLevel::Info, "version_wanted", {{"model", model}, {"version", *version}, {"revision", item.revision}});
@@ -199,8 +198,8 @@
         try {
             const size_t slash = modelAndVersion.rfind('/');
             const Duration age = Milliseconds(Clock::wallMilliseconds() - jsonInteger(parseJson(item.value), "named_ms"));
-            this->context.state.addWantedVersion(
-                modelAndVersion.substr(0, slash), std::stoll(modelAndVersion.substr(slash + 1)), this->context.clock.now() - std::max(Duration(0), age));
+            this->context.state.addWantedVersion(modelAndVersion.substr(0, slash), std::stoll(modelAndVersion.substr(slash + 1)),
+                this->context.clock.nowWithSuspend() - std::max(Duration(0), age));
             this->timedVersions.insert(modelAndVersion);
             this->context.log.write(LogLevel::Info, "version_time_read",
                 {{"model", modelAndVersion.substr(0, slash)}, {"version", modelAndVersion.substr(slash + 1)}, {"age_ms", toMilliseconds(age)},
--- a/pimentosail/entry/storeduties.h
+++ b/pimentosail/entry/storeduties.h
@@ -96,7 +96,7 @@
     void checkPendingLoads();
     void freeOutdatedBlocks();
     std::vector<TargetView> targetsOf(const std::string &model) const;
-    int64_t oldestInUse(const std::string &model, Time now) const;
+    int64_t oldestInUse(const std::string &model) const;
     void prepareLoads(const std::string &model, int64_t version);
     void orderPreparedLoads();
     void sendOrder(PendingLoad &load);
