Weights: the age of a wanted version comes from the store's leases, not from wall clocks

What callers saw: answers on weights that had been replaced more than 15 s before, after a restart of the host that sent them there; or refusals of all prompts, where its wall clock had gone ahead. Cause: the host that saw a version named stored the wall time, and a host that started later subtracted it from its own wall time. Change: the host writes marks instead, keys under leases that end when the version reaches 2, 4, ... s. All leases run on the store's clock, so the marks that are left tell the age within 2 s to any host, also if all had been down; unknown counts as old for beginning work and as young for freeing blocks. A time that is not known yet no longer starts the limit anew.

--- a/pimentosail/entry/entrystate.h
+++ b/pimentosail/entry/entrystate.h
@@ -22,13 +22,22 @@
 namespace pimentosail
 {
 
+// An earliest time that is not known. Limits that count from it are over.
+inline constexpr Time UnknownPast = Duration::min() / 2;
+
+// When a version became the wanted one: between these two times of `Clock::nowWithSuspend`, since callers count time in
+// which this host is suspended. Work on older weights stops by the earliest; what cannot be undone waits for the latest.
+struct SetTime
+{
+    Time earliest = UnknownPast;
+    Time latest{};
+};
+
 // The weight version that the targets of a model should have.
 struct WantedVersion
 {
     int64_t version = 0;
-    // Time since when the version is wanted: when this host first saw it, or an earlier time that another host recorded. A time
-    // of `Clock::nowWithSuspend`, because callers count time in which this host is suspended.
-    Time since{};
+    SetTime setTime;
 };
 
 // The latest rollout announcement that this host received: the rollout leader publishes one before it sends load orders.
@@ -70,14 +79,24 @@
         return this->servingAt;
     }
 
-    // Records a wanted version and the time since when it is wanted; an earlier time replaces a later one. Returns true
-    // if the version was not recorded before. `since` is a time of `Clock::nowWithSuspend`.
-    bool addWantedVersion(const std::string &model, int64_t version, Time since)
+    // Records a wanted version when this host first sees it. Returns true if the version was not recorded before.
+    bool addWantedVersion(const std::string &model, int64_t version, const SetTime &setTime)
+    {
+        const std::lock_guard lock(this->mutex);
+        return this->versions[model].emplace(version, setTime).second;
+    }
+
+    // Narrows down when a version was set. A time that contradicts what is known is ignored; returns false then.
+    bool narrowSetTime(const std::string &model, int64_t version, const SetTime &setTime)
     {
         const std::lock_guard lock(this->mutex);
-        const auto [entry, isNew] = this->versions[model].emplace(version, since);
-        entry->second = std::min(entry->second, since);
-        return isNew;
+        SetTime &known = this->versions[model].emplace(version, setTime).first->second;
+        const SetTime narrowed{std::max(known.earliest, setTime.earliest), std::min(known.latest, setTime.latest)};
+        if (narrowed.earliest > narrowed.latest) {
+            return false;
+        }
+        known = narrowed;
+        return true;
     }
 
     // Returns the newest wanted version of `model`, or version 0 if none is recorded.
@@ -88,19 +107,18 @@
         return found == this->versions.end() ? WantedVersion{} : WantedVersion{found->second.rbegin()->first, found->second.rbegin()->second};
     }
 
-    // Returns the oldest version on which work may begin: the newest version that has been wanted for at least `limit`. `now`
-    // is a time of `Clock::nowWithSuspend`.
+    // Returns the oldest version on which work may begin: the newest version that may have been wanted for `limit`. `now` is a
+    // time of `Clock::nowWithSuspend`.
     int64_t oldestAllowedVersion(const std::string &model, Time now, Duration limit) const
     {
-        const std::lock_guard lock(this->mutex);
-        int64_t oldest = 0;
-        const auto found = this->versions.find(model);
-        if (found != this->versions.end()) {
-            for (const auto &[version, since] : found->second) {
-                oldest = since + limit <= now ? version : oldest;
-            }
-        }
-        return oldest;
+        return this->newestVersion(model, [now, limit](const SetTime &setTime) { return setTime.earliest + limit <= now; });
+    }
+
+    // Returns the oldest version on which no host may forbid work yet: the newest version that certainly has been wanted for
+    // `limit`.
+    int64_t oldestPossibleVersion(const std::string &model, Time now, Duration limit) const
+    {
+        return this->newestVersion(model, [now, limit](const SetTime &setTime) { return setTime.latest + limit <= now; });
     }
 
     // Returns the newest wanted version of every model.
@@ -108,8 +126,8 @@
     {
         const std::lock_guard lock(this->mutex);
         std::map<std::string, WantedVersion> result;
-        for (const auto &[model, wantedSince] : this->versions) {
-            result[model] = {wantedSince.rbegin()->first, wantedSince.rbegin()->second};
+        for (const auto &[model, wanted] : this->versions) {
+            result[model] = {wanted.rbegin()->first, wanted.rbegin()->second};
         }
         return result;
     }
@@ -205,11 +223,26 @@
     // Minimum number of hosts among which limits are divided, in case the other hosts are not listed yet.
     static constexpr size_t MinSharingHosts = 3;
 
+    // Returns the newest version of `model` whose time meets `condition`, or 0 if there is none.
+    template <typename Condition>
+    int64_t newestVersion(const std::string &model, const Condition &condition) const
+    {
+        const std::lock_guard lock(this->mutex);
+        int64_t newest = 0;
+        const auto found = this->versions.find(model);
+        if (found != this->versions.end()) {
+            for (const auto &[version, setTime] : found->second) {
+                newest = condition(setTime) ? version : newest;
+            }
+        }
+        return newest;
+    }
+
     mutable std::mutex mutex;
     ServingConfigurationPointer servingInForce;
     Time servingAt{};
-    // For each model, its wanted versions and since when each is wanted.
-    std::map<std::string, std::map<int64_t, Time>> versions;
+    // For each model, its wanted versions and when each was set.
+    std::map<std::string, std::map<int64_t, SetTime>> versions;
     LatestRollout lastRollout;
     std::vector<HostEntry> hostEntries;
     RelayPlan relayPlan;
--- a/pimentosail/entry/hostduty.cpp
+++ b/pimentosail/entry/hostduty.cpp
@@ -4,6 +4,7 @@
 #include "pimentosail/base/json.h"
 #include "pimentosail/entry/stateupdater.h"
 #include "pimentosail/entry/storeduties.h"
+#include "pimentosail/rollout/versionage.h"
 
 namespace pimentosail
 {
@@ -20,6 +21,9 @@
 // The host that rendezvous hashing selects writes the time at which a version became the wanted one. The other hosts write
 // it if it is still missing after this time.
 constexpr Duration FallbackPublishDelay = Milliseconds(1500);
+// The leases of a version's age marks are discarded if the store took longer than this to grant them, because they would
+// run out too late.
+constexpr Duration MaxGrantTime = Milliseconds(500);
 
 } // namespace
 
@@ -113,21 +117,46 @@
         hosts.push_back(host.name);
     }
     for (const auto &[model, wanted] : this->context.state.allWantedVersions()) {
-        const std::string key = VersionTimesPrefix + model + "/" + std::to_string(wanted.version);
-        const bool isSelected = rendezvousOwner(key, hosts) == this->context.settings.name;
-        if ((!isSelected && now < wanted.since + FallbackPublishDelay) || !this->mirror.items(key).empty()) {
-            continue;
+        const std::string name = model + "/" + std::to_string(wanted.version);
+        const bool isSelected = rendezvousOwner(VersionTimesPrefix + name, hosts) == this->context.settings.name;
+        Duration delay = isSelected ? Duration(0) : FallbackPublishDelay;
+        // A host that started after the version was set does not know its age, so it leaves time to all others.
+        delay = wanted.setTime.earliest == UnknownPast ? 2 * FallbackPublishDelay : delay;
+        if (now >= wanted.setTime.latest + delay && this->mirror.items(VersionTimesPrefix + name).empty()) {
+            this->publishVersionTime(name, wanted.setTime);
         }
-        Json::Value value;
-        value["named_ms"] = Json::Int64(Clock::wallMilliseconds() - toMilliseconds(now - wanted.since));
-        try {
-            const CommitOutcome outcome = this->store.commit({{{key, 0}}, {{key, printJson(value), 0}}, {}});
-            this->context.log.write(LogLevel::Info, "version_time_recorded",
-                {{"model", model}, {"version", wanted.version}, {"age_ms", toMilliseconds(now - wanted.since)},
-                    {"written", outcome.status == CommitStatus::Committed}});
-        } catch (const Failure &) {
-            this->context.metrics.count("pimentosail_store_failures_total", {{"duty", "version_times"}});
+    }
+}
+
+void HostDuty::publishVersionTime(const std::string &name, const SetTime &setTime)
+{
+    const Time begin = this->context.clock.nowWithSuspend();
+    const Duration limit = this->context.settings.versionLimit;
+    const Duration age = setTime.earliest == UnknownPast ? limit : begin - setTime.earliest;
+    const Duration spread = setTime.earliest == UnknownPast ? Duration(0) : setTime.latest - setTime.earliest;
+    StoreTransaction transaction;
+    try {
+        for (const AgeMark &mark : ageMarks(age, makeAgeRecord(limit, spread))) {
+            const int64_t markLease = this->store.grantLease(mark.ttl);
+            transaction.puts.push_back({VersionMarksPrefix + name + "/" + std::to_string(mark.index), "", markLease});
+        }
+        // A lease starts up to this much later than `begin`.
+        const Duration took = this->context.clock.nowWithSuspend() - begin;
+        if (took > MaxGrantTime) {
+            this->context.log.write(
+                LogLevel::Warning, "version_time_not_recorded", {{"version", name}, {"reason", "the store is slow"}, {"took_ms", toMilliseconds(took)}});
+            return;
         }
+        transaction.conditions.push_back({VersionTimesPrefix + name, 0});
+        transaction.puts.push_back({VersionTimesPrefix + name, encodeAgeRecord(makeAgeRecord(limit, spread + took)), 0});
+        const CommitOutcome outcome = this->store.commit(transaction);
+        this->context.log.write(LogLevel::Info, "version_time_recorded",
+            {{"version", name}, {"age_ms", toMilliseconds(age)}, {"spread_ms", toMilliseconds(spread)}, {"marks", transaction.puts.size() - 1},
+                {"written", outcome.status == CommitStatus::Committed}});
+    } catch (const Failure &failure) {
+        // Tried again in the next step. Leases without a key expire.
+        this->context.metrics.count("pimentosail_store_failures_total", {{"duty", "version_times"}});
+        this->context.log.write(LogLevel::Warning, "version_time_not_recorded", {{"version", name}, {"reason", failure.what()}});
     }
 }
 
--- a/pimentosail/entry/stateupdater.cpp
+++ b/pimentosail/entry/stateupdater.cpp
@@ -4,6 +4,7 @@
 
 #include "pimentosail/base/json.h"
 #include "pimentosail/rollout/announcement.h"
+#include "pimentosail/rollout/versionage.h"
 
 namespace pimentosail
 {
@@ -61,6 +62,7 @@
     if (changedKeys.contains(RolloutStateKey)) {
         this->updateRollout(mirror);
     }
+    this->hasContents = true;
 }
 
 void StateUpdater::updateServing(const StoreMirror &mirror)
@@ -143,11 +145,10 @@
             continue;
         }
         const std::string model = item.key.substr(prefix.size());
-        if (this->context.state.addWantedVersion(model, *version, this->context.clock.nowWithSuspend())) {
-            if (this->context.clock.now() > this->createdAt + StartupWindow) {
-                this->timedVersions.insert(model + "/" + std::to_string(*version));
-            }
-            this->context.log.write(LogLevel::Info, "version_wanted", {{"model", model}, {"version", *version}, {"revision", item.revision}});
+        const Time now = this->context.clock.nowWithSuspend();
+        if (this->context.state.addWantedVersion(model, *version, {this->hasContents ? now : UnknownPast, now})) {
+            this->context.log.write(
+                LogLevel::Info, "version_wanted", {{"model", model}, {"version", *version}, {"is_age_known", this->hasContents}, {"revision", item.revision}});
         }
     }
 }
@@ -191,19 +192,25 @@
 void StateUpdater::updateVersionTimes(const StoreMirror &mirror)
 {
     for (const StoredItem &item : mirror.items(VersionTimesPrefix)) {
-        const std::string modelAndVersion = item.key.substr(VersionTimesPrefix.size());
-        if (this->timedVersions.contains(modelAndVersion)) {
+        const std::string name = item.key.substr(VersionTimesPrefix.size());
+        if (this->timedVersions.contains(name)) {
             continue;
         }
         try {
-            const size_t slash = modelAndVersion.rfind('/');
-            const Duration age = Milliseconds(Clock::wallMilliseconds() - jsonInteger(parseJson(item.value), "named_ms"));
-            this->context.state.addWantedVersion(modelAndVersion.substr(0, slash), std::stoll(modelAndVersion.substr(slash + 1)),
-                this->context.clock.nowWithSuspend() - std::max(Duration(0), age));
-            this->timedVersions.insert(modelAndVersion);
-            this->context.log.write(LogLevel::Info, "version_time_read",
-                {{"model", modelAndVersion.substr(0, slash)}, {"version", modelAndVersion.substr(slash + 1)}, {"age_ms", toMilliseconds(age)},
-                    {"record", item.value}, {"revision", item.revision}});
+            const std::string marksPrefix = VersionMarksPrefix + name + "/";
+            std::set<int64_t> present;
+            for (const StoredItem &mark : mirror.items(marksPrefix)) {
+                present.insert(std::stoll(mark.key.substr(marksPrefix.size())));
+            }
+            const VersionAge age = ageFromMarks(decodeAgeRecord(item.value), present);
+            const Time now = this->context.clock.nowWithSuspend();
+            const SetTime setTime{age.atMost ? now - *age.atMost : UnknownPast, now - age.atLeast};
+            const size_t slash = name.rfind('/');
+            const bool isConsistent = this->context.state.narrowSetTime(name.substr(0, slash), std::stoll(name.substr(slash + 1)), setTime);
+            this->timedVersions.insert(name);
+            this->context.log.write(isConsistent ? LogLevel::Info : LogLevel::Warning, "version_time_read",
+                {{"version", name}, {"at_least_ms", toMilliseconds(age.atLeast)}, {"at_most_ms", age.atMost ? toMilliseconds(*age.atMost) : -1},
+                    {"marks_left", present.size()}, {"is_consistent", isConsistent}, {"revision", item.revision}});
         } catch (const std::exception &exception) {
             this->reportUnreadable(item, exception.what());
         }
--- a/pimentosail/entry/stateupdater.h
+++ b/pimentosail/entry/stateupdater.h
@@ -26,9 +26,10 @@
 inline const std::string RolloutStateKey = EntryPrefix + "rollout/state";
 // Exists, under a lease, while a load order may have been sent recently.
 inline const std::string RecentLoadOrderKey = EntryPrefix + "rollout/recent";
-// Followed by MODEL/VERSION. The value is the time at which the version became the wanted one, for hosts that start
-// later.
-inline const std::string VersionTimesPrefix = EntryPrefix + "versions/";
+// Followed by MODEL/VERSION, and for the marks by /INDEX. From the marks that are left, hosts that start later know when the
+// version was set (`rollout/versionage`).
+inline const std::string VersionTimesPrefix = EntryPrefix + "version-times/";
+inline const std::string VersionMarksPrefix = EntryPrefix + "version-marks/";
 
 class StateUpdater
 {
@@ -58,8 +59,9 @@
 
     EntryContext &context;
     Time createdAt;
-    // Versions whose time is final, as MODEL/VERSION. This host observed when they were set, which is more exact than the
-    // stored time, or it has already applied the stored time.
+    // The first contents of the mirror have been applied. What they contain may have been written at any time before.
+    bool hasContents = false;
+    // Versions whose record of the age has been applied, as MODEL/VERSION.
     std::set<std::string> timedVersions;
     // Last logged revision of an unreadable value, by key.
     std::map<std::string, int64_t> reportedRevisions;
--- a/pimentosail/entry/storeduties.h
+++ b/pimentosail/entry/storeduties.h
@@ -42,6 +42,8 @@
     void renew();
     void publishObservations();
     void publishVersionTimes();
+    // Writes the age marks of a version. `name` is MODEL/VERSION.
+    void publishVersionTime(const std::string &name, const SetTime &setTime);
 
     EntryContext &context;
     PrefixStore store;
--- /dev/null
+++ b/pimentosail/rollout/versionage.cpp
@@ -0,0 +1,69 @@
+#include "pimentosail/rollout/versionage.h"
+
+#include <algorithm>
+
+#include "pimentosail/base/error.h"
+#include "pimentosail/base/json.h"
+
+namespace pimentosail
+{
+
+namespace
+{
+
+// Ages are known within this. Each step costs one lease for each version.
+constexpr Duration AgeStep = std::chrono::seconds(2);
+// Shortest lease that the key-value store grants.
+constexpr Duration ShortestLease = std::chrono::seconds(1);
+
+} // namespace
+
+AgeRecord makeAgeRecord(Duration limit, Duration uncertainty)
+{
+    return {AgeStep, (limit + AgeStep - Duration(1)) / AgeStep, uncertainty};
+}
+
+std::vector<AgeMark> ageMarks(Duration age, const AgeRecord &record)
+{
+    std::vector<AgeMark> marks;
+    for (int64_t index = 1; index <= record.marks; ++index) {
+        const Duration ttl = index * record.step - age;
+        if (ttl >= ShortestLease) {
+            marks.push_back({index, ttl});
+        }
+    }
+    return marks;
+}
+
+VersionAge ageFromMarks(const AgeRecord &record, const std::set<int64_t> &present)
+{
+    VersionAge age;
+    const int64_t reached = present.empty() ? record.marks : *present.begin() - 1;
+    age.atLeast = std::max(Duration(0), Duration(reached * record.step - record.uncertainty - ShortestLease));
+    if (!present.empty()) {
+        age.atMost = *present.begin() * record.step + record.uncertainty;
+    }
+    return age;
+}
+
+std::string encodeAgeRecord(const AgeRecord &record)
+{
+    Json::Value value;
+    value["step_ms"] = Json::Int64(toMilliseconds(record.step));
+    value["marks"] = Json::Int64(record.marks);
+    value["uncertainty_ms"] = Json::Int64(toMilliseconds(record.uncertainty));
+    return printJson(value);
+}
+
+AgeRecord decodeAgeRecord(const std::string &value)
+{
+    const Json::Value document = parseJson(value);
+    const AgeRecord record{
+        Milliseconds(jsonInteger(document, "step_ms")), jsonInteger(document, "marks"), Milliseconds(jsonInteger(document, "uncertainty_ms"))};
+    if (record.step <= Duration(0) || record.marks < 0 || record.uncertainty < Duration(0)) {
+        throw Failure(ErrorKind::BadRequest, "a record of a version's age needs a step, a number of marks and an uncertainty");
+    }
+    return record;
+}
+
+} // namespace pimentosail
