Weights: a host that hears of a version late counts its limit from when it last knew the store

A host that the store had refused for some seconds, or that was cut off, heard of a new version late and counted the limit for outdated weights from then: callers got answers on weights that had been replaced for longer than the limit, by as much as the host had been without news. Change: the mirror knows up to when its contents are certainly complete (start of the call that answered, end of a wait without changes, or what a relay or another host says of itself); a version that a batch adds was set after that. Time of the answer is not used, since a host may be suspended before it reads one.

--- a/pimentosail/entry/peermessages.cpp
+++ b/pimentosail/entry/peermessages.cpp
@@ -26,6 +26,7 @@
     changes.isSnapshot = jsonBoolean(value, "snapshot");
     changes.isReachable = jsonBoolean(value, "reachable");
     changes.answerAge = Milliseconds(jsonInteger(value, "answer_age_ms"));
+    changes.completeAge = Milliseconds(jsonInteger(value, "complete_age_ms", -1));
     const int64_t recoveryAge = jsonInteger(value, "back_age_ms");
     changes.recoveryAge = recoveryAge < 0 ? Duration(-1) : Milliseconds(recoveryAge);
     for (const Json::Value &entry : value["changes"]) {
@@ -74,6 +75,7 @@
     value["snapshot"] = changes.isSnapshot;
     value["reachable"] = changes.isReachable;
     value["answer_age_ms"] = Json::Int64(toMilliseconds(changes.answerAge));
+    value["complete_age_ms"] = Json::Int64(changes.completeAge < Duration(0) ? -1 : toMilliseconds(changes.completeAge) + 1);
     value["back_age_ms"] = Json::Int64(changes.recoveryAge < Duration(0) ? -1 : toMilliseconds(changes.recoveryAge));
     value["changes"] = Json::Value(Json::arrayValue);
     for (const StoreChange &change : changes.changes) {
--- a/pimentosail/entry/stateupdater.cpp
+++ b/pimentosail/entry/stateupdater.cpp
@@ -62,7 +62,6 @@
     if (changedKeys.contains(RolloutStateKey)) {
         this->updateRollout(mirror);
     }
-    this->hasContents = true;
 }
 
 void StateUpdater::updateServing(const StoreMirror &mirror)
@@ -145,10 +144,14 @@
             continue;
         }
         const std::string model = item.key.substr(prefix.size());
+        // The contents were complete without this version at `completeBefore`.
+        const Time completeBefore = mirror.status().completeBefore;
         const Time now = this->context.clock.nowWithSuspend();
-        if (this->context.state.addWantedVersion(model, *version, {this->hasContents ? now : UnknownPast, now})) {
-            this->context.log.write(
-                LogLevel::Info, "version_wanted", {{"model", model}, {"version", *version}, {"is_age_known", this->hasContents}, {"revision", item.revision}});
+        const SetTime setTime{completeBefore == Time(0) ? UnknownPast : completeBefore, now};
+        if (this->context.state.addWantedVersion(model, *version, setTime)) {
+            this->context.log.write(LogLevel::Info, "version_wanted",
+                {{"model", model}, {"version", *version}, {"age_ms", completeBefore == Time(0) ? -1 : toMilliseconds(now - completeBefore)},
+                    {"revision", item.revision}});
         }
     }
 }
@@ -204,7 +207,9 @@
             }
             const VersionAge age = ageFromMarks(decodeAgeRecord(item.value), present);
             const Time now = this->context.clock.nowWithSuspend();
-            const SetTime setTime{age.atMost ? now - *age.atMost : UnknownPast, now - age.atLeast};
+            // A mark that is still there may have been removed since the contents were complete.
+            const Time completeAt = mirror.status().completeAt;
+            const SetTime setTime{age.atMost && completeAt != Time(0) ? completeAt - *age.atMost : UnknownPast, now - age.atLeast};
             const size_t slash = name.rfind('/');
             const bool isConsistent = this->context.state.narrowSetTime(name.substr(0, slash), std::stoll(name.substr(slash + 1)), setTime);
             this->timedVersions.insert(name);
--- a/pimentosail/entry/stateupdater.h
+++ b/pimentosail/entry/stateupdater.h
@@ -59,8 +59,6 @@
 
     EntryContext &context;
     Time createdAt;
-    // The first contents of the mirror have been applied. What they contain may have been written at any time before.
-    bool hasContents = false;
     // Versions whose record of the age has been applied, as MODEL/VERSION.
     std::set<std::string> timedVersions;
     // Last logged revision of an unreadable value, by key.
--- a/pimentosail/mirror/storemirror.cpp
+++ b/pimentosail/mirror/storemirror.cpp
@@ -38,6 +38,13 @@
 constexpr size_t MaxRecentChanges = 4096;
 constexpr size_t MaxRemovedKeys = 8192;
 
+// Returns up to which time changes from another host, which was called at `calledAt`, are complete; zero if that is not
+// known. The time of the answer can't be used, since this host may have been suspended before it read the answer.
+Time peerCompleteAt(const MirrorChanges &changes, Time calledAt)
+{
+    return changes.completeAge < Duration(0) ? Time(0) : calledAt - changes.completeAge;
+}
+
 } // namespace
 
 StoreMirror::StoreMirror(Clock &runtimeClock, EventLog &eventLog, PrefixStore platformStore, MirrorPeers otherHosts, Listener changeListener)
@@ -93,6 +100,7 @@
     }
     MirrorChanges result;
     const Time now = this->clock.now();
+    result.completeAge = this->state.completeAt == Time(0) ? Duration(-1) : this->clock.nowWithSuspend() - this->state.completeAt;
     result.revision = this->state.revision;
     result.isReachable = this->state.isReachable;
     result.answerAge = now - this->state.lastAnswer;
@@ -112,7 +120,7 @@
     return result;
 }
 
-void StoreMirror::merge(const MirrorChanges &batch)
+void StoreMirror::merge(const MirrorChanges &batch, Time completeAt)
 {
     // Also held while the listener runs, so that it receives the changes in order.
     const std::lock_guard listenerLock(this->listenerMutex);
@@ -155,6 +163,10 @@
                 entry = this->contents.erase(entry);
             }
         }
+        if (batch.revision >= this->state.revision) {
+            this->state.completeBefore = this->state.completeAt;
+            this->state.completeAt = std::max(this->state.completeAt, completeAt);
+        }
         this->state.revision = std::max(this->state.revision, batch.revision);
         while (this->recent.size() > MaxRecentChanges) {
             this->recentAfterRevision = std::max(this->recentAfterRevision, this->recent.front().item.revision);
@@ -196,6 +208,7 @@
 
 void StoreMirror::listAll()
 {
+    const Time calledAt = this->clock.nowWithSuspend();
     const StoreListing listing = this->store.list("");
     MirrorChanges changes;
     changes.revision = listing.revision;
@@ -205,14 +218,15 @@
     }
     this->log.write(LogLevel::Info, "store_listed", {{"items", listing.items.size()}, {"revision", listing.revision}});
     this->setReachable(true, "listed");
-    this->merge(changes);
+    this->merge(changes, calledAt);
 }
 
 bool StoreMirror::follow()
 {
     try {
+        const Time calledAt = this->clock.nowWithSuspend();
         const MirrorChanges changes = this->peers.fetchFromRelay(this->status().revision, FollowWait);
-        this->merge(changes);
+        this->merge(changes, peerCompleteAt(changes, calledAt));
         if (!changes.isReachable || changes.answerAge > MaxAnswerAge) {
             throw Failure(ErrorKind::PeerLost, "the last answer of the store to the relay is " + std::to_string(toMilliseconds(changes.answerAge)) + " ms old");
         }
@@ -248,14 +262,18 @@
             }
             const bool isRelay = watchesStore && this->peers.hasFollowers();
             const Duration wait = isRelay ? RelayWatchWait : WatchWait;
-            const StoreChanges changes = this->store.watch("", before.revision, before.isReachable ? wait : ProbeWait);
+            const Duration callWait = before.isReachable ? wait : ProbeWait;
+            const Time calledAt = this->clock.nowWithSuspend();
+            const StoreChanges changes = this->store.watch("", before.revision, callWait);
             this->setReachable(true, "watch answered");
             if (changes.isCompacted) {
                 this->log.write(LogLevel::Info, "store_history_lost", {{"revision", before.revision}});
                 this->listAll();
                 continue;
             }
-            this->merge({changes.changes, changes.revision, false});
+            // The store answers without a change only at the end of the wait.
+            const bool isWaitOver = changes.changes.empty() && this->clock.nowWithSuspend() >= calledAt + callWait;
+            this->merge({changes.changes, changes.revision, false}, isWaitOver ? calledAt + callWait : calledAt);
             if (isRelay && !changes.changes.empty()) {
                 this->clock.sleepFor(BatchPause);
             }
@@ -276,7 +294,9 @@
             continue;
         }
         try {
-            this->merge(this->peers.fetchFromAny(before.revision, PeerWait));
+            const Time calledAt = this->clock.nowWithSuspend();
+            const MirrorChanges changes = this->peers.fetchFromAny(before.revision, PeerWait);
+            this->merge(changes, peerCompleteAt(changes, calledAt));
         } catch (const Failure &) {
             // The peer client counts the failure; the next call asks another host.
             this->clock.sleepFor(PeerPause);
--- a/pimentosail/mirror/storemirror.h
+++ b/pimentosail/mirror/storemirror.h
@@ -39,6 +39,8 @@
     bool isReachable = false;
     Duration answerAge{};
     Duration recoveryAge{-1};
+    // How long ago the contents up to `revision` were certainly complete; negative if that is not known.
+    Duration completeAge{-1};
 };
 
 // Asks another host for its changes after `revision` and waits at most about `wait` for one. Throws `Failure` if the
@@ -68,6 +70,10 @@
     Time lastAnswer{};
     // Latest revision of the store that was merged; 0 before the first one.
     int64_t revision = 0;
+    // The contents had all changes up to this time, and up to the second one before the last merge: what the last merge
+    // added was written after it. Times of `Clock::nowWithSuspend`; zero if there is none.
+    Time completeAt{};
+    Time completeBefore{};
 };
 
 class StoreMirror
@@ -92,8 +98,8 @@
     MirrorChanges changesAfter(int64_t revision, Duration wait) const;
 
     // Merges changes from any source, such as a caller's own writes. Changes that are older than the contents are
-    // ignored.
-    void merge(const MirrorChanges &changes);
+    // ignored. `completeAt`: the contents with these changes are complete up to this time; zero if that is not known.
+    void merge(const MirrorChanges &changes, Time completeAt = Time(0));
 
 private:
     void runStore();
