Rollout: blocks are freed by the latest time at which a version can have been set

The leader frees the cached blocks of replaced weights 2 s after the limit by its own knowledge of the version's age. The test fails with the earliest time in the place of the latest.

--- /dev/null
+++ b/pimentosail/entry/entrystatetest.cpp
@@ -0,0 +1,24 @@
+#include <criterion/criterion.h>
+
+#include "pimentosail/entry/entrystate.h"
+
+using namespace pimentosail;
+
+// Guards against a leader that frees the cached blocks of a version while other hosts may still begin work on it, because it
+// does not know exactly when the next version was set.
+Test(entrystate, work_stops_by_the_earliest_and_blocks_are_freed_by_the_latest_time_of_a_version)
+{
+    const Duration limit = std::chrono::seconds(15);
+    EntryState state;
+    state.addWantedVersion("m", 1, {Time(0), Time(0)});
+    state.addWantedVersion("m", 2, {UnknownPast, std::chrono::seconds(30)});
+    cr_assert_eq(state.oldestAllowedVersion("m", std::chrono::seconds(30), limit), 2, "an unknown age is over the limit");
+    cr_assert_eq(state.oldestPossibleVersion("m", std::chrono::seconds(44), limit), 1);
+    cr_assert(state.narrowSetTime("m", 2, {std::chrono::seconds(22), std::chrono::seconds(24)}));
+    cr_assert_eq(state.oldestAllowedVersion("m", std::chrono::seconds(36), limit), 1);
+    cr_assert_eq(state.oldestAllowedVersion("m", std::chrono::seconds(37), limit), 2);
+    cr_assert_eq(state.oldestPossibleVersion("m", std::chrono::seconds(38), limit), 1);
+    cr_assert_eq(state.oldestPossibleVersion("m", std::chrono::seconds(39), limit), 2);
+    cr_assert_not(state.narrowSetTime("m", 2, {std::chrono::seconds(25), std::chrono::seconds(26)}), "contradicts what is known");
+    cr_assert_eq(state.oldestPossibleVersion("m", std::chrono::seconds(39), limit), 2);
+}
--- a/pimentosail/entry/rolloutduty.cpp
+++ b/pimentosail/entry/rolloutduty.cpp
@@ -355,10 +355,11 @@
     }
 }
 
-// Returns the oldest version of `model` on which a request may still start: one that is allowed and that a target has.
+// Returns the oldest version of `model` on which a request may still start on any host: one that a host may allow and that a
+// target has.
 int64_t RolloutDuty::oldestInUse(const std::string &model) const
 {
-    const int64_t allowed = this->context.state.oldestAllowedVersion(model, this->context.clock.nowWithSuspend(), this->context.settings.versionLimit);
+    const int64_t allowed = this->context.state.oldestPossibleVersion(model, this->context.clock.nowWithSuspend(), this->context.settings.versionLimit);
     int64_t present = 0;
     for (const TargetView &view : this->targetsOf(model)) {
         present = present == 0 ? view.version : std::min(present, view.version);
