Rollout: unanswered load orders no longer occupy the places for loads

Seen by callers: VERSION. When targets leave load orders unanswered and carry them out 2 to 12 s later, many targets still have the older version 30 s after the version was set, and requests for it are refused.

Cause: an order counted as a load from its sending until the new version was reported, so two of 12 (three of 18) late targets kept all others waiting. The duty thread also waited 0.7 s for each unanswered order, one after the other, and with them for the reports of other targets.

Ruled out: orders refused or in conflict (all sent orders were unanswered, none was given up), loss of the leadership.

Targets are called in parallel, at most 16 at a time. An outstanding order for a replaced version is dropped, and one whose order count no longer matches ends at once. Log lines: load_outstanding, load_started_late, and orders_sent, prepared_ms, reason in load_done and load_given_up.

The fleet test fails on the old code (21.01 s, not all targets have the new weights; the test process then also ended with "stack smashing detected" in its teardown) and passes with the change; all 12 fleet tests and 6 rollout tests pass.

--- a/pimentosail/entry/rolloutduty.cpp
+++ b/pimentosail/entry/rolloutduty.cpp
@@ -30,7 +30,12 @@
 // has ended, and the status lags by a few hundred ms.
 constexpr Duration FirstReportDelay = Milliseconds(1900);
 constexpr Duration ReportInterval = Milliseconds(200);
-// A load order whose outcome is unknown is sent again if the target's status does not show it after this time.
+// The same for an order that was not answered. Many targets may have one, and each query has a price.
+constexpr Duration OutstandingReportInterval = Milliseconds(400);
+// Number of targets that are called at the same time.
+constexpr size_t MaxParallelCalls = 16;
+// A load order is sent again if the target's status does not show it after this time. The order count in the orders lets the
+// target accept at most one of them.
 constexpr Duration OrderRetry = Milliseconds(1500);
 // A target that refused a load order or could not be reached gets no load order for this long.
 constexpr Duration ExclusionTime = Milliseconds(1000);
@@ -173,7 +178,9 @@
     RolloutAnnouncement announcement;
     announcement.fencingToken = this->fencingToken;
     for (const auto &[id, load] : this->pendingLoads) {
-        announcement.loading.push_back(id);
+        if (!load.isOutstanding) {
+            announcement.loading.push_back(id);
+        }
     }
     announcement.finished.assign(this->finished.begin(), this->finished.end());
     announcement.released = this->released;
@@ -204,26 +211,31 @@
     try {
         const TargetWeightsReport report = this->context.wire.fetchWeightsReport(*load.target);
         load.orderCount = report.orderCount;
+        const auto found = report.modelVersions.find(load.model);
+        if (report.isBusy || (found != report.modelVersions.end() && found->second >= load.version)) {
+            // An earlier order is being carried out or is complete; the next report ends the load.
+            load.nextReport = this->context.clock.now();
+            return;
+        }
         if (!this->mayOrder() || this->context.clock.nowWithSuspend() > this->announcedAt + OrderWindow) {
             return;
         }
         const Time sentAt = this->context.clock.now();
-        const OrderOutcome outcome
+        ++load.ordersSent;
+        load.outcome
             = this->context.wire.sendLoadOrder(*load.target, {load.model, load.version, this->context.settings.name, this->fencingToken, load.orderCount});
-        load.isAccepted = outcome == OrderOutcome::Accepted;
         load.orderedAt = this->context.clock.now();
-        load.nextReport = load.orderedAt + (load.isAccepted ? FirstReportDelay : ReportInterval);
+        load.nextReport = load.orderedAt + (load.outcome == OrderOutcome::Accepted ? FirstReportDelay : ReportInterval);
         this->context.log.write(LogLevel::Info, "load_ordered",
             {{"target", load.target->id}, {"model", load.model}, {"version", load.version}, {"fence", this->fencingToken}, {"order_count", load.orderCount},
-                {"outcome", static_cast<int>(outcome)}, {"took_ms", toMilliseconds(load.orderedAt - sentAt)}});
-        if (outcome == OrderOutcome::Refused) {
-            this->excludedUntil[load.target->id] = load.orderedAt + ExclusionTime;
+                {"outcome", static_cast<int>(load.outcome)}, {"orders_sent", load.ordersSent}, {"took_ms", toMilliseconds(load.orderedAt - sentAt)}});
+        if (load.outcome == OrderOutcome::Refused) {
             // Lets the next check give up this load.
             load.orderedAt -= MaxLoadTime;
         }
     } catch (const Failure &failure) {
         this->context.log.write(LogLevel::Warning, "load_not_ordered", {{"target", load.target->id}, {"version", load.version}, {"reason", failure.what()}});
-        this->excludedUntil[load.target->id] = this->context.clock.now() + ExclusionTime;
+        load.outcome = OrderOutcome::Refused;
         load.orderedAt = this->context.clock.now() - MaxLoadTime;
     }
 }
@@ -255,7 +267,9 @@
         RolloutTarget target;
         target.id = view.target->id;
         target.version = view.version;
-        target.isLoading = this->pendingLoads.contains(target.id);
+        const auto pending = this->pendingLoads.find(target.id);
+        target.isOutstanding = pending != this->pendingLoads.end() && pending->second.isOutstanding;
+        target.isLoading = pending != this->pendingLoads.end() && !target.isOutstanding;
         const auto excluded = this->excludedUntil.find(target.id);
         target.isExcluded
             = view.target->draining || view.target->connectFailures.load() > 0 || (excluded != this->excludedUntil.end() && now < excluded->second);
@@ -283,71 +297,167 @@
     }
 }
 
-// Sends load orders to prepared targets as long as fewer than the permitted number of targets load.
-void RolloutDuty::orderPreparedLoads()
+void RolloutDuty::callTargets(const std::vector<PendingLoad *> &loads, const std::function<void(PendingLoad &)> &call)
+{
+    if (loads.empty()) {
+        return;
+    }
+    std::vector<std::unique_ptr<DutyThread>> threads;
+    for (size_t index = 1; index < loads.size(); ++index) {
+        threads.push_back(std::make_unique<DutyThread>("targetcall", [&call, load = loads[index]] { call(*load); }));
+        threads.back()->start();
+    }
+    call(*loads.front());
+    for (const auto &thread : threads) {
+        thread->join();
+    }
+}
+
+// `occupied` is the number of targets that load or were just ordered to.
+bool RolloutDuty::isOrderDue(const PendingLoad &load, Time now, int64_t occupied, int64_t maxLoads) const
+{
+    if (occupied >= maxLoads) {
+        return false;
+    }
+    return load.isOutstanding ? now > load.orderedAt + OrderRetry : !load.isOrdered && now >= load.preparedAt + NoticeTime;
+}
+
+// Sends load orders to prepared targets, and again to targets that have not carried out theirs, as long as fewer than the
+// permitted number of targets load.
+void RolloutDuty::sendDueOrders()
 {
     const Time now = this->context.clock.now();
+    std::vector<PendingLoad *> due;
+    int64_t occupied = std::count_if(
+        this->pendingLoads.begin(), this->pendingLoads.end(), [](const auto &other) { return other.second.isOrdered && !other.second.isOutstanding; });
     for (auto &[id, load] : this->pendingLoads) {
-        const auto orderedCount = std::count_if(this->pendingLoads.begin(), this->pendingLoads.end(), [](const auto &other) { return other.second.isOrdered; });
-        const auto maxLoads = maxConcurrentLoads(this->context.directory.all(load.target->service, load.model).size(), RolloutLimits{});
-        if (load.isOrdered || orderedCount >= maxLoads || now < load.preparedAt + NoticeTime) {
-            continue;
+        const int64_t maxLoads = maxConcurrentLoads(this->context.directory.all(load.target->service, load.model).size(), RolloutLimits{});
+        if (due.size() < MaxParallelCalls && this->isOrderDue(load, now, occupied, maxLoads)) {
+            due.push_back(&load);
+            occupied += load.isOutstanding ? 0 : 1;
+        }
+    }
+    if (due.empty()) {
+        return;
+    }
+    const bool isAnnouncementValid = this->context.clock.nowWithSuspend() < this->announcedAt + OrderWindow - NoticeTime;
+    if (!this->mayOrder() || (!isAnnouncementValid && !this->publishAnnouncement())) {
+        return;
+    }
+    for (PendingLoad *load : due) {
+        load->isOrdered = true;
+    }
+    callTargets(due, [this](PendingLoad &load) { this->sendOrder(load); });
+    bool isChanged = false;
+    for (PendingLoad *load : due) {
+        if (load->outcome == OrderOutcome::Refused) {
+            this->excludedUntil[load->target->id] = this->context.clock.now() + ExclusionTime;
+        }
+        if (load->outcome == OrderOutcome::Accepted && load->isOutstanding) {
+            load->isOutstanding = false;
+            isChanged = true;
+        }
+    }
+    if (isChanged) {
+        this->publishAnnouncement();
+    }
+}
+
+void RolloutDuty::fetchReport(PendingLoad &load)
+{
+    load.report.reset();
+    load.reportError.clear();
+    try {
+        load.report = this->context.wire.fetchWeightsReport(*load.target);
+    } catch (const Failure &failure) {
+        this->context.log.write(LogLevel::Warning, "load_report_failed", {{"target", load.target->id}, {"reason", failure.what()}});
+        load.reportError = failure.what();
+    }
+}
+
+void RolloutDuty::finishLoad(const PendingLoad &load, Time now, const char *reasonGivenUp)
+{
+    const bool isDone = reasonGivenUp == nullptr;
+    this->context.log.write(isDone ? LogLevel::Info : LogLevel::Warning, isDone ? "load_done" : "load_given_up",
+        {{"target", load.target->id}, {"version", load.version}, {"orders_sent", load.ordersSent}, {"prepared_ms", toMilliseconds(now - load.preparedAt)},
+            {"took_ms", toMilliseconds(now - load.orderedAt)}, {"reason", isDone ? "" : reasonGivenUp}});
+    this->released.push_back(load.target->id);
+    if (isDone) {
+        this->finished.push_back({load.target->id, load.model, load.version});
+        if (this->finished.size() > MaxFinished) {
+            this->finished.pop_front();
         }
-        const bool isAnnouncementValid = this->context.clock.nowWithSuspend() < this->announcedAt + OrderWindow - NoticeTime;
-        if (this->mayOrder() && (isAnnouncementValid || this->publishAnnouncement())) {
-            load.isOrdered = true;
-            this->sendOrder(load);
+    }
+    load.target->avoidUntil.store(0);
+}
+
+bool RolloutDuty::evaluateReport(PendingLoad &load, Time now, bool &isChanged)
+{
+    if (!load.report) {
+        load.nextReport = now + ReportInterval;
+        this->excludedUntil[load.target->id] = now + ExclusionTime;
+        if (now > load.orderedAt + OrderRetry) {
+            this->finishLoad(load, now, "no report");
+            return false;
+        }
+        return true;
+    }
+    const auto found = load.report->modelVersions.find(load.model);
+    const int64_t present = found == load.report->modelVersions.end() ? 0 : found->second;
+    this->context.directory.recordVersion(load.target->id, load.model, present);
+    if (present >= load.version && !load.report->isBusy) {
+        this->finishLoad(load, now, nullptr);
+        return false;
+    }
+    const bool isShown = load.report->isBusy || load.report->orderCount != load.orderCount;
+    if (load.isOutstanding && isShown && !load.report->isBusy) {
+        // Another order was carried out, for example one for an earlier version: the order count no longer matches.
+        this->finishLoad(load, now, "other order");
+        return false;
+    }
+    if (load.isOutstanding == isShown && (isShown || load.outcome == OrderOutcome::Unknown || now > load.orderedAt + OrderRetry)) {
+        load.isOutstanding = !isShown;
+        load.orderedAt = isShown ? now : load.orderedAt;
+        isChanged = true;
+        this->context.log.write(LogLevel::Info, load.isOutstanding ? "load_outstanding" : "load_started_late",
+            {{"target", load.target->id}, {"version", load.version}, {"orders_sent", load.ordersSent}, {"prepared_ms", toMilliseconds(now - load.preparedAt)}});
+        if (load.isOutstanding) {
+            this->released.push_back(load.target->id);
+            load.target->avoidUntil.store(0);
         }
     }
+    load.nextReport = now + (load.isOutstanding ? OutstandingReportInterval : ReportInterval);
+    return true;
 }
 
 void RolloutDuty::checkPendingLoads()
 {
+    std::vector<PendingLoad *> due;
+    for (auto &[id, load] : this->pendingLoads) {
+        if (due.size() < MaxParallelCalls && load.isOrdered && this->context.clock.now() >= load.nextReport && !load.target->removed) {
+            due.push_back(&load);
+        }
+    }
+    callTargets(due, [this](PendingLoad &load) { this->fetchReport(load); });
     const Time now = this->context.clock.now();
+    const std::map<std::string, WantedVersion> wanted = this->context.state.allWantedVersions();
     bool isChanged = false;
     for (auto entry = this->pendingLoads.begin(); entry != this->pendingLoads.end();) {
         PendingLoad &load = entry->second;
-        const bool isWaiting = !load.isOrdered || now < load.nextReport;
-        if (isWaiting && !load.target->removed && now < load.orderedAt + MaxLoadTime) {
-            ++entry;
-            continue;
+        bool isPending = true;
+        const auto newest = wanted.find(load.model);
+        if (load.target->removed || now >= load.orderedAt + MaxLoadTime) {
+            this->finishLoad(load, now, load.target->removed ? "removed" : "too long");
+            isPending = false;
+        } else if (load.isOutstanding && newest != wanted.end() && newest->second.version > load.version) {
+            // The next plan orders the newest version; at most one of the orders is carried out.
+            this->finishLoad(load, now, "replaced");
+            isPending = false;
+        } else if (std::find(due.begin(), due.end(), &load) != due.end()) {
+            isPending = this->evaluateReport(load, now, isChanged);
         }
-        bool isDone = false;
-        bool isGivenUp = load.target->removed || now >= load.orderedAt + MaxLoadTime;
-        if (!isGivenUp) {
-            load.nextReport = now + ReportInterval;
-            try {
-                const TargetWeightsReport report = this->context.wire.fetchWeightsReport(*load.target);
-                const auto found = report.modelVersions.find(load.model);
-                const int64_t present = found == report.modelVersions.end() ? 0 : found->second;
-                isDone = present >= load.version && !report.isBusy;
-                if (!isDone && !report.isBusy && report.orderCount == load.orderCount && now > load.orderedAt + OrderRetry && this->mayOrder()
-                    && this->publishAnnouncement()) {
-                    this->sendOrder(load);
-                }
-                this->context.directory.recordVersion(load.target->id, load.model, present);
-            } catch (const Failure &failure) {
-                this->context.log.write(LogLevel::Warning, "load_report_failed", {{"target", load.target->id}, {"reason", failure.what()}});
-                isGivenUp = now > load.orderedAt + OrderRetry;
-                this->excludedUntil[load.target->id] = now + ExclusionTime;
-            }
-        }
-        if (!isDone && !isGivenUp) {
-            ++entry;
-            continue;
-        }
-        this->context.log.write(isDone ? LogLevel::Info : LogLevel::Warning, isDone ? "load_done" : "load_given_up",
-            {{"target", load.target->id}, {"version", load.version}, {"took_ms", toMilliseconds(now - load.orderedAt)}});
-        this->released.push_back(entry->first);
-        if (isDone) {
-            this->finished.push_back({entry->first, load.model, load.version});
-            if (this->finished.size() > MaxFinished) {
-                this->finished.pop_front();
-            }
-        }
-        load.target->avoidUntil.store(0);
-        entry = this->pendingLoads.erase(entry);
-        isChanged = true;
+        isChanged = isChanged || !isPending;
+        entry = isPending ? std::next(entry) : this->pendingLoads.erase(entry);
     }
     if (isChanged) {
         this->publishAnnouncement();
@@ -408,7 +518,7 @@
     for (const auto &[model, wanted] : this->context.state.allWantedVersions()) {
         this->prepareLoads(model, wanted.version);
     }
-    this->orderPreparedLoads();
+    this->sendDueOrders();
     this->freeOutdatedBlocks();
 }
 
--- a/pimentosail/entry/storeduties.h
+++ b/pimentosail/entry/storeduties.h
@@ -10,8 +10,10 @@
 
 #include <atomic>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -71,7 +73,8 @@
     void stop();
 
 private:
-    // A load that is prepared (announced to the other hosts) or ordered, and whose end is not known yet.
+    // A load that is prepared (announced to the other hosts) or ordered, and whose end is not known yet. During calls to
+    // targets, a thread of its own may use each object.
     struct PendingLoad
     {
         TargetPointer target;
@@ -82,7 +85,14 @@
         Time orderedAt{};
         Time nextReport{};
         bool isOrdered = false;
-        bool isAccepted = false;
+        OrderOutcome outcome = OrderOutcome::Unknown;
+        int64_t ordersSent = 0;
+        // The order was not answered, and the target's report does not show it: it may be carried out later. Until then the
+        // target serves requests and is not announced as loading.
+        bool isOutstanding = false;
+        // The last report, or empty with the reason in `reportError`.
+        std::optional<TargetWeightsReport> report;
+        std::string reportError;
     };
 
     void run();
@@ -98,8 +108,15 @@
     std::vector<TargetView> targetsOf(const std::string &model) const;
     int64_t oldestInUse(const std::string &model, Time now) const;
     void prepareLoads(const std::string &model, int64_t version);
-    void orderPreparedLoads();
+    void sendDueOrders();
+    bool isOrderDue(const PendingLoad &load, Time now, int64_t occupied, int64_t maxLoads) const;
     void sendOrder(PendingLoad &load);
+    void fetchReport(PendingLoad &load);
+    // Calls `call` for each load, in several threads so that a target that does not answer delays no other.
+    static void callTargets(const std::vector<PendingLoad *> &loads, const std::function<void(PendingLoad &)> &call);
+    // Evaluates the last report of a load. Returns false if the load has ended. Sets `isChanged` if the announcement changes.
+    bool evaluateReport(PendingLoad &load, Time now, bool &isChanged);
+    void finishLoad(const PendingLoad &load, Time now, const char *reasonGivenUp);
     // Announces the pending and finished loads to the other hosts. Returns false if it is not certain that the store has
     // the announcement; then no load order that depends on it may be sent.
     bool publishAnnouncement();
