Rollout: late loads that have started occupy no places either

Cause: an outstanding order that its target began to carry out counted as a load that occupies a place again.

Change: a late load counts against the bound of unfinished loads (three quarters of the targets) until its end. Loads that were accepted in time occupy the places as before, so the worst case stays as it was.

--- a/pimentosail/entry/rolloutduty.cpp
+++ b/pimentosail/entry/rolloutduty.cpp
@@ -268,8 +268,8 @@
         target.id = view.target->id;
         target.version = view.version;
         const auto pending = this->pendingLoads.find(target.id);
-        target.isOutstanding = pending != this->pendingLoads.end() && pending->second.isOutstanding;
-        target.isLoading = pending != this->pendingLoads.end() && !target.isOutstanding;
+        target.isLate = pending != this->pendingLoads.end() && pending->second.isLate;
+        target.isLoading = pending != this->pendingLoads.end() && !target.isLate;
         const auto excluded = this->excludedUntil.find(target.id);
         target.isExcluded
             = view.target->draining || view.target->connectFailures.load() > 0 || (excluded != this->excludedUntil.end() && now < excluded->second);
@@ -313,7 +313,7 @@
     }
 }
 
-// `occupied` is the number of targets that load or were just ordered to.
+// `occupied` is the number of targets that load in time or were just ordered to.
 bool RolloutDuty::isOrderDue(const PendingLoad &load, Time now, int64_t occupied, int64_t maxLoads) const
 {
     if (occupied >= maxLoads) {
@@ -328,13 +328,13 @@
 {
     const Time now = this->context.clock.now();
     std::vector<PendingLoad *> due;
-    int64_t occupied = std::count_if(
-        this->pendingLoads.begin(), this->pendingLoads.end(), [](const auto &other) { return other.second.isOrdered && !other.second.isOutstanding; });
+    int64_t occupied
+        = std::count_if(this->pendingLoads.begin(), this->pendingLoads.end(), [](const auto &other) { return other.second.isOrdered && !other.second.isLate; });
     for (auto &[id, load] : this->pendingLoads) {
         const int64_t maxLoads = maxConcurrentLoads(this->context.directory.all(load.target->service, load.model).size(), RolloutLimits{});
         if (due.size() < MaxParallelCalls && this->isOrderDue(load, now, occupied, maxLoads)) {
             due.push_back(&load);
-            occupied += load.isOutstanding ? 0 : 1;
+            occupied += load.isLate ? 0 : 1;
         }
     }
     if (due.empty()) {
@@ -355,6 +355,7 @@
         }
         if (load->outcome == OrderOutcome::Accepted && load->isOutstanding) {
             load->isOutstanding = false;
+            load->isLate = false;
             isChanged = true;
         }
     }
@@ -417,6 +418,7 @@
     }
     if (load.isOutstanding == isShown && (isShown || load.outcome == OrderOutcome::Unknown || now > load.orderedAt + OrderRetry)) {
         load.isOutstanding = !isShown;
+        load.isLate = true;
         load.orderedAt = isShown ? now : load.orderedAt;
         isChanged = true;
         this->context.log.write(LogLevel::Info, load.isOutstanding ? "load_outstanding" : "load_started_late",
--- a/pimentosail/entry/storeduties.h
+++ b/pimentosail/entry/storeduties.h
@@ -90,6 +90,8 @@
         // The order was not answered, and the target's report does not show it: it may be carried out later. Until then the
         // target serves requests and is not announced as loading.
         bool isOutstanding = false;
+        // The order is or was outstanding: its load counts against the bound of unfinished loads only.
+        bool isLate = false;
         // The last report, or empty with the reason in `reportError`.
         std::optional<TargetWeightsReport> report;
         std::string reportError;
--- a/pimentosail/rollout/rollout.cpp
+++ b/pimentosail/rollout/rollout.cpp
@@ -30,11 +30,11 @@
 std::vector<std::string> planRollout(const std::vector<RolloutTarget> &targets, int64_t version, const RolloutLimits &limits)
 {
     const auto loading = std::count_if(targets.begin(), targets.end(), [](const RolloutTarget &target) { return target.isLoading; });
-    const auto outstanding = std::count_if(targets.begin(), targets.end(), [](const RolloutTarget &target) { return target.isOutstanding; });
-    const int64_t free = std::min(maxConcurrentLoads(targets.size(), limits) - loading, maxUnfinishedLoads(targets.size(), limits) - loading - outstanding);
+    const auto late = std::count_if(targets.begin(), targets.end(), [](const RolloutTarget &target) { return target.isLate; });
+    const int64_t free = std::min(maxConcurrentLoads(targets.size(), limits) - loading, maxUnfinishedLoads(targets.size(), limits) - loading - late);
     std::vector<const RolloutTarget *> candidates;
     for (const RolloutTarget &target : targets) {
-        if (!target.isLoading && !target.isOutstanding && !target.isExcluded && target.version < version) {
+        if (!target.isLoading && !target.isLate && !target.isExcluded && target.version < version) {
             candidates.push_back(&target);
         }
     }
--- a/pimentosail/rollout/rollouttest.cpp
+++ b/pimentosail/rollout/rollouttest.cpp
@@ -33,20 +33,20 @@
     cr_assert(planRollout(targets, 2, {}).empty());
 }
 
-// Guards against outstanding orders that occupy the places for loads, and against orders to all targets, which could then load
+// Guards against late loads that occupy the places of the others, and against orders to all targets, which could then load
 // at the same moment.
-Test(rollout, outstanding_orders_have_a_bound_of_their_own)
+Test(rollout, late_loads_have_a_bound_of_their_own)
 {
     std::vector<RolloutTarget> targets = makeTargets(12);
     cr_assert_eq(maxUnfinishedLoads(12, {}), 9);
     cr_assert_eq(maxUnfinishedLoads(1, {}), 1);
     for (size_t index = 0; index < 7; ++index) {
-        targets[index].isOutstanding = true;
+        targets[index].isLate = true;
     }
     cr_assert_eq(planRollout(targets, 2, {}).size(), 2);
     targets[7].isLoading = true;
     cr_assert_eq(planRollout(targets, 2, {}).size(), 1);
-    targets[8].isOutstanding = true;
+    targets[8].isLate = true;
     cr_assert(planRollout(targets, 2, {}).empty());
 }
 
