Upstream: a read ends at its deadline while bytes keep arriving

What callers saw: a request whose target sent bytes faster than the host read them was not answered at its timeout.

Cause: TargetConnection compared the clock with the end of the wait only in waitFor, which is reached only when the socket is empty. The deadline, and the stall limit that uses the same wait, did not apply while bytes kept arriving.

Change: fillBuffer checks the end of the wait before each read from the socket.

Evidence: upstream/a_read_ends_at_its_deadline_while_bytes_keep_arriving, a reader at 16 KB a millisecond with a wait of 300 ms. Before: ended after 3.2 s, when the peer closed. After: Timeout, within the test's bound of 1 s. A first form of the test with a reader without delay passed on the old code, because the reader emptied the socket between two sends.

--- a/pimentosail/upstream/connection.cpp
+++ b/pimentosail/upstream/connection.cpp
@@ -127,6 +127,10 @@
     if (this->closedByPeer) {
         return ReadStatus::End;
     }
+    // `waitFor` is not reached while bytes keep arriving.
+    if (wait.clock.now() >= wait.end) {
+        return ReadStatus::Timeout;
+    }
     const int descriptor = this->socket.impl()->sockfd();
     while (true) {
         std::array<char, ReadBlock> block;
--- a/pimentosail/upstream/upstreamtest.cpp
+++ b/pimentosail/upstream/upstreamtest.cpp
@@ -1,11 +1,14 @@
 // Tests the framing of answers and the reuse of connections against a scripted peer on a loopback socket.
+#include <algorithm>
 #include <atomic>
+#include <cerrno>
 #include <functional>
 #include <thread>
 
 #include <criterion/criterion.h>
 
 #include <sys/socket.h>
+#include <sys/time.h>
 
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
@@ -18,6 +21,8 @@
 {
 
 constexpr Duration TestWait = Milliseconds(2000);
+// Longer than `TestWait`, so that a reader without a bound of its own is noticed by the time that it takes.
+constexpr Duration EndlessTime = Milliseconds(3000);
 
 // A peer that runs one script on the first connection.
 class ScriptedPeer
@@ -75,12 +80,34 @@
     socket.close();
 }
 
+// Sends `text` again and again, until the peer closes the connection or `limit` has passed.
+void sendWithoutEnd(Poco::Net::StreamSocket &socket, const std::string &text, Duration limit)
+{
+    Clock clock;
+    const Time end = clock.now() + limit;
+    std::string block;
+    while (block.size() < 8192) {
+        block += text;
+    }
+    const timeval sendTimeout{0, 100'000};
+    ::setsockopt(socket.impl()->sockfd(), SOL_SOCKET, SO_SNDTIMEO, &sendTimeout, sizeof(sendTimeout));
+    size_t sent = 0;
+    while (clock.now() < end) {
+        const ssize_t count = ::send(socket.impl()->sockfd(), block.data() + sent, block.size() - sent, MSG_NOSIGNAL);
+        if (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR) {
+            return;
+        }
+        sent = (sent + static_cast<size_t>(std::max<ssize_t>(count, 0))) % block.size();
+    }
+}
+
 struct Exchange
 {
     ReadStatus header = ReadStatus::Broken;
     ReadStatus end = ReadStatus::Broken;
     std::string body;
     bool isReusable = false;
+    Duration took{};
 };
 
 // Sends one request and reads its answer to the end.
@@ -90,11 +117,13 @@
     Exchange result;
     Result<std::unique_ptr<TargetConnection>> connection = TargetConnection::connect(address, TestWait);
     cr_assert(connection);
-    const Wait wait{clock, clock.now() + TestWait, -1};
+    const Time start = clock.now();
+    const Wait wait{clock, start + TestWait, -1};
     bool anySent = false;
     cr_assert((*connection)->send("GET / HTTP/1.1\r\nHost: x\r\n\r\n", wait, anySent) == SendStatus::Sent);
     Poco::Net::HTTPResponse header;
     result.header = (*connection)->readHeader(header, true, wait);
+    result.took = clock.now() - start;
     if (result.header != ReadStatus::Data) {
         return result;
     }
@@ -102,6 +131,7 @@
         result.end = (*connection)->readBody(result.body, wait);
     } while (result.end == ReadStatus::Data);
     result.isReusable = (*connection)->isReusable();
+    result.took = clock.now() - start;
     return result;
 }
 
@@ -257,3 +287,34 @@
     Clock().sleepFor(Milliseconds(500));
     cr_assert_null(pool.take(peer.address(), std::chrono::seconds(10)).get());
 }
+
+// Guards against a read that never ends while the target sends faster than the host reads.
+Test(upstream, a_read_ends_at_its_deadline_while_bytes_keep_arriving)
+{
+    ScriptedPeer peer([](Poco::Net::StreamSocket &socket) {
+        receiveRequestHeader(socket);
+        sendText(socket, "HTTP/1.1 200 OK\r\n\r\n");
+        sendWithoutEnd(socket, "x", EndlessTime);
+    });
+    Clock clock;
+    Result<std::unique_ptr<TargetConnection>> connection = TargetConnection::connect(peer.address(), TestWait);
+    cr_assert(connection);
+    const Time start = clock.now();
+    const Wait wait{clock, start + Milliseconds(300), -1};
+    bool anySent = false;
+    cr_assert((*connection)->send("GET / HTTP/1.1\r\n\r\n", wait, anySent) == SendStatus::Sent);
+    Poco::Net::HTTPResponse header;
+    cr_assert((*connection)->readHeader(header, true, wait) == ReadStatus::Data);
+    ReadStatus status = ReadStatus::Data;
+    std::string body;
+    while (status == ReadStatus::Data) {
+        body.clear();
+        status = (*connection)->readBody(body, wait);
+        // Keeps the reader slower than the peer, so that the socket always has bytes.
+        clock.sleepFor(Milliseconds(1));
+    }
+    const Duration took = clock.now() - start;
+    connection->reset();
+    cr_assert(status == ReadStatus::Timeout);
+    cr_assert(took < Milliseconds(1000), "the read ended after %ld ms", static_cast<long>(toMilliseconds(took)));
+}
