Upstream: bound the interim answers before an answer

What callers saw: a target that answers with interim heads (1xx) only held a request until its deadline.

Cause: a head was bounded to 64 KiB, but interim heads were removed from the buffer one by one and not counted. Where more of them followed in the same wait, the wait was not renewed either, so that the stall limit applied; the number of bytes read and parsed until then had no bound.

Change: the interim heads count towards the maximum of the head that they precede; beyond it the answer is Broken.

Evidence: upstream/interim_answers_without_end_are_reported_as_broken.

--- a/pimentosail/upstream/connection.cpp
+++ b/pimentosail/upstream/connection.cpp
@@ -21,7 +21,7 @@
 {
 
 constexpr size_t ReadBlock = 16 * 1024;
-// Longest header of an answer that is accepted; far above those that targets send.
+// Maximum size of the header of an answer, together with the interim answers before it; far above those that targets send.
 constexpr size_t MaxHeaderBytes = 64 * 1024;
 // Longest line with a chunk size or a trailer field that is accepted.
 constexpr size_t MaxLineBytes = 4096;
@@ -159,12 +159,14 @@
 ReadStatus TargetConnection::readHeader(Poco::Net::HTTPResponse &header, bool expectsBody, const Wait &wait)
 {
     this->complete = false;
+    size_t interimBytes = 0;
     while (true) {
         const size_t end = this->buffer.find("\r\n\r\n");
+        const size_t headerBytes = end == std::string::npos ? this->buffer.size() : end + 4;
+        if (interimBytes + headerBytes > MaxHeaderBytes) {
+            return ReadStatus::Broken;
+        }
         if (end == std::string::npos) {
-            if (this->buffer.size() > MaxHeaderBytes) {
-                return ReadStatus::Broken;
-            }
             const ReadStatus status = this->fillBuffer(wait);
             if (status != ReadStatus::Data) {
                 return status == ReadStatus::End ? ReadStatus::Broken : status;
@@ -175,16 +177,17 @@
             return ReadStatus::Broken;
         }
         try {
-            std::istringstream text(this->buffer.substr(0, end + 4));
+            std::istringstream text(this->buffer.substr(0, headerBytes));
             header.clear();
             header.read(text);
         } catch (const Poco::Exception &) {
             return ReadStatus::Broken;
         }
-        this->buffer.erase(0, end + 4);
+        this->buffer.erase(0, headerBytes);
         if (header.getStatus() >= 200) {
             break;
         }
+        interimBytes += headerBytes;
     }
     this->targetKeepsAlive = header.getKeepAlive() && header.getVersion() == Poco::Net::HTTPMessage::HTTP_1_1;
     const bool hasNoBody
--- a/pimentosail/upstream/connection.h
+++ b/pimentosail/upstream/connection.h
@@ -65,7 +65,7 @@
     // Sends one complete request. Sets `anySent` as soon as a byte may have reached the target.
     SendStatus send(const std::string &bytes, const Wait &wait, bool &anySent);
 
-    // Reads the header of the final answer and skips interim answers (1xx). Returns Data on success.
+    // Reads the header of the final answer and skips interim answers (1xx), up to a total size. Returns Data on success.
     // `expectsBody` is false for the answer to HEAD.
     ReadStatus readHeader(Poco::Net::HTTPResponse &header, bool expectsBody, const Wait &wait);
 
--- a/pimentosail/upstream/upstreamtest.cpp
+++ b/pimentosail/upstream/upstreamtest.cpp
@@ -318,3 +318,30 @@
     cr_assert(status == ReadStatus::Timeout);
     cr_assert(took < Milliseconds(1000), "the read ended after %ld ms", static_cast<long>(toMilliseconds(took)));
 }
+
+// Guards against a target that holds a request until its deadline with interim answers.
+Test(upstream, interim_answers_without_end_are_reported_as_broken)
+{
+    ScriptedPeer peer([](Poco::Net::StreamSocket &socket) {
+        receiveRequestHeader(socket);
+        sendWithoutEnd(socket, "HTTP/1.1 100 Continue\r\n\r\n", EndlessTime);
+    });
+    const Exchange exchange = exchangeWith(peer.address());
+    cr_assert(exchange.header == ReadStatus::Broken);
+    cr_assert(exchange.took < Milliseconds(1000), "the read ended after %ld ms", static_cast<long>(toMilliseconds(exchange.took)));
+}
+
+// Guards against a bound that also refuses the few interim answers of a sound target.
+Test(upstream, a_few_interim_answers_are_skipped)
+{
+    ScriptedPeer peer([](Poco::Net::StreamSocket &socket) {
+        receiveRequestHeader(socket);
+        sendText(socket, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n");
+        sendText(socket, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        Clock().sleepFor(Milliseconds(50));
+    });
+    const Exchange exchange = exchangeWith(peer.address());
+    cr_assert(exchange.end == ReadStatus::End);
+    cr_assert_eq(exchange.body, "ok");
+    cr_assert(exchange.isReusable);
+}
