Entry: bound the size of one event of a stream

What callers saw: a stream whose target sent an event without end stayed open until the deadline of the request, while the host held everything that it received.

Cause: Attempt::readEvents appended to its buffer until the end of an event was found, without a bound, and searched the buffer from its start after each read, so that the time grew with the square of the size.

Change: an event may have at most 256 KiB. Beyond that the attempt ends Lost, its connection is closed, and the stream of the caller is resumed elsewhere or ends without its last chunk. Only new bytes are searched, and the buffer is moved once a read.

Evidence: broken_answers/an_event_without_end_is_given_up_and_its_connection_closed. Before: the stream ended after 2976 ms, at the timeout of its route. After: within the test's bound of 1500 ms, fewer than 16 MiB sent, connection closed. broken_answers/events_are_found_wherever_their_bytes_are_divided guards the search; written with the new code, it was not run on the old.

--- a/pimentosail/entry/attempt.cpp
+++ b/pimentosail/entry/attempt.cpp
@@ -13,6 +13,8 @@
 constexpr Duration ConnectTimeout = Milliseconds(400);
 // Maximum size of an answer that is not an event stream.
 constexpr size_t MaxAnswerBytes = 64 * 1024 * 1024;
+// Maximum size of one event of a stream, which is held until its end has arrived; events have up to some KB.
+constexpr size_t MaxEventBytes = 256 * 1024;
 // Number of stall limits for which an attempt waits for a target that answers other requests meanwhile.
 constexpr int MaxStallRounds = 3;
 // Maximum number of answers to earlier requests that are skipped on one connection.
@@ -56,14 +58,20 @@
 };
 
 // Returns the length of the first complete event in `data`, its terminating empty line included, or 0 if there is none.
-size_t eventLength(const std::string &data)
+// `searched` bytes at the start are known to contain no end of an event.
+size_t eventLength(std::string_view data, size_t searched)
 {
-    const size_t lineFeedEnd = data.find("\n\n");
-    const size_t carriageReturnEnd = data.find("\r\n\r\n");
-    if (carriageReturnEnd != std::string::npos && (lineFeedEnd == std::string::npos || carriageReturnEnd < lineFeedEnd)) {
-        return carriageReturnEnd + 4;
+    constexpr std::string_view LineFeedEnd = "\n\n";
+    constexpr std::string_view CarriageReturnEnd = "\r\n\r\n";
+    // An end may start in the bytes that were searched.
+    const size_t start = searched - std::min(searched, CarriageReturnEnd.size() - 1);
+    const size_t lineFeedEnd = data.find(LineFeedEnd, start);
+    const size_t carriageReturnEnd
+        = data.substr(0, lineFeedEnd == std::string_view::npos ? lineFeedEnd : lineFeedEnd + LineFeedEnd.size()).find(CarriageReturnEnd, start);
+    if (carriageReturnEnd != std::string_view::npos) {
+        return carriageReturnEnd + CarriageReturnEnd.size();
     }
-    return lineFeedEnd == std::string::npos ? 0 : lineFeedEnd + 2;
+    return lineFeedEnd == std::string_view::npos ? 0 : lineFeedEnd + LineFeedEnd.size();
 }
 
 // Returns the value of the event's `id:` line, or an empty string.
@@ -261,11 +269,13 @@
 {
     std::string data;
     while (true) {
+        const size_t searched = data.size();
         const ReadStatus status = this->readWithStall(limits, [&](const Wait &wait) { return connection.readBody(data, wait); });
         if (status == ReadStatus::Data) {
-            for (size_t length = eventLength(data); length > 0; length = eventLength(data)) {
-                const std::string event = data.substr(0, length);
-                data.erase(0, length);
+            size_t start = 0;
+            for (size_t length = eventLength(data, searched); length > 0; length = eventLength(std::string_view(data).substr(start), 0)) {
+                const std::string event = data.substr(start, length);
+                start += length;
                 if (result.timeToFirstEvent == Duration(0)) {
                     this->recordFirstResponse(result);
                 }
@@ -275,6 +285,11 @@
                     return;
                 }
             }
+            data.erase(0, start);
+            if (data.size() > MaxEventBytes) {
+                this->fail(ReadStatus::Broken, "the event is too large", result);
+                return;
+            }
             continue;
         }
         if (status == ReadStatus::End && data.empty()) {
