Entry: bound the memory that answers of targets take

What callers saw: nothing yet. A plain answer was held whole up to 64 MiB, for each request, on hosts with 88 to 512 MB; two such answers at once exceed the smallest host's memory, and its process is killed. Heads of up to 64 KiB for 2000 connections, 125 MiB, exceed it too.

Change: AnswerMemory, from the new setting memoryBytes (Limits.MemoryMb of the settings file). All answers that a host holds may take an eighth of its memory, one plain answer a 64th; up to 16 KiB each are not counted, so that normal answers of some KB are served beside large ones. A share lives as long as the body, with the result of the attempt. Unfinished events count as well. Beyond a bound the attempt ends Lost with a reason that names it. A head may have 16 KiB.

Evidence: with the setting added but not used, broken_answers/a_plain_answer_without_end_is_given_up failed (more than 16 MiB sent), and broken_answers/large_answers_of_many_requests_share_a_bound_and_small_answers_are_served failed (none of 20 answers of 880 KiB refused on a host with 88 MiB). Both pass now, and so do platform_test (41), upstream_test (13) and entry_test (3). upstream/a_header_without_end_is_reported_as_broken guards the bound of the head and would pass on the old code too.

An attempt that ends for want of this host's memory counts as a failure of its target, like other lost attempts.

--- a/pimentosail/entry/attempt.cpp
+++ b/pimentosail/entry/attempt.cpp
@@ -11,8 +11,6 @@
 // Within the deployment, a connection is opened in less than 5 ms. TCP sends a lost SYN packet again only after a second,
 // so a somewhat longer timeout would not help.
 constexpr Duration ConnectTimeout = Milliseconds(400);
-// Maximum size of an answer that is not an event stream.
-constexpr size_t MaxAnswerBytes = 64 * 1024 * 1024;
 // Maximum size of one event of a stream, which is held until its end has arrived; events have up to some KB.
 constexpr size_t MaxEventBytes = 256 * 1024;
 // Number of stall limits for which an attempt waits for a target that answers other requests meanwhile.
@@ -237,7 +235,7 @@
         this->context.metrics.count("pimentosail_stray_answers_total", {});
         std::string skipped;
         ReadStatus body = ReadStatus::Data;
-        while (body == ReadStatus::Data && skipped.size() < MaxAnswerBytes) {
+        while (body == ReadStatus::Data && static_cast<int64_t>(skipped.size()) < this->context.answerMemory.maxAnswerBytes()) {
             skipped.clear();
             body = connection.readBody(skipped, {this->context.clock, limits.deadline, limits.callerSocket});
         }
@@ -248,9 +246,19 @@
     return this->fail(ReadStatus::Broken, "too many answers to other requests", result);
 }
 
+// Counts the memory that `received` takes. Returns false and ends the attempt if the answers that this host receives take too
+// much.
+bool Attempt::holdMemory(const std::string &received, AttemptResult &result)
+{
+    if (result.memory->resize(static_cast<int64_t>(received.capacity()))) {
+        return true;
+    }
+    return this->fail(ReadStatus::Broken, "this host has no more memory for answers", result);
+}
+
 void Attempt::readBody(TargetConnection &connection, const AttemptLimits &limits, AttemptResult &result)
 {
-    while (result.body.size() <= MaxAnswerBytes) {
+    while (static_cast<int64_t>(result.body.size()) <= this->context.answerMemory.maxAnswerBytes()) {
         const ReadStatus status = this->readWithStall(limits, [&](const Wait &wait) { return connection.readBody(result.body, wait); });
         if (status == ReadStatus::End) {
             this->recordFirstResponse(result);
@@ -261,6 +269,9 @@
             this->fail(status, "body", result);
             return;
         }
+        if (!this->holdMemory(result.body, result)) {
+            return;
+        }
     }
     this->fail(ReadStatus::Broken, "the answer is too large", result);
 }
@@ -290,6 +301,9 @@
                 this->fail(ReadStatus::Broken, "the event is too large", result);
                 return;
             }
+            if (!this->holdMemory(data, result)) {
+                return;
+            }
             continue;
         }
         if (status == ReadStatus::End && data.empty()) {
@@ -316,6 +330,7 @@
         result.reason = "the target is leaving";
         return result;
     }
+    result.memory = std::make_unique<AnswerMemory::Share>(this->context.answerMemory);
     if (!this->sendRequest(*opened, limits, result) || !this->readMatchingHeader(*opened, limits, result)) {
         return result;
     }
--- a/pimentosail/entry/attempt.h
+++ b/pimentosail/entry/attempt.h
@@ -10,6 +10,7 @@
 #pragma once
 
 #include <functional>
+#include <memory>
 #include <string>
 #include <string_view>
 
@@ -55,6 +56,8 @@
     AttemptEnd end = AttemptEnd::NotSent;
     ReplyHeader header;
     std::string body;
+    // Memory counted for `body`, or for the events of a stream; null if nothing was received.
+    std::unique_ptr<AnswerMemory::Share> memory;
     // Reason of the end, for the log.
     std::string reason;
     // The request was sent on a connection of the pool.
@@ -87,6 +90,7 @@
     bool readMatchingHeader(TargetConnection &connection, const AttemptLimits &limits, AttemptResult &result);
     void readBody(TargetConnection &connection, const AttemptLimits &limits, AttemptResult &result);
     void readEvents(TargetConnection &connection, const AttemptLimits &limits, const EventSink &sink, AttemptResult &result);
+    bool holdMemory(const std::string &received, AttemptResult &result);
     bool fail(ReadStatus status, const char *reason, AttemptResult &result);
     ReadStatus readWithStall(const AttemptLimits &limits, const std::function<ReadStatus(const Wait &wait)> &read);
     void recordFirstResponse(AttemptResult &result);
--- a/pimentosail/entry/context.h
+++ b/pimentosail/entry/context.h
@@ -7,6 +7,7 @@
 #include "pimentosail/dispatch/limits.h"
 #include "pimentosail/dispatch/quarantine.h"
 #include "pimentosail/dispatch/workmix.h"
+#include "pimentosail/entry/answermemory.h"
 #include "pimentosail/entry/entrysettings.h"
 #include "pimentosail/entry/entrystate.h"
 #include "pimentosail/entry/wire.h"
@@ -36,6 +37,7 @@
     BlockReuse &blockReuse;
     FirstTokenForecast &forecast;
     WorkMix &workMix;
+    AnswerMemory &answerMemory;
 };
 
 } // namespace pimentosail
--- a/pimentosail/entry/entryprocess.cpp
+++ b/pimentosail/entry/entryprocess.cpp
@@ -89,6 +89,7 @@
     BlockReuse blockReuse;
     FirstTokenForecast forecast;
     WorkMix workMix;
+    AnswerMemory answerMemory;
     EntryContext context;
     StateUpdater updater;
     std::mutex updaterMutex;
@@ -120,8 +121,9 @@
     , quarantine(clock)
     , cacheStores(clock)
     , cacheJournal(cacheStores)
+    , answerMemory(settings.memoryBytes)
     , context{clock, log, metrics, settings, wire, state, directory, loads, connections, retryBudget, coldLimiter, quarantine, cacheStores, blockReuse,
-          forecast, workMix}
+          forecast, workMix, answerMemory}
     , updater(context)
     , peers(peerHttp,
           [this](const std::string &method, size_t bytes) {
--- a/pimentosail/entry/entrysettings.h
+++ b/pimentosail/entry/entrysettings.h
@@ -32,6 +32,8 @@
     std::vector<std::string> peers;
     // Limit of open file descriptors of the process.
     int64_t fileDescriptors = 1024;
+    // Memory that the process may use.
+    int64_t memoryBytes = 256 * 1024 * 1024;
     // Number of processor cores that the process may use; may be a fraction.
     double cores = 1;
 
--- a/pimentosail/upstream/connection.cpp
+++ b/pimentosail/upstream/connection.cpp
@@ -21,8 +21,9 @@
 {
 
 constexpr size_t ReadBlock = 16 * 1024;
-// Maximum size of the header of an answer, together with the interim answers before it; far above those that targets send.
-constexpr size_t MaxHeaderBytes = 64 * 1024;
+// Maximum size of the header of an answer, together with the interim answers before it; far above those that targets send,
+// and small because each connection may hold as much.
+constexpr size_t MaxHeaderBytes = 16 * 1024;
 // Longest line with a chunk size or a trailer field that is accepted.
 constexpr size_t MaxLineBytes = 4096;
 // TCP closes the connection if sent bytes stay unacknowledged for this time, so that a request does not wait for a
--- a/pimentosail/upstream/upstreamtest.cpp
+++ b/pimentosail/upstream/upstreamtest.cpp
@@ -345,3 +345,16 @@
     cr_assert_eq(exchange.body, "ok");
     cr_assert(exchange.isReusable);
 }
+
+// Guards against a header that takes memory until the deadline.
+Test(upstream, a_header_without_end_is_reported_as_broken)
+{
+    ScriptedPeer peer([](Poco::Net::StreamSocket &socket) {
+        receiveRequestHeader(socket);
+        sendText(socket, "HTTP/1.1 200 OK\r\n");
+        sendWithoutEnd(socket, "X-More: x\r\n", EndlessTime);
+    });
+    const Exchange exchange = exchangeWith(peer.address());
+    cr_assert(exchange.header == ReadStatus::Broken);
+    cr_assert(exchange.took < Milliseconds(1000), "the read ended after %ld ms", static_cast<long>(toMilliseconds(exchange.took)));
+}
