Upstream: bound the framing of a chunked answer

What callers saw: a request whose target sent trailer fields without end, or other bytes where the line end of a chunk is due, was held until its deadline.

Cause: such bytes add nothing to the body, so that no bound of the body applied. Lines with a chunk size had a bound; trailer fields had none, and the line end after a chunk was searched in a buffer that grew.

Change: all trailer fields of an answer may have 4 KiB. Two bytes after a chunk that contain no line end are Broken.

Evidence: upstream/framing_of_a_chunked_answer_without_end_is_reported_as_broken.

--- a/pimentosail/upstream/connection.cpp
+++ b/pimentosail/upstream/connection.cpp
@@ -24,8 +24,10 @@
 // Maximum size of the header of an answer, together with the interim answers before it; far above those that targets send,
 // and small because each connection may hold as much.
 constexpr size_t MaxHeaderBytes = 16 * 1024;
-// Longest line with a chunk size or a trailer field that is accepted.
+// Maximum size of a line with a chunk size, and of all trailer fields of an answer.
 constexpr size_t MaxLineBytes = 4096;
+// Size of the line end after the data of a chunk.
+constexpr size_t MaxLineEndBytes = 2;
 // TCP closes the connection if sent bytes stay unacknowledged for this time, so that a request does not wait for a
 // silent target until its deadline.
 constexpr unsigned UserTimeoutMilliseconds = 1500;
@@ -201,6 +203,7 @@
         }
         this->framing = Framing::Chunked;
         this->chunkState = ChunkState::Size;
+        this->trailerBytes = 0;
     } else if (header.has("Content-Length")) {
         Poco::UInt64 length = 0;
         if (!Poco::NumberParser::tryParseUnsigned64(header.get("Content-Length"), length)) {
@@ -262,6 +265,9 @@
         }
         case ChunkState::DataEnd:
             if (!this->extractLine(line)) {
+                if (this->buffer.size() >= MaxLineEndBytes) {
+                    return ReadStatus::Broken;
+                }
                 return data.size() > before ? ReadStatus::Data : ReadStatus::Timeout;
             }
             if (!line.empty()) {
@@ -271,8 +277,15 @@
             break;
         case ChunkState::Trailer:
             if (!this->extractLine(line)) {
+                if (this->trailerBytes + this->buffer.size() > MaxLineBytes) {
+                    return ReadStatus::Broken;
+                }
                 return data.size() > before ? ReadStatus::Data : ReadStatus::Timeout;
             }
+            this->trailerBytes += line.size() + 1;
+            if (this->trailerBytes > MaxLineBytes) {
+                return ReadStatus::Broken;
+            }
             if (line.empty()) {
                 this->chunkState = ChunkState::Done;
             }
--- a/pimentosail/upstream/connection.h
+++ b/pimentosail/upstream/connection.h
@@ -121,6 +121,8 @@
     ChunkState chunkState = ChunkState::Size;
     // Bytes left of the body or of the current chunk.
     uint64_t remaining = 0;
+    // Bytes of trailer fields that have been read.
+    size_t trailerBytes = 0;
     bool closedByPeer = false;
     bool complete = false;
     bool targetKeepsAlive = false;
--- a/pimentosail/upstream/upstreamtest.cpp
+++ b/pimentosail/upstream/upstreamtest.cpp
@@ -358,3 +358,27 @@
     cr_assert(exchange.header == ReadStatus::Broken);
     cr_assert(exchange.took < Milliseconds(1000), "the read ended after %ld ms", static_cast<long>(toMilliseconds(exchange.took)));
 }
+
+// Guards against bytes in the framing of a body that add nothing to it, and so escape the bounds of the body.
+Test(upstream, framing_of_a_chunked_answer_without_end_is_reported_as_broken)
+{
+    const std::string header = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::pair<std::string, std::string> cases[] = {
+        {"0\r\n", "X-Trailer: x\r\n"},
+        {"0\r\nX-Trailer: ", "x"},
+        {"5\r\nhello", "x"},
+        {"5", "0"},
+        {"5;extension=", "x"},
+    };
+    for (const auto &[start, repeated] : cases) {
+        ScriptedPeer peer([&](Poco::Net::StreamSocket &socket) {
+            receiveRequestHeader(socket);
+            sendText(socket, header + start);
+            sendWithoutEnd(socket, repeated, EndlessTime);
+        });
+        const Exchange exchange = exchangeWith(peer.address());
+        cr_expect(exchange.end == ReadStatus::Broken, "after '%s'", start.c_str());
+        cr_expect(
+            exchange.took < Milliseconds(1000), "after '%s', the read ended after %ld ms", start.c_str(), static_cast<long>(toMilliseconds(exchange.took)));
+    }
+}
