Entry: bound an answer to another request that is skipped

What callers saw: a target that sent, in place of the answer, an answer to another request without end held the request until its deadline.

Cause: readMatchingHeader reads past such an answer. Its loop compared the size of a buffer that it cleared before each read, so that the bound never applied, and it waited up to the deadline, without the stall limit.

Reads keep the stall limit.

Evidence: broken_answers/an_answer_to_another_request_without_end_is_given_up.

--- a/pimentosail/entry/attempt.cpp
+++ b/pimentosail/entry/attempt.cpp
@@ -17,6 +17,8 @@
 constexpr int MaxStallRounds = 3;
 // Maximum number of answers to earlier requests that are skipped on one connection.
 constexpr int MaxStrayAnswers = 2;
+// Maximum size of such an answer; answers have some KB.
+constexpr size_t MaxSkippedBytes = 256 * 1024;
 
 // Adds an attempt to the load counters of its target for the lifetime of the object.
 class TargetLoadGuard
@@ -233,11 +235,15 @@
             return true;
         }
         this->context.metrics.count("pimentosail_stray_answers_total", {});
-        std::string skipped;
+        size_t skippedBytes = 0;
         ReadStatus body = ReadStatus::Data;
-        while (body == ReadStatus::Data && static_cast<int64_t>(skipped.size()) < this->context.answerMemory.maxAnswerBytes()) {
-            skipped.clear();
-            body = connection.readBody(skipped, {this->context.clock, limits.deadline, limits.callerSocket});
+        while (body == ReadStatus::Data) {
+            std::string skipped;
+            body = this->readWithStall(limits, [&](const Wait &wait) { return connection.readBody(skipped, wait); });
+            skippedBytes += skipped.size();
+            if (skippedBytes > MaxSkippedBytes) {
+                return this->fail(ReadStatus::Broken, "the answer to another request is too large", result);
+            }
         }
         if (body != ReadStatus::End) {
             return this->fail(body, "answer to another request", result);
