--- a/pimentosail/upstream/upstreamtest.cpp
+++ b/pimentosail/upstream/upstreamtest.cpp
@@ -371,7 +371,7 @@
         {"5;extension=", "x"},
     };
     for (const auto &[start, repeated] : cases) {
-        ScriptedPeer peer([&](Poco::Net::StreamSocket &socket) {
+        ScriptedPeer peer([&header, start = start, repeated = repeated](Poco::Net::StreamSocket &socket) {
             receiveRequestHeader(socket);
             sendText(socket, header + start);
             sendWithoutEnd(socket, repeated, EndlessTime);
