--- a/pimentosail/entry/attempt.cpp
+++ b/pimentosail/entry/attempt.cpp
@@ -11,12 +11,14 @@
 // Within the deployment, a connection is opened in less than 5 ms. TCP sends a lost SYN packet again only after a second,
 // so a somewhat longer timeout would not help.
 constexpr Duration ConnectTimeout = Milliseconds(400);
-// Maximum size of an answer that is not an event stream.
-constexpr size_t MaxAnswerBytes = 64 * 1024 * 1024;
+// Maximum size of one event of a stream, which is held until its end has arrived; events have up to some KB.
+constexpr size_t MaxEventBytes = 256 * 1024;
 // Number of stall limits for which an attempt waits for a target that answers other requests meanwhile.
 constexpr int MaxStallRounds = 3;
 // Maximum number of answers to earlier requests that are skipped on one connection.
 constexpr int MaxStrayAnswers = 2;
+// Maximum size of such an answer; answers have some KB.
+constexpr size_t MaxSkippedBytes = 256 * 1024;
 
 // Adds an attempt to the load counters of its target for the lifetime of the object.
 class TargetLoadGuard
@@ -56,14 +58,20 @@
 };
 
 // Returns the length of the first complete event in `data`, its terminating empty line included, or 0 if there is none.
-size_t eventLength(const std::string &data)
+// `searched` bytes at the start are known to contain no end of an event.
+size_t eventLength(std::string_view data, size_t searched)
 {
-    const size_t lineFeedEnd = data.find("\n\n");
-    const size_t carriageReturnEnd = data.find("\r\n\r\n");
-    if (carriageReturnEnd != std::string::npos && (lineFeedEnd == std::string::npos || carriageReturnEnd < lineFeedEnd)) {
-        return carriageReturnEnd + 4;
+    constexpr std::string_view LineFeedEnd = "\n\n";
+    constexpr std::string_view CarriageReturnEnd = "\r\n\r\n";
+    // An end may start in the bytes that were searched.
+    const size_t start = searched - std::min(searched, CarriageReturnEnd.size() - 1);
+    const size_t lineFeedEnd = data.find(LineFeedEnd, start);
+    const size_t carriageReturnEnd
+        = data.substr(0, lineFeedEnd == std::string_view::npos ? lineFeedEnd : lineFeedEnd + LineFeedEnd.size()).find(CarriageReturnEnd, start);
+    if (carriageReturnEnd != std::string_view::npos) {
+        return carriageReturnEnd + CarriageReturnEnd.size();
     }
-    return lineFeedEnd == std::string::npos ? 0 : lineFeedEnd + 2;
+    return lineFeedEnd == std::string_view::npos ? 0 : lineFeedEnd + LineFeedEnd.size();
 }
 
 // Returns the value of the event's `id:` line, or an empty string.
@@ -227,11 +235,15 @@
             return true;
         }
         this->context.metrics.count("pimentosail_stray_answers_total", {});
-        std::string skipped;
+        size_t skippedBytes = 0;
         ReadStatus body = ReadStatus::Data;
-        while (body == ReadStatus::Data && skipped.size() < MaxAnswerBytes) {
-            skipped.clear();
-            body = connection.readBody(skipped, {this->context.clock, limits.deadline, limits.callerSocket});
+        while (body == ReadStatus::Data) {
+            std::string skipped;
+            body = this->readWithStall(limits, [&](const Wait &wait) { return connection.readBody(skipped, wait); });
+            skippedBytes += skipped.size();
+            if (skippedBytes > MaxSkippedBytes) {
+                return this->fail(ReadStatus::Broken, "the answer to another request is too large", result);
+            }
         }
         if (body != ReadStatus::End) {
             return this->fail(body, "answer to another request", result);
@@ -240,9 +252,19 @@
     return this->fail(ReadStatus::Broken, "too many answers to other requests", result);
 }
 
+// Counts the memory that `received` takes. Returns false and ends the attempt if the answers that this host receives take too
+// much.
+bool Attempt::holdMemory(const std::string &received, AttemptResult &result)
+{
+    if (result.memory->resize(static_cast<int64_t>(received.capacity()))) {
+        return true;
+    }
+    return this->fail(ReadStatus::Broken, "this host has no more memory for answers", result);
+}
+
 void Attempt::readBody(TargetConnection &connection, const AttemptLimits &limits, AttemptResult &result)
 {
-    while (result.body.size() <= MaxAnswerBytes) {
+    while (static_cast<int64_t>(result.body.size()) <= this->context.answerMemory.maxAnswerBytes()) {
         const ReadStatus status = this->readWithStall(limits, [&](const Wait &wait) { return connection.readBody(result.body, wait); });
         if (status == ReadStatus::End) {
             this->recordFirstResponse(result);
@@ -253,6 +275,9 @@
             this->fail(status, "body", result);
             return;
         }
+        if (!this->holdMemory(result.body, result)) {
+            return;
+        }
     }
     this->fail(ReadStatus::Broken, "the answer is too large", result);
 }
@@ -261,11 +286,13 @@
 {
     std::string data;
     while (true) {
+        const size_t searched = data.size();
         const ReadStatus status = this->readWithStall(limits, [&](const Wait &wait) { return connection.readBody(data, wait); });
         if (status == ReadStatus::Data) {
-            for (size_t length = eventLength(data); length > 0; length = eventLength(data)) {
-                const std::string event = data.substr(0, length);
-                data.erase(0, length);
+            size_t start = 0;
+            for (size_t length = eventLength(data, searched); length > 0; length = eventLength(std::string_view(data).substr(start), 0)) {
+                const std::string event = data.substr(start, length);
+                start += length;
                 if (result.timeToFirstEvent == Duration(0)) {
                     this->recordFirstResponse(result);
                 }
@@ -275,6 +302,14 @@
                     return;
                 }
             }
+            data.erase(0, start);
+            if (data.size() > MaxEventBytes) {
+                this->fail(ReadStatus::Broken, "the event is too large", result);
+                return;
+            }
+            if (!this->holdMemory(data, result)) {
+                return;
+            }
             continue;
         }
         if (status == ReadStatus::End && data.empty()) {
@@ -301,6 +336,7 @@
         result.reason = "the target is leaving";
         return result;
     }
+    result.memory = std::make_unique<AnswerMemory::Share>(this->context.answerMemory);
     if (!this->sendRequest(*opened, limits, result) || !this->readMatchingHeader(*opened, limits, result)) {
         return result;
     }
--- a/pimentosail/upstream/connection.cpp
+++ b/pimentosail/upstream/connection.cpp
@@ -21,10 +21,13 @@
 {
 
 constexpr size_t ReadBlock = 16 * 1024;
-// Longest header of an answer that is accepted; far above those that targets send.
-constexpr size_t MaxHeaderBytes = 64 * 1024;
-// Longest line with a chunk size or a trailer field that is accepted.
+// Maximum size of the header of an answer, together with the interim answers before it; far above those that targets send,
+// and small because each connection may hold as much.
+constexpr size_t MaxHeaderBytes = 16 * 1024;
+// Maximum size of a line with a chunk size, and of all trailer fields of an answer.
 constexpr size_t MaxLineBytes = 4096;
+// Size of the line end after the data of a chunk.
+constexpr size_t MaxLineEndBytes = 2;
 // TCP closes the connection if sent bytes stay unacknowledged for this time, so that a request does not wait for a
 // silent target until its deadline.
 constexpr unsigned UserTimeoutMilliseconds = 1500;
@@ -127,6 +130,10 @@
     if (this->closedByPeer) {
         return ReadStatus::End;
     }
+    // `waitFor` is not reached while bytes keep arriving.
+    if (wait.clock.now() >= wait.end) {
+        return ReadStatus::Timeout;
+    }
     const int descriptor = this->socket.impl()->sockfd();
     while (true) {
         std::array<char, ReadBlock> block;
@@ -155,12 +162,14 @@
 ReadStatus TargetConnection::readHeader(Poco::Net::HTTPResponse &header, bool expectsBody, const Wait &wait)
 {
     this->complete = false;
+    size_t interimBytes = 0;
     while (true) {
         const size_t end = this->buffer.find("\r\n\r\n");
+        const size_t headerBytes = end == std::string::npos ? this->buffer.size() : end + 4;
+        if (interimBytes + headerBytes > MaxHeaderBytes) {
+            return ReadStatus::Broken;
+        }
         if (end == std::string::npos) {
-            if (this->buffer.size() > MaxHeaderBytes) {
-                return ReadStatus::Broken;
-            }
             const ReadStatus status = this->fillBuffer(wait);
             if (status != ReadStatus::Data) {
                 return status == ReadStatus::End ? ReadStatus::Broken : status;
@@ -171,16 +180,17 @@
             return ReadStatus::Broken;
         }
         try {
-            std::istringstream text(this->buffer.substr(0, end + 4));
+            std::istringstream text(this->buffer.substr(0, headerBytes));
             header.clear();
             header.read(text);
         } catch (const Poco::Exception &) {
             return ReadStatus::Broken;
         }
-        this->buffer.erase(0, end + 4);
+        this->buffer.erase(0, headerBytes);
         if (header.getStatus() >= 200) {
             break;
         }
+        interimBytes += headerBytes;
     }
     this->targetKeepsAlive = header.getKeepAlive() && header.getVersion() == Poco::Net::HTTPMessage::HTTP_1_1;
     const bool hasNoBody
@@ -193,6 +203,7 @@
         }
         this->framing = Framing::Chunked;
         this->chunkState = ChunkState::Size;
+        this->trailerBytes = 0;
     } else if (header.has("Content-Length")) {
         Poco::UInt64 length = 0;
         if (!Poco::NumberParser::tryParseUnsigned64(header.get("Content-Length"), length)) {
@@ -254,6 +265,9 @@
         }
         case ChunkState::DataEnd:
             if (!this->extractLine(line)) {
+                if (this->buffer.size() >= MaxLineEndBytes) {
+                    return ReadStatus::Broken;
+                }
                 return data.size() > before ? ReadStatus::Data : ReadStatus::Timeout;
             }
             if (!line.empty()) {
@@ -263,8 +277,15 @@
             break;
         case ChunkState::Trailer:
             if (!this->extractLine(line)) {
+                if (this->trailerBytes + this->buffer.size() > MaxLineBytes) {
+                    return ReadStatus::Broken;
+                }
                 return data.size() > before ? ReadStatus::Data : ReadStatus::Timeout;
             }
+            this->trailerBytes += line.size() + 1;
+            if (this->trailerBytes > MaxLineBytes) {
+                return ReadStatus::Broken;
+            }
             if (line.empty()) {
                 this->chunkState = ChunkState::Done;
             }
--- a/pimentosail/upstream/connection.h
+++ b/pimentosail/upstream/connection.h
@@ -65,7 +65,7 @@
     // Sends one complete request. Sets `anySent` as soon as a byte may have reached the target.
     SendStatus send(const std::string &bytes, const Wait &wait, bool &anySent);
 
-    // Reads the header of the final answer and skips interim answers (1xx). Returns Data on success.
+    // Reads the header of the final answer and skips interim answers (1xx), up to a total size. Returns Data on success.
     // `expectsBody` is false for the answer to HEAD.
     ReadStatus readHeader(Poco::Net::HTTPResponse &header, bool expectsBody, const Wait &wait);
 
@@ -121,6 +121,8 @@
     ChunkState chunkState = ChunkState::Size;
     // Bytes left of the body or of the current chunk.
     uint64_t remaining = 0;
+    // Bytes of trailer fields that have been read.
+    size_t trailerBytes = 0;
     bool closedByPeer = false;
     bool complete = false;
     bool targetKeepsAlive = false;
