Log the prompt's blocks and whether an event had arrived when a target ends under a request

target_ended_under_request could not show whether the ends under different requests have a block in common.

--- a/pimentosail/entry/requestrunner.cpp
+++ b/pimentosail/entry/requestrunner.cpp
@@ -131,16 +131,23 @@
 
 // Records a loss against the request if the target is unreachable. A lost connection alone is no evidence that the target
 // has ended.
-void RequestRunner::recordLostTarget(const TargetState &target)
+void RequestRunner::recordLostTarget(const TargetState &target, const AttemptResult &result)
 {
     if (TargetConnection::connect(target.address, ReconnectProbe)) {
         return;
     }
     const std::string incarnation = target.id + "/" + std::to_string(target.startedAt);
     if (this->context.quarantine.recordLoss(this->fingerprint, incarnation)) {
+        std::string blocks;
+        if (this->request.prompt) {
+            for (const PromptBlock &block : this->request.prompt->blocks) {
+                blocks += (blocks.empty() ? "" : ",") + block.id;
+            }
+        }
         this->context.log.write(LogLevel::Warning, "target_ended_under_request",
-            {{"id", this->request.id}, {"target", target.id}, {"fingerprint", std::to_string(this->fingerprint)},
-                {"losses", this->context.quarantine.lossCount(this->fingerprint)}});
+            {{"id", this->request.id}, {"target", target.id}, {"incarnation", incarnation}, {"fingerprint", std::to_string(this->fingerprint)},
+                {"losses", this->context.quarantine.lossCount(this->fingerprint)}, {"blocks", blocks},
+                {"had_event", result.timeToFirstEvent > Duration(0)}});
     }
 }
 
@@ -168,7 +175,7 @@
     }
     if (result.end == AttemptEnd::Lost) {
         this->context.connections.closeIdle(target.address);
-        this->recordLostTarget(target);
+        this->recordLostTarget(target, result);
     }
     this->context.metrics.count("pimentosail_attempts_total", {{"end", std::string(attemptEndName(result.end))}, {"service", this->service}});
     if (result.end != AttemptEnd::Answered || failedRun) {
--- a/pimentosail/entry/requestrunner.h
+++ b/pimentosail/entry/requestrunner.h
@@ -50,7 +50,7 @@
     // Processes the result of an attempt. Returns true if the request was answered or the caller disconnected, and false
     // if another attempt is to be made. Throws `Failure` if the request ends without an answer of a target.
     bool finishAttempt(const TargetChoice &choice, AttemptResult &result);
-    void recordLostTarget(const TargetState &target);
+    void recordLostTarget(const TargetState &target, const AttemptResult &result);
     void recordResult(const TargetChoice &choice, const AttemptResult &result);
     bool mayTryAgain(const AttemptResult &result);
     void deliver(const AttemptResult &result);
