Publish new observations although the list of a host is full

Once a host had seen 256 losses, the other hosts never heard of a later one: publishObservations compared the size of the list with the published size, and a full list keeps its size. A counter of changes is compared now. The test fails if the size is compared (trial: at loss 256).

--- a/pimentosail/dispatch/dispatchtest.cpp
+++ b/pimentosail/dispatch/dispatchtest.cpp
@@ -169,6 +169,22 @@
     cr_assert(second.isBlocked(7));
 }
 
+// Guards against a host that publishes no more observations once its list is full, because the list's size stays the same.
+Test(dispatch, an_observation_is_published_although_the_list_is_full)
+{
+    PausedClock clock;
+    Quarantine quarantine(clock);
+    for (uint64_t request = 0; request < 300; ++request) {
+        const uint64_t before = quarantine.changeCount();
+        quarantine.recordLoss(request, "a/1");
+        cr_assert_gt(quarantine.changeCount(), before, "loss %lu", static_cast<unsigned long>(request));
+        cr_assert_eq(quarantine.ownLosses().back().first, request);
+    }
+    const uint64_t before = quarantine.changeCount();
+    quarantine.recordLoss(299, "a/1");
+    cr_assert_eq(quarantine.changeCount(), before, "the loss is known");
+}
+
 // Many hosts choose at the same time by the same load reports. Without sampling, all would choose the least loaded target.
 Test(dispatch, hosts_with_the_same_load_reports_do_not_all_choose_the_same_target)
 {
--- a/pimentosail/dispatch/quarantine.cpp
+++ b/pimentosail/dispatch/quarantine.cpp
@@ -44,6 +44,7 @@
         this->recentOwnLosses.erase(this->recentOwnLosses.begin());
     }
     this->recentOwnLosses.push_back({fingerprint, incarnation, now});
+    ++this->changes;
     return true;
 }
 
@@ -78,4 +79,10 @@
     return result;
 }
 
+uint64_t Quarantine::changeCount() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->changes;
+}
+
 } // namespace pimentosail
--- a/pimentosail/dispatch/quarantine.h
+++ b/pimentosail/dispatch/quarantine.h
@@ -45,6 +45,9 @@
     // Returns the recent observations of this host, for publishing.
     std::vector<std::pair<uint64_t, std::string>> ownLosses() const;
 
+    // Increases with each change of `ownLosses`, whose size stays the same once it is full.
+    uint64_t changeCount() const;
+
 private:
     struct Entry
     {
@@ -64,6 +67,7 @@
     mutable std::mutex mutex;
     std::map<uint64_t, Entry> entries;
     std::vector<OwnLoss> recentOwnLosses;
+    uint64_t changes = 0;
 };
 
 } // namespace pimentosail
--- a/pimentosail/entry/hostduty.cpp
+++ b/pimentosail/entry/hostduty.cpp
@@ -85,10 +85,12 @@
 
 void HostDuty::publishObservations()
 {
-    const auto losses = this->context.quarantine.ownLosses();
-    if (losses.size() == this->publishedLosses) {
+    // Read before the losses: a loss that is recorded in between is published again.
+    const uint64_t changes = this->context.quarantine.changeCount();
+    if (changes == this->publishedChanges) {
         return;
     }
+    const auto losses = this->context.quarantine.ownLosses();
     Json::Value value;
     for (const auto &[fingerprint, incarnation] : losses) {
         Json::Value loss;
@@ -98,7 +100,7 @@
     }
     try {
         this->store.commit({{}, {{ObservationsPrefix + this->context.settings.name, printJson(value), 0}}, {}});
-        this->publishedLosses = losses.size();
+        this->publishedChanges = changes;
     } catch (const Failure &) {
         this->context.metrics.count("pimentosail_store_failures_total", {{"duty", "observations"}});
     }
--- a/pimentosail/entry/storeduties.h
+++ b/pimentosail/entry/storeduties.h
@@ -49,7 +49,7 @@
     // 0 if this host has no lease.
     int64_t lease = 0;
     bool isWritten = false;
-    size_t publishedLosses = 0;
+    uint64_t publishedChanges = 0;
     std::atomic<bool> stopping{false};
     DutyThread thread;
 };
