Judge prompt blocks, not only whole requests, by the targets that end under them

Cause: the quarantine counts ends for a whole request's fingerprint. The evidence was there, but was filed under a key that never came twice. Class: evidence kept under a key that is finer than its cause. Evidence: target_ended_under_request on the old code: two blocks beside 83 ends each, no event in any of 134 losses with one of them, the other seen answered; no fingerprint reached three before the ends went on.

Change: BlockQuarantine keeps, for each prompt block but the last, the target incarnations that ended under a request with it before the first event. A block that let an answer begin, on any host, is sound for good, so popular blocks are never blamed. Of the others the strongest explains its ends, and only the rest counts against its neighbours; blocks with the same evidence are refused only together. Three unexplained ends in two requests block. Two already end the retries of such a request. Hosts publish their findings within 50 ms of a change, replace their view of another host as a whole, and restore their own after a restart. Nothing expires: a trial would end more targets. Blocked requests get 502 `blocked`, without Retry-After, not run; the check is repeated before each send.

--- a/pimentosail/dispatch/dispatchtest.cpp
+++ b/pimentosail/dispatch/dispatchtest.cpp
@@ -3,6 +3,7 @@
 #include <map>
 
 #include "pimentosail/base/hash.h"
+#include "pimentosail/dispatch/blockquarantine.h"
 #include "pimentosail/dispatch/limits.h"
 #include "pimentosail/dispatch/picker.h"
 #include "pimentosail/dispatch/quarantine.h"
@@ -185,6 +186,97 @@
     cr_assert_eq(quarantine.changeCount(), before, "the loss is known");
 }
 
+// Guards against evidence by whole requests: no two of the requests with a block that ends targets are alike.
+Test(dispatch, a_prompt_block_is_blocked_after_three_targets_ended_under_different_requests_with_it)
+{
+    BlockQuarantine first;
+    BlockQuarantine second;
+    first.recordAnswer({"common", "own"});
+    first.recordLoss({"common", "deadly"}, "a/1", 1);
+    first.recordLoss({"common", "deadly"}, "a/1", 1);
+    first.recordLoss({"common", "deadly"}, "b/1", 1);
+    cr_assert(first.isSuspected({"common", "deadly"}));
+    cr_assert_not(first.isBlocked({"common", "deadly"}));
+    second.recordLoss({"common", "deadly"}, "c/1", 2);
+    first.replaceFindings("second", second.ownFindings());
+    second.replaceFindings("first", first.ownFindings());
+    // The second host has not seen an answer with the common block, but learns of it.
+    for (const BlockQuarantine *quarantine : {&first, &second}) {
+        cr_assert(quarantine->isBlocked({"common", "deadly"}));
+        cr_assert(quarantine->isBlocked({"other", "deadly"}));
+        cr_assert_not(quarantine->isBlocked({"common"}));
+        cr_assert_not(quarantine->isBlocked({"common", "own"}));
+    }
+    // A host that starts again knows what it published, and does not erase it by its next loss.
+    BlockQuarantine restarted;
+    restarted.restore(first.ownFindings());
+    restarted.recordLoss({"deadly"}, "d/1", 3);
+    second.replaceFindings("first", restarted.ownFindings());
+    cr_assert(second.isBlocked({"common", "deadly"}));
+}
+
+// Guards against the blame of blocks that only ran beside a deadly one, and of requests sent again.
+Test(dispatch, a_prompt_block_is_not_blocked_for_ends_that_another_block_explains)
+{
+    BlockQuarantine quarantine;
+    for (const std::string incarnation : {"a/1", "b/1", "c/1", "d/1"}) {
+        const uint64_t request = stableHash(incarnation);
+        quarantine.recordLoss({"beside"}, incarnation, 1000 + request);
+        // The same caller's block is in all requests with the deadly one.
+        quarantine.recordLoss({"opening", "deadly"}, incarnation, request);
+    }
+    quarantine.recordLoss({"other", "deadly"}, "e/1", 5);
+    cr_assert(quarantine.isBlocked({"opening", "deadly"}));
+    cr_assert_not(quarantine.isBlocked({"opening"}));
+    cr_assert_not(quarantine.isBlocked({"beside"}));
+    // One request on three targets is judged as a request.
+    for (const std::string incarnation : {"f/1", "g/1", "h/1"}) {
+        quarantine.recordLoss({"retried"}, incarnation, 77);
+    }
+    cr_assert_not(quarantine.isBlocked({"retried"}));
+    // Targets that end together for another reason: an answer elsewhere proves the block to be sound, also afterwards.
+    for (const std::string incarnation : {"i/1", "j/1", "k/1"}) {
+        quarantine.recordLoss({"popular"}, incarnation, stableHash(incarnation));
+    }
+    cr_assert(quarantine.isBlocked({"popular"}));
+    BlockFindings other;
+    other.answered = {"popular"};
+    quarantine.replaceFindings("other", other);
+    cr_assert_not(quarantine.isBlocked({"popular"}));
+}
+
+// Blocks that cannot be told apart are refused only together, so that a sound request shows which one is sound.
+Test(dispatch, prompt_blocks_with_the_same_evidence_are_refused_only_together)
+{
+    BlockQuarantine quarantine;
+    for (const std::string incarnation : {"a/1", "b/1", "c/1"}) {
+        quarantine.recordLoss({"opening", "deadly"}, incarnation, stableHash(incarnation));
+    }
+    cr_assert(quarantine.isBlocked({"opening", "deadly"}));
+    cr_assert_not(quarantine.isBlocked({"opening"}));
+    cr_assert_not(quarantine.isBlocked({"deadly"}));
+    quarantine.recordAnswer({"opening"});
+    cr_assert(quarantine.isBlocked({"deadly"}));
+    cr_assert(quarantine.isBlocked({"opening", "deadly"}));
+}
+
+// Guards against a full list that drops the evidence for a deadly block in favour of blocks that only ran beside it.
+Test(dispatch, evidence_against_a_deadly_block_is_kept_when_the_list_is_full)
+{
+    BlockQuarantine quarantine;
+    for (uint64_t loss = 0; loss < 1000; ++loss) {
+        const std::string incarnation = std::to_string(loss / 100) + "/1";
+        if (loss < 300 && loss % 100 == 0) {
+            quarantine.recordLoss({"deadly"}, incarnation, loss);
+        }
+        const uint64_t before = quarantine.changeCount();
+        quarantine.recordLoss({"beside-" + std::to_string(loss)}, incarnation, 10000 + loss);
+        cr_assert_gt(quarantine.changeCount(), before);
+    }
+    cr_assert_leq(quarantine.ownFindings().losses.size(), 256);
+    cr_assert(quarantine.isBlocked({"deadly"}));
+}
+
 // Many hosts choose at the same time by the same load reports. Without sampling, all would choose the least loaded target.
 Test(dispatch, hosts_with_the_same_load_reports_do_not_all_choose_the_same_target)
 {
--- a/pimentosail/entry/context.h
+++ b/pimentosail/entry/context.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "pimentosail/directory/loadtable.h"
+#include "pimentosail/dispatch/blockquarantine.h"
 #include "pimentosail/dispatch/forecast.h"
 #include "pimentosail/dispatch/limits.h"
 #include "pimentosail/dispatch/quarantine.h"
@@ -32,6 +33,7 @@
     SharedRetryBudget &retryBudget;
     ColdTargetLimiter &coldLimiter;
     Quarantine &quarantine;
+    BlockQuarantine &blockQuarantine;
     CacheStores &cacheStores;
     BlockReuse &blockReuse;
     FirstTokenForecast &forecast;
--- a/pimentosail/entry/entryprocess.cpp
+++ b/pimentosail/entry/entryprocess.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <random>
+#include <set>
 
 #include <Poco/Exception.h>
 
@@ -70,6 +71,7 @@
     MirrorChanges fetchStoreChanges(const std::string &address, int64_t revision, Duration wait);
     Json::Value dumpState();
     bool isReady();
+    void logBlocked();
     void runRefresh();
 
     EntrySettings settings;
@@ -84,6 +86,7 @@
     SharedRetryBudget retryBudget;
     ColdTargetLimiter coldLimiter;
     Quarantine quarantine;
+    BlockQuarantine blockQuarantine;
     CacheStores cacheStores;
     CacheJournal cacheJournal;
     BlockReuse blockReuse;
@@ -101,6 +104,8 @@
     CacheEventDuty cacheDuty;
     LoadDuty loadDuty;
     std::atomic<bool> stopping{false};
+    // Groups of blocked blocks that were logged. Used by the refresh thread only.
+    std::set<std::vector<std::string>> loggedBlocked;
     DutyThread refreshThread;
     HttpServer callerServer;
     HttpServer readyServer;
@@ -120,8 +125,8 @@
     , quarantine(clock)
     , cacheStores(clock)
     , cacheJournal(cacheStores)
-    , context{clock, log, metrics, settings, wire, state, directory, loads, connections, retryBudget, coldLimiter, quarantine, cacheStores, blockReuse,
-          forecast, workMix}
+    , context{clock, log, metrics, settings, wire, state, directory, loads, connections, retryBudget, coldLimiter, quarantine, blockQuarantine, cacheStores,
+          blockReuse, forecast, workMix}
     , updater(context)
     , peers(peerHttp,
           [this](const std::string &method, size_t bytes) {
@@ -216,6 +221,10 @@
     this->metrics.set("pimentosail_idle_connections", {}, static_cast<double>(this->connections.size()));
     this->metrics.set("pimentosail_log_lines_dropped", {}, static_cast<double>(this->log.dropped()));
     this->metrics.set("pimentosail_log_lines_suppressed", {}, static_cast<double>(this->log.suppressed()));
+    const std::vector<SuspectedBlocks> suspects = this->blockQuarantine.suspects();
+    this->metrics.set("pimentosail_suspected_blocks", {}, static_cast<double>(suspects.size()));
+    this->metrics.set("pimentosail_blocked_blocks", {},
+        static_cast<double>(std::count_if(suspects.begin(), suspects.end(), [](const SuspectedBlocks &suspected) { return suspected.isBlocked; })));
     for (const CacheStore &store : this->cacheStores.stores()) {
         this->metrics.set("pimentosail_cache_store_held_tokens", {{"store", store.name}}, static_cast<double>(this->cacheStores.heldTokens(store.name)));
     }
@@ -300,6 +309,18 @@
         value["cache_stores"][store.name]["held_tokens"] = Json::Int64(this->cacheStores.heldTokens(store.name));
         value["cache_stores"][store.name]["capacity_tokens"] = Json::Int64(store.capacityTokens);
     }
+    for (const SuspectedBlocks &suspected : this->blockQuarantine.suspects()) {
+        Json::Value entry;
+        for (const std::string &block : suspected.blocks) {
+            entry["blocks"].append(block);
+        }
+        for (const std::string &incarnation : suspected.incarnations) {
+            entry["ended"].append(incarnation);
+        }
+        entry["requests"] = Json::UInt64(suspected.requests);
+        entry["blocked"] = suspected.isBlocked;
+        value["suspected_blocks"].append(entry);
+    }
     value["targets"] = Json::Int64(static_cast<int64_t>(this->directory.size()));
     value["idle_connections"] = Json::Int64(static_cast<int64_t>(this->connections.size()));
     value["log"]["dropped"] = Json::Int64(this->log.dropped());
@@ -307,6 +328,21 @@
     return value;
 }
 
+void EntryProcess::Impl::logBlocked()
+{
+    for (const SuspectedBlocks &suspected : this->blockQuarantine.suspects()) {
+        if (!suspected.isBlocked || !this->loggedBlocked.insert(suspected.blocks).second) {
+            continue;
+        }
+        std::string blocks;
+        for (const std::string &block : suspected.blocks) {
+            blocks += (blocks.empty() ? "" : ",") + block;
+        }
+        this->log.write(LogLevel::Warning, "prompt_blocks_blocked",
+            {{"blocks", blocks}, {"targets_ended", suspected.incarnations.size()}, {"requests", suspected.requests}});
+    }
+}
+
 void EntryProcess::Impl::runRefresh()
 {
     while (!this->stopping.load()) {
@@ -314,6 +350,7 @@
             const std::lock_guard lock(this->updaterMutex);
             this->updater.refreshTargets(this->mirror);
         }
+        this->logBlocked();
         this->connections.closeExpired();
         this->cacheStores.expireSaves();
         this->clock.sleepFor(RefreshInterval);
--- a/pimentosail/entry/hostduty.cpp
+++ b/pimentosail/entry/hostduty.cpp
@@ -15,8 +15,11 @@
 // this much longer.
 constexpr Duration HostLease = std::chrono::seconds(4);
 constexpr Duration RenewInterval = Milliseconds(1300);
-// Observations are published at most once in this time.
+// Interval of the duty's work, and of trying again to publish observations that the store did not accept.
 constexpr Duration PublishInterval = Milliseconds(400);
+// New observations are published at most once in this time. Until the other hosts know of them, each host sends more requests
+// that end targets.
+constexpr Duration ObservationInterval = Milliseconds(50);
 // The host that rendezvous hashing selects writes the time at which a version became the wanted one. The other hosts write
 // it if it is still missing after this time.
 constexpr Duration FallbackPublishDelay = Milliseconds(1500);
@@ -83,29 +86,37 @@
     }
 }
 
-void HostDuty::publishObservations()
+// Publishes what this host observed if it has changed. Returns false if the store did not accept it.
+bool HostDuty::publishObservations()
 {
-    // Read before the losses: a loss that is recorded in between is published again.
-    const uint64_t changes = this->context.quarantine.changeCount();
+    // Read before the observations: one that is recorded in between is published again.
+    const uint64_t changes = this->observationChanges();
     if (changes == this->publishedChanges) {
-        return;
+        return true;
     }
-    const auto losses = this->context.quarantine.ownLosses();
     Json::Value value;
-    for (const auto &[fingerprint, incarnation] : losses) {
+    for (const auto &[fingerprint, incarnation] : this->context.quarantine.ownLosses()) {
         Json::Value loss;
         loss["request"] = std::to_string(fingerprint);
         loss["target"] = incarnation;
         value["losses"].append(loss);
     }
+    encodeBlockFindings(this->context.blockQuarantine.ownFindings(), value);
     try {
         this->store.commit({{}, {{ObservationsPrefix + this->context.settings.name, printJson(value), 0}}, {}});
         this->publishedChanges = changes;
+        return true;
     } catch (const Failure &) {
         this->context.metrics.count("pimentosail_store_failures_total", {{"duty", "observations"}});
+        return false;
     }
 }
 
+uint64_t HostDuty::observationChanges() const
+{
+    return this->context.quarantine.changeCount() + this->context.blockQuarantine.changeCount();
+}
+
 // Publishes when each wanted version was set, for hosts that start later.
 void HostDuty::publishVersionTimes()
 {
@@ -138,9 +149,13 @@
             this->renew();
             nextRenewal = this->context.clock.now() + RenewInterval;
         }
-        this->publishObservations();
+        bool isAccepted = this->publishObservations();
         this->publishVersionTimes();
-        this->context.clock.sleepFor(PublishInterval);
+        const Time next = this->context.clock.now() + PublishInterval;
+        while (!this->stopping.load() && this->context.clock.now() < next) {
+            this->context.clock.sleepFor(ObservationInterval);
+            isAccepted = isAccepted && this->publishObservations();
+        }
     }
 }
 
--- a/pimentosail/entry/requestrunner.cpp
+++ b/pimentosail/entry/requestrunner.cpp
@@ -79,12 +79,34 @@
     this->elapsedBefore = this->context.forecast.estimateElapsed(this->route->name, callerTimeout);
     if (this->request.prompt && !this->request.prompt->blocks.empty()) {
         const std::vector<PromptBlock> &blocks = this->request.prompt->blocks;
+        for (size_t index = 0; index + 1 < blocks.size(); ++index) {
+            this->leadingBlocks.push_back(blocks[index].id);
+        }
         this->sharedBlocks = blocks.size()
             - (this->context.blockReuse.recordLastBlock(this->route->name, blocks.back().id, this->fingerprint, this->elapsedBefore > Duration(0)) ? 0 : 1);
     }
     this->deadline = this->received + std::min(callerTimeout, this->route->timeout) - AnswerMargin;
-    if (this->context.quarantine.isBlocked(this->fingerprint)) {
-        throw Failure(ErrorKind::Blocked, "targets ended while they ran this request");
+    this->checkNotBlocked();
+}
+
+void RequestRunner::checkNotBlocked() const
+{
+    const bool isRequestBlocked = this->context.quarantine.isBlocked(this->fingerprint);
+    if (!isRequestBlocked && !this->context.blockQuarantine.isBlocked(this->leadingBlocks)) {
+        return;
+    }
+    this->context.metrics.count("pimentosail_blocked_requests_total", {{"evidence", isRequestBlocked ? "request" : "prompt_block"}});
+    if (this->possibleRuns > 0) {
+        throw Failure(Error(ErrorKind::TargetLost, "targets ended while they ran this request, and it is blocked", false));
+    }
+    throw Failure(ErrorKind::Blocked,
+        isRequestBlocked ? "targets ended while they ran this request" : "targets ended while they ran requests with a block of this prompt");
+}
+
+void RequestRunner::recordAnswerBegun()
+{
+    if (!this->leadingBlocks.empty()) {
+        this->context.blockQuarantine.recordAnswer(this->leadingBlocks);
     }
 }
 
@@ -117,6 +139,7 @@
             this->answeredStatus = header.status;
             this->weightVersion = header.weightVersion.value_or(0);
             this->firstEventAt = this->context.clock.now();
+            this->recordAnswerBegun();
         }
         this->exchange.write(event);
     } catch (const std::exception &) {
@@ -137,6 +160,10 @@
         return;
     }
     const std::string incarnation = target.id + "/" + std::to_string(target.startedAt);
+    const bool hadEvent = result.timeToFirstEvent > Duration(0);
+    if (!hadEvent && !this->leadingBlocks.empty()) {
+        this->context.blockQuarantine.recordLoss(this->leadingBlocks, incarnation, this->fingerprint);
+    }
     if (this->context.quarantine.recordLoss(this->fingerprint, incarnation)) {
         std::string blocks;
         if (this->request.prompt) {
@@ -146,8 +173,9 @@
         }
         this->context.log.write(LogLevel::Warning, "target_ended_under_request",
             {{"id", this->request.id}, {"target", target.id}, {"incarnation", incarnation}, {"fingerprint", std::to_string(this->fingerprint)},
-                {"losses", this->context.quarantine.lossCount(this->fingerprint)}, {"blocks", blocks},
-                {"had_event", result.timeToFirstEvent > Duration(0)}});
+                {"losses", this->context.quarantine.lossCount(this->fingerprint)}, {"blocks", blocks}, {"had_event", hadEvent},
+                {"suspected", this->context.blockQuarantine.isSuspected(this->leadingBlocks)},
+                {"blocked", this->context.blockQuarantine.isBlocked(this->leadingBlocks)}});
     }
 }
 
@@ -210,6 +238,10 @@
     if (this->arrivals >= MaxArrivals || this->context.quarantine.isBlocked(this->fingerprint)) {
         return false;
     }
+    // A stream that has begun proves that its blocks are sound.
+    if (!this->streaming && mayHaveRun && this->context.blockQuarantine.isSuspected(this->leadingBlocks)) {
+        return false;
+    }
     return this->context.retryBudget.tryAcquire(this->service, this->context.state.sharingHostCount());
 }
 
@@ -246,6 +278,9 @@
     }
     const bool isFailureAnswer = result.end == AttemptEnd::Answered && result.header.status >= 500;
     if (result.end == AttemptEnd::Answered && !isFailureAnswer && !this->streaming) {
+        if (result.header.status < 300) {
+            this->recordAnswerBegun();
+        }
         this->deliver(result);
         return true;
     }
@@ -290,6 +325,7 @@
             throw this->possibleRuns > 0 ? Failure(Error(ErrorKind::DeadlinePassed, "the deadline passed", false))
                                          : Failure(ErrorKind::NoTarget, "too little time is left");
         }
+        this->checkNotBlocked();
         if (this->arrivals == 0) {
             // Only before the first send: a request that was sent must not be refused as not run.
             this->evaluateLoad(choice);
--- a/pimentosail/entry/requestrunner.h
+++ b/pimentosail/entry/requestrunner.h
@@ -13,6 +13,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "pimentosail/dispatch/picker.h"
 #include "pimentosail/entry/attempt.h"
@@ -33,6 +34,8 @@
 private:
     void admit();
     void checkTeam();
+    // Throws `Failure` if the request, or a block of its prompt, ended too many targets.
+    void checkNotBlocked() const;
     void readBody();
     void attemptUntilAnswered();
     TargetChoice chooseTarget();
@@ -51,6 +54,7 @@
     // if another attempt is to be made. Throws `Failure` if the request ends without an answer of a target.
     bool finishAttempt(const TargetChoice &choice, AttemptResult &result);
     void recordLostTarget(const TargetState &target, const AttemptResult &result);
+    void recordAnswerBegun();
     void recordResult(const TargetChoice &choice, const AttemptResult &result);
     bool mayTryAgain(const AttemptResult &result);
     void deliver(const AttemptResult &result);
@@ -73,6 +77,8 @@
     const TeamSettings *team = nullptr;
     std::string service;
     uint64_t fingerprint = 0;
+    // Ids of the prompt's blocks but the last.
+    std::vector<std::string> leadingBlocks;
     // Number of leading prompt blocks that other prompts are expected to share.
     size_t sharedBlocks = 0;
     // Estimate of how long the caller has waited in earlier attempts, before it sent this request.
--- a/pimentosail/entry/stateupdater.cpp
+++ b/pimentosail/entry/stateupdater.cpp
@@ -24,6 +24,33 @@
 
 } // namespace
 
+// A loss is a row without field names, because there may be hundreds of them.
+void encodeBlockFindings(const BlockFindings &findings, Json::Value &value)
+{
+    for (const BlockLoss &loss : findings.losses) {
+        Json::Value row(Json::arrayValue);
+        row.append(loss.block);
+        row.append(loss.incarnation);
+        row.append(std::to_string(loss.request));
+        value["block_losses"].append(row);
+    }
+    for (const std::string &block : findings.answered) {
+        value["answered_blocks"].append(block);
+    }
+}
+
+BlockFindings decodeBlockFindings(const Json::Value &value)
+{
+    BlockFindings findings;
+    for (const Json::Value &row : value["block_losses"]) {
+        findings.losses.push_back({row[0].asString(), row[1].asString(), std::stoull(row[2].asString())});
+    }
+    for (const Json::Value &block : value["answered_blocks"]) {
+        findings.answered.push_back(block.asString());
+    }
+    return findings;
+}
+
 void StateUpdater::reportUnreadable(const StoredItem &item, const std::string &reason)
 {
     int64_t &revision = this->reportedRevisions[item.key];
@@ -53,7 +80,7 @@
         this->updateHosts(mirror);
     }
     if (anyStartsWith(changedKeys, ObservationsPrefix)) {
-        this->updateObservations(mirror);
+        this->updateObservations(mirror, changedKeys);
     }
     if (anyStartsWith(changedKeys, VersionTimesPrefix)) {
         this->updateVersionTimes(mirror);
@@ -173,9 +200,14 @@
     this->context.state.setHosts(std::move(hosts), this->context.clock.now());
 }
 
-void StateUpdater::updateObservations(const StoreMirror &mirror)
+void StateUpdater::updateObservations(const StoreMirror &mirror, const std::set<std::string> &changedKeys)
 {
+    std::set<std::string> removedKeys(changedKeys.lower_bound(ObservationsPrefix), changedKeys.end());
     for (const StoredItem &item : mirror.items(ObservationsPrefix)) {
+        removedKeys.erase(item.key);
+        if (!changedKeys.contains(item.key)) {
+            continue;
+        }
         try {
             std::vector<std::pair<uint64_t, std::string>> losses;
             const Json::Value value = parseJson(item.value);
@@ -183,10 +215,21 @@
                 losses.emplace_back(std::stoull(jsonString(loss, "request", "0")), jsonString(loss, "target"));
             }
             this->context.quarantine.merge(losses);
+            const std::string host = item.key.substr(ObservationsPrefix.size());
+            if (host == this->context.settings.name) {
+                this->context.blockQuarantine.restore(decodeBlockFindings(value));
+            } else {
+                this->context.blockQuarantine.replaceFindings(host, decodeBlockFindings(value));
+            }
         } catch (const std::exception &exception) {
             this->reportUnreadable(item, exception.what());
         }
     }
+    for (const std::string &key : removedKeys) {
+        if (key.starts_with(ObservationsPrefix)) {
+            this->context.blockQuarantine.replaceFindings(key.substr(ObservationsPrefix.size()), {});
+        }
+    }
 }
 
 void StateUpdater::updateVersionTimes(const StoreMirror &mirror)
--- a/pimentosail/entry/stateupdater.h
+++ b/pimentosail/entry/stateupdater.h
@@ -12,6 +12,8 @@
 #include <set>
 #include <string>
 
+#include <json/value.h>
+
 #include "pimentosail/entry/context.h"
 #include "pimentosail/mirror/storemirror.h"
 
@@ -30,6 +32,10 @@
 // later.
 inline const std::string VersionTimesPrefix = EntryPrefix + "versions/";
 
+// Encodes the findings into `value`, a host's observations, and decodes them. The decoder throws if they are invalid.
+void encodeBlockFindings(const BlockFindings &findings, Json::Value &value);
+BlockFindings decodeBlockFindings(const Json::Value &value);
+
 class StateUpdater
 {
 public:
@@ -50,7 +56,7 @@
     void updateEvacuations(const StoreMirror &mirror);
     void updateVersions(const StoreMirror &mirror);
     void updateHosts(const StoreMirror &mirror);
-    void updateObservations(const StoreMirror &mirror);
+    void updateObservations(const StoreMirror &mirror, const std::set<std::string> &changedKeys);
     void updateRollout(const StoreMirror &mirror);
     void updateVersionTimes(const StoreMirror &mirror);
     // Logs a value that cannot be decoded, once for each revision.
--- a/pimentosail/entry/storeduties.h
+++ b/pimentosail/entry/storeduties.h
@@ -40,7 +40,8 @@
 private:
     void run();
     void renew();
-    void publishObservations();
+    bool publishObservations();
+    uint64_t observationChanges() const;
     void publishVersionTimes();
 
     EntryContext &context;
