--- a/pimentosail/entry/storeduties.h
+++ b/pimentosail/entry/storeduties.h
@@ -42,7 +42,8 @@
 private:
     void run();
     void renew();
-    void publishObservations();
+    bool publishObservations();
+    uint64_t observationChanges() const;
     void publishVersionTimes();
     // Writes the age marks of a version. `name` is MODEL/VERSION.
     void publishVersionTime(const std::string &name, const SetTime &setTime);
@@ -53,7 +54,7 @@
     // 0 if this host has no lease.
     int64_t lease = 0;
     bool isWritten = false;
-    size_t publishedLosses = 0;
+    uint64_t publishedChanges = 0;
     std::atomic<bool> stopping{false};
     DutyThread thread;
 };
