Block quarantine: an answer looks up a block instead of comparing it with all losses

Each first event compared its blocks with every loss that other hosts published, for as long as the evidence is kept; on 67 hosts that may be some ten thousand comparisons for each answer on the smallest hosts. Found by reading before the merge; not measured.

--- a/pimentosail/dispatch/blockquarantine.cpp
+++ b/pimentosail/dispatch/blockquarantine.cpp
@@ -118,12 +118,9 @@
             isChanged = true;
         }
         // Hosts on which the block was not answered yet learn that it is sound.
-        for (const auto &[host, findings] : this->otherFindings) {
-            if (std::any_of(findings.losses.begin(), findings.losses.end(), [&block](const BlockLoss &loss) { return loss.block == block; })) {
-                this->publishAnswered(block);
-                isChanged = true;
-                break;
-            }
+        if (this->lostElsewhere.erase(block) > 0) {
+            this->publishAnswered(block);
+            isChanged = true;
         }
     }
     if (isChanged) {
@@ -144,10 +141,15 @@
     for (const std::string &block : known.answered) {
         ++this->answeredElsewhere[block];
     }
-    for (const BlockLoss &loss : known.losses) {
-        const uint64_t hash = stableHash(loss.block);
-        if (this->recentAnswered.contains(hash) || this->olderAnswered.contains(hash)) {
-            this->publishAnswered(loss.block);
+    this->lostElsewhere.clear();
+    for (const auto &[name, other] : this->otherFindings) {
+        for (const BlockLoss &loss : other.losses) {
+            const uint64_t hash = stableHash(loss.block);
+            if (!this->recentAnswered.contains(hash) && !this->olderAnswered.contains(hash)) {
+                this->lostElsewhere.insert(loss.block);
+            } else if (name == host) {
+                this->publishAnswered(loss.block);
+            }
         }
     }
     this->evaluate();
--- a/pimentosail/dispatch/blockquarantine.h
+++ b/pimentosail/dispatch/blockquarantine.h
@@ -118,6 +118,8 @@
     // Answered blocks that this host publishes, oldest first.
     std::vector<std::string> publishedAnswered;
     std::map<std::string, BlockFindings> otherFindings;
+    // Blocks of which other hosts have losses and which were not answered here.
+    std::unordered_set<std::string> lostElsewhere;
     // Answered blocks that other hosts publish, with the number of these hosts.
     std::map<std::string, size_t> answeredElsewhere;
     uint64_t changes = 0;
