Weights: a version of unknown age is recorded as such, and a slow store is not loaded

A host that did not know when a version was set recorded it as older than the limit for all purposes: a leader that read this freed blocks on which other hosts could still begin work. The spread of the age is now recorded beside it. Eight to ten leases are granted one after another on the thread that renews the host's lease; the loop now ends after 1.5 s, is repeated once a second at most, and the other hosts' turns are spread, since all of them together could exceed the store's rates. A slow store widens the bounds to the older side only.

--- a/pimentosail/entry/hostduty.cpp
+++ b/pimentosail/entry/hostduty.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <utility>
 
 #include "pimentosail/base/hash.h"
@@ -21,12 +22,14 @@
 // New observations are published at most once in this time. Until the other hosts know of them, each host sends more requests
 // that end targets.
 constexpr Duration ObservationInterval = Milliseconds(50);
-// The host that rendezvous hashing selects writes the time at which a version became the wanted one. The other hosts write
-// it if it is still missing after this time.
+// The host that rendezvous hashing selects records when a version became the wanted one. The other hosts do so if the record
+// is still missing after this time or a multiple of it, which spreads their calls.
 constexpr Duration FallbackPublishDelay = Milliseconds(1500);
-// The leases of a version's age marks are discarded if the store took longer than this to grant them, because they would
-// run out too late.
-constexpr Duration MaxGrantTime = Milliseconds(500);
+// The age marks of a version are discarded if the store takes longer than this to grant their leases, because the same thread
+// renews this host's lease.
+constexpr Duration MaxGrantTime = Milliseconds(1500);
+// Pause between two records of versions, so that a store that is slow or down is not loaded further.
+constexpr Duration RecordRetry = std::chrono::seconds(1);
 
 } // namespace
 
@@ -132,10 +135,11 @@
     for (const auto &[model, wanted] : this->context.state.allWantedVersions()) {
         const std::string name = model + "/" + std::to_string(wanted.version);
         const bool isSelected = rendezvousOwner(VersionTimesPrefix + name, hosts) == this->context.settings.name;
-        Duration delay = isSelected ? Duration(0) : FallbackPublishDelay;
+        const auto rank = static_cast<int64_t>(stableHash(name + this->context.settings.name) % std::max<size_t>(1, hosts.size()));
+        Duration delay = isSelected ? Duration(0) : (1 + rank) * FallbackPublishDelay;
         // A host that started after the version was set does not know its age, so it leaves time to all others.
-        delay = wanted.setTime.earliest == UnknownPast ? 2 * FallbackPublishDelay : delay;
-        if (now >= wanted.setTime.latest + delay && this->mirror.items(VersionTimesPrefix + name).empty()) {
+        delay = wanted.setTime.earliest == UnknownPast ? std::max<Duration>(2 * FallbackPublishDelay, delay) : delay;
+        if (now >= wanted.setTime.latest + delay && now >= this->nextVersionRecord && this->mirror.items(VersionTimesPrefix + name).empty()) {
             this->publishVersionTime(name, wanted.setTime);
         }
     }
@@ -144,24 +148,24 @@
 void HostDuty::publishVersionTime(const std::string &name, const SetTime &setTime)
 {
     const Time begin = this->context.clock.nowWithSuspend();
+    this->nextVersionRecord = begin + RecordRetry;
     const Duration limit = this->context.settings.versionLimit;
     const Duration age = setTime.earliest == UnknownPast ? limit : begin - setTime.earliest;
-    const Duration spread = setTime.earliest == UnknownPast ? Duration(0) : setTime.latest - setTime.earliest;
+    const Duration spread = age - std::max(Duration(0), begin - setTime.latest);
     StoreTransaction transaction;
     try {
-        for (const AgeMark &mark : ageMarks(age, makeAgeRecord(limit, spread))) {
+        for (const AgeMark &mark : ageMarks(age, makeAgeRecord(limit, Duration(0), spread))) {
             const int64_t markLease = this->store.grantLease(mark.ttl);
+            if (this->context.clock.nowWithSuspend() > begin + MaxGrantTime) {
+                this->context.log.write(LogLevel::Warning, "version_time_not_recorded", {{"version", name}, {"reason", "the store is slow"}});
+                return;
+            }
             transaction.puts.push_back({VersionMarksPrefix + name + "/" + std::to_string(mark.index), "", markLease});
         }
         // A lease starts up to this much later than `begin`.
         const Duration took = this->context.clock.nowWithSuspend() - begin;
-        if (took > MaxGrantTime) {
-            this->context.log.write(
-                LogLevel::Warning, "version_time_not_recorded", {{"version", name}, {"reason", "the store is slow"}, {"took_ms", toMilliseconds(took)}});
-            return;
-        }
         transaction.conditions.push_back({VersionTimesPrefix + name, 0});
-        transaction.puts.push_back({VersionTimesPrefix + name, encodeAgeRecord(makeAgeRecord(limit, spread + took)), 0});
+        transaction.puts.push_back({VersionTimesPrefix + name, encodeAgeRecord(makeAgeRecord(limit, took, spread)), 0});
         const CommitOutcome outcome = this->store.commit(transaction);
         this->context.log.write(LogLevel::Info, "version_time_recorded",
             {{"version", name}, {"age_ms", toMilliseconds(age)}, {"spread_ms", toMilliseconds(spread)}, {"marks", transaction.puts.size() - 1},
--- a/pimentosail/entry/requestplanning.cpp
+++ b/pimentosail/entry/requestplanning.cpp
@@ -93,7 +93,7 @@
         query.newestVersion = wanted.version;
         this->wantedVersion = wanted.version;
         const Time now = this->context.clock.nowWithSuspend();
-        this->wantedVersionAge = wanted.version == 0 ? Duration(0) : now - wanted.setTime.earliest;
+        this->wantedVersionAge = wanted.setTime.earliest == UnknownPast ? Duration(-1) : now - wanted.setTime.earliest;
         query.oldestVersion = this->context.state.oldestAllowedVersion(prompt.model, now, this->context.settings.versionLimit - VersionMargin);
     }
     std::vector<Candidate> targets = this->candidates();
--- a/pimentosail/entry/requestrunner.cpp
+++ b/pimentosail/entry/requestrunner.cpp
@@ -393,9 +393,10 @@
             {"first_ms", this->firstEventAt > Time(0) ? milliseconds(this->firstEventAt - this->received) : 0.0},
             {"total_ms", milliseconds(now - this->received)}, {"config", this->serving ? this->serving->all().version : 0},
             {"config_age_ms", toMilliseconds(now - this->context.state.servingSince())}, {"weights", this->weightVersion},
-            {"expected_version", this->expectedVersion}, {"wanted_version", this->wantedVersion}, {"wanted_age_ms", toMilliseconds(this->wantedVersionAge)},
-            {"late", this->isLate}, {"pending_tokens", this->pendingAtSend}, {"cache_source", this->cacheSource},
-            {"fetch_expected_ms", milliseconds(this->expectedTransfer)}, {"fetch_tokens", this->fetchTokens}, {"save_tokens", this->saveTokens}});
+            {"expected_version", this->expectedVersion}, {"wanted_version", this->wantedVersion},
+            {"wanted_age_ms", this->wantedVersionAge < Duration(0) ? -1 : toMilliseconds(this->wantedVersionAge)}, {"late", this->isLate},
+            {"pending_tokens", this->pendingAtSend}, {"cache_source", this->cacheSource}, {"fetch_expected_ms", milliseconds(this->expectedTransfer)},
+            {"fetch_tokens", this->fetchTokens}, {"save_tokens", this->saveTokens}});
 }
 
 } // namespace pimentosail
--- a/pimentosail/entry/requestrunner.h
+++ b/pimentosail/entry/requestrunner.h
@@ -117,7 +117,7 @@
     std::string lastReason;
     int64_t weightVersion = 0;
     // The version that the last target was expected to have, the newest wanted version, and the age of the latter at that
-    // time as this host knows it.
+    // time as this host knows it; negative if it is not known.
     int64_t expectedVersion = 0;
     int64_t wantedVersion = 0;
     Duration wantedVersionAge{};
--- a/pimentosail/entry/storeduties.h
+++ b/pimentosail/entry/storeduties.h
@@ -55,6 +55,8 @@
     int64_t lease = 0;
     bool isWritten = false;
     uint64_t publishedChanges = 0;
+    // Time of `Clock::nowWithSuspend`.
+    Time nextVersionRecord{};
     std::atomic<bool> stopping{false};
     DutyThread thread;
 };
--- a/pimentosail/rollout/versionage.cpp
+++ b/pimentosail/rollout/versionage.cpp
@@ -18,9 +18,9 @@
 
 } // namespace
 
-AgeRecord makeAgeRecord(Duration limit, Duration uncertainty)
+AgeRecord makeAgeRecord(Duration limit, Duration grantDelay, Duration spread)
 {
-    return {AgeStep, (limit + AgeStep - Duration(1)) / AgeStep, uncertainty};
+    return {AgeStep, (limit + AgeStep - Duration(1)) / AgeStep, grantDelay, spread};
 }
 
 std::vector<AgeMark> ageMarks(Duration age, const AgeRecord &record)
@@ -39,9 +39,9 @@
 {
     VersionAge age;
     const int64_t reached = present.empty() ? record.marks : *present.begin() - 1;
-    age.atLeast = std::max(Duration(0), Duration(reached * record.step - record.uncertainty - ShortestLease));
+    age.atLeast = std::max(Duration(0), Duration(reached * record.step - record.spread - ShortestLease));
     if (!present.empty()) {
-        age.atMost = *present.begin() * record.step + record.uncertainty;
+        age.atMost = *present.begin() * record.step + record.grantDelay;
     }
     return age;
 }
@@ -51,17 +51,18 @@
     Json::Value value;
     value["step_ms"] = Json::Int64(toMilliseconds(record.step));
     value["marks"] = Json::Int64(record.marks);
-    value["uncertainty_ms"] = Json::Int64(toMilliseconds(record.uncertainty));
+    value["grant_delay_ms"] = Json::Int64(toMilliseconds(record.grantDelay) + 1);
+    value["spread_ms"] = Json::Int64(toMilliseconds(record.spread) + 1);
     return printJson(value);
 }
 
 AgeRecord decodeAgeRecord(const std::string &value)
 {
     const Json::Value document = parseJson(value);
-    const AgeRecord record{
-        Milliseconds(jsonInteger(document, "step_ms")), jsonInteger(document, "marks"), Milliseconds(jsonInteger(document, "uncertainty_ms"))};
-    if (record.step <= Duration(0) || record.marks < 0 || record.uncertainty < Duration(0)) {
-        throw Failure(ErrorKind::BadRequest, "a record of a version's age needs a step, a number of marks and an uncertainty");
+    const AgeRecord record{Milliseconds(jsonInteger(document, "step_ms")), jsonInteger(document, "marks"),
+        Milliseconds(jsonInteger(document, "grant_delay_ms")), Milliseconds(jsonInteger(document, "spread_ms"))};
+    if (record.step <= Duration(0) || record.marks < 0 || record.grantDelay < Duration(0) || record.spread < Duration(0)) {
+        throw Failure(ErrorKind::BadRequest, "a record of a version's age needs a step, a number of marks, a delay and a spread");
     }
     return record;
 }
--- a/pimentosail/rollout/versionage.h
+++ b/pimentosail/rollout/versionage.h
@@ -37,8 +37,11 @@
     Duration step{};
     // Indices of the marks go from 1 to this, whether they were written or had been reached by then.
     int64_t marks = 0;
-    // The marks may be removed at ages that differ from whole steps by this much.
-    Duration uncertainty{};
+    // The marks are removed up to this long after the version has certainly reached their age, since the store took time to
+    // grant their leases.
+    Duration grantDelay{};
+    // The version may be younger by this than the writer of the marks assumed.
+    Duration spread{};
 };
 
 struct VersionAge
@@ -49,9 +52,9 @@
 };
 
 // Returns the record for marks that cover ages up to `limit`.
-AgeRecord makeAgeRecord(Duration limit, Duration uncertainty);
+AgeRecord makeAgeRecord(Duration limit, Duration grantDelay, Duration spread);
 
-// Returns the marks to write for a version of the age `age`. A mark whose rest is shorter than a store's shortest lease is
+// Returns the marks to write for a version that is at most `age` old. A mark whose rest is shorter than a store's shortest lease is
 // omitted; the version then seems to have reached it up to that time early.
 std::vector<AgeMark> ageMarks(Duration age, const AgeRecord &record);
 
--- a/pimentosail/rollout/versionagetest.cpp
+++ b/pimentosail/rollout/versionagetest.cpp
@@ -26,7 +26,7 @@
 Test(versionage, the_bounds_contain_the_age_at_every_moment)
 {
     const Duration limit = std::chrono::seconds(15);
-    const AgeRecord record = decodeAgeRecord(encodeAgeRecord(makeAgeRecord(limit, Milliseconds(100))));
+    const AgeRecord record = decodeAgeRecord(encodeAgeRecord(makeAgeRecord(limit, Duration(0), Duration(0))));
     for (Duration written{}; written < std::chrono::seconds(17); written += Milliseconds(130)) {
         const std::vector<AgeMark> marks = ageMarks(written, record);
         for (Duration later{}; later < std::chrono::seconds(20); later += Milliseconds(170)) {
@@ -43,7 +43,7 @@
 
 Test(versionage, all_marks_fit_into_one_transaction_of_the_store)
 {
-    cr_assert_leq(ageMarks(Duration(0), makeAgeRecord(std::chrono::seconds(20), Duration(0))).size(), 31);
+    cr_assert_leq(ageMarks(Duration(0), makeAgeRecord(std::chrono::seconds(20), Duration(0), Duration(0))).size(), 31);
 }
 
 Test(versionage, a_malformed_record_is_an_error)
@@ -52,3 +52,22 @@
     cr_assert_throw(decodeAgeRecord("[]"), Failure);
     cr_assert_throw(decodeAgeRecord(R"({"named_ms":5})"), Failure);
 }
+
+// Guards against a host that does not know when a version was set, records it as old, and so lets the leader free blocks that
+// other hosts still use.
+Test(versionage, a_version_of_unknown_age_is_old_for_work_and_young_for_what_cannot_be_undone)
+{
+    const Duration limit = std::chrono::seconds(15);
+    const Duration knownFor = std::chrono::seconds(3);
+    const AgeRecord record = makeAgeRecord(limit, Duration(0), limit - knownFor);
+    cr_assert(ageMarks(limit, record).size() <= 1, "old for work");
+    const VersionAge age = ageFromMarks(record, {});
+    cr_assert_not(age.atMost);
+    cr_assert(age.atLeast <= knownFor);
+}
+
+Test(versionage, a_slow_store_makes_a_version_seem_older_and_not_younger)
+{
+    const AgeRecord record = makeAgeRecord(std::chrono::seconds(15), std::chrono::seconds(1), Duration(0));
+    cr_assert_eq(ageFromMarks(record, {3, 4}).atMost->count(), Duration(std::chrono::seconds(7)).count());
+}
