Rollout: repeated load orders keep to the permitted number of loads

When a fault with late orders ended, one pass could repeat all outstanding orders, and all targets that accepted loaded at once: up to three quarters instead of a fifth. Repeated orders now count like first ones, which go before them.

--- a/pimentosail/entry/rolloutduty.cpp
+++ b/pimentosail/entry/rolloutduty.cpp
@@ -330,11 +330,14 @@
     std::vector<PendingLoad *> due;
     int64_t occupied
         = std::count_if(this->pendingLoads.begin(), this->pendingLoads.end(), [](const auto &other) { return other.second.isOrdered && !other.second.isLate; });
-    for (auto &[id, load] : this->pendingLoads) {
-        const int64_t maxLoads = maxConcurrentLoads(this->context.directory.all(load.target->service, load.model).size(), RolloutLimits{});
-        if (due.size() < MaxParallelCalls && this->isOrderDue(load, now, occupied, maxLoads)) {
-            due.push_back(&load);
-            occupied += load.isLate ? 0 : 1;
+    // First orders go before repeated ones. A target that accepts a repeated order loads in time, as the others do.
+    for (const bool isRepeated : {false, true}) {
+        for (auto &[id, load] : this->pendingLoads) {
+            const int64_t maxLoads = maxConcurrentLoads(this->context.directory.all(load.target->service, load.model).size(), RolloutLimits{});
+            if (load.isOutstanding == isRepeated && due.size() < MaxParallelCalls && this->isOrderDue(load, now, occupied, maxLoads)) {
+                due.push_back(&load);
+                ++occupied;
+            }
         }
     }
     if (due.empty()) {
