Rollout: a load whose order was not sent is not taken for an unanswered one

If a target's report took so long that the announcement had run out, no order was sent, but the load was counted as outstanding and its place given to another target. It is now ordered after the next announcement. Found by review, by reading; no test.

--- a/pimentosail/entry/rolloutduty.cpp
+++ b/pimentosail/entry/rolloutduty.cpp
@@ -218,6 +218,8 @@
             return;
         }
         if (!this->mayOrder() || this->context.clock.nowWithSuspend() > this->announcedAt + OrderWindow) {
+            // Without an order, the load is not unanswered: it is ordered after the next announcement.
+            load.isOrdered = load.ordersSent > 0;
             return;
         }
         const Time sentAt = this->context.clock.now();
