Rollout: a late load that carried out another order ends

Two versions in quick succession with late orders: a target that carried out the former order was counted as loading until the limit for loads (10 s), got no requests and no new order. It ends as soon as its report shows another version and no load. Found by review, by reading; no test.

--- a/pimentosail/entry/rolloutduty.cpp
+++ b/pimentosail/entry/rolloutduty.cpp
@@ -416,7 +416,7 @@
         return false;
     }
     const bool isShown = load.report->isBusy || load.report->orderCount != load.orderCount;
-    if (load.isOutstanding && isShown && !load.report->isBusy) {
+    if (load.isLate && isShown && !load.report->isBusy) {
         // Another order was carried out, for example one for an earlier version: the order count no longer matches.
         this->finishLoad(load, now, "other order");
         return false;
