Weights: a prompt that has not begun at the limit for outdated weights is taken back

Hosts stop sending prompts to outdated weights 4.2 s before the limit, but prompts with a deadline of 12 s may wait longer at a busy target (late ones are sent if the first token is expected within half of the time left) and then begin on weights that were replaced more than 15 s before. The attempt now ends 0.3 s before the limit if the answer has not begun; the target drops what waits when the connection closes, and the request goes to a target with newer weights where its route allows that.

--- a/pimentosail/entry/attempt.cpp
+++ b/pimentosail/entry/attempt.cpp
@@ -126,12 +126,13 @@
     this->isStallTimeout = false;
     for (int round = 1;; ++round) {
         const Time stallEnd = limits.stallTimeout > Duration(0) ? this->context.clock.now() + limits.stallTimeout : limits.deadline;
-        const Wait wait{this->context.clock, std::min(stallEnd, limits.deadline), limits.callerSocket};
+        const bool mustBegin = limits.answerBeginsBy != Time(0) && !this->hasBegun && limits.answerBeginsBy < std::min(stallEnd, limits.deadline);
+        const Wait wait{this->context.clock, mustBegin ? limits.answerBeginsBy : std::min(stallEnd, limits.deadline), limits.callerSocket};
         const ReadStatus status = read(wait);
         if (status != ReadStatus::Timeout || wait.end >= limits.deadline) {
             return status;
         }
-        if (round >= MaxStallRounds || this->plan.target->lastResponse.load() <= this->sentAt.count()) {
+        if (mustBegin || round >= MaxStallRounds || this->plan.target->lastResponse.load() <= this->sentAt.count()) {
             this->isStallTimeout = true;
             return status;
         }
@@ -159,6 +160,7 @@
 
 void Attempt::recordFirstResponse(AttemptResult &result)
 {
+    this->hasBegun = true;
     result.timeToFirstEvent = std::max(Duration(1), this->context.clock.now() - this->sentAt);
     recordResponseTime(*this->plan.target, result.timeToFirstEvent);
     this->plan.target->lastResponse.store(this->context.clock.now().count());
--- a/pimentosail/entry/attempt.h
+++ b/pimentosail/entry/attempt.h
@@ -45,6 +45,8 @@
     // Maximum time for which the target may send nothing before the attempt is given up; zero for no limit but the
     // deadline.
     Duration stallTimeout{};
+    // The attempt is given up if the answer has not begun by this time; zero for no limit.
+    Time answerBeginsBy{};
     // Socket of the caller's connection, which is watched for its end.
     int callerSocket = -1;
     // Maximum idle time of a connection that is reused.
@@ -100,6 +102,8 @@
     const AttemptPlan &plan;
     Time sentAt{};
     bool isStallTimeout = false;
+    // The first event, or the header of an answer without events, has arrived.
+    bool hasBegun = false;
 };
 
 } // namespace pimentosail
--- a/pimentosail/entry/entrystate.h
+++ b/pimentosail/entry/entrystate.h
@@ -99,6 +99,14 @@
         return true;
     }
 
+    // Returns when the version that follows `version` of `model` was set, as far as this host knows the versions. `version` must
+    // not be the newest wanted one.
+    SetTime setTimeAfter(const std::string &model, int64_t version) const
+    {
+        const std::lock_guard lock(this->mutex);
+        return this->versions.at(model).upper_bound(version)->second;
+    }
+
     // Returns the newest wanted version of `model`, or version 0 if none is recorded.
     WantedVersion wantedVersion(const std::string &model) const
     {
--- a/pimentosail/entry/requestplanning.cpp
+++ b/pimentosail/entry/requestplanning.cpp
@@ -36,6 +36,9 @@
 // Work on older weights stops this long before their limit, because a request may wait at the target for about as long
 // as its deadline allows before it starts.
 constexpr Duration VersionMargin = Milliseconds(4200);
+// A prompt that still waits at a target with older weights this long before their limit is taken back, so that the target has
+// noticed it by then.
+constexpr Duration VersionCutoff = Milliseconds(300);
 
 } // namespace
 
@@ -208,8 +211,9 @@
     return plan;
 }
 
-AttemptLimits RequestRunner::limitsFor(const TargetState &target) const
+AttemptLimits RequestRunner::limitsFor(const TargetChoice &choice) const
 {
+    const TargetState &target = *choice.target;
     AttemptLimits limits;
     limits.deadline = this->deadline;
     limits.callerSocket = this->exchange.callerSocket();
@@ -217,6 +221,12 @@
     if (this->route->isIdempotent()) {
         limits.stallTimeout = std::max({MinStallTimeout, 2 * this->route->targetLatency, Duration(StallFactor * target.responseTime.load())});
     }
+    // A prompt that waits at a target with older weights must not begin there after their limit.
+    if (this->request.prompt && choice.version > 0 && choice.version < this->wantedVersion && !this->streaming) {
+        const SetTime setTime = this->context.state.setTimeAfter(this->request.prompt->model, choice.version);
+        const Duration left = setTime.earliest + this->context.settings.versionLimit - VersionCutoff - this->context.clock.nowWithSuspend();
+        limits.answerBeginsBy = this->context.clock.now() + left;
+    }
     return limits;
 }
 
--- a/pimentosail/entry/requestrunner.cpp
+++ b/pimentosail/entry/requestrunner.cpp
@@ -333,7 +333,7 @@
         }
         const AttemptPlan plan = this->planFor(choice);
         Attempt attempt(this->context, this->request, plan);
-        AttemptResult result = attempt.run(this->limitsFor(*choice.target),
+        AttemptResult result = attempt.run(this->limitsFor(choice),
             [this](const ReplyHeader &header, const std::string &event, const std::string &id) { return this->forwardEvent(header, event, id); });
         if (this->finishAttempt(choice, result)) {
             return;
--- a/pimentosail/entry/requestrunner.h
+++ b/pimentosail/entry/requestrunner.h
@@ -43,7 +43,7 @@
     std::vector<Candidate> candidates() const;
     std::string saltFor(int64_t version) const;
     AttemptPlan planFor(const TargetChoice &choice);
-    AttemptLimits limitsFor(const TargetState &target) const;
+    AttemptLimits limitsFor(const TargetChoice &choice) const;
     // Decides by the predicted time to first token whether a prompt is sent normally, is sent as late (it then runs after
     // all other prompts), or is refused because it could not be served before its deadline. Throws `Failure`
     // (Overloaded) in the last case.
