Block quarantine: a full list takes no evidence away, and hosts stop publishing when nothing is new

A host's list of losses is bounded: a new block was evicted on arrival once 128 others had two losses each (a block that ended 50 targets was not blocked), a block in force was lifted when each host had seen one of its losses and then 300 others, sound blocks were forgotten when another host's list overflowed, and three hosts with 150 losses each published in every round for ever. Now the oldest block goes that neither is the newest nor suspected by the evidence of all hosts, two requests count for each incarnation, and a host keeps what another host says was answered and drops its own losses of it. Its own published findings are restored once, before requests are admitted.

--- a/pimentosail/dispatch/blockquarantine.cpp
+++ b/pimentosail/dispatch/blockquarantine.cpp
@@ -34,7 +34,7 @@
 bool BlockQuarantine::isAnswered(const std::string &block) const
 {
     const uint64_t hash = stableHash(block);
-    return this->recentAnswered.contains(hash) || this->olderAnswered.contains(hash) || this->answeredElsewhere.contains(block);
+    return this->recentAnswered.contains(hash) || this->olderAnswered.contains(hash);
 }
 
 void BlockQuarantine::markAnswered(const std::string &block)
@@ -46,14 +46,31 @@
     this->recentAnswered.insert(stableHash(block));
 }
 
-// Evicts the block with the fewest losses, the oldest of these first, so that losses of requests that only happened to run
-// on the same targets do not displace the evidence against a deadly block.
-void BlockQuarantine::dropWeakestLosses()
+// Evicts the oldest block that is neither the newest nor under suspicion by the evidence of all hosts, so that losses of
+// requests that only happened to run on the same targets displace no evidence against a deadly block.
+void BlockQuarantine::dropOldestLosses()
 {
-    const auto weakest = std::min_element(this->ownLosses.begin(), this->ownLosses.end(),
-        [](const auto &a, const auto &b) { return std::pair(a.second.losses.size(), a.second.order) < std::pair(b.second.losses.size(), b.second.order); });
-    this->ownLossCount -= weakest->second.losses.size();
-    this->ownLosses.erase(weakest);
+    std::set<std::string> suspected;
+    for (const SuspectedBlocks &suspects : this->evaluated) {
+        suspected.insert(suspects.blocks.begin(), suspects.blocks.end());
+    }
+    auto oldest = this->ownLosses.end();
+    for (auto entry = this->ownLosses.begin(); entry != this->ownLosses.end(); ++entry) {
+        const bool mayEvict = entry->second.order != this->lossOrder && !suspected.contains(entry->first);
+        if (mayEvict && (oldest == this->ownLosses.end() || entry->second.order < oldest->second.order)) {
+            oldest = entry;
+        }
+    }
+    if (oldest == this->ownLosses.end()) {
+        oldest = std::min_element(this->ownLosses.begin(), this->ownLosses.end(), [](const auto &a, const auto &b) { return a.second.order < b.second.order; });
+    }
+    this->eraseOwnLosses(oldest);
+}
+
+void BlockQuarantine::eraseOwnLosses(std::map<std::string, OwnEvidence>::iterator entry)
+{
+    this->ownLossCount -= entry->second.losses.size();
+    this->ownLosses.erase(entry);
 }
 
 bool BlockQuarantine::addOwnLoss(const BlockLoss &loss)
@@ -66,9 +83,13 @@
         entry->second.order = ++this->lossOrder;
     }
     std::vector<BlockLoss> &losses = entry->second.losses;
+    const auto isSameIncarnation = [&loss](const BlockLoss &known) {
+        return known.incarnation == loss.incarnation;
+    };
     const bool isKnown = std::any_of(
         losses.begin(), losses.end(), [&loss](const BlockLoss &known) { return known.incarnation == loss.incarnation && known.request == loss.request; });
-    if (isKnown) {
+    // More requests on the same incarnation are no more evidence.
+    if (isKnown || static_cast<size_t>(std::count_if(losses.begin(), losses.end(), isSameIncarnation)) >= BlockingRequests) {
         return false;
     }
     losses.push_back(loss);
@@ -84,7 +105,7 @@
         isChanged = this->addOwnLoss({block, incarnation, request}) || isChanged;
     }
     while (this->ownLossCount > MaxOwnLosses) {
-        this->dropWeakestLosses();
+        this->dropOldestLosses();
     }
     if (isChanged) {
         ++this->changes;
@@ -112,8 +133,7 @@
         this->markAnswered(block);
         const auto own = this->ownLosses.find(block);
         if (own != this->ownLosses.end()) {
-            this->ownLossCount -= own->second.losses.size();
-            this->ownLosses.erase(own);
+            this->eraseOwnLosses(own);
             this->publishAnswered(block);
             isChanged = true;
         }
@@ -132,20 +152,20 @@
 {
     const std::lock_guard lock(this->mutex);
     BlockFindings &known = this->otherFindings[host];
-    for (const std::string &block : known.answered) {
-        if (--this->answeredElsewhere[block] == 0) {
-            this->answeredElsewhere.erase(block);
-        }
-    }
     known = std::move(findings);
+    // Kept here too, since the other host's list is bounded. Once no host has losses of a block, none publishes it again.
     for (const std::string &block : known.answered) {
-        ++this->answeredElsewhere[block];
+        this->markAnswered(block);
+        const auto own = this->ownLosses.find(block);
+        if (own != this->ownLosses.end()) {
+            this->eraseOwnLosses(own);
+            ++this->changes;
+        }
     }
     this->lostElsewhere.clear();
     for (const auto &[name, other] : this->otherFindings) {
         for (const BlockLoss &loss : other.losses) {
-            const uint64_t hash = stableHash(loss.block);
-            if (!this->recentAnswered.contains(hash) && !this->olderAnswered.contains(hash)) {
+            if (!this->isAnswered(loss.block)) {
                 this->lostElsewhere.insert(loss.block);
             } else if (name == host) {
                 this->publishAnswered(loss.block);
@@ -158,17 +178,18 @@
 void BlockQuarantine::restore(const BlockFindings &findings)
 {
     const std::lock_guard lock(this->mutex);
+    if (std::exchange(this->isRestored, true)) {
+        return;
+    }
     for (const std::string &block : findings.answered) {
         this->markAnswered(block);
-        if (std::find(this->publishedAnswered.begin(), this->publishedAnswered.end(), block) == this->publishedAnswered.end()) {
-            this->publishedAnswered.push_back(block);
-        }
+        this->publishAnswered(block);
     }
     for (const BlockLoss &loss : findings.losses) {
         this->addOwnLoss(loss);
     }
     while (this->ownLossCount > MaxOwnLosses) {
-        this->dropWeakestLosses();
+        this->dropOldestLosses();
     }
     this->evaluate();
 }
--- a/pimentosail/dispatch/blockquarantine.h
+++ b/pimentosail/dispatch/blockquarantine.h
@@ -13,8 +13,8 @@
 // least three incarnations ended under it, in at least two requests, that no other block explains. Blocks that cannot be
 // told apart, because the same incarnations ended under them, are refused only together.
 //
-// Each host publishes its findings and replaces its view of another host's findings as a whole. Evidence does not expire:
-// a block that was tried again after some time would end more targets. A sound block that only ever ran on targets which
+// Each host publishes its findings and replaces its view of another host's findings as a whole. Evidence against a suspected
+// block does not expire: a block that was tried again after some time would end more targets. A sound block that only ever ran on targets which
 // ended for other reasons stays blocked too. A block that begins to end targets after it was answered is not detected.
 //
 // Thread-safe.
@@ -67,7 +67,8 @@
     // Replaces the findings of another host.
     void replaceFindings(const std::string &host, BlockFindings findings);
 
-    // Adds the findings that this host published before it was restarted.
+    // Adds the findings that this host published before it was restarted. Later calls do nothing: they are echoes of what this
+    // process published.
     void restore(const BlockFindings &findings);
 
     // Returns the findings of this host, for publishing.
@@ -102,7 +103,8 @@
     bool isAnswered(const std::string &block) const;
     void markAnswered(const std::string &block);
     bool addOwnLoss(const BlockLoss &loss);
-    void dropWeakestLosses();
+    void eraseOwnLosses(std::map<std::string, OwnEvidence>::iterator entry);
+    void dropOldestLosses();
     void publishAnswered(const std::string &block);
     std::map<std::string, Evidence> unresolvedEvidence() const;
     void evaluate();
@@ -120,8 +122,7 @@
     std::map<std::string, BlockFindings> otherFindings;
     // Blocks of which other hosts have losses and which were not answered here.
     std::unordered_set<std::string> lostElsewhere;
-    // Answered blocks that other hosts publish, with the number of these hosts.
-    std::map<std::string, size_t> answeredElsewhere;
+    bool isRestored = false;
     uint64_t changes = 0;
     std::vector<SuspectedBlocks> evaluated;
 };
--- a/pimentosail/dispatch/dispatchtest.cpp
+++ b/pimentosail/dispatch/dispatchtest.cpp
@@ -1,7 +1,8 @@
-#include <criterion/criterion.h>
-
+#include <array>
 #include <map>
 
+#include <criterion/criterion.h>
+
 #include "pimentosail/base/hash.h"
 #include "pimentosail/dispatch/blockquarantine.h"
 #include "pimentosail/dispatch/limits.h"
@@ -277,6 +278,84 @@
     cr_assert(quarantine.isBlocked({"deadly"}));
 }
 
+// Guards against a full list of losses that drops each new one, so that a block can end targets without end.
+Test(dispatch, a_full_list_of_losses_accepts_evidence_against_another_block)
+{
+    BlockQuarantine quarantine;
+    for (int block = 0; block < 128; ++block) {
+        for (uint64_t request = 0; request < 2; ++request) {
+            quarantine.recordLoss({"other-" + std::to_string(block)}, "busy-" + std::to_string(block / 40), 10 * block + request);
+        }
+    }
+    for (uint64_t end = 0; end < 3; ++end) {
+        quarantine.recordLoss({"deadly"}, "target-" + std::to_string(end), 5000 + end);
+    }
+    cr_assert(quarantine.isBlocked({"deadly"}));
+}
+
+// Guards against a block that is in force and is lifted because each host saw only one of its losses and then many others.
+Test(dispatch, a_prompt_block_stays_blocked_when_each_host_saw_one_of_its_losses_and_many_others)
+{
+    std::array<BlockQuarantine, 3> hosts;
+    const auto exchangeFindings = [&hosts] {
+        for (size_t from = 0; from < hosts.size(); ++from) {
+            for (size_t to = 0; to < hosts.size(); ++to) {
+                if (to != from) {
+                    hosts[to].replaceFindings("host-" + std::to_string(from), hosts[from].ownFindings());
+                }
+            }
+        }
+    };
+    for (size_t host = 0; host < hosts.size(); ++host) {
+        hosts[host].recordLoss({"deadly"}, "target-" + std::to_string(host), host);
+    }
+    exchangeFindings();
+    for (size_t host = 0; host < hosts.size(); ++host) {
+        for (int loss = 0; loss < 300; ++loss) {
+            const std::string name = std::to_string(host) + "-" + std::to_string(loss);
+            hosts[host].recordLoss({"block-" + name}, "busy-" + std::to_string(host), 1000 + loss);
+        }
+    }
+    exchangeFindings();
+    for (const BlockQuarantine &host : hosts) {
+        cr_assert(host.isBlocked({"deadly"}));
+    }
+}
+
+// Guards against hosts that publish their findings again and again in answer to each other's, although nothing new happens.
+Test(dispatch, hosts_stop_publishing_findings_when_nothing_new_happens)
+{
+    constexpr int LossesPerHost = 150;
+    std::array<BlockQuarantine, 3> hosts;
+    std::array<uint64_t, 3> published{};
+    for (size_t host = 0; host < hosts.size(); ++host) {
+        for (int loss = 0; loss < LossesPerHost; ++loss) {
+            const std::string block = "block-" + std::to_string(host) + "-" + std::to_string(loss);
+            hosts[host].recordLoss({block}, "target-" + std::to_string(loss / 30), loss);
+            hosts[(host + 1) % 3].recordAnswer({block});
+            hosts[(host + 2) % 3].recordAnswer({block});
+        }
+    }
+    int lastRound = 0;
+    for (int round = 0; round < 20; ++round) {
+        for (size_t host = 0; host < hosts.size(); ++host) {
+            if (hosts[host].changeCount() == published[host]) {
+                continue;
+            }
+            published[host] = hosts[host].changeCount();
+            lastRound = round;
+            const BlockFindings findings = hosts[host].ownFindings();
+            hosts[host].restore(findings);
+            hosts[(host + 1) % 3].replaceFindings("host-" + std::to_string(host), findings);
+            hosts[(host + 2) % 3].replaceFindings("host-" + std::to_string(host), findings);
+        }
+    }
+    cr_assert_leq(lastRound, 5, "the last round with a publication is %d", lastRound);
+    for (const BlockQuarantine &host : hosts) {
+        cr_assert(host.suspects().empty());
+    }
+}
+
 // Many hosts choose at the same time by the same load reports. Without sampling, all would choose the least loaded target.
 Test(dispatch, hosts_with_the_same_load_reports_do_not_all_choose_the_same_target)
 {
--- a/pimentosail/entry/stateupdater.cpp
+++ b/pimentosail/entry/stateupdater.cpp
@@ -65,6 +65,10 @@
 void StateUpdater::update(const StoreMirror &mirror, const std::set<std::string> &changedKeys)
 {
     const KeyValueLayout &layout = this->context.wire.layout;
+    // Before the configuration, with which requests are admitted.
+    if (anyStartsWith(changedKeys, ObservationsPrefix)) {
+        this->updateObservations(mirror, changedKeys);
+    }
     if (changedKeys.contains(layout.servingKey)) {
         this->updateServing(mirror);
     }
@@ -80,9 +84,6 @@
     if (anyStartsWith(changedKeys, HostsPrefix)) {
         this->updateHosts(mirror);
     }
-    if (anyStartsWith(changedKeys, ObservationsPrefix)) {
-        this->updateObservations(mirror, changedKeys);
-    }
     if (anyStartsWith(changedKeys, VersionTimesPrefix)) {
         this->updateVersionTimes(mirror);
     }
