--- a/pimentosail/entry/entrystate.h
+++ b/pimentosail/entry/entrystate.h
@@ -27,7 +27,7 @@
 
 // When a version became the wanted one: between these two times of `Clock::nowWithSuspend`, since callers count time in
 // which this host is suspended. Work on older weights stops by the earliest; what cannot be undone waits for the latest.
-struct SetTime
+struct TimeBounds
 {
     Time earliest = UnknownPast;
     Time latest{};
@@ -37,7 +37,7 @@
 struct WantedVersion
 {
     int64_t version = 0;
-    SetTime setTime;
+    TimeBounds setTime;
 };
 
 // The latest rollout announcement that this host received: the rollout leader publishes one before it sends load orders.
@@ -80,18 +80,18 @@
     }
 
     // Records a wanted version when this host first sees it. Returns true if the version was not recorded before.
-    bool addWantedVersion(const std::string &model, int64_t version, const SetTime &setTime)
+    bool addWantedVersion(const std::string &model, int64_t version, const TimeBounds &setTime)
     {
         const std::lock_guard lock(this->mutex);
         return this->versions[model].emplace(version, setTime).second;
     }
 
     // Narrows down when a version was set. A time that contradicts what is known is ignored; returns false then.
-    bool narrowSetTime(const std::string &model, int64_t version, const SetTime &setTime)
+    bool narrowSetTime(const std::string &model, int64_t version, const TimeBounds &setTime)
     {
         const std::lock_guard lock(this->mutex);
-        SetTime &known = this->versions[model].emplace(version, setTime).first->second;
-        const SetTime narrowed{std::max(known.earliest, setTime.earliest), std::min(known.latest, setTime.latest)};
+        TimeBounds &known = this->versions[model].emplace(version, setTime).first->second;
+        const TimeBounds narrowed{std::max(known.earliest, setTime.earliest), std::min(known.latest, setTime.latest)};
         if (narrowed.earliest > narrowed.latest) {
             return false;
         }
@@ -101,7 +101,7 @@
 
     // Returns when the version that follows `version` of `model` was set, as far as this host knows the versions. `version` must
     // not be the newest wanted one.
-    SetTime setTimeAfter(const std::string &model, int64_t version) const
+    TimeBounds setTimeAfter(const std::string &model, int64_t version) const
     {
         const std::lock_guard lock(this->mutex);
         return this->versions.at(model).upper_bound(version)->second;
@@ -119,14 +119,14 @@
     // time of `Clock::nowWithSuspend`.
     int64_t oldestAllowedVersion(const std::string &model, Time now, Duration limit) const
     {
-        return this->newestVersion(model, [now, limit](const SetTime &setTime) { return setTime.earliest + limit <= now; });
+        return this->newestVersion(model, [now, limit](const TimeBounds &setTime) { return setTime.earliest + limit <= now; });
     }
 
     // Returns the oldest version on which no host may forbid work yet: the newest version that certainly has been wanted for
     // `limit`.
     int64_t oldestPossibleVersion(const std::string &model, Time now, Duration limit) const
     {
-        return this->newestVersion(model, [now, limit](const SetTime &setTime) { return setTime.latest + limit <= now; });
+        return this->newestVersion(model, [now, limit](const TimeBounds &setTime) { return setTime.latest + limit <= now; });
     }
 
     // Returns the newest wanted version of every model.
@@ -250,7 +250,7 @@
     ServingConfigurationPointer servingInForce;
     Time servingAt{};
     // For each model, its wanted versions and when each was set.
-    std::map<std::string, std::map<int64_t, SetTime>> versions;
+    std::map<std::string, std::map<int64_t, TimeBounds>> versions;
     LatestRollout lastRollout;
     std::vector<HostEntry> hostEntries;
     RelayPlan relayPlan;
--- a/pimentosail/entry/hostduty.cpp
+++ b/pimentosail/entry/hostduty.cpp
@@ -145,7 +145,7 @@
     }
 }
 
-void HostDuty::publishVersionTime(const std::string &name, const SetTime &setTime)
+void HostDuty::publishVersionTime(const std::string &name, const TimeBounds &setTime)
 {
     const Time begin = this->context.clock.nowWithSuspend();
     this->nextVersionRecord = begin + RecordRetry;
--- a/pimentosail/entry/requestplanning.cpp
+++ b/pimentosail/entry/requestplanning.cpp
@@ -223,7 +223,7 @@
     }
     // A prompt that waits at a target with older weights must not begin there after their limit.
     if (this->request.prompt && choice.version > 0 && choice.version < this->wantedVersion && !this->streaming) {
-        const SetTime setTime = this->context.state.setTimeAfter(this->request.prompt->model, choice.version);
+        const TimeBounds setTime = this->context.state.setTimeAfter(this->request.prompt->model, choice.version);
         const Duration left = setTime.earliest + this->context.settings.versionLimit - VersionCutoff - this->context.clock.nowWithSuspend();
         limits.answerBeginsBy = this->context.clock.now() + left;
     }
--- a/pimentosail/entry/stateupdater.cpp
+++ b/pimentosail/entry/stateupdater.cpp
@@ -175,7 +175,7 @@
         // The contents were complete without this version at `completeBefore`.
         const Time completeBefore = mirror.status().completeBefore;
         const Time now = this->context.clock.nowWithSuspend();
-        const SetTime setTime{completeBefore == Time(0) ? UnknownPast : completeBefore, now};
+        const TimeBounds setTime{completeBefore == Time(0) ? UnknownPast : completeBefore, now};
         if (this->context.state.addWantedVersion(model, *version, setTime)) {
             this->context.log.write(LogLevel::Info, "version_wanted",
                 {{"model", model}, {"version", *version}, {"age_ms", completeBefore == Time(0) ? -1 : toMilliseconds(now - completeBefore)},
@@ -253,7 +253,7 @@
             const Time now = this->context.clock.nowWithSuspend();
             // A mark that is still there may have been removed since the contents were complete.
             const Time completeAt = mirror.status().completeAt;
-            const SetTime setTime{age.atMost && completeAt != Time(0) ? completeAt - *age.atMost : UnknownPast, now - age.atLeast};
+            const TimeBounds setTime{age.atMost && completeAt != Time(0) ? completeAt - *age.atMost : UnknownPast, now - age.atLeast};
             const size_t slash = name.rfind('/');
             const bool isConsistent = this->context.state.narrowSetTime(name.substr(0, slash), std::stoll(name.substr(slash + 1)), setTime);
             this->timedVersions.insert(name);
--- a/pimentosail/entry/storeduties.h
+++ b/pimentosail/entry/storeduties.h
@@ -46,7 +46,7 @@
     uint64_t observationChanges() const;
     void publishVersionTimes();
     // Writes the age marks of a version. `name` is MODEL/VERSION.
-    void publishVersionTime(const std::string &name, const SetTime &setTime);
+    void publishVersionTime(const std::string &name, const TimeBounds &setTime);
 
     EntryContext &context;
     PrefixStore store;
