Log: request_done tells when a request arrived, was admitted and was sent, and whether its caller had left

New fields queued_ms (age of the bytes in the caller's socket), admitted_ms, sent_ms and caller_left.

--- a/pimentosail/entry/attempt.cpp
+++ b/pimentosail/entry/attempt.cpp
@@ -195,7 +195,9 @@
     bool anySent = false;
     this->sentAt = this->context.clock.now();
     const Wait wait{this->context.clock, limits.deadline, limits.callerSocket};
-    switch (connection.send(this->context.wire.encodeAttempt(this->request, this->plan), wait, anySent)) {
+    const SendStatus status = connection.send(this->context.wire.encodeAttempt(this->request, this->plan), wait, anySent);
+    result.sentAt = anySent ? this->sentAt : Time(0);
+    switch (status) {
     case SendStatus::Sent:
     case SendStatus::AnsweredEarly:
         return true;
--- a/pimentosail/entry/attempt.h
+++ b/pimentosail/entry/attempt.h
@@ -62,6 +62,8 @@
     std::unique_ptr<AnswerMemory::Share> memory;
     // Reason of the end, for the log.
     std::string reason;
+    // When the first byte of the request may have reached the target; zero if none can have.
+    Time sentAt{};
     // The request was sent on a connection of the pool.
     bool usedPooledConnection = false;
     // Time from sending the request to the first event, or to the end of an answer without events; zero if there was
--- a/pimentosail/entry/requestrunner.cpp
+++ b/pimentosail/entry/requestrunner.cpp
@@ -4,6 +4,7 @@
 
 #include "pimentosail/base/hash.h"
 #include "pimentosail/base/json.h"
+#include "pimentosail/base/socketstate.h"
 
 namespace pimentosail
 {
@@ -40,6 +41,7 @@
     , exchange(httpExchange)
     , random(static_cast<uint64_t>(entryContext.clock.now().count()) ^ reinterpret_cast<uintptr_t>(&httpExchange))
     , received(entryContext.clock.now())
+    , queued(timeSinceReceived(httpExchange.callerSocket()))
 {
 }
 
@@ -47,6 +49,7 @@
 {
     try {
         this->admit();
+        this->admittedAt = this->context.clock.now();
         this->attemptUntilAnswered();
     } catch (const Failure &failure) {
         this->answerFailure(failure);
@@ -259,6 +262,7 @@
     this->lastTarget = choice.target->id;
     this->lastReason = result.reason;
     this->outcome = attemptEndName(result.end);
+    this->lastSentAt = result.sentAt == Time(0) ? this->lastSentAt : result.sentAt;
     if (result.end != AttemptEnd::NotSent) {
         ++this->arrivals;
         this->triedTargets.insert(choice.target->id);
@@ -391,7 +395,10 @@
             {"status", this->answeredStatus}, {"outcome", this->outcome}, {"reason", this->lastReason}, {"target", this->lastTarget},
             {"arrivals", this->arrivals}, {"unsent", this->unsent},
             {"first_ms", this->firstEventAt > Time(0) ? milliseconds(this->firstEventAt - this->received) : 0.0},
-            {"total_ms", milliseconds(now - this->received)}, {"config", this->serving ? this->serving->all().version : 0},
+            {"total_ms", milliseconds(now - this->received)}, {"queued_ms", milliseconds(this->queued)},
+            {"admitted_ms", this->admittedAt > Time(0) ? milliseconds(this->admittedAt - this->received) : 0.0},
+            {"sent_ms", this->lastSentAt > Time(0) ? milliseconds(this->lastSentAt - this->received) : 0.0},
+            {"caller_left", this->callerDisconnected || isPeerClosed(this->exchange.callerSocket())}, {"config", this->serving ? this->serving->all().version : 0},
             {"config_age_ms", toMilliseconds(now - this->context.state.servingSince())}, {"weights", this->weightVersion},
             {"expected_version", this->expectedVersion}, {"wanted_version", this->wantedVersion},
             {"wanted_age_ms", this->wantedVersionAge < Duration(0) ? -1 : toMilliseconds(this->wantedVersionAge)}, {"late", this->isLate},
--- a/pimentosail/entry/requestrunner.h
+++ b/pimentosail/entry/requestrunner.h
@@ -110,7 +110,11 @@
     std::string lastEventId;
     Time firstEventAt{};
 
-    // For the log line and the metrics of the request.
+    // For the log line and the metrics of the request. Time for which the request had waited in the caller's socket when this
+    // host came to it, when it was admitted, and when it was last sent to a target; zero if it was not.
+    Duration queued{};
+    Time admittedAt{};
+    Time lastSentAt{};
     int answeredStatus = 0;
     std::string outcome = "none";
     std::string lastTarget;
