Entry: a request whose caller has left is sent nowhere

Cause: the host came to read these requests late, when the end of the caller's connection lay behind them in the socket. Nothing looked at the connection before the request was sent: sending watches the caller only when the socket to the target is full, and connecting to a target (0.4 s, up to six times) and choosing one did not watch it at all. The class is a wait after which nobody asks whether the result is still wanted; it was looked for at each wait of a request's way.

Change: the choice of a target asks before each try, connecting watches the caller as all other waits do, and an attempt asks right before it sends. A caller that left behind a further request, which is never read, is noticed (POLLRDHUP; before, a read byte count of 0 was waited for). The check whether a target has ended also watches the caller; if the caller ends it, it is no evidence. A connection to a target whose answer is incomplete is reset, so that the kernel does not deliver a request to a silent target after it was given up. An attempt that sent nothing does not count as an arrival.

Ruled out: late bytes between host and target (the requests of 2.5 s arrived within 0.2 s; the links were sound).

--- a/pimentosail/entry/attempt.cpp
+++ b/pimentosail/entry/attempt.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "pimentosail/base/socketstate.h"
+
 namespace pimentosail
 {
 
@@ -173,12 +175,18 @@
         result.usedPooledConnection = true;
         return pooled;
     }
-    const Duration timeout = std::min(ConnectTimeout, limits.deadline - this->context.clock.now());
-    if (timeout <= Duration(0)) {
+    const Time now = this->context.clock.now();
+    if (now >= limits.deadline) {
         result.end = AttemptEnd::Deadline;
         return nullptr;
     }
-    Result<std::unique_ptr<TargetConnection>> connection = TargetConnection::connect(this->plan.target->address, timeout);
+    const Wait wait{this->context.clock, std::min(limits.deadline, now + ConnectTimeout), limits.callerSocket};
+    Result<std::unique_ptr<TargetConnection>> connection = TargetConnection::connect(this->plan.target->address, wait);
+    if (!connection && connection.error().kind == ErrorKind::Cancelled) {
+        result.end = AttemptEnd::CallerDisconnected;
+        result.reason = "connect";
+        return nullptr;
+    }
     if (!connection) {
         result.end = AttemptEnd::NotSent;
         result.reason = "connect: " + connection.error().message;
@@ -340,6 +348,13 @@
         result.reason = "the target is leaving";
         return result;
     }
+    // The caller may have left before this host came to read its request.
+    if (isPeerClosed(limits.callerSocket)) {
+        result.end = AttemptEnd::CallerDisconnected;
+        result.reason = "before sending";
+        this->context.connections.put(this->plan.target->address, std::move(opened));
+        return result;
+    }
     result.memory = std::make_unique<AnswerMemory::Share>(this->context.answerMemory);
     if (!this->sendRequest(*opened, limits, result) || !this->readMatchingHeader(*opened, limits, result)) {
         return result;
--- a/pimentosail/entry/requestplanning.cpp
+++ b/pimentosail/entry/requestplanning.cpp
@@ -161,11 +161,12 @@
     throw Failure(ErrorKind::Overloaded, "the first token is expected after " + std::to_string(toMilliseconds(expectedLate)) + " ms");
 }
 
-// Waits for a target to become free, for at most a fraction of the target latency.
+// Waits for a target to become free, for at most a fraction of the target latency and only while the caller is connected.
 TargetChoice RequestRunner::chooseTarget()
 {
     const Time end = std::min(this->deadline - MinTimeLeft, this->context.clock.now() + this->route->targetLatency / TargetWaitDivisor);
     while (true) {
+        this->checkCallerConnected();
         if (std::optional<TargetChoice> choice = this->tryChoose()) {
             return *choice;
         }
--- a/pimentosail/entry/requestrunner.cpp
+++ b/pimentosail/entry/requestrunner.cpp
@@ -26,7 +26,7 @@
 // Retry-After of a refusal without an estimate: a random time between this and twice this, so that callers do not return
 // all at once.
 constexpr Duration RetryAfterBase = Milliseconds(250);
-// Timeout of the connection by which a host checks whether a target has ended.
+// Maximum wait for the connection by which a host checks whether a target has ended.
 constexpr Duration ReconnectProbe = Milliseconds(200);
 
 double milliseconds(Duration duration)
@@ -40,8 +40,8 @@
     : context(entryContext)
     , exchange(httpExchange)
     , random(static_cast<uint64_t>(entryContext.clock.now().count()) ^ reinterpret_cast<uintptr_t>(&httpExchange))
-    , received(entryContext.clock.now())
     , queued(timeSinceReceived(httpExchange.callerSocket()))
+    , received(entryContext.clock.now() - queued)
 {
 }
 
@@ -106,6 +106,13 @@
         isRequestBlocked ? "targets ended while they ran this request" : "targets ended while they ran requests with a block of this prompt");
 }
 
+void RequestRunner::checkCallerConnected() const
+{
+    if (this->exchange.isCallerDisconnected()) {
+        throw Failure(ErrorKind::Cancelled, "the caller has disconnected");
+    }
+}
+
 void RequestRunner::recordAnswerBegun()
 {
     if (!this->leadingBlocks.empty()) {
@@ -159,7 +166,9 @@
 // has ended.
 void RequestRunner::recordLostTarget(const TargetState &target, const AttemptResult &result)
 {
-    if (TargetConnection::connect(target.address, ReconnectProbe)) {
+    const Wait wait{this->context.clock, this->context.clock.now() + ReconnectProbe, this->exchange.callerSocket()};
+    const Result<std::unique_ptr<TargetConnection>> connection = TargetConnection::connect(target.address, wait);
+    if (connection || connection.error().kind == ErrorKind::Cancelled) {
         return;
     }
     const std::string incarnation = target.id + "/" + std::to_string(target.startedAt);
@@ -263,12 +272,10 @@
     this->lastReason = result.reason;
     this->outcome = attemptEndName(result.end);
     this->lastSentAt = result.sentAt == Time(0) ? this->lastSentAt : result.sentAt;
-    if (result.end != AttemptEnd::NotSent) {
+    this->triedTargets.insert(choice.target->id);
+    if (result.sentAt != Time(0)) {
         ++this->arrivals;
-        this->triedTargets.insert(choice.target->id);
         this->possibleRuns += result.end == AttemptEnd::NotRun ? 0 : 1;
-    } else {
-        this->triedTargets.insert(choice.target->id);
     }
     this->recordResult(choice, result);
     if (result.end == AttemptEnd::CallerDisconnected) {
@@ -312,7 +319,10 @@
         TargetChoice choice;
         try {
             choice = this->chooseTarget();
-        } catch (const Failure &) {
+        } catch (const Failure &failure) {
+            if (failure.error.kind == ErrorKind::Cancelled) {
+                throw;
+            }
             if (this->streaming) {
                 throw Failure(Error(ErrorKind::Incomplete, "no target to resume the stream", false));
             }
@@ -349,7 +359,11 @@
 {
     this->outcome = errorName(failure.error.kind);
     this->lastReason = failure.what();
-    if (this->streaming || this->exchange.isHeaderSent()) {
+    if (failure.error.kind == ErrorKind::Cancelled) {
+        this->callerDisconnected = true;
+        this->outcome = attemptEndName(AttemptEnd::CallerDisconnected);
+    }
+    if (this->callerDisconnected || this->streaming || this->exchange.isHeaderSent()) {
         this->exchange.abort();
         return;
     }
@@ -398,7 +412,7 @@
             {"total_ms", milliseconds(now - this->received)}, {"queued_ms", milliseconds(this->queued)},
             {"admitted_ms", this->admittedAt > Time(0) ? milliseconds(this->admittedAt - this->received) : 0.0},
             {"sent_ms", this->lastSentAt > Time(0) ? milliseconds(this->lastSentAt - this->received) : 0.0},
-            {"caller_left", this->callerDisconnected || isPeerClosed(this->exchange.callerSocket())}, {"config", this->serving ? this->serving->all().version : 0},
+            {"caller_left", this->callerDisconnected || this->exchange.isCallerDisconnected()}, {"config", this->serving ? this->serving->all().version : 0},
             {"config_age_ms", toMilliseconds(now - this->context.state.servingSince())}, {"weights", this->weightVersion},
             {"expected_version", this->expectedVersion}, {"wanted_version", this->wantedVersion},
             {"wanted_age_ms", this->wantedVersionAge < Duration(0) ? -1 : toMilliseconds(this->wantedVersionAge)}, {"late", this->isLate},
--- a/pimentosail/entry/requestrunner.h
+++ b/pimentosail/entry/requestrunner.h
@@ -36,6 +36,8 @@
     void checkTeam();
     // Throws `Failure` if the request, or a block of its prompt, ended too many targets.
     void checkNotBlocked() const;
+    // Throws `Failure` (Cancelled) if the caller has closed its connection.
+    void checkCallerConnected() const;
     void readBody();
     void attemptUntilAnswered();
     TargetChoice chooseTarget();
@@ -69,6 +71,9 @@
     EntryContext &context;
     HttpExchange &exchange;
     std::mt19937_64 random;
+    // Time for which the request had waited in the caller's socket when this host came to read it.
+    Duration queued{};
+    // When the request arrived at this host. The caller's timeout counts from then.
     Time received{};
     Time deadline{};
     CallerRequest request;
@@ -110,9 +115,7 @@
     std::string lastEventId;
     Time firstEventAt{};
 
-    // For the log line and the metrics of the request. Time for which the request had waited in the caller's socket when this
-    // host came to it, when it was admitted, and when it was last sent to a target; zero if it was not.
-    Duration queued{};
+    // For the log line and the metrics of the request: when it was admitted and last sent to a target, zero if it was not.
     Time admittedAt{};
     Time lastSentAt{};
     int answeredStatus = 0;
--- a/pimentosail/net/httpserver.cpp
+++ b/pimentosail/net/httpserver.cpp
@@ -15,6 +15,7 @@
 #include <Poco/URI.h>
 
 #include "pimentosail/base/json.h"
+#include "pimentosail/base/socketstate.h"
 #include "pimentosail/base/statelog.h"
 
 namespace pimentosail
@@ -271,18 +272,9 @@
     }
 }
 
-bool HttpExchange::isCallerDisconnected()
+bool HttpExchange::isCallerDisconnected() const
 {
-    auto *implementation = dynamic_cast<Poco::Net::HTTPServerRequestImpl *>(&this->request);
-    if (implementation == nullptr) {
-        return false;
-    }
-    try {
-        Poco::Net::StreamSocket &socket = implementation->socket();
-        return socket.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ) && socket.available() == 0;
-    } catch (const Poco::Exception &) {
-        return true;
-    }
+    return isPeerClosed(this->callerSocket());
 }
 
 HttpServer::HttpServer(const std::string &address, int64_t maxConnections, Handler requestHandler)
--- a/pimentosail/net/httpserver.h
+++ b/pimentosail/net/httpserver.h
@@ -104,8 +104,8 @@
         return this->response.sent();
     }
 
-    // Returns true if the caller has closed its connection.
-    bool isCallerDisconnected();
+    // Returns true if the caller has closed its connection, also behind a further request that was not read yet.
+    bool isCallerDisconnected() const;
 
 private:
     // Reads the rest of a body that is too large, within limits.
--- a/pimentosail/upstream/connection.cpp
+++ b/pimentosail/upstream/connection.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <cerrno>
 #include <sstream>
+#include <system_error>
 
 #include <netinet/tcp.h>
 #include <poll.h>
@@ -14,6 +15,8 @@
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/NumberParser.h>
 
+#include "pimentosail/base/socketstate.h"
+
 namespace pimentosail
 {
 
@@ -38,19 +41,11 @@
     CallerDisconnected,
 };
 
-// Returns true if the peer of `descriptor` has closed or reset the connection and no received bytes are pending.
-bool isPeerClosed(int descriptor)
-{
-    char byte = 0;
-    const ssize_t count = ::recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
-}
-
 // Waits until `descriptor` has one of `events`, the wait is over or the caller has disconnected. Errors of `poll`
 // return Ready, so that the next call on the socket reports them.
 Readiness waitFor(int descriptor, short events, const Wait &wait)
 {
-    bool watchCaller = wait.callerSocket >= 0;
+    short callerEvents = POLLIN | POLLRDHUP;
     while (true) {
         const Duration left = wait.end - wait.clock.now();
         if (left <= Duration(0)) {
@@ -58,7 +53,7 @@
         }
         std::array<pollfd, 2> entries{};
         entries[0] = {descriptor, events, 0};
-        entries[1] = {watchCaller ? wait.callerSocket : -1, POLLIN, 0};
+        entries[1] = {wait.callerSocket, callerEvents, 0};
         const int readyCount = ::poll(entries.data(), entries.size(), static_cast<int>(toMilliseconds(left)) + 1);
         if (readyCount < 0 && errno != EINTR) {
             return Readiness::Ready;
@@ -68,7 +63,7 @@
                 return Readiness::CallerDisconnected;
             }
             // The caller has sent bytes of a further (pipelined) request, which would end every later poll at once.
-            watchCaller = false;
+            callerEvents = POLLRDHUP;
         }
         if (entries[0].revents != 0) {
             return Readiness::Ready;
@@ -78,21 +73,39 @@
 
 } // namespace
 
-Result<std::unique_ptr<TargetConnection>> TargetConnection::connect(const std::string &address, Duration timeout)
+Result<std::unique_ptr<TargetConnection>> TargetConnection::connect(const std::string &address, const Wait &wait)
 {
     try {
         Poco::Net::StreamSocket socket;
-        socket.connect(Poco::Net::SocketAddress(address), Poco::Timespan(timeout.count()));
+        socket.connectNB(Poco::Net::SocketAddress(address));
+        switch (waitFor(socket.impl()->sockfd(), POLLOUT, wait)) {
+        case Readiness::CallerDisconnected:
+            return tl::unexpected<Error>(Error(ErrorKind::Cancelled, "the caller has disconnected", true));
+        case Readiness::Timeout:
+            return tl::unexpected<Error>(Error(ErrorKind::TargetLost, "timeout", true));
+        case Readiness::Ready:
+            break;
+        }
+        if (const int failure = socket.impl()->socketError(); failure != 0) {
+            return tl::unexpected<Error>(Error(ErrorKind::TargetLost, std::generic_category().message(failure), true));
+        }
         socket.setNoDelay(true);
         const unsigned userTimeout = UserTimeoutMilliseconds;
         socket.setOption(IPPROTO_TCP, TCP_USER_TIMEOUT, userTimeout);
-        socket.setBlocking(false);
         return std::unique_ptr<TargetConnection>(new TargetConnection(std::move(socket)));
     } catch (const Poco::Exception &exception) {
         return tl::unexpected<Error>(Error(ErrorKind::TargetLost, exception.displayText(), true));
     }
 }
 
+TargetConnection::~TargetConnection()
+{
+    if (this->awaitsAnswer) {
+        const linger dropUnsent{1, 0};
+        ::setsockopt(this->socket.impl()->sockfd(), SOL_SOCKET, SO_LINGER, &dropUnsent, sizeof(dropUnsent));
+    }
+}
+
 SendStatus TargetConnection::send(const std::string &bytes, const Wait &wait, bool &anySent)
 {
     const int descriptor = this->socket.impl()->sockfd();
@@ -103,6 +116,7 @@
         const ssize_t count = ::send(descriptor, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL | MSG_DONTWAIT);
         if (count > 0) {
             anySent = true;
+            this->awaitsAnswer = true;
             sent += static_cast<size_t>(count);
             continue;
         }
@@ -162,6 +176,7 @@
 ReadStatus TargetConnection::readHeader(Poco::Net::HTTPResponse &header, bool expectsBody, const Wait &wait)
 {
     this->complete = false;
+    this->awaitsAnswer = true;
     size_t interimBytes = 0;
     while (true) {
         const size_t end = this->buffer.find("\r\n\r\n");
@@ -294,8 +309,7 @@
             if (data.size() > before) {
                 return ReadStatus::Data;
             }
-            this->complete = true;
-            return ReadStatus::End;
+            return this->endAnswer();
         }
     }
 }
@@ -312,7 +326,13 @@
     if (this->remaining > 0) {
         return ReadStatus::Timeout;
     }
+    return this->endAnswer();
+}
+
+ReadStatus TargetConnection::endAnswer()
+{
     this->complete = true;
+    this->awaitsAnswer = false;
     return ReadStatus::End;
 }
 
@@ -322,8 +342,7 @@
         ReadStatus status = ReadStatus::Timeout;
         switch (this->framing) {
         case Framing::None:
-            this->complete = true;
-            return ReadStatus::End;
+            return this->endAnswer();
         case Framing::Chunked:
             status = this->decodeChunked(data);
             break;
@@ -344,8 +363,7 @@
         const ReadStatus filled = this->fillBuffer(wait);
         if (filled == ReadStatus::End) {
             // Without a length, an orderly close marks the end of the body; with other framing, the body is truncated.
-            this->complete = this->framing == Framing::UntilClose;
-            return this->complete ? ReadStatus::End : ReadStatus::Broken;
+            return this->framing == Framing::UntilClose ? this->endAnswer() : ReadStatus::Broken;
         }
         if (filled != ReadStatus::Data) {
             return filled;
--- a/pimentosail/upstream/connection.h
+++ b/pimentosail/upstream/connection.h
@@ -4,7 +4,7 @@
 // as one that ended. Each wait also watches the caller's connection, so that it ends at once when the caller
 // disconnects.
 //
-//     Result<std::unique_ptr<TargetConnection>> connection = TargetConnection::connect("10.0.0.1:80", Milliseconds(300));
+//     Result<std::unique_ptr<TargetConnection>> connection = TargetConnection::connect("10.0.0.1:80", wait);
 //     (*connection)->send(bytes, wait, anySent);
 //     (*connection)->readHeader(header, true, wait);
 //     while ((*connection)->readBody(data, wait) == ReadStatus::Data) { ... }
@@ -58,9 +58,14 @@
 class TargetConnection
 {
 public:
-    // Connects to `address` (`IP:PORT`) within `timeout`. An error (TargetLost) has `notRun` set, because nothing was
-    // sent.
-    static Result<std::unique_ptr<TargetConnection>> connect(const std::string &address, Duration timeout);
+    // Connects to `address` (`IP:PORT`). Errors: Cancelled if the caller disconnected meanwhile, else TargetLost. They have
+    // `notRun` set, because nothing was sent.
+    static Result<std::unique_ptr<TargetConnection>> connect(const std::string &address, const Wait &wait);
+
+    // A connection whose answer is incomplete is reset, so that bytes that have not reached the target yet are dropped.
+    ~TargetConnection();
+    TargetConnection(const TargetConnection &) = delete;
+    TargetConnection &operator=(const TargetConnection &) = delete;
 
     // Sends one complete request. Sets `anySent` as soon as a byte may have reached the target.
     SendStatus send(const std::string &bytes, const Wait &wait, bool &anySent);
@@ -111,6 +116,8 @@
     // Decode buffered bytes of a body and append them to `data`. Return Timeout if more bytes are needed.
     ReadStatus decodeChunked(std::string &data);
     ReadStatus decodeFixedLength(std::string &data);
+    // Marks the answer as complete. Returns End.
+    ReadStatus endAnswer();
     // Removes one line from `buffer`. Returns false if no complete line is buffered.
     bool extractLine(std::string &line);
 
@@ -127,6 +134,8 @@
     bool complete = false;
     bool targetKeepsAlive = false;
     bool requestSent = true;
+    // Bytes of a request were sent, and the end of its answer has not been read.
+    bool awaitsAnswer = false;
 };
 
 } // namespace pimentosail
--- a/pimentosail/upstream/upstreamtest.cpp
+++ b/pimentosail/upstream/upstreamtest.cpp
@@ -10,6 +10,7 @@
 #include <sys/socket.h>
 #include <sys/time.h>
 
+#include <Poco/Net/NetException.h>
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
 
@@ -24,6 +25,12 @@
 // Longer than `TestWait`, so that a reader without a bound of its own is noticed by the time that it takes.
 constexpr Duration EndlessTime = Milliseconds(3000);
 
+Wait waitFor(Duration duration)
+{
+    static const Clock clock;
+    return Wait{clock, clock.now() + duration};
+}
+
 // A peer that runs one script on the first connection.
 class ScriptedPeer
 {
@@ -115,7 +122,7 @@
 {
     Clock clock;
     Exchange result;
-    Result<std::unique_ptr<TargetConnection>> connection = TargetConnection::connect(address, TestWait);
+    Result<std::unique_ptr<TargetConnection>> connection = TargetConnection::connect(address, waitFor(TestWait));
     cr_assert(connection);
     const Time start = clock.now();
     const Wait wait{clock, start + TestWait, -1};
@@ -212,7 +219,7 @@
         Clock().sleepFor(Milliseconds(300));
     });
     Clock clock;
-    Result<std::unique_ptr<TargetConnection>> connection = TargetConnection::connect(peer.address(), TestWait);
+    Result<std::unique_ptr<TargetConnection>> connection = TargetConnection::connect(peer.address(), waitFor(TestWait));
     cr_assert(connection);
     const Wait wait{clock, clock.now() + TestWait, -1};
     const std::string body(32 * 1024 * 1024, 'x');
@@ -236,7 +243,7 @@
     int pair[2];
     cr_assert_eq(::socketpair(AF_UNIX, SOCK_STREAM, 0, pair), 0);
     Clock clock;
-    Result<std::unique_ptr<TargetConnection>> connection = TargetConnection::connect(peer.address(), TestWait);
+    Result<std::unique_ptr<TargetConnection>> connection = TargetConnection::connect(peer.address(), waitFor(TestWait));
     cr_assert(connection);
     const Wait wait{clock, clock.now() + TestWait, pair[0]};
     bool anySent = false;
@@ -258,7 +265,7 @@
     Poco::Net::ServerSocket closed(Poco::Net::SocketAddress("127.0.0.1:0"));
     const std::string address = closed.address().toString();
     closed.close();
-    const Result<std::unique_ptr<TargetConnection>> connection = TargetConnection::connect(address, TestWait);
+    const Result<std::unique_ptr<TargetConnection>> connection = TargetConnection::connect(address, waitFor(TestWait));
     cr_assert_not(connection.has_value());
     cr_assert(connection.error().notRun);
 }
@@ -272,7 +279,7 @@
     });
     Clock clock;
     ConnectionPool pool(clock);
-    Result<std::unique_ptr<TargetConnection>> connection = TargetConnection::connect(peer.address(), TestWait);
+    Result<std::unique_ptr<TargetConnection>> connection = TargetConnection::connect(peer.address(), waitFor(TestWait));
     cr_assert(connection);
     const Wait wait{clock, clock.now() + TestWait, -1};
     bool anySent = false;
@@ -297,7 +304,7 @@
         sendWithoutEnd(socket, "x", EndlessTime);
     });
     Clock clock;
-    Result<std::unique_ptr<TargetConnection>> connection = TargetConnection::connect(peer.address(), TestWait);
+    Result<std::unique_ptr<TargetConnection>> connection = TargetConnection::connect(peer.address(), waitFor(TestWait));
     cr_assert(connection);
     const Time start = clock.now();
     const Wait wait{clock, start + Milliseconds(300), -1};
@@ -382,3 +389,30 @@
             exchange.took < Milliseconds(1000), "after '%s', the read ended after %ld ms", start.c_str(), static_cast<long>(toMilliseconds(exchange.took)));
     }
 }
+
+// Guards against requests that reach a silent target after they were given up: the kernel delivers unsent bytes of a connection
+// that is closed in the ordinary way, but not of one that is reset.
+Test(upstream, a_connection_whose_answer_is_incomplete_is_reset)
+{
+    std::atomic<bool> wasReset{false};
+    ScriptedPeer peer([&wasReset](Poco::Net::StreamSocket &socket) {
+        receiveRequestHeader(socket);
+        char byte = 0;
+        try {
+            socket.receiveBytes(&byte, 1);
+        } catch (const Poco::Net::ConnectionResetException &) {
+            wasReset = true;
+        }
+    });
+    {
+        Result<std::unique_ptr<TargetConnection>> connection = TargetConnection::connect(peer.address(), waitFor(TestWait));
+        cr_assert(connection);
+        bool anySent = false;
+        cr_assert((*connection)->send("GET / HTTP/1.1\r\n\r\n", waitFor(TestWait), anySent) == SendStatus::Sent);
+        Poco::Net::HTTPResponse header;
+        cr_assert((*connection)->readHeader(header, true, waitFor(Milliseconds(50))) == ReadStatus::Timeout);
+    }
+    Clock clock;
+    clock.sleepFor(Milliseconds(200));
+    cr_assert(wasReset.load());
+}
