Targets: the request rate that a target names is read, logged and counted

Nothing read the header before. An answer's limit is recorded when its header arrives, for the target's incarnation; the newest observation holds, an answer without one ends it, and what is not seen for a minute is forgotten. Log line target_limit_changed, gauge pimentosail_limited_targets, and the state dump show it. No request is sent otherwise than before.

--- a/pimentosail/directory/directorytest.cpp
+++ b/pimentosail/directory/directorytest.cpp
@@ -2,6 +2,7 @@
 
 #include "pimentosail/directory/directory.h"
 #include "pimentosail/directory/loadtable.h"
+#include "pimentosail/directory/ratelimits.h"
 
 using namespace pimentosail;
 
@@ -151,3 +152,28 @@
     cr_assert_eq(follower.loadOfOthers("t", now).requests, 6, "totals of a relay take precedence over reports of single hosts");
     cr_assert_eq(follower.loadOfOthers("t", now + std::chrono::seconds(1)).requests, 0, "totals that are too old are not used");
 }
+
+// Guards against a limit that outlives what it was named for: the newest observation of any host holds, a restarted target has
+// none, and a target that nobody asks is forgotten.
+Test(directory, the_newest_observation_of_a_rate_limit_holds_for_its_incarnation)
+{
+    RateLimitTable table;
+    const Time start = std::chrono::seconds(100);
+    cr_assert_not(table.recordAnswer({"a", 1000, std::nullopt, start}));
+    cr_assert_not(table.hasObservations(), "an answer without a limit is not recorded for a target that had none");
+    cr_assert(table.recordAnswer({"a", 1000, 5.0, start}));
+    cr_assert_eq(table.limitOf("a", 1000, start).value_or(0), 5.0);
+    cr_assert_not(table.limitOf("a", 2000, start).has_value(), "another incarnation has no limit");
+    cr_assert_not(table.recordReport({"a", 1000, 9.0, start - Milliseconds(300)}), "an older observation of another host");
+    cr_assert(table.recordReport({"a", 1000, 3.0, start + Milliseconds(300)}));
+    cr_assert_eq(table.limitOf("a", 1000, start + Milliseconds(300)).value_or(0), 3.0);
+    cr_assert_eq(table.ownObservations(start + Milliseconds(300)).front().requestsPerSecond.value_or(0), 5.0);
+    cr_assert(table.recordAnswer({"a", 1000, std::nullopt, start + Milliseconds(600)}));
+    cr_assert_not(table.limitOf("a", 1000, start + Milliseconds(600)).has_value());
+    cr_assert(table.recordReport({"a", 2000, 7.0, start + Milliseconds(700)}), "an observation of the next incarnation");
+    cr_assert_not(table.recordReport({"a", 1000, 1.0, start + Milliseconds(900)}), "an answer of the last incarnation that arrives late");
+    cr_assert_eq(table.limitOf("a", 2000, start + Milliseconds(900)).value_or(0), 7.0);
+    const Time later = start + Milliseconds(701) + RateLimitTable::Memory;
+    cr_assert_not(table.limitOf("a", 2000, later).has_value());
+    cr_assert(table.newestObservations(later).empty());
+}
--- a/pimentosail/entry/attempt.cpp
+++ b/pimentosail/entry/attempt.cpp
@@ -168,6 +168,21 @@
     this->plan.target->lastResponse.store(this->context.clock.now().count());
 }
 
+void Attempt::recordRateLimit(const ReplyHeader &header)
+{
+    const TargetState &target = *this->plan.target;
+    if (header.hasUnreadableRateLimit) {
+        this->context.metrics.count("pimentosail_unreadable_limits_total", {{"service", target.service}});
+        if (!header.rateLimit) {
+            return;
+        }
+    }
+    if (this->context.rateLimits.recordAnswer({target.id, target.startedAt, header.rateLimit, this->context.clock.now()})) {
+        this->context.log.write(
+            LogLevel::Info, "target_limit_changed", {{"target", target.id}, {"limit", header.rateLimit.value_or(-1)}, {"source", "answer"}});
+    }
+}
+
 std::unique_ptr<TargetConnection> Attempt::openConnection(const AttemptLimits &limits, AttemptResult &result)
 {
     std::unique_ptr<TargetConnection> pooled = this->context.connections.take(this->plan.target->address, limits.maxConnectionIdle);
@@ -238,6 +253,7 @@
         } catch (const Failure &failure) {
             return this->fail(ReadStatus::Broken, failure.what(), result);
         }
+        this->recordRateLimit(result.header);
         const bool isSuccess = result.header.status < 300;
         const bool isMatching = result.header.requestId.empty() ? !isSuccess : result.header.requestId == this->request.id;
         if (isMatching && isSuccess && !result.header.isSigned) {
--- a/pimentosail/entry/attempt.h
+++ b/pimentosail/entry/attempt.h
@@ -98,6 +98,7 @@
     bool fail(ReadStatus status, const char *reason, AttemptResult &result);
     ReadStatus readWithStall(const AttemptLimits &limits, const std::function<ReadStatus(const Wait &wait)> &read);
     void recordFirstResponse(AttemptResult &result);
+    void recordRateLimit(const ReplyHeader &header);
 
     EntryContext &context;
     const CallerRequest &request;
--- a/pimentosail/entry/context.h
+++ b/pimentosail/entry/context.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "pimentosail/directory/loadtable.h"
+#include "pimentosail/directory/ratelimits.h"
 #include "pimentosail/dispatch/blockquarantine.h"
 #include "pimentosail/dispatch/forecast.h"
 #include "pimentosail/dispatch/limits.h"
@@ -31,6 +32,7 @@
     TargetDirectory &directory;
     LoadTable &loads;
     ConnectionPool &connections;
+    RateLimitTable &rateLimits;
     SharedRetryBudget &retryBudget;
     ColdTargetLimiter &coldLimiter;
     Quarantine &quarantine;
--- a/pimentosail/entry/entryprocess.cpp
+++ b/pimentosail/entry/entryprocess.cpp
@@ -83,6 +83,7 @@
     TargetDirectory directory;
     LoadTable loads;
     ConnectionPool connections;
+    RateLimitTable rateLimits;
     SharedRetryBudget retryBudget;
     ColdTargetLimiter coldLimiter;
     Quarantine quarantine;
@@ -127,8 +128,8 @@
     , cacheStores(clock)
     , cacheJournal(cacheStores)
     , answerMemory(settings.memoryBytes)
-    , context{clock, log, metrics, settings, wire, state, directory, loads, connections, retryBudget, coldLimiter, quarantine, blockQuarantine, cacheStores,
-          blockReuse, forecast, workMix, answerMemory}
+    , context{clock, log, metrics, settings, wire, state, directory, loads, connections, rateLimits, retryBudget, coldLimiter, quarantine, blockQuarantine,
+          cacheStores, blockReuse, forecast, workMix, answerMemory}
     , updater(context)
     , peers(peerHttp,
           [this](const std::string &method, size_t bytes) {
@@ -227,6 +228,10 @@
     this->metrics.set("pimentosail_suspected_blocks", {}, static_cast<double>(suspects.size()));
     this->metrics.set("pimentosail_blocked_blocks", {},
         static_cast<double>(std::count_if(suspects.begin(), suspects.end(), [](const SuspectedBlocks &suspected) { return suspected.isBlocked; })));
+    const std::vector<RateLimitObservation> limits = this->rateLimits.newestObservations(this->clock.now());
+    this->metrics.set("pimentosail_limited_targets", {},
+        static_cast<double>(
+            std::count_if(limits.begin(), limits.end(), [](const RateLimitObservation &observation) { return observation.requestsPerSecond.has_value(); })));
     for (const CacheStore &store : this->cacheStores.stores()) {
         this->metrics.set("pimentosail_cache_store_held_tokens", {{"store", store.name}}, static_cast<double>(this->cacheStores.heldTokens(store.name)));
     }
@@ -323,6 +328,11 @@
         entry["blocked"] = suspected.isBlocked;
         value["suspected_blocks"].append(entry);
     }
+    for (const RateLimitObservation &observation : this->rateLimits.newestObservations(this->clock.now())) {
+        if (observation.requestsPerSecond) {
+            value["limited_targets"][observation.target] = *observation.requestsPerSecond;
+        }
+    }
     value["targets"] = Json::Int64(static_cast<int64_t>(this->directory.size()));
     value["idle_connections"] = Json::Int64(static_cast<int64_t>(this->connections.size()));
     value["log"]["dropped"] = Json::Int64(this->log.dropped());
--- a/pimentosail/entry/wire.h
+++ b/pimentosail/entry/wire.h
@@ -94,6 +94,10 @@
     std::optional<int64_t> weightVersion;
     // How long the target still counts as cold.
     std::optional<Duration> coldRemaining;
+    // Requests a second that the target takes from all hosts together; nothing if it names no limit.
+    std::optional<double> rateLimit;
+    // The answer names a limit that cannot be read.
+    bool hasUnreadableRateLimit = false;
     // How long the target keeps the connection open while it is idle.
     Duration keepAlive{};
 };
