Entry: all hosts together keep to the request rate that a target names

The class is a bound that is of all hosts together and that each would keep alone; the others of this kind are the cold targets' and the retry budget's.

Change: hosts publish the limits that they see with their load reports (relays the newest that they know), as ages. A rate is divided among a number of hosts in proportion to it (one and a half for each request a second, and two), since with 67 or 410 hosts one request of each is too many already. Hosts follow each other in an order by hash, and the targets of a service begin at points spread evenly over it: with rendezvous by target alone some hosts would have no share at all. A host keeps to its share by the times of its last requests, so that the sum in any 4 s is below the rule's bound for every number of hosts and rate (test). A quarter of a request a second is sent at least, or nobody would learn that the limit has ended. One limiter decides for cold and for limited targets. If all targets of a service are at their limits until after the wait for a target, the request is refused at once as not run, with the time of the next share as Retry-After.

Not built: a preference by worth and priority for the share that is left.

--- a/pimentosail/dispatch/dispatchtest.cpp
+++ b/pimentosail/dispatch/dispatchtest.cpp
@@ -1,4 +1,6 @@
+#include <algorithm>
 #include <array>
+#include <cmath>
 #include <map>
 
 #include <criterion/criterion.h>
@@ -87,12 +89,12 @@
     cr_assert_eq(bad, 10);
 }
 
-Test(dispatch, targets_that_were_tried_or_are_at_their_cold_limit_are_excluded)
+Test(dispatch, targets_that_were_tried_or_are_at_their_limit_are_excluded)
 {
     std::vector<Candidate> candidates{makeCandidate("a"), makeCandidate("b")};
     PickQuery query;
     query.triedTargets = {"a"};
-    candidates[1].isAtColdLimit = true;
+    candidates[1].isAtLimit = true;
     cr_assert_not(pickTarget(query, candidates).has_value());
 }
 
@@ -130,7 +132,7 @@
         for (const std::string target : {"a", "b", "c"}) {
             int total = 0;
             for (const std::string &host : hosts) {
-                total += ColdTargetLimiter::hostShare(17, target, host, hosts);
+                total += coldShare(17, target, host, hosts).count;
             }
             cr_assert_leq(total, 17, "%zu hosts sent %d", count, total);
             cr_assert_geq(total, 9, "%zu hosts used only %d", count, total);
@@ -141,10 +143,11 @@
 Test(dispatch, a_cold_share_holds_in_any_period_of_a_second)
 {
     PausedClock clock;
-    ColdTargetLimiter limiter(clock);
+    TargetSendLimiter limiter(clock);
+    const std::vector<SendShare> shares{coldShare(3, "a", "host-1", {"host-1"})};
     std::vector<Time> sent;
     for (int step = 0; step < 500; ++step) {
-        if (limiter.tryAcquire("a", 3)) {
+        if (limiter.tryAcquire("a", shares)) {
             sent.push_back(clock.now());
         }
         clock.advance(Milliseconds(10));
@@ -154,6 +157,53 @@
     }
 }
 
+// Guards against hosts that together send a target more than the rate that it named, because each may send at least one request:
+// in any 4 s the rules allow one and a half times the rate and 5 requests.
+Test(dispatch, shares_of_a_named_rate_keep_to_its_bound_and_use_it)
+{
+    constexpr double Seconds = 4;
+    for (const size_t hostCount : {1U, 2U, 3U, 6U, 7U, 17U, 67U, 75U, 410U}) {
+        std::vector<std::string> hosts;
+        for (size_t index = 0; index < hostCount; ++index) {
+            hosts.push_back("host-" + std::to_string(index));
+        }
+        for (const double rate : {0.0, 0.1, 0.25, 0.5, 1.0, 1.3, 2.0, 2.7, 3.3, 5.0, 9.9, 30.0, 101.0, 1000.0, 1e300}) {
+            double most = 0;
+            double perSecond = 0;
+            for (const std::string &host : hosts) {
+                const SendShare share = RateShares("desk", host, hosts, hostCount, {"a", "b", "c", "d"}).shareOf("c", rate);
+                if (share.count > 0) {
+                    const double period = toSeconds(share.period);
+                    most += share.count * std::ceil(Seconds / period);
+                    perSecond += share.count / period;
+                }
+            }
+            cr_assert_leq(most, 1.5 * rate * Seconds + 5, "rate %g, %zu hosts: %g requests", rate, hostCount, most);
+            if (rate >= 0.25 && rate <= 1000) {
+                cr_assert_geq(
+                    perSecond, std::min(rate, 400.0 * static_cast<double>(hostCount)) * 0.99, "rate %g, %zu hosts use %g", rate, hostCount, perSecond);
+            }
+        }
+    }
+}
+
+// Guards against hosts that have no share of any target, so that their callers are refused while those of other hosts are served.
+Test(dispatch, every_host_has_a_share_of_a_target_if_the_rates_suffice)
+{
+    std::vector<std::string> hosts;
+    for (int index = 0; index < 67; ++index) {
+        hosts.push_back("host-" + std::to_string(index));
+    }
+    const std::vector<std::string> targets{"a", "b", "c", "d"};
+    for (const std::string &host : hosts) {
+        const RateShares shares("desk", host, hosts, hosts.size(), targets);
+        const auto count = std::count_if(targets.begin(), targets.end(), [&shares](const std::string &target) { return shares.shareOf(target, 12).count > 0; });
+        cr_assert_geq(count, 1, "%s", host.c_str());
+        cr_assert_leq(count, 2, "%s", host.c_str());
+    }
+    cr_assert_eq(RateShares("desk", "not-listed", hosts, hosts.size(), targets).shareOf("a", 1000).count, 0);
+}
+
 Test(dispatch, a_request_is_blocked_after_three_targets_ended_while_running_it)
 {
     PausedClock clock;
--- a/pimentosail/dispatch/limits.cpp
+++ b/pimentosail/dispatch/limits.cpp
@@ -1,6 +1,7 @@
 #include "pimentosail/dispatch/limits.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "pimentosail/base/hash.h"
 
@@ -15,6 +16,14 @@
 // Slightly longer than the second for which the limit holds: requests may arrive at shorter intervals than they were
 // sent.
 constexpr Duration ColdWindow = Milliseconds(1100);
+// Number of hosts that share a rate: `HostsPerRate` for each request a second, and `ExtraHosts`. Each host may send at least one
+// request in a period, so that more hosts send more in the periods that the target counts.
+constexpr double HostsPerRate = 1.5;
+constexpr double ExtraHosts = 2;
+// Requests a second to a target that takes fewer, or none: without any, no host would learn that its limit has ended.
+constexpr double MinRate = 0.25;
+// Requests a second above which a host's share is not a limit any more.
+constexpr double MaxShareCount = 500;
 
 } // namespace
 
@@ -39,34 +48,80 @@
     return true;
 }
 
-int ColdTargetLimiter::hostShare(double requestsPerSecond, const std::string &target, const std::string &ownHost, const std::vector<std::string> &hosts)
+SendShare coldShare(double requestsPerSecond, const std::string &target, const std::string &ownHost, const std::vector<std::string> &hosts)
 {
     const double perHost = requestsPerSecond / static_cast<double>(std::max<size_t>(1, hosts.size()));
     if (perHost >= 1) {
-        return static_cast<int>(perHost);
+        return {static_cast<int>(std::min(perHost, MaxShareCount)), ColdWindow};
     }
     const std::vector<std::string> order = rendezvousOrder(target, hosts);
     const auto rank = std::find(order.begin(), order.end(), ownHost) - order.begin();
-    return rank < static_cast<int64_t>(requestsPerSecond) ? 1 : 0;
+    return {rank < static_cast<int64_t>(requestsPerSecond) ? 1 : 0, ColdWindow};
 }
 
-bool ColdTargetLimiter::tryAcquire(const std::string &target, int allowed)
+RateShares::RateShares(
+    const std::string &service, const std::string &ownHost, std::vector<std::string> hosts, size_t numberOfHosts, std::vector<std::string> serviceTargets)
+    : hostCount(std::max<size_t>(1, std::max(numberOfHosts, hosts.size())))
+    , targets(std::move(serviceTargets))
 {
-    const std::lock_guard lock(this->mutex);
-    SlidingWindowCounter &count = this->sent[target];
-    const Time now = this->clock.now();
-    if (count.count(now, ColdWindow) >= static_cast<size_t>(std::max(0, allowed))) {
-        return false;
+    const std::vector<std::string> order = rendezvousOrder(service, std::move(hosts));
+    const auto own = std::find(order.begin(), order.end(), ownHost);
+    if (own != order.end()) {
+        this->position = static_cast<size_t>(own - order.begin());
     }
-    count.add(now);
-    return true;
+    std::sort(this->targets.begin(), this->targets.end());
 }
 
-bool ColdTargetLimiter::canAcquire(const std::string &target, int allowed)
+SendShare RateShares::shareOf(const std::string &target, double requestsPerSecond) const
 {
-    const std::lock_guard lock(this->mutex);
+    const double rate = std::clamp(requestsPerSecond, MinRate, MaxShareCount * static_cast<double>(this->hostCount));
+    const double wanted = std::floor(HostsPerRate * rate) + ExtraHosts;
+    const size_t sharing = wanted < static_cast<double>(this->hostCount) ? static_cast<size_t>(wanted) : this->hostCount;
+    const auto index = static_cast<size_t>(std::lower_bound(this->targets.begin(), this->targets.end(), target) - this->targets.begin());
+    const size_t first = index * this->hostCount / std::max<size_t>(1, this->targets.size()) % this->hostCount;
+    if (!this->position || (*this->position + this->hostCount - first) % this->hostCount >= sharing) {
+        return {0, std::chrono::seconds(1)};
+    }
+    const double perSecond = rate / static_cast<double>(sharing);
+    const double count = std::max(1.0, std::floor(perSecond));
+    return {static_cast<int>(count), fromSeconds(count / perSecond)};
+}
+
+Time TargetSendLimiter::nextSendLocked(const std::string &target, const std::vector<SendShare> &shares) const
+{
+    Time next{};
     const auto found = this->sent.find(target);
-    return found == this->sent.end() ? allowed > 0 : found->second.count(this->clock.now(), ColdWindow) < static_cast<size_t>(std::max(0, allowed));
+    for (const SendShare &share : shares) {
+        if (share.count <= 0) {
+            return Time::max();
+        }
+        const auto count = static_cast<size_t>(share.count);
+        if (found != this->sent.end() && found->second.size() >= count) {
+            next = std::max(next, found->second[found->second.size() - count] + share.period);
+        }
+    }
+    return next;
+}
+
+Time TargetSendLimiter::nextSend(const std::string &target, const std::vector<SendShare> &shares) const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->nextSendLocked(target, shares);
+}
+
+bool TargetSendLimiter::tryAcquire(const std::string &target, const std::vector<SendShare> &shares)
+{
+    const std::lock_guard lock(this->mutex);
+    const Time now = this->clock.now();
+    if (this->nextSendLocked(target, shares) > now) {
+        return false;
+    }
+    std::deque<Time> &times = this->sent[target];
+    times.push_back(now);
+    if (times.size() > static_cast<size_t>(MaxShareCount)) {
+        times.pop_front();
+    }
+    return true;
 }
 
 } // namespace pimentosail
--- a/pimentosail/dispatch/limits.h
+++ b/pimentosail/dispatch/limits.h
@@ -1,5 +1,5 @@
 // Limits that apply to all hosts together and of which each host uses its share: retries of requests, and requests to
-// cold targets.
+// targets that are cold or have named the request rate that they take.
 //
 //     SharedRetryBudget budget(clock, {0.2, 52, std::chrono::seconds(10)});
 //     budget.recordFirstSend("orders");
@@ -11,6 +11,7 @@
 #include <deque>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -81,29 +82,65 @@
     std::map<std::string, Counts> services;
 };
 
-// Limits the requests that this host sends to each cold target in any second.
-class ColdTargetLimiter
+// The part of a target's limit that one host may use: at most `count` requests in any `period`.
+struct SendShare
+{
+    int count = 0;
+    Duration period{};
+};
+
+// Returns the share of `ownHost` in the `requestsPerSecond` of a cold target, in whole requests per second. If there are more hosts
+// than requests, the hosts that rendezvous hashing ranks first for the target get one each.
+SendShare coldShare(double requestsPerSecond, const std::string &target, const std::string &ownHost, const std::vector<std::string> &hosts);
+
+// Divides the request rates that the targets of a service have named among the hosts. A rate is not divided among all hosts if that
+// left less than one request in a few seconds for each: a number of hosts in proportion to the rate share it. They follow each other
+// in an order by hash, and the targets begin at points that are spread evenly over that order, so that every host has a share of about as
+// many targets.
+//
+//     RateShares shares("orders", "front-2", hostNames, hostCount, targetIds);
+//     SendShare share = shares.shareOf("i-7f3a", 2.5);
+class RateShares
 {
 public:
-    explicit ColdTargetLimiter(const Clock &runtimeClock)
+    // `hosts` are the listed hosts and `targets` the registered targets of the service, each without repetitions. `hostCount` is at
+    // least the number of listed hosts; the rates of hosts beyond these remain unused.
+    RateShares(const std::string &service, const std::string &ownHost, std::vector<std::string> hosts, size_t hostCount, std::vector<std::string> targets);
+
+    // Returns this host's share in the `requestsPerSecond` that `target` takes from all hosts. A host that is not listed has none.
+    SendShare shareOf(const std::string &target, double requestsPerSecond) const;
+
+private:
+    // Position of this host in the order; nothing if it is not listed.
+    std::optional<size_t> position;
+    size_t hostCount;
+    // Sorted.
+    std::vector<std::string> targets;
+};
+
+// Counts the requests that this host sends to each target, and holds them to its shares.
+class TargetSendLimiter
+{
+public:
+    explicit TargetSendLimiter(const Clock &runtimeClock)
         : clock(runtimeClock)
     {
     }
 
-    // Returns this host's share of `requestsPerSecond` for `target`, in whole requests per second. If there are more hosts
-    // than requests, the hosts that rendezvous hashing ranks first for the target get one each.
-    static int hostShare(double requestsPerSecond, const std::string &target, const std::string &ownHost, const std::vector<std::string> &hosts);
+    // Counts one request to `target` if that keeps to all of `shares`. Returns false otherwise.
+    bool tryAcquire(const std::string &target, const std::vector<SendShare> &shares);
 
-    // Counts one request to `target` if fewer than `allowed` were counted in the last second. Returns false otherwise.
-    bool tryAcquire(const std::string &target, int allowed);
-
-    // Returns true if `tryAcquire` would succeed.
-    bool canAcquire(const std::string &target, int allowed);
+    // Returns the time from which `tryAcquire` can succeed, which may be past; `Time::max()` if a share has no requests.
+    Time nextSend(const std::string &target, const std::vector<SendShare> &shares) const;
 
 private:
+    // Called with `mutex` locked.
+    Time nextSendLocked(const std::string &target, const std::vector<SendShare> &shares) const;
+
     const Clock &clock;
-    std::mutex mutex;
-    std::map<std::string, SlidingWindowCounter> sent;
+    mutable std::mutex mutex;
+    // Times of the last requests by target, at most `MaxShareCount`.
+    std::map<std::string, std::deque<Time>> sent;
 };
 
 } // namespace pimentosail
--- a/pimentosail/dispatch/picker.cpp
+++ b/pimentosail/dispatch/picker.cpp
@@ -141,7 +141,7 @@
 {
     std::vector<const Candidate *> allowed;
     for (const Candidate &candidate : candidates) {
-        if (!candidate.isAtColdLimit && !query.triedTargets.contains(candidate.target->id) && candidate.version >= query.oldestVersion) {
+        if (!candidate.isAtLimit && !query.triedTargets.contains(candidate.target->id) && candidate.version >= query.oldestVersion) {
             allowed.push_back(&candidate);
         }
     }
--- a/pimentosail/dispatch/picker.h
+++ b/pimentosail/dispatch/picker.h
@@ -22,6 +22,7 @@
 
 #include "pimentosail/base/clock.h"
 #include "pimentosail/directory/directory.h"
+#include "pimentosail/dispatch/limits.h"
 #include "pimentosail/dispatch/workmix.h"
 
 namespace pimentosail
@@ -43,10 +44,11 @@
     double heldTokens = 0;
     double capacityTokens = 0;
     int maxRuns = 0;
-    // The target is cold, and this host has used up its share of the requests that a cold target may get.
-    bool isAtColdLimit = false;
-    // Requests per second that this host may send to the target while it is cold; negative if the target is warm.
-    int coldRequestsPerSecond = -1;
+    // This host's shares of the requests that the target may get from all hosts; empty if it may get any number.
+    std::vector<SendShare> shares;
+    // This host has used up one of `shares` until `nextSend`.
+    bool isAtLimit = false;
+    Time nextSend{};
 };
 
 struct PickQuery
--- a/pimentosail/entry/context.h
+++ b/pimentosail/entry/context.h
@@ -34,7 +34,7 @@
     ConnectionPool &connections;
     RateLimitTable &rateLimits;
     SharedRetryBudget &retryBudget;
-    ColdTargetLimiter &coldLimiter;
+    TargetSendLimiter &sendLimiter;
     Quarantine &quarantine;
     BlockQuarantine &blockQuarantine;
     CacheStores &cacheStores;
--- a/pimentosail/entry/entryprocess.cpp
+++ b/pimentosail/entry/entryprocess.cpp
@@ -85,7 +85,7 @@
     ConnectionPool connections;
     RateLimitTable rateLimits;
     SharedRetryBudget retryBudget;
-    ColdTargetLimiter coldLimiter;
+    TargetSendLimiter sendLimiter;
     Quarantine quarantine;
     BlockQuarantine blockQuarantine;
     CacheStores cacheStores;
@@ -123,12 +123,12 @@
     , directory(clock)
     , connections(clock)
     , retryBudget(clock, settings.retryBounds)
-    , coldLimiter(clock)
+    , sendLimiter(clock)
     , quarantine(clock)
     , cacheStores(clock)
     , cacheJournal(cacheStores)
     , answerMemory(settings.memoryBytes)
-    , context{clock, log, metrics, settings, wire, state, directory, loads, connections, rateLimits, retryBudget, coldLimiter, quarantine, blockQuarantine,
+    , context{clock, log, metrics, settings, wire, state, directory, loads, connections, rateLimits, retryBudget, sendLimiter, quarantine, blockQuarantine,
           cacheStores, blockReuse, forecast, workMix, answerMemory}
     , updater(context)
     , peers(peerHttp,
--- a/pimentosail/entry/loadduty.cpp
+++ b/pimentosail/entry/loadduty.cpp
@@ -44,6 +44,25 @@
     return loads;
 }
 
+// Appends the limits that targets have named. A row is [target, start of its incarnation, limit or -1 for none, age in ms].
+void appendLimits(Json::Value &rows, const std::vector<RateLimitObservation> &observations, Time now)
+{
+    for (const RateLimitObservation &observation : observations) {
+        Json::Value row(Json::arrayValue);
+        row.append(observation.target);
+        row.append(Json::Int64(observation.startedAt));
+        row.append(observation.requestsPerSecond.value_or(-1));
+        row.append(Json::Int64(toMilliseconds(now - observation.observedAt)));
+        rows.append(row);
+    }
+}
+
+RateLimitObservation readLimit(const Json::Value &row, Time now)
+{
+    const double limit = row[2].asDouble();
+    return {row[0].asString(), row[1].asInt64(), limit < 0 ? std::nullopt : std::optional<double>(limit), now - Milliseconds(row[3].asInt64())};
+}
+
 } // namespace
 
 LoadDuty::LoadDuty(EntryContext &entryContext)
@@ -96,6 +115,8 @@
     for (const TargetLoad &load : own) {
         appendLoad(value["loads"], load);
     }
+    const Time now = this->context.clock.now();
+    appendLimits(value["limits"], this->context.rateLimits.ownObservations(now), now);
     return printJson(value);
 }
 
@@ -126,6 +147,7 @@
         for (const TargetLoad &load : this->context.loads.totalsWithout(name, own, now)) {
             appendLoad(value["totals"], load);
         }
+        appendLimits(value["limits"], this->context.rateLimits.newestObservations(now), now);
         this->send(printJson(value), {name, "", "", follower.gossip, 0});
     }
 }
@@ -154,7 +176,7 @@
         this->checkRelay(relay, now);
         const std::vector<TargetLoad> own = this->ownLoads();
         // Empty reports are sent too if there are relays, because each report of a follower also renews its subscription.
-        if (own.empty() && wasEmpty && relays.empty()) {
+        if (own.empty() && wasEmpty && relays.empty() && !this->context.rateLimits.hasObservations()) {
             continue;
         }
         wasEmpty = own.empty();
@@ -166,9 +188,20 @@
     }
 }
 
+void LoadDuty::recordLimit(const RateLimitObservation &observation)
+{
+    if (this->context.rateLimits.recordReport(observation)) {
+        this->context.log.write(LogLevel::Info, "target_limit_changed",
+            {{"target", observation.target}, {"limit", observation.requestsPerSecond.value_or(-1)}, {"source", "report"}});
+    }
+}
+
 void LoadDuty::handleDatagram(const Json::Value &value)
 {
     const Time now = this->context.clock.now();
+    for (const Json::Value &row : value["limits"]) {
+        this->recordLimit(readLimit(row, now));
+    }
     if (value.isMember("totals")) {
         this->context.loads.recordTotals(readLoads(value["totals"]), now);
         return;
--- a/pimentosail/entry/loadduty.h
+++ b/pimentosail/entry/loadduty.h
@@ -1,5 +1,6 @@
 // Sends this host's load at each target to the other hosts and receives their reports, as UDP datagrams. If there are
-// relays, hosts report to the relays only, and each relay sends its followers the summed load of all other hosts.
+// relays, hosts report to the relays only, and each relay sends its followers the summed load of all other hosts. Reports also
+// contain the request rates that targets have named to the host, and those of relays the newest that they know.
 //
 //     LoadDuty duty(context);
 //     duty.start();
@@ -42,6 +43,7 @@
     void sendTotals(const std::vector<TargetLoad> &own, Time now);
     void checkRelay(const std::string &relay, Time now);
     void handleDatagram(const Json::Value &value);
+    void recordLimit(const RateLimitObservation &observation);
 
     // A host that uses this one as its relay and gets totals from it.
     struct Follower
--- a/pimentosail/entry/requestplanning.cpp
+++ b/pimentosail/entry/requestplanning.cpp
@@ -40,13 +40,51 @@
 // noticed it by then.
 constexpr Duration VersionCutoff = Milliseconds(300);
 
+std::vector<std::string> hostNames(const std::vector<HostEntry> &hosts)
+{
+    std::vector<std::string> names;
+    names.reserve(hosts.size());
+    for (const HostEntry &host : hosts) {
+        names.push_back(host.name);
+    }
+    return names;
+}
+
+std::vector<std::string> targetIds(const std::vector<TargetView> &views)
+{
+    std::vector<std::string> ids;
+    ids.reserve(views.size());
+    for (const TargetView &view : views) {
+        ids.push_back(view.target->id);
+    }
+    return ids;
+}
+
+// Returns when the first of the targets that are at their limits may get a further request; zero if a target is not at its limit,
+// `Time::max()` if this host has no share of any.
+Time firstSendToLimited(const std::vector<Candidate> &candidates, const std::set<std::string> &triedTargets)
+{
+    Time first{};
+    for (const Candidate &candidate : candidates) {
+        if (triedTargets.contains(candidate.target->id)) {
+            continue;
+        }
+        if (!candidate.isAtLimit) {
+            return Time(0);
+        }
+        first = first == Time(0) ? candidate.nextSend : std::min(first, candidate.nextSend);
+    }
+    return first;
+}
+
 } // namespace
 
 std::vector<Candidate> RequestRunner::candidates() const
 {
     const std::string model = this->request.prompt ? this->request.prompt->model : "";
     const ServiceSettings *serviceSettings = this->serving->findService(this->service);
-    std::vector<std::string> hosts;
+    std::vector<std::string> sharingHosts;
+    std::optional<RateShares> rateShares;
     std::vector<Candidate> result;
     const int64_t now = this->context.clock.now().count();
     for (TargetView &view : this->context.directory.usable(this->service, model)) {
@@ -62,15 +100,22 @@
         }
         candidate.lateTokens = static_cast<double>(view.target->lateTokens.load() + otherLoad.lateTokens);
         if (view.target->coldUntil.load() > now && serviceSettings != nullptr && serviceSettings->coldRequestsPerSecond > 0) {
-            if (hosts.empty()) {
-                for (const HostEntry &host : this->context.state.hosts()) {
-                    hosts.push_back(host.name);
-                }
-                hosts.resize(std::max(hosts.size(), this->context.state.sharingHostCount()));
+            if (sharingHosts.empty()) {
+                sharingHosts = hostNames(this->context.state.hosts());
+                sharingHosts.resize(std::max(sharingHosts.size(), this->context.state.sharingHostCount()));
             }
-            const int allowed = ColdTargetLimiter::hostShare(serviceSettings->coldRequestsPerSecond, view.target->id, this->context.settings.name, hosts);
-            candidate.isAtColdLimit = !this->context.coldLimiter.canAcquire(view.target->id, allowed);
-            candidate.coldRequestsPerSecond = allowed;
+            candidate.shares.push_back(coldShare(serviceSettings->coldRequestsPerSecond, view.target->id, this->context.settings.name, sharingHosts));
+        }
+        if (const std::optional<double> limit = this->context.rateLimits.limitOf(view.target->id, view.target->startedAt, Time(now))) {
+            if (!rateShares) {
+                rateShares.emplace(this->service, this->context.settings.name, hostNames(this->context.state.hosts()), this->context.state.sharingHostCount(),
+                    targetIds(this->context.directory.all(this->service, "")));
+            }
+            candidate.shares.push_back(rateShares->shareOf(view.target->id, *limit));
+        }
+        if (!candidate.shares.empty()) {
+            candidate.nextSend = this->context.sendLimiter.nextSend(view.target->id, candidate.shares);
+            candidate.isAtLimit = candidate.nextSend > Time(now);
         }
         candidate.target = std::move(view.target);
         result.push_back(std::move(candidate));
@@ -114,11 +159,13 @@
     }
     while (std::optional<TargetChoice> choice = pickTarget(query, targets)) {
         const auto chosen = std::find_if(targets.begin(), targets.end(), [&choice](const Candidate &candidate) { return candidate.target == choice->target; });
-        if (chosen->coldRequestsPerSecond < 0 || this->context.coldLimiter.tryAcquire(choice->target->id, chosen->coldRequestsPerSecond)) {
+        if (chosen->shares.empty() || this->context.sendLimiter.tryAcquire(choice->target->id, chosen->shares)) {
             return choice;
         }
-        chosen->isAtColdLimit = true;
+        chosen->isAtLimit = true;
+        chosen->nextSend = this->context.sendLimiter.nextSend(choice->target->id, chosen->shares);
     }
+    this->limitedUntil = firstSendToLimited(targets, this->triedTargets);
     return std::nullopt;
 }
 
@@ -170,6 +217,11 @@
         if (std::optional<TargetChoice> choice = this->tryChoose()) {
             return *choice;
         }
+        // Waiting is of no use if this host may send to no target until then.
+        if (this->limitedUntil > end) {
+            this->retryAfter = this->limitedUntil == Time::max() ? Duration(0) : this->limitedUntil - this->context.clock.now();
+            throw Failure(ErrorKind::NoTarget, "the targets of " + this->service + " take no more requests now");
+        }
         if (this->context.clock.now() >= end) {
             throw Failure(ErrorKind::NoTarget, "no target of " + this->service + " may get work now");
         }
--- a/pimentosail/entry/requestrunner.h
+++ b/pimentosail/entry/requestrunner.h
@@ -92,6 +92,8 @@
     bool isLate = false;
     // Prompt tokens that the chosen target had to process at the first send, this prompt's included.
     double pendingAtSend = 0;
+    // When this host may send to one of the service's targets again, if all of them are at their limits at the last choice; else zero.
+    Time limitedUntil{};
     // Retry-After of a refusal; zero if there is no estimate.
     Duration retryAfter{};
     // A cache store holds the last shared block of the prompt.
