Serving: a request whose caller has left runs on no engine

A host that was slow or frozen read a request and the end of its connection together and had the prompt run.

Change: the runner asks before it looks for the prompt's owner and before each attempt; a host that works for another one learns of it by the connection between them. Test: a_request_that_is_read_after_its_caller_has_left_runs_on_no_engine (the host is stopped while the caller sends and leaves) failed without the change and passes.

--- a/pimentosail/serve/runner.cpp
+++ b/pimentosail/serve/runner.cpp
@@ -163,6 +163,8 @@
         if (dispatch == nullptr) {
             continue;
         }
+        // Throws if the caller has left while the request waited.
+        sink(AnswerKeepAlive{});
         const Attempt result = dispatch->forward ? this->forward(*dispatch, spec, sink) : this->attemptLocally(*dispatch, info, *queue, spec, sink);
         this->context.decisions.post(AttemptEnded{info.id, result.outcome});
         if (result.outcome == AttemptOutcome::Finished) {
@@ -452,6 +454,8 @@
     bool notRun = spec.resumeFrom == 0;
     for (int attempt = 1;; ++attempt) {
         this->checkQuarantine(spec);
+        // Throws if the caller has left, as it may have before this host came to read its request.
+        sink(AnswerKeepAlive{});
         std::string owner;
         const std::string address = this->choosePromptOwner(spec, excludedHosts, owner);
         const int64_t tokensBefore = spec.resumeFrom;
--- a/testing/failureanswerstest.cpp
+++ b/testing/failureanswerstest.cpp
@@ -1,6 +1,9 @@
 // Failures during completions. Each test disturbs the deployment while answers are streamed and checks that answers are
 // complete, that no team uses the cache of another, and that limits are kept.
 
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
+
 #include "testing/failurefixture.h"
 
 using namespace pimentosail;
@@ -55,6 +58,34 @@
     assertComplete(completion, prompt, 60);
 }
 
+// Guards against work for a caller that left before its request was read: a host that was slow or frozen finds the request and the
+// end of the connection in its socket together.
+Test(failure, a_request_that_is_read_after_its_caller_has_left_runs_on_no_engine)
+{
+    FailureFixture fixture;
+    fixture.probe(makePrompt("before", ShortPrompt));
+    const auto servedByAll = [&fixture] {
+        int64_t total = 0;
+        for (const std::string &engine : fixture.fleet.names("engine")) {
+            total += fixture.served(engine);
+        }
+        return total;
+    };
+    const int64_t servedBefore = servedByAll();
+    fixture.fleet.signal("entry-1", SIGSTOP);
+    {
+        const std::string body = R"({"model":"dispatcher","prompt":")" + makePrompt("left", ShortPrompt) + R"(","max_tokens":1,"stream":true})";
+        const std::string bytes = "POST /v1/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer key-pickers\r\nContent-Length: "
+            + std::to_string(body.size()) + "\r\n\r\n" + body;
+        Poco::Net::StreamSocket caller(Poco::Net::SocketAddress(fixture.fleet.callerAddress("entry-1")));
+        caller.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+    }
+    fixture.clock.sleepFor(Milliseconds(300));
+    fixture.fleet.signal("entry-1", SIGCONT);
+    fixture.clock.sleepFor(std::chrono::seconds(3));
+    cr_assert_eq(servedByAll(), servedBefore);
+}
+
 Test(failure, a_request_that_kills_engines_kills_two_at_most)
 {
     FailureFixture fixture([](FleetPlan &plan) {
