Load reports: the limits of targets are part of one report in half a second

An observation is now sent for 5 s, ten times, in case reports are lost; relays still send the newest that they know, which is at most a minute old.

--- a/pimentosail/directory/directorytest.cpp
+++ b/pimentosail/directory/directorytest.cpp
@@ -167,7 +167,8 @@
     cr_assert_not(table.recordReport({"a", 1000, 9.0, start - Milliseconds(300)}), "an older observation of another host");
     cr_assert(table.recordReport({"a", 1000, 3.0, start + Milliseconds(300)}));
     cr_assert_eq(table.limitOf("a", 1000, start + Milliseconds(300)).value_or(0), 3.0);
-    cr_assert_eq(table.ownObservations(start + Milliseconds(300)).front().requestsPerSecond.value_or(0), 5.0);
+    cr_assert_eq(table.ownObservations(start).front().requestsPerSecond.value_or(0), 5.0);
+    cr_assert(table.ownObservations(start + Milliseconds(1)).empty());
     cr_assert(table.recordAnswer({"a", 1000, std::nullopt, start + Milliseconds(600)}));
     cr_assert_not(table.limitOf("a", 1000, start + Milliseconds(600)).has_value());
     cr_assert(table.recordReport({"a", 2000, 7.0, start + Milliseconds(700)}), "an observation of the next incarnation");
--- a/pimentosail/directory/ratelimits.cpp
+++ b/pimentosail/directory/ratelimits.cpp
@@ -69,12 +69,12 @@
     return found->second.newest.requestsPerSecond;
 }
 
-std::vector<RateLimitObservation> RateLimitTable::ownObservations(Time now) const
+std::vector<RateLimitObservation> RateLimitTable::ownObservations(Time since) const
 {
     std::vector<RateLimitObservation> result;
     const std::lock_guard lock(this->mutex);
     for (const auto &[target, entry] : this->entries) {
-        if (isRecent(entry.own, now)) {
+        if (entry.own.observedAt > Time(0) && entry.own.observedAt >= since) {
             result.push_back(entry.own);
         }
     }
--- a/pimentosail/directory/ratelimits.h
+++ b/pimentosail/directory/ratelimits.h
@@ -50,8 +50,10 @@
     // Returns the limit of the target's incarnation, if one holds.
     std::optional<double> limitOf(const std::string &target, int64_t startedAt, Time now) const;
 
-    // Returns the observations that are not older than `Memory`: of this host, or the newest of all hosts.
-    std::vector<RateLimitObservation> ownObservations(Time now) const;
+    // Returns the last observation of this host for each target, if it was made at `since` or later.
+    std::vector<RateLimitObservation> ownObservations(Time since) const;
+
+    // Returns the newest observation of any host for each target, if it is not older than `Memory`.
     std::vector<RateLimitObservation> newestObservations(Time now) const;
 
     // Returns true if there may be a limit.
--- a/pimentosail/entry/loadduty.cpp
+++ b/pimentosail/entry/loadduty.cpp
@@ -44,6 +44,11 @@
     return loads;
 }
 
+// Limits that targets have named are part of one report in each interval, because they change seldom. An observation of this host
+// is sent for some intervals, in case reports are lost.
+constexpr Duration LimitReportInterval = Milliseconds(500);
+constexpr Duration LimitReportTime = std::chrono::seconds(5);
+
 // Appends the limits that targets have named. A row is [target, start of its incarnation, limit or -1 for none, age in ms].
 void appendLimits(Json::Value &rows, const std::vector<RateLimitObservation> &observations, Time now)
 {
@@ -103,7 +108,7 @@
     return loads;
 }
 
-std::string LoadDuty::encodeReport(const std::vector<TargetLoad> &own, const std::string &relay) const
+std::string LoadDuty::encodeReport(const std::vector<TargetLoad> &own, const std::string &relay, const Json::Value &limits) const
 {
     Json::Value value;
     value["host"] = this->context.settings.name;
@@ -115,8 +120,7 @@
     for (const TargetLoad &load : own) {
         appendLoad(value["loads"], load);
     }
-    const Time now = this->context.clock.now();
-    appendLimits(value["limits"], this->context.rateLimits.ownObservations(now), now);
+    value["limits"] = limits;
     return printJson(value);
 }
 
@@ -133,7 +137,7 @@
 }
 
 // Sends each follower the summed load of all other hosts.
-void LoadDuty::sendTotals(const std::vector<TargetLoad> &own, Time now)
+void LoadDuty::sendTotals(const std::vector<TargetLoad> &own, const Json::Value &limits, Time now)
 {
     std::map<std::string, Follower> current;
     {
@@ -147,7 +151,7 @@
         for (const TargetLoad &load : this->context.loads.totalsWithout(name, own, now)) {
             appendLoad(value["totals"], load);
         }
-        appendLimits(value["limits"], this->context.rateLimits.newestObservations(now), now);
+        value["limits"] = limits;
         this->send(printJson(value), {name, "", "", follower.gossip, 0});
     }
 }
@@ -180,11 +184,18 @@
             continue;
         }
         wasEmpty = own.empty();
-        const std::string report = this->encodeReport(own, relay);
+        Json::Value ownLimits(Json::arrayValue);
+        Json::Value newestLimits(Json::arrayValue);
+        if (now >= this->limitsSentAt + LimitReportInterval) {
+            this->limitsSentAt = now;
+            appendLimits(ownLimits, this->context.rateLimits.ownObservations(now - LimitReportTime), now);
+            appendLimits(newestLimits, this->context.rateLimits.newestObservations(now), now);
+        }
+        const std::string report = this->encodeReport(own, relay, ownLimits);
         for (const HostEntry &host : relays.empty() ? this->context.state.hosts() : relays) {
             this->send(report, host);
         }
-        this->sendTotals(own, now);
+        this->sendTotals(own, newestLimits, now);
     }
 }
 
--- a/pimentosail/entry/loadduty.h
+++ b/pimentosail/entry/loadduty.h
@@ -38,9 +38,9 @@
     void runSend();
     void runReceive();
     std::vector<TargetLoad> ownLoads() const;
-    std::string encodeReport(const std::vector<TargetLoad> &own, const std::string &relay) const;
+    std::string encodeReport(const std::vector<TargetLoad> &own, const std::string &relay, const Json::Value &limits) const;
     void send(const std::string &report, const HostEntry &host);
-    void sendTotals(const std::vector<TargetLoad> &own, Time now);
+    void sendTotals(const std::vector<TargetLoad> &own, const Json::Value &limits, Time now);
     void checkRelay(const std::string &relay, Time now);
     void handleDatagram(const Json::Value &value);
     void recordLimit(const RateLimitObservation &observation);
@@ -59,6 +59,8 @@
     // The relay that this host follows, and since when. Used by the sending thread only.
     std::string followedRelay;
     Time followedSince{};
+    // When the limits of targets were last part of a report. Used by the sending thread only.
+    Time limitsSentAt{};
     std::atomic<bool> stopping{false};
     DutyThread sender;
     DutyThread receiver;
