--- a/pimentosail/dispatch/dispatchtest.cpp
+++ b/pimentosail/dispatch/dispatchtest.cpp
@@ -191,6 +191,7 @@
 Test(dispatch, every_host_has_a_share_of_a_target_if_the_rates_suffice)
 {
     std::vector<std::string> hosts;
+    hosts.reserve(67);
     for (int index = 0; index < 67; ++index) {
         hosts.push_back("host-" + std::to_string(index));
     }
