--- a/pimentosail/dispatch/limits.cpp
+++ b/pimentosail/dispatch/limits.cpp
@@ -22,7 +22,7 @@
 constexpr double ExtraHosts = 2;
 // Requests a second to a target that takes fewer, or none: without any, no host would learn that its limit has ended.
 constexpr double MinRate = 0.25;
-// Requests a second above which a host's share is not a limit any more.
+// Largest number of requests a second in a host's share, far above what one host sends to one target.
 constexpr double MaxShareCount = 500;
 
 } // namespace
--- a/pimentosail/dispatch/limits.h
+++ b/pimentosail/dispatch/limits.h
@@ -93,10 +93,10 @@
 // than requests, the hosts that rendezvous hashing ranks first for the target get one each.
 SendShare coldShare(double requestsPerSecond, const std::string &target, const std::string &ownHost, const std::vector<std::string> &hosts);
 
-// Divides the request rates that the targets of a service have named among the hosts. A rate is not divided among all hosts if that
-// left less than one request in a few seconds for each: a number of hosts in proportion to the rate share it. They follow each other
-// in an order by hash, and the targets begin at points that are spread evenly over that order, so that every host has a share of about as
-// many targets.
+// Divides the request rates that the targets of a service have named among the hosts. A low rate is shared by some of the hosts only,
+// in proportion to the rate, because each may send at least one request in a period. The hosts stand in an order by hash; those that
+// share the rate of a target follow each other there, and the targets begin at points that are spread evenly over the order, so that
+// all hosts have shares of about as many targets.
 //
 //     RateShares shares("orders", "front-2", hostNames, hostCount, targetIds);
 //     SendShare share = shares.shareOf("i-7f3a", 2.5);
