--- a/pimentosail/entry/requestrunner.cpp
+++ b/pimentosail/entry/requestrunner.cpp
@@ -412,9 +412,9 @@
             {"total_ms", milliseconds(now - this->received)}, {"queued_ms", milliseconds(this->queued)},
             {"admitted_ms", this->admittedAt > Time(0) ? milliseconds(this->admittedAt - this->received) : 0.0},
             {"sent_ms", this->lastSentAt > Time(0) ? milliseconds(this->lastSentAt - this->received) : 0.0},
-            {"caller_left", this->callerDisconnected || this->exchange.isCallerDisconnected()}, {"config", this->serving ? this->serving->all().version : 0},
-            {"config_age_ms", toMilliseconds(now - this->context.state.servingSince())}, {"weights", this->weightVersion},
-            {"expected_version", this->expectedVersion}, {"wanted_version", this->wantedVersion},
+            {"caller_left", this->callerDisconnected || (!this->isAborted() && this->exchange.isCallerDisconnected())},
+            {"config", this->serving ? this->serving->all().version : 0}, {"config_age_ms", toMilliseconds(now - this->context.state.servingSince())},
+            {"weights", this->weightVersion}, {"expected_version", this->expectedVersion}, {"wanted_version", this->wantedVersion},
             {"wanted_age_ms", this->wantedVersionAge < Duration(0) ? -1 : toMilliseconds(this->wantedVersionAge)}, {"late", this->isLate},
             {"pending_tokens", this->pendingAtSend}, {"cache_source", this->cacheSource}, {"fetch_expected_ms", milliseconds(this->expectedTransfer)},
             {"fetch_tokens", this->fetchTokens}, {"save_tokens", this->saveTokens}});
