--- a/pimentosail/directory/directorytest.cpp
+++ b/pimentosail/directory/directorytest.cpp
@@ -127,32 +127,56 @@
 Test(directory, the_load_table_sums_reports_of_other_hosts_and_drops_old_ones)
 {
     LoadTable table;
-    table.recordReport("h1", {{"a", 2, 1000}}, Milliseconds(0));
-    table.recordReport("h2", {{"a", 1, 500}, {"b", 9, 9}}, Milliseconds(500));
+    table.record(LoadSource::Direct, "h1", {}, {{"a", 2, 1000}}, Milliseconds(0));
+    table.record(LoadSource::Direct, "h2", {}, {{"a", 1, 500}, {"b", 9, 9}}, Milliseconds(500));
     cr_assert_eq(table.loadOfOthers("a", Milliseconds(600)).requests, 3);
     cr_assert_eq(table.loadOfOthers("a", Milliseconds(600)).pendingTokens, 1500);
     cr_assert_eq(table.loadOfOthers("a", Milliseconds(1000)).requests, 1);
 }
 
-// Relays sum up the load, because reports of each host to each other host grew with the square of the number of hosts.
-Test(loads, a_relay_sums_the_load_of_all_hosts_but_the_receiver)
+// Guards against load that is counted twice or not at all when each relay sums up its own followers only.
+Test(loads, the_totals_of_a_relay_count_each_host_once)
 {
-    LoadTable relay;
     const Time now = std::chrono::seconds(10);
-    relay.recordReport("front-1", {{"t", 2, 300, 10}}, now);
-    relay.recordReport("front-2", {{"t", 1, 50, 0}, {"u", 4, 400, 0}}, now);
-    const std::vector<TargetLoad> totals = relay.totalsWithout("front-1", {{"t", 5, 1000, 0}}, now);
-    cr_assert_eq(totals.size(), 2);
-    cr_assert_eq(totals[0].requests, 6);
-    cr_assert_eq(totals[0].pendingTokens, 1050);
-    cr_assert_eq(totals[1].requests, 4);
+    LoadTable first;
+    LoadTable second;
+    first.record(LoadSource::Follower, "front-1", {7, 1}, {{"t", 2, 300, 10}}, now);
+    second.record(LoadSource::Follower, "front-2", {8, 1}, {{"t", 1, 50, 0}, {"u", 4, 400, 0}}, now);
+    second.record(LoadSource::Group, "relay-1", {9, 1}, first.groupLoad({{"t", 5, 1000, 0}}, now), now);
+    first.record(LoadSource::Group, "relay-2", {10, 1}, second.groupLoad({}, now), now);
+    for (const std::vector<TargetLoad> &totals : {first.totalLoad({{"t", 5, 1000, 0}}, now), second.totalLoad({}, now)}) {
+        cr_assert_eq(totals.size(), 2);
+        cr_assert_eq(totals[0].requests, 8);
+        cr_assert_eq(totals[0].pendingTokens, 1350);
+        cr_assert_eq(totals[1].requests, 4);
+    }
     LoadTable follower;
-    follower.recordReport("front-9", {{"t", 100, 1, 0}}, now);
-    follower.recordTotals(totals, now);
-    cr_assert_eq(follower.loadOfOthers("t", now).requests, 6, "totals of a relay take precedence over reports of single hosts");
+    follower.record(LoadSource::Direct, "front-9", {}, {{"t", 100, 1, 0}}, now);
+    follower.recordTotals(first.totalLoad({{"t", 5, 1000, 0}}, now), {{"t", 2, 300, 10}}, now);
+    cr_assert_eq(follower.loadOfOthers("t", now).requests, 6, "without this host's part; totals take precedence over reports");
     cr_assert_eq(follower.loadOfOthers("t", now + std::chrono::seconds(1)).requests, 0, "totals that are too old are not used");
 }
 
+// Guards against load that is left over when a host changes its relay, is restarted, or its reports arrive out of order.
+Test(loads, sums_follow_the_last_report_of_each_sender)
+{
+    LoadTable table;
+    const Time now = std::chrono::seconds(10);
+    cr_assert(table.record(LoadSource::Follower, "front-1", {7, 2}, {{"t", 2, 300}}, now));
+    cr_assert_not(table.record(LoadSource::Follower, "front-1", {7, 1}, {{"t", 90, 1}}, now), "older than the last one");
+    cr_assert_not(table.record(LoadSource::Follower, "front-1", {7, 2}, {{"t", 90, 1}}, now), "the same datagram again");
+    cr_assert_eq(table.loadOfOthers("t", now).requests, 2);
+    cr_assert_eq(table.lastReport("front-1", now).sequence, 2);
+    cr_assert(table.record(LoadSource::Follower, "front-1", {8, 1}, {{"t", 3, 300}}, now), "the process was restarted");
+    cr_assert_eq(table.loadOfOthers("t", now).requests, 3);
+    cr_assert(table.record(LoadSource::Direct, "front-1", {8, 2}, {}, now), "the host has left this relay");
+    cr_assert(table.groupLoad({}, now).empty());
+    cr_assert_eq(table.loadOfOthers("t", now).requests, 0);
+    table.record(LoadSource::Follower, "front-2", {9, 1}, {{"t", 4, 100}}, now);
+    cr_assert(table.totalLoad({}, now + std::chrono::seconds(1)).empty());
+    cr_assert_eq(table.lastReport("front-2", now + std::chrono::seconds(1)).process, 0);
+}
+
 // Guards against a limit that outlives what it was named for: the newest observation of any host holds, a restarted target has
 // none, and a target that nobody asks is forgotten.
 Test(directory, the_newest_observation_of_a_rate_limit_holds_for_its_incarnation)
--- a/pimentosail/directory/loadtable.cpp
+++ b/pimentosail/directory/loadtable.cpp
@@ -1,5 +1,7 @@
 #include "pimentosail/directory/loadtable.h"
 
+#include <algorithm>
+
 namespace pimentosail
 {
 
@@ -9,10 +11,8 @@
 // Hosts send 10 to 20 reports a second. A host without a report for this long is taken as unreachable, and its load is
 // no longer counted.
 constexpr Duration ReportLifetime = Milliseconds(700);
-// The sums are computed again at least this often, so that old reports drop out of them.
-constexpr Duration SumInterval = Milliseconds(100);
-// From this number of hosts on, each new report first removes those that are too old.
-constexpr size_t MaxHosts = 512;
+// Interval at which old reports are searched for.
+constexpr Duration DropInterval = Milliseconds(100);
 
 void add(TargetLoad &sum, const TargetLoad &load, int sign)
 {
@@ -22,87 +22,142 @@
     sum.heldTokens += sign * load.heldTokens;
 }
 
-} // namespace
+void addTo(std::map<std::string, TargetLoad> &sums, const TargetLoad &load, int sign)
+{
+    const auto entry = sums.try_emplace(load.target).first;
+    TargetLoad &sum = entry->second;
+    add(sum, load, sign);
+    if (sum.requests == 0 && sum.pendingTokens == 0 && sum.lateTokens == 0 && sum.heldTokens == 0) {
+        sums.erase(entry);
+    }
+}
 
-void LoadTable::recordReport(const std::string &host, std::vector<TargetLoad> loads, Time now)
+bool isBefore(const TargetLoad &load, const std::string &target)
 {
-    const std::lock_guard lock(this->mutex);
-    if (this->reports.size() >= MaxHosts) {
-        std::erase_if(this->reports, [now](const auto &entry) { return entry.second.at + ReportLifetime < now; });
+    return load.target < target;
+}
+
+bool hasLowerTarget(const TargetLoad &first, const TargetLoad &second)
+{
+    return first.target < second.target;
+}
+
+std::vector<TargetLoad> withOwn(std::map<std::string, TargetLoad> sums, const std::vector<TargetLoad> &own)
+{
+    for (const TargetLoad &load : own) {
+        addTo(sums, load, 1);
     }
-    Report &report = this->reports[host];
-    report.at = now;
-    report.loads.clear();
-    for (TargetLoad &load : loads) {
-        const std::string id = load.target;
-        report.loads.emplace(id, std::move(load));
+    std::vector<TargetLoad> result;
+    result.reserve(sums.size());
+    for (auto &[target, load] : sums) {
+        if (load.requests > 0) {
+            load.target = target;
+            result.push_back(std::move(load));
+        }
     }
-    this->isChanged = true;
+    return result;
 }
 
-void LoadTable::recordTotals(std::vector<TargetLoad> loads, Time now)
+} // namespace
+
+void LoadTable::addLocked(const Report &report, int sign) const
 {
-    const std::lock_guard lock(this->mutex);
-    this->relayTotals.clear();
-    for (TargetLoad &load : loads) {
-        const std::string id = load.target;
-        this->relayTotals.emplace(id, std::move(load));
+    for (const TargetLoad &load : report.loads) {
+        addTo(this->allSums, load, sign);
+        if (report.source == LoadSource::Follower) {
+            addTo(this->followerSums, load, sign);
+        }
     }
-    this->relayTotalsAt = now;
 }
 
-const LoadTable::Loads &LoadTable::sums(Time now) const
-{
-    if (this->isChanged || this->sumsComputedAt + SumInterval < now) {
-        this->cachedSums.clear();
-        for (const auto &[host, report] : this->reports) {
-            if (report.at + ReportLifetime < now) {
-                continue;
-            }
-            for (const auto &[target, load] : report.loads) {
-                add(this->cachedSums[target], load, 1);
-            }
-        }
-        this->sumsComputedAt = now;
-        this->isChanged = false;
+void LoadTable::dropOldLocked(Time now) const
+{
+    if (now < this->nextDrop) {
+        return;
     }
-    return this->cachedSums;
+    this->nextDrop = now + DropInterval;
+    std::erase_if(this->reports, [this, now](const auto &entry) {
+        const bool isOld = entry.second.at + ReportLifetime < now;
+        if (isOld) {
+            this->addLocked(entry.second, -1);
+        }
+        return isOld;
+    });
 }
 
-TargetLoad LoadTable::loadOfOthers(const std::string &target, Time now) const
+bool LoadTable::record(LoadSource source, const std::string &sender, const ReportNumber &number, std::vector<TargetLoad> loads, Time now)
 {
     const std::lock_guard lock(this->mutex);
-    const bool areRelayTotalsRecent = this->relayTotalsAt > Time(0) && now <= this->relayTotalsAt + ReportLifetime;
-    const Loads &loads = areRelayTotalsRecent ? this->relayTotals : this->sums(now);
-    const auto found = loads.find(target);
-    TargetLoad result = found == loads.end() ? TargetLoad{} : found->second;
-    result.target = target;
-    return result;
+    this->dropOldLocked(now);
+    Report &report = this->reports[sender];
+    if (number.process != 0 && report.number.process == number.process && report.number.sequence >= number.sequence) {
+        return false;
+    }
+    this->addLocked(report, -1);
+    report = {source, number, now, std::move(loads)};
+    this->addLocked(report, 1);
+    return true;
 }
 
-std::vector<TargetLoad> LoadTable::totalsWithout(const std::string &host, const std::vector<TargetLoad> &own, Time now) const
+ReportNumber LoadTable::lastReport(const std::string &sender, Time now) const
 {
     const std::lock_guard lock(this->mutex);
-    Loads totals = this->sums(now);
-    for (const TargetLoad &load : own) {
-        add(totals[load.target], load, 1);
+    this->dropOldLocked(now);
+    const auto found = this->reports.find(sender);
+    return found == this->reports.end() ? ReportNumber{} : found->second.number;
+}
+
+void LoadTable::recordTotals(std::vector<TargetLoad> totals, const std::vector<TargetLoad> &ownIncluded, Time now)
+{
+    // A relay sends the totals in order.
+    if (!std::is_sorted(totals.begin(), totals.end(), hasLowerTarget)) {
+        std::sort(totals.begin(), totals.end(), hasLowerTarget);
     }
-    const auto report = this->reports.find(host);
-    if (report != this->reports.end() && report->second.at + ReportLifetime >= now) {
-        for (const auto &[target, load] : report->second.loads) {
-            add(totals[target], load, -1);
+    for (const TargetLoad &load : ownIncluded) {
+        const auto found = std::lower_bound(totals.begin(), totals.end(), load.target, isBefore);
+        if (found != totals.end() && found->target == load.target) {
+            add(*found, load, -1);
         }
     }
-    std::vector<TargetLoad> result;
-    for (auto &[target, load] : totals) {
-        if (load.requests > 0) {
-            load.target = target;
-            result.push_back(load);
+    const std::lock_guard lock(this->mutex);
+    this->relayTotals = std::move(totals);
+    this->relayTotalsAt = now;
+}
+
+TargetLoad LoadTable::loadOfOthers(const std::string &target, Time now) const
+{
+    const std::lock_guard lock(this->mutex);
+    TargetLoad result;
+    if (this->relayTotalsAt > Time(0) && now <= this->relayTotalsAt + ReportLifetime) {
+        const auto found = std::lower_bound(this->relayTotals.begin(), this->relayTotals.end(), target, isBefore);
+        if (found != this->relayTotals.end() && found->target == target) {
+            result = *found;
+        }
+    } else {
+        this->dropOldLocked(now);
+        const auto found = this->allSums.find(target);
+        if (found != this->allSums.end()) {
+            result = found->second;
         }
     }
+    result.target = target;
     return result;
 }
 
+std::vector<TargetLoad> LoadTable::groupLoad(const std::vector<TargetLoad> &own, Time now) const
+{
+    const std::lock_guard lock(this->mutex);
+    this->dropOldLocked(now);
+    return withOwn(this->followerSums, own);
+}
+
+std::vector<TargetLoad> LoadTable::totalLoad(const std::vector<TargetLoad> &own, Time now) const
+{
+    const std::lock_guard lock(this->mutex);
+    this->dropOldLocked(now);
+    return withOwn(this->allSums, own);
+}
+
 Time LoadTable::lastTotalsAt() const
 {
     const std::lock_guard lock(this->mutex);
--- a/pimentosail/directory/ratelimits.cpp
+++ b/pimentosail/directory/ratelimits.cpp
@@ -22,6 +22,7 @@
     }
     const bool isChanged = observation.startedAt != entry.newest.startedAt || observation.requestsPerSecond != entry.newest.requestsPerSecond;
     entry.newest = observation;
+    this->changes.fetch_add(isChanged ? 1 : 0);
     return isChanged;
 }
 
--- a/pimentosail/directory/ratelimits.h
+++ b/pimentosail/directory/ratelimits.h
@@ -62,6 +62,12 @@
         return this->count.load() > 0;
     }
 
+    // Counts the changes of limits that hold, so that a duty sees that there is something to report.
+    uint64_t changeCount() const
+    {
+        return this->changes.load();
+    }
+
 private:
     struct Entry
     {
@@ -78,6 +84,7 @@
     std::map<std::string, Entry> entries;
     // Size of `entries`, so that hosts without limits to keep take no lock.
     std::atomic<size_t> count{0};
+    std::atomic<uint64_t> changes{0};
 };
 
 } // namespace pimentosail
--- a/pimentosail/directory/relays.h
+++ b/pimentosail/directory/relays.h
@@ -26,6 +26,8 @@
     std::string gossip;
     // CPU share in cores. Relays are selected from the hosts with the most cores.
     double cores = 0;
+    // The newest format of load reports that the host reads (`LoadFormat`).
+    int loadFormat = 1;
 };
 
 struct RelayPlan
--- a/pimentosail/entry/cacheeventduty.cpp
+++ b/pimentosail/entry/cacheeventduty.cpp
@@ -55,16 +55,27 @@
 {
     while (!this->stopping.load()) {
         for (const CacheStore &store : this->context.cacheStores.stores()) {
-            if (!this->pollThreads.contains(store.name)) {
-                auto pollThread = std::make_unique<DutyThread>("cache-store", [this, name = store.name] { this->pollEvents(name); });
-                pollThread->start();
-                this->pollThreads.emplace(store.name, std::move(pollThread));
-            }
+            this->superviseStore(store);
         }
+        std::erase_if(this->pollThreads, [](const auto &entry) { return entry.second->hasEnded.load(); });
         this->context.clock.sleepFor(SuperviseInterval);
     }
 }
 
+void CacheEventDuty::superviseStore(const CacheStore &store)
+{
+    if (this->pollThreads.contains(store.name) || !this->shouldPoll(store)) {
+        return;
+    }
+    auto poll = std::make_unique<PollThread>();
+    poll->thread = std::make_unique<DutyThread>("cache-store", [this, name = store.name, ended = &poll->hasEnded] {
+        this->pollEvents(name);
+        ended->store(true);
+    });
+    poll->thread->start();
+    this->pollThreads.emplace(store.name, std::move(poll));
+}
+
 // Returns true if this host polls `store`. A cache store limits the number of open polls. If more hosts than that read from
 // the source, only those poll it that rendezvous hashing ranks first for this store.
 bool CacheEventDuty::shouldPoll(const CacheStore &store) const
@@ -164,11 +175,8 @@
         const std::vector<CacheStore> stores = this->context.cacheStores.stores();
         const auto store = std::find_if(stores.begin(), stores.end(), [&name](const CacheStore &candidate) { return candidate.name == name; });
         if (store == stores.end() || !this->shouldPoll(*store)) {
-            // The contents are updated from another source meanwhile, so the position is no longer valid.
-            next = 0;
-            epoch = 0;
-            this->context.clock.sleepFor(SuperviseInterval);
-            continue;
+            // The contents are updated from another source from now on, so the position is no longer valid.
+            return;
         }
         try {
             // The first poll returns at once, because no blocks are saved in a store before its epoch is known.
--- a/pimentosail/entry/context.h
+++ b/pimentosail/entry/context.h
@@ -4,6 +4,7 @@
 
 #include "pimentosail/directory/loadtable.h"
 #include "pimentosail/directory/ratelimits.h"
+#include "pimentosail/directory/targetnotices.h"
 #include "pimentosail/dispatch/blockquarantine.h"
 #include "pimentosail/dispatch/forecast.h"
 #include "pimentosail/dispatch/limits.h"
@@ -33,6 +34,7 @@
     LoadTable &loads;
     ConnectionPool &connections;
     RateLimitTable &rateLimits;
+    TargetNoticeTable &notices;
     SharedRetryBudget &retryBudget;
     TargetSendLimiter &sendLimiter;
     Quarantine &quarantine;
--- a/pimentosail/entry/entryprocess.cpp
+++ b/pimentosail/entry/entryprocess.cpp
@@ -84,6 +84,7 @@
     LoadTable loads;
     ConnectionPool connections;
     RateLimitTable rateLimits;
+    TargetNoticeTable notices;
     SharedRetryBudget retryBudget;
     TargetSendLimiter sendLimiter;
     Quarantine quarantine;
@@ -128,8 +129,8 @@
     , cacheStores(clock)
     , cacheJournal(cacheStores)
     , answerMemory(settings.memoryBytes)
-    , context{clock, log, metrics, settings, wire, state, directory, loads, connections, rateLimits, retryBudget, sendLimiter, quarantine, blockQuarantine,
-          cacheStores, blockReuse, forecast, workMix, answerMemory}
+    , context{clock, log, metrics, settings, wire, state, directory, loads, connections, rateLimits, notices, retryBudget, sendLimiter, quarantine,
+          blockQuarantine, cacheStores, blockReuse, forecast, workMix, answerMemory}
     , updater(context)
     , peers(peerHttp,
           [this](const std::string &method, size_t bytes) {
--- a/pimentosail/entry/entrystatetest.cpp
+++ b/pimentosail/entry/entrystatetest.cpp
@@ -1,5 +1,6 @@
 #include <criterion/criterion.h>
 
+#include "pimentosail/entry/decodeditems.h"
 #include "pimentosail/entry/entrystate.h"
 
 using namespace pimentosail;
@@ -22,3 +23,21 @@
     cr_assert_not(state.narrowSetTime("m", 2, {std::chrono::seconds(25), std::chrono::seconds(26)}), "contradicts what is known");
     cr_assert_eq(state.oldestPossibleVersion("m", std::chrono::seconds(39), limit), 2);
 }
+
+// Guards against the processor time of decoding every registration again whenever one of them changes.
+Test(decodeditems, an_item_is_decoded_once_for_each_revision)
+{
+    DecodedItems<std::string> decoded;
+    int calls = 0;
+    const auto decode = [&calls](const StoredItem &item) {
+        ++calls;
+        return item.value == "bad" ? std::nullopt : std::optional<std::string>(item.value);
+    };
+    cr_assert_eq(decoded.update({{"a", "1", 5}, {"b", "bad", 6}, {"c", "3", 7}}, decode).size(), 2);
+    cr_assert_eq(calls, 3);
+    const std::vector<std::string> again = decoded.update({{"a", "1", 5}, {"b", "good", 8}}, decode);
+    cr_assert_eq(calls, 4, "only the item with a new revision");
+    cr_assert_eq(again.size(), 2);
+    cr_assert_eq(again[1], "good");
+    cr_assert_eq(decoded.update({{"c", "3", 7}}, decode).size(), 1, "an item that is back");
+}
--- a/pimentosail/entry/hostduty.cpp
+++ b/pimentosail/entry/hostduty.cpp
@@ -3,6 +3,7 @@
 
 #include "pimentosail/base/hash.h"
 #include "pimentosail/base/json.h"
+#include "pimentosail/entry/loadmessages.h"
 #include "pimentosail/entry/stateupdater.h"
 #include "pimentosail/entry/storeduties.h"
 #include "pimentosail/rollout/versionage.h"
@@ -83,6 +84,7 @@
             value["zone"] = this->context.settings.zone;
             value["gossip"] = this->context.settings.gossipListen;
             value["cores"] = this->context.settings.cores;
+            value["load_format"] = LoadFormat;
             const CommitOutcome outcome = this->store.commit({{}, {{HostsPrefix + this->context.settings.name, printJson(value), this->lease}}, {}});
             this->isWritten = outcome.status == CommitStatus::Committed;
             this->lease = outcome.status == CommitStatus::LeaseEnded ? 0 : this->lease;
--- a/pimentosail/entry/loadduty.cpp
+++ b/pimentosail/entry/loadduty.cpp
@@ -1,12 +1,13 @@
 #include "pimentosail/entry/loadduty.h"
 
-#include <map>
+#include <algorithm>
+#include <random>
 
 #include <Poco/Exception.h>
-#include <Poco/Net/SocketAddress.h>
 #include <Poco/Timespan.h>
 
-#include "pimentosail/base/json.h"
+#include "pimentosail/base/error.h"
+#include "pimentosail/base/hash.h"
 
 namespace pimentosail
 {
@@ -15,7 +16,7 @@
 {
 
 constexpr Duration ReportInterval = Milliseconds(100);
-// Reports are sent twice as often if there are relays, since they take two hops.
+// Reports are sent twice as often if there are relays, since they take three hops.
 constexpr Duration RelayReportInterval = Milliseconds(50);
 constexpr Duration ReceiveWait = Milliseconds(1000);
 // Bytes; below the limit of a UDP datagram.
@@ -23,49 +24,25 @@
 // A relay sends totals to a follower for this long after the follower's last report. A follower that gets no totals for
 // this long changes to another relay.
 constexpr Duration FollowTimeout = std::chrono::seconds(1);
-
-void appendLoad(Json::Value &rows, const TargetLoad &load)
-{
-    Json::Value row(Json::arrayValue);
-    row.append(load.target);
-    row.append(load.requests);
-    row.append(Json::Int64(load.pendingTokens));
-    row.append(Json::Int64(load.lateTokens));
-    row.append(Json::Int64(load.heldTokens));
-    rows.append(row);
-}
-
-std::vector<TargetLoad> readLoads(const Json::Value &rows)
-{
-    std::vector<TargetLoad> loads;
-    for (const Json::Value &row : rows) {
-        loads.push_back({row[0].asString(), row[1].asInt(), row[2].asInt64(), row[3].asInt64(), row[4].asInt64()});
-    }
-    return loads;
-}
-
-// Limits that targets have named are part of one report in each interval, because they change seldom. An observation of this host
-// is sent for some intervals, in case reports are lost.
-constexpr Duration LimitReportInterval = Milliseconds(500);
+// Totals are late if they include no newer report of this host than one of this age.
+constexpr Duration MaxTotalsAge = Milliseconds(400);
+// A follower leaves a relay whose totals have all been late for this long, and for a random part of the second time more: the
+// followers that stay longer may find that the relay has caught up.
+constexpr Duration LateTimeout = std::chrono::seconds(1);
+constexpr Duration LateSpread = std::chrono::seconds(3);
+// A host whose own intervals take this much longer is slow itself and can't tell whether its relay is.
+constexpr Duration MaxOwnDelay = Milliseconds(100);
+// Reports that are remembered to interpret the relay's totals.
+constexpr size_t MaxSentReports = 64;
+// What targets have said is sent at once when it changes, and again in this interval, in case reports are lost. A rate limit that
+// this host observed is sent for `LimitReportTime`.
+constexpr Duration StatementInterval = Milliseconds(500);
 constexpr Duration LimitReportTime = std::chrono::seconds(5);
 
-// Appends the limits that targets have named. A row is [target, start of its incarnation, limit or -1 for none, age in ms].
-void appendLimits(Json::Value &rows, const std::vector<RateLimitObservation> &observations, Time now)
+uint64_t randomProcessId()
 {
-    for (const RateLimitObservation &observation : observations) {
-        Json::Value row(Json::arrayValue);
-        row.append(observation.target);
-        row.append(Json::Int64(observation.startedAt));
-        row.append(observation.requestsPerSecond.value_or(-1));
-        row.append(Json::Int64(toMilliseconds(now - observation.observedAt)));
-        rows.append(row);
-    }
-}
-
-RateLimitObservation readLimit(const Json::Value &row, Time now)
-{
-    const double limit = row[2].asDouble();
-    return {row[0].asString(), row[1].asInt64(), limit < 0 ? std::nullopt : std::optional<double>(limit), now - Milliseconds(row[3].asInt64())};
+    std::random_device device;
+    return ((static_cast<uint64_t>(device()) << 32) | device()) | 1;
 }
 
 } // namespace
@@ -73,6 +50,7 @@
 LoadDuty::LoadDuty(EntryContext &entryContext)
     : context(entryContext)
     , socket(Poco::Net::SocketAddress(entryContext.settings.gossipListen))
+    , processId(randomProcessId())
     , sender("load-send", [this] { this->runSend(); })
     , receiver("load-receive", [this] { this->runReceive(); })
 {
@@ -108,36 +86,93 @@
     return loads;
 }
 
-std::string LoadDuty::encodeReport(const std::vector<TargetLoad> &own, const std::string &relay, const Json::Value &limits) const
+void LoadDuty::countDropped(const char *reason)
+{
+    this->context.metrics.count("pimentosail_load_reports_dropped_total", {{"reason", reason}});
+}
+
+LoadMessage LoadDuty::makeMessage(LoadMessageKind kind, std::vector<TargetLoad> loads) const
 {
-    Json::Value value;
-    value["host"] = this->context.settings.name;
-    if (!relay.empty()) {
-        value["follows"] = relay;
-        value["gossip"] = this->context.settings.gossipListen;
+    LoadMessage message;
+    message.kind = kind;
+    message.sender = this->context.settings.name;
+    message.number = {this->processId, this->sequence};
+    message.loads = std::move(loads);
+    if (this->hasStatements) {
+        const Time now = this->context.clock.now();
+        const bool isReport = kind == LoadMessageKind::Report;
+        message.limits = isReport ? this->context.rateLimits.ownObservations(now - LimitReportTime) : this->context.rateLimits.newestObservations(now);
+        message.notices = isReport ? this->context.notices.own(now) : this->context.notices.known(now);
     }
-    value["loads"] = Json::Value(Json::arrayValue);
-    for (const TargetLoad &load : own) {
-        appendLoad(value["loads"], load);
+    return message;
+}
+
+void LoadDuty::sendTo(const std::string &datagram, const Poco::Net::SocketAddress &address)
+{
+    if (datagram.size() > MaxDatagram) {
+        this->countDropped("too_large");
+        return;
+    }
+    try {
+        this->socket.sendTo(datagram.data(), static_cast<int>(datagram.size()), address);
+    } catch (const Poco::Exception &) {
+        this->countDropped("unsent");
     }
-    value["limits"] = limits;
-    return printJson(value);
 }
 
-void LoadDuty::send(const std::string &report, const HostEntry &host)
+void LoadDuty::sendToHost(const std::string &datagram, const HostEntry &host)
 {
     if (host.name == this->context.settings.name || host.gossip.empty()) {
         return;
     }
     try {
-        this->socket.sendTo(report.data(), static_cast<int>(report.size()), Poco::Net::SocketAddress(host.gossip));
+        this->sendTo(datagram, Poco::Net::SocketAddress(host.gossip));
     } catch (const Poco::Exception &) {
-        this->context.metrics.count("pimentosail_load_reports_unsent_total", {});
+        this->countDropped("bad_address");
+    }
+}
+
+void LoadDuty::reportToAll(const LoadMessage &report, const std::vector<HostEntry> &hosts, Time now)
+{
+    const std::string datagram = encodeLoadMessage(report, now);
+    std::optional<std::string> legacyDatagram;
+    for (const HostEntry &host : hosts) {
+        if (host.loadFormat >= LoadFormat) {
+            this->sendToHost(datagram, host);
+            continue;
+        }
+        if (!legacyDatagram) {
+            legacyDatagram = encodeLegacyLoadMessage(report, now);
+        }
+        this->sendToHost(*legacyDatagram, host);
+    }
+}
+
+void LoadDuty::reportToRelay(LoadMessage report, const HostEntry &relay, Time now)
+{
+    report.relay = relay.name;
+    report.replyAddress = this->context.settings.gossipListen;
+    {
+        const std::lock_guard lock(this->mutex);
+        this->sentReports.push_back({report.number, now, report.loads});
+        while (this->sentReports.size() > MaxSentReports) {
+            this->sentReports.pop_front();
+        }
     }
+    this->sendToHost(relay.loadFormat >= LoadFormat ? encodeLoadMessage(report, now) : encodeLegacyLoadMessage(report, now), relay);
 }
 
-// Sends each follower the summed load of all other hosts.
-void LoadDuty::sendTotals(const std::vector<TargetLoad> &own, const Json::Value &limits, Time now)
+void LoadDuty::sendGroup(const std::vector<TargetLoad> &own, const std::vector<HostEntry> &relays, Time now)
+{
+    const std::string datagram = encodeLoadMessage(this->makeMessage(LoadMessageKind::Group, this->context.loads.groupLoad(own, now)), now);
+    for (const HostEntry &relay : relays) {
+        if (relay.loadFormat >= LoadFormat) {
+            this->sendToHost(datagram, relay);
+        }
+    }
+}
+
+void LoadDuty::sendTotals(const std::vector<TargetLoad> &own, Time now)
 {
     std::map<std::string, Follower> current;
     {
@@ -145,83 +180,200 @@
         std::erase_if(this->followers, [now](const auto &entry) { return entry.second.lastReportAt + FollowTimeout < now; });
         current = this->followers;
     }
+    if (current.empty()) {
+        return;
+    }
+    const LoadMessage totals = this->makeMessage(LoadMessageKind::Totals, this->context.loads.totalLoad(own, now));
+    const TotalsEncoder encoder(totals, now);
+    std::optional<std::string> legacyDatagram;
     for (const auto &[name, follower] : current) {
-        Json::Value value;
-        value["totals"] = Json::Value(Json::arrayValue);
-        for (const TargetLoad &load : this->context.loads.totalsWithout(name, own, now)) {
-            appendLoad(value["totals"], load);
+        if (follower.loadFormat >= LoadFormat) {
+            this->sendTo(encoder.makeFor(this->context.loads.lastReport(name, now)), follower.address);
+            continue;
+        }
+        // A follower of an earlier version counts its own load twice until it is restarted.
+        if (!legacyDatagram) {
+            legacyDatagram = encodeLegacyLoadMessage(totals, now);
         }
-        value["limits"] = limits;
-        this->send(printJson(value), {name, "", "", follower.gossip, 0});
+        this->sendTo(*legacyDatagram, follower.address);
+    }
+}
+
+// Tells the relay that this host has followed that its load is no longer part of the group.
+void LoadDuty::leaveRelay(Time now)
+{
+    if (this->followedRelay && this->followedRelay->loadFormat >= LoadFormat) {
+        ++this->sequence;
+        this->sendToHost(encodeLoadMessage(this->makeMessage(LoadMessageKind::Report, {}), now), *this->followedRelay);
     }
 }
 
-// Changes to another relay if the present one sends no totals.
-void LoadDuty::checkRelay(const std::string &relay, Time now)
+// Changes to another relay if the present one sends no totals, or only late ones.
+void LoadDuty::checkRelay(Time now)
 {
-    if (relay != this->followedRelay) {
+    const std::optional<HostEntry> relay = this->context.state.readsFromSource() ? std::nullopt : this->context.state.relay();
+    const std::string name = relay ? relay->name : "";
+    if (name != (this->followedRelay ? this->followedRelay->name : "")) {
+        this->leaveRelay(now);
         this->followedRelay = relay;
         this->followedSince = now;
-    } else if (!relay.empty() && now > std::max(this->followedSince, this->context.loads.lastTotalsAt()) + FollowTimeout) {
-        this->context.log.write(LogLevel::Warning, "relay_skipped", {{"reason", "no load totals received"}, {"relay", relay}});
-        this->context.state.skipRelay(relay);
+        const std::lock_guard lock(this->mutex);
+        this->sentReports.clear();
+        this->lateSince = Time(0);
+        return;
+    }
+    if (!relay) {
+        return;
+    }
+    this->followedRelay = relay;
+    const char *reason = nullptr;
+    const uint64_t draw = combineHashes(stableHash(this->context.settings.name), stableHash(name));
+    const Duration patience = LateTimeout + Duration(static_cast<int64_t>(draw % static_cast<uint64_t>(LateSpread.count())));
+    {
+        const std::lock_guard lock(this->mutex);
+        if (now > std::max(this->followedSince, this->context.loads.lastTotalsAt()) + FollowTimeout) {
+            reason = "no load totals received";
+        } else if (this->lateSince != Time(0) && now > this->lateSince + patience) {
+            reason = "load totals are late";
+        }
+    }
+    if (reason != nullptr) {
+        this->context.log.write(LogLevel::Warning, "relay_skipped", {{"reason", reason}, {"relay", name}});
+        this->context.state.skipRelay(name);
+    }
+}
+
+void LoadDuty::sendInterval(Time now)
+{
+    const std::vector<HostEntry> relays = this->context.state.relays();
+    this->checkRelay(now);
+    const std::vector<TargetLoad> own = this->ownLoads();
+    ++this->sequence;
+    const uint64_t changes = this->context.notices.changeCount() + this->context.rateLimits.changeCount();
+    this->hasStatements = changes != this->statementChangesSent || now >= this->statementsSentAt + StatementInterval;
+    if (this->hasStatements) {
+        this->statementsSentAt = now;
+        this->statementChangesSent = changes;
+    }
+    const LoadMessage report = this->makeMessage(LoadMessageKind::Report, own);
+    if (relays.empty()) {
+        const bool isEmpty = own.empty() && report.limits.empty() && report.notices.empty();
+        if (!isEmpty || !this->wasEmpty) {
+            this->reportToAll(report, this->context.state.hosts(), now);
+        }
+        this->wasEmpty = isEmpty;
+    } else if (this->followedRelay) {
+        // Empty reports are sent too, because each report also renews the subscription to totals.
+        this->reportToRelay(report, *this->followedRelay, now);
+    } else {
+        this->sendGroup(own, relays, now);
+    }
+    // Relays of an earlier version expect the reports of all hosts and know no groups.
+    std::vector<HostEntry> legacyRelays;
+    std::copy_if(relays.begin(), relays.end(), std::back_inserter(legacyRelays),
+        [this](const HostEntry &relay) { return relay.loadFormat < LoadFormat && !(this->followedRelay && this->followedRelay->name == relay.name); });
+    if (!legacyRelays.empty()) {
+        this->reportToAll(report, legacyRelays, now);
     }
+    this->sendTotals(own, now);
 }
 
 void LoadDuty::runSend()
 {
-    bool wasEmpty = false;
+    Time last = this->context.clock.now();
     while (!this->stopping.load()) {
-        this->context.clock.sleepFor(this->context.state.relays().empty() ? ReportInterval : RelayReportInterval);
+        const Duration interval = this->context.state.relays().empty() ? ReportInterval : RelayReportInterval;
+        this->context.clock.sleepFor(interval);
         const Time now = this->context.clock.now();
-        const std::vector<HostEntry> relays = this->context.state.relays();
-        const std::optional<HostEntry> followed = this->context.state.readsFromSource() ? std::nullopt : this->context.state.relay();
-        const std::string relay = followed ? followed->name : "";
-        this->checkRelay(relay, now);
-        const std::vector<TargetLoad> own = this->ownLoads();
-        // Empty reports are sent too if there are relays, because each report of a follower also renews its subscription.
-        if (own.empty() && wasEmpty && relays.empty() && !this->context.rateLimits.hasObservations()) {
-            continue;
-        }
-        wasEmpty = own.empty();
-        Json::Value ownLimits(Json::arrayValue);
-        Json::Value newestLimits(Json::arrayValue);
-        if (now >= this->limitsSentAt + LimitReportInterval) {
-            this->limitsSentAt = now;
-            appendLimits(ownLimits, this->context.rateLimits.ownObservations(now - LimitReportTime), now);
-            appendLimits(newestLimits, this->context.rateLimits.newestObservations(now), now);
+        if (now > last + interval + MaxOwnDelay) {
+            const std::lock_guard lock(this->mutex);
+            this->lateSince = Time(0);
         }
-        const std::string report = this->encodeReport(own, relay, ownLimits);
-        for (const HostEntry &host : relays.empty() ? this->context.state.hosts() : relays) {
-            this->send(report, host);
-        }
-        this->sendTotals(own, newestLimits, now);
+        last = now;
+        this->sendInterval(now);
     }
 }
 
-void LoadDuty::recordLimit(const RateLimitObservation &observation)
+void LoadDuty::recordStatements(const LoadMessage &message)
 {
-    if (this->context.rateLimits.recordReport(observation)) {
-        this->context.log.write(LogLevel::Info, "target_limit_changed",
-            {{"target", observation.target}, {"limit", observation.requestsPerSecond.value_or(-1)}, {"source", "report"}});
+    for (const RateLimitObservation &observation : message.limits) {
+        if (this->context.rateLimits.recordReport(observation)) {
+            this->context.log.write(LogLevel::Info, "target_limit_changed",
+                {{"target", observation.target}, {"limit", observation.requestsPerSecond.value_or(-1)}, {"source", "report"}});
+        }
+    }
+    for (const TargetNotice &notice : message.notices) {
+        if (this->context.notices.recordReport(notice)) {
+            this->context.log.write(LogLevel::Info, "target_notice",
+                {{"target", notice.target}, {"incarnation", notice.startedAt}, {"kind", noticeKindName(notice.kind)},
+                    {"age_ms", toMilliseconds(this->context.clock.now() - notice.observedAt)}, {"rest_ms", toMilliseconds(notice.rest)}, {"source", "report"},
+                    {"host", message.sender}});
+        }
     }
 }
 
-void LoadDuty::handleDatagram(const Json::Value &value)
+void LoadDuty::handleReport(const LoadMessage &message, const Poco::Net::SocketAddress &from, Time now)
 {
-    const Time now = this->context.clock.now();
-    for (const Json::Value &row : value["limits"]) {
-        this->recordLimit(readLimit(row, now));
+    const bool isNumbered = message.number.process != 0;
+    const bool followsThis = message.relay == this->context.settings.name;
+    LoadSource source = LoadSource::Direct;
+    if (message.kind == LoadMessageKind::Group) {
+        source = LoadSource::Group;
+    } else if (followsThis) {
+        source = LoadSource::Follower;
+    } else if (!message.relay.empty()) {
+        // A host of an earlier version reports to all relays. A relay of this version counts it as part of its group.
+        const std::vector<HostEntry> relays = this->context.state.relays();
+        const auto relay = std::find_if(relays.begin(), relays.end(), [&message](const HostEntry &candidate) { return candidate.name == message.relay; });
+        if (relay != relays.end() && relay->loadFormat >= LoadFormat) {
+            return;
+        }
     }
-    if (value.isMember("totals")) {
-        this->context.loads.recordTotals(readLoads(value["totals"]), now);
+    if (!this->context.loads.record(source, message.sender, message.number, message.loads, now)) {
+        this->countDropped("older_than_last");
         return;
     }
-    const std::string host = jsonString(value, "host");
-    this->context.loads.recordReport(host, readLoads(value["loads"]), now);
-    if (jsonString(value, "follows") == this->context.settings.name) {
+    const std::lock_guard lock(this->mutex);
+    if (followsThis && message.kind == LoadMessageKind::Report) {
+        const Poco::Net::SocketAddress address = message.replyAddress.empty() ? from : Poco::Net::SocketAddress(message.replyAddress);
+        this->followers[message.sender] = {address, now, isNumbered ? LoadFormat : 1};
+    } else {
+        this->followers.erase(message.sender);
+    }
+}
+
+void LoadDuty::handleTotals(LoadMessage message, Time now)
+{
+    std::vector<TargetLoad> ownIncluded;
+    {
         const std::lock_guard lock(this->mutex);
-        this->followers[host] = {jsonString(value, "gossip"), now};
+        if (message.included.process == this->processId) {
+            const auto sent = std::find_if(
+                this->sentReports.begin(), this->sentReports.end(), [&message](const SentReport &report) { return report.number == message.included; });
+            const bool isLate = sent == this->sentReports.end() || sent->at + MaxTotalsAge < now;
+            this->lateSince = !isLate ? Time(0) : this->lateSince == Time(0) ? now : this->lateSince;
+            if (sent == this->sentReports.end()) {
+                // Totals of a relay that this host has left, or that are older than all that it remembers.
+                this->countDropped("totals_too_old");
+                return;
+            }
+            ownIncluded = sent->loads;
+        }
+    }
+    this->context.loads.recordTotals(std::move(message.loads), ownIncluded, now);
+}
+
+void LoadDuty::handleDatagram(std::string_view bytes, const Poco::Net::SocketAddress &from)
+{
+    const Time now = this->context.clock.now();
+    LoadMessage message = decodeLoadMessage(bytes, now);
+    this->recordStatements(message);
+    if (message.kind == LoadMessageKind::Totals) {
+        this->handleTotals(std::move(message), now);
+    } else if (message.sender.empty()) {
+        this->countDropped("no_sender");
+    } else {
+        this->handleReport(message, from, now);
     }
 }
 
@@ -235,10 +387,10 @@
             }
             Poco::Net::SocketAddress from;
             const int size = this->socket.receiveFrom(buffer.data(), static_cast<int>(buffer.size()), from);
-            this->handleDatagram(parseJson(std::string_view(buffer.data(), static_cast<size_t>(std::max(0, size)))));
+            this->handleDatagram(std::string_view(buffer.data(), static_cast<size_t>(std::max(0, size))), from);
         } catch (const std::exception &) {
             // The datagram comes from another program, or an earlier send was refused and the socket reports it now.
-            this->context.metrics.count("pimentosail_load_reports_unreadable_total", {});
+            this->countDropped("unreadable");
         }
     }
 }
--- /dev/null
+++ b/pimentosail/entry/loadmessages.cpp
@@ -0,0 +1,357 @@
+#include "pimentosail/entry/loadmessages.h"
+
+#include <algorithm>
+#include <optional>
+#include <sstream>
+
+#include <Poco/BinaryReader.h>
+#include <Poco/BinaryWriter.h>
+#include <Poco/MemoryStream.h>
+
+#include "pimentosail/base/error.h"
+#include "pimentosail/base/json.h"
+
+namespace pimentosail
+{
+
+namespace
+{
+
+constexpr char FirstByteOfJson = '{';
+// Bytes of a name.
+constexpr uint64_t MaxName = 200;
+// Rows of each list in a datagram. A datagram of 60 KiB has no more rows than this.
+constexpr uint64_t MaxRows = 8192;
+// A datagram has at most this many notices and limits; the newest are sent.
+constexpr size_t MaxSentNotices = 500;
+
+uint64_t toUnsigned(int64_t value)
+{
+    return static_cast<uint64_t>(std::max<int64_t>(0, value));
+}
+
+uint64_t ageOf(Time at, Time now)
+{
+    return toUnsigned(toMilliseconds(now - at));
+}
+
+class MessageWriter
+{
+public:
+    MessageWriter()
+        : writer(this->stream, Poco::BinaryWriter::LITTLE_ENDIAN_BYTE_ORDER)
+    {
+    }
+
+    void byte(uint8_t value)
+    {
+        this->writer << value;
+    }
+
+    void number(uint64_t value)
+    {
+        this->writer.write7BitEncoded(static_cast<Poco::UInt64>(value));
+    }
+
+    void name(const std::string &value)
+    {
+        this->number(value.size());
+        this->writer.writeRaw(value);
+    }
+
+    std::string take()
+    {
+        return std::move(this->stream).str();
+    }
+
+private:
+    std::ostringstream stream;
+    Poco::BinaryWriter writer;
+};
+
+class MessageReader
+{
+public:
+    explicit MessageReader(std::string_view bytes)
+        : stream(bytes.data(), static_cast<std::streamsize>(bytes.size()))
+        , reader(this->stream, Poco::BinaryReader::LITTLE_ENDIAN_BYTE_ORDER)
+    {
+    }
+
+    uint8_t byte()
+    {
+        uint8_t value = 0;
+        this->reader >> value;
+        this->check(this->reader.good());
+        return value;
+    }
+
+    uint64_t number()
+    {
+        Poco::UInt64 value = 0;
+        this->reader.read7BitEncoded(value);
+        this->check(this->reader.good());
+        return value;
+    }
+
+    int64_t signedNumber()
+    {
+        const uint64_t value = this->number();
+        this->check(value <= static_cast<uint64_t>(INT64_MAX / 4));
+        return static_cast<int64_t>(value);
+    }
+
+    std::string name()
+    {
+        const uint64_t size = this->number();
+        this->check(size <= MaxName);
+        std::string value;
+        this->reader.readRaw(static_cast<std::streamsize>(size), value);
+        this->check(this->reader.good() && value.size() == size);
+        return value;
+    }
+
+    uint64_t rows()
+    {
+        const uint64_t count = this->number();
+        this->check(count <= MaxRows);
+        return count;
+    }
+
+    Duration age()
+    {
+        return Milliseconds(std::min<int64_t>(this->signedNumber(), MaxAge.count()));
+    }
+
+    void checkEnd()
+    {
+        this->check(this->stream.peek() == std::char_traits<char>::eof());
+    }
+
+private:
+    static constexpr Milliseconds MaxAge = std::chrono::hours(24);
+
+    void check(bool isValid)
+    {
+        if (!isValid) {
+            throw Failure(ErrorKind::BadRequest, "the load report is incomplete or exceeds a bound");
+        }
+    }
+
+    Poco::MemoryInputStream stream;
+    Poco::BinaryReader reader;
+};
+
+void writeLoads(MessageWriter &writer, const std::vector<TargetLoad> &loads)
+{
+    writer.number(loads.size());
+    for (const TargetLoad &load : loads) {
+        writer.name(load.target);
+        writer.number(toUnsigned(load.requests));
+        writer.number(toUnsigned(load.pendingTokens));
+        writer.number(toUnsigned(load.lateTokens));
+        writer.number(toUnsigned(load.heldTokens));
+    }
+}
+
+// Limits are written in thousandths of a request a second, plus one; 0 stands for no limit.
+void writeLimits(MessageWriter &writer, const std::vector<RateLimitObservation> &limits, Time now)
+{
+    const size_t count = std::min(limits.size(), MaxSentNotices);
+    writer.number(count);
+    for (size_t index = 0; index < count; ++index) {
+        const RateLimitObservation &limit = limits[index];
+        writer.name(limit.target);
+        writer.number(toUnsigned(limit.startedAt));
+        writer.number(limit.requestsPerSecond ? 1 + static_cast<uint64_t>(std::clamp(*limit.requestsPerSecond * 1000, 0.0, 1e15)) : 0);
+        writer.number(ageOf(limit.observedAt, now));
+    }
+}
+
+void writeNotices(MessageWriter &writer, const std::vector<TargetNotice> &notices, Time now)
+{
+    const size_t count = std::min(notices.size(), MaxSentNotices);
+    writer.number(count);
+    for (size_t index = 0; index < count; ++index) {
+        const TargetNotice &notice = notices[index];
+        writer.byte(static_cast<uint8_t>(notice.kind));
+        writer.name(notice.target);
+        writer.number(toUnsigned(notice.startedAt));
+        writer.number(ageOf(notice.observedAt, now));
+        writer.number(toUnsigned(toMilliseconds(notice.rest)));
+    }
+}
+
+void writeNumber(MessageWriter &writer, const ReportNumber &number)
+{
+    writer.number(number.process);
+    writer.number(number.sequence);
+}
+
+// Writes what follows `included` in a datagram.
+std::string writeCommon(const LoadMessage &message, Time now)
+{
+    MessageWriter writer;
+    writer.name(message.sender);
+    writeNumber(writer, message.number);
+    writer.name(message.relay);
+    writeLoads(writer, message.loads);
+    writeLimits(writer, message.limits, now);
+    writeNotices(writer, message.notices, now);
+    return writer.take();
+}
+
+std::string writeStart(LoadMessageKind kind, const ReportNumber &included)
+{
+    MessageWriter writer;
+    writer.byte(LoadFormat);
+    writer.byte(static_cast<uint8_t>(kind));
+    writeNumber(writer, included);
+    return writer.take();
+}
+
+ReportNumber readNumber(MessageReader &reader)
+{
+    ReportNumber number;
+    number.process = reader.number();
+    number.sequence = reader.number();
+    return number;
+}
+
+LoadMessage readMessage(std::string_view bytes, Time now)
+{
+    MessageReader reader(bytes);
+    LoadMessage message;
+    const uint8_t format = reader.byte();
+    const uint8_t kind = reader.byte();
+    if (format != LoadFormat || kind > static_cast<uint8_t>(LoadMessageKind::Totals)) {
+        throw Failure(ErrorKind::BadRequest, "the load report has an unknown format");
+    }
+    message.kind = static_cast<LoadMessageKind>(kind);
+    message.included = readNumber(reader);
+    message.sender = reader.name();
+    message.number = readNumber(reader);
+    message.relay = reader.name();
+    const uint64_t loads = reader.rows();
+    message.loads.reserve(loads);
+    for (uint64_t row = 0; row < loads; ++row) {
+        TargetLoad &load = message.loads.emplace_back();
+        load.target = reader.name();
+        load.requests = reader.signedNumber();
+        load.pendingTokens = reader.signedNumber();
+        load.lateTokens = reader.signedNumber();
+        load.heldTokens = reader.signedNumber();
+    }
+    for (uint64_t rows = reader.rows(); rows > 0; --rows) {
+        RateLimitObservation &limit = message.limits.emplace_back();
+        limit.target = reader.name();
+        limit.startedAt = reader.signedNumber();
+        const uint64_t perMille = reader.number();
+        limit.requestsPerSecond = perMille == 0 ? std::nullopt : std::optional<double>(static_cast<double>(perMille - 1) / 1000);
+        limit.observedAt = now - reader.age();
+    }
+    for (uint64_t rows = reader.rows(); rows > 0; --rows) {
+        TargetNotice notice;
+        const uint8_t noticeKind = reader.byte();
+        notice.kind = static_cast<NoticeKind>(noticeKind);
+        notice.target = reader.name();
+        notice.startedAt = reader.signedNumber();
+        notice.observedAt = now - reader.age();
+        notice.rest = reader.age();
+        // A later version of this program may send notices of other kinds.
+        if (noticeKind <= static_cast<uint8_t>(NoticeKind::Resting)) {
+            message.notices.push_back(std::move(notice));
+        }
+    }
+    reader.checkEnd();
+    return message;
+}
+
+std::vector<TargetLoad> readLegacyLoads(const Json::Value &rows)
+{
+    std::vector<TargetLoad> loads;
+    for (const Json::Value &row : rows) {
+        loads.push_back({row[0].asString(), row[1].asInt64(), row[2].asInt64(), row[3].asInt64(), row[4].asInt64()});
+    }
+    return loads;
+}
+
+LoadMessage readLegacyMessage(std::string_view bytes, Time now)
+{
+    try {
+        const Json::Value value = parseJson(bytes);
+        LoadMessage message;
+        const bool isTotals = value.isMember("totals");
+        message.kind = isTotals ? LoadMessageKind::Totals : LoadMessageKind::Report;
+        message.sender = jsonString(value, "host");
+        message.relay = jsonString(value, "follows");
+        message.replyAddress = jsonString(value, "gossip");
+        message.loads = readLegacyLoads(value[isTotals ? "totals" : "loads"]);
+        for (const Json::Value &row : value["limits"]) {
+            const double limit = row[2].asDouble();
+            message.limits.push_back(
+                {row[0].asString(), row[1].asInt64(), limit < 0 ? std::nullopt : std::optional<double>(limit), now - Milliseconds(row[3].asInt64())});
+        }
+        return message;
+    } catch (const Json::Exception &exception) {
+        throw Failure(ErrorKind::BadRequest, exception.what());
+    }
+}
+
+} // namespace
+
+std::string encodeLoadMessage(const LoadMessage &message, Time now)
+{
+    return writeStart(message.kind, message.included) + writeCommon(message, now);
+}
+
+TotalsEncoder::TotalsEncoder(const LoadMessage &message, Time now)
+    : common(writeCommon(message, now))
+{
+}
+
+std::string TotalsEncoder::makeFor(const ReportNumber &included) const
+{
+    return writeStart(LoadMessageKind::Totals, included) + this->common;
+}
+
+std::string encodeLegacyLoadMessage(const LoadMessage &message, Time now)
+{
+    Json::Value value;
+    Json::Value &rows = value[message.kind == LoadMessageKind::Totals ? "totals" : "loads"];
+    rows = Json::Value(Json::arrayValue);
+    if (message.kind == LoadMessageKind::Report) {
+        value["host"] = message.sender;
+        if (!message.relay.empty()) {
+            value["follows"] = message.relay;
+            value["gossip"] = message.replyAddress;
+        }
+    }
+    for (const TargetLoad &load : message.loads) {
+        Json::Value row(Json::arrayValue);
+        row.append(load.target);
+        row.append(Json::Int64(load.requests));
+        row.append(Json::Int64(load.pendingTokens));
+        row.append(Json::Int64(load.lateTokens));
+        row.append(Json::Int64(load.heldTokens));
+        rows.append(row);
+    }
+    // A row is [target, start of its incarnation, limit or -1 for none, age in ms].
+    value["limits"] = Json::Value(Json::arrayValue);
+    for (const RateLimitObservation &observation : message.limits) {
+        Json::Value row(Json::arrayValue);
+        row.append(observation.target);
+        row.append(Json::Int64(observation.startedAt));
+        row.append(observation.requestsPerSecond.value_or(-1));
+        row.append(Json::Int64(toMilliseconds(now - observation.observedAt)));
+        value["limits"].append(row);
+    }
+    return printJson(value);
+}
+
+LoadMessage decodeLoadMessage(std::string_view bytes, Time now)
+{
+    return bytes.starts_with(FirstByteOfJson) ? readLegacyMessage(bytes, now) : readMessage(bytes, now);
+}
+
+} // namespace pimentosail
--- /dev/null
+++ b/pimentosail/entry/loadmessages.h
@@ -0,0 +1,77 @@
+// Encoding of the load reports that hosts send each other as UDP datagrams.
+//
+//     socket.sendTo(encodeLoadMessage(message), address);
+//     LoadMessage message = decodeLoadMessage(bytes, now);   // on the other host
+//
+// A datagram starts with the number of its format. Hosts publish the newest format that they read in their entry
+// (`HostEntry::loadFormat`), so that hosts of two versions of this program understand each other while they are restarted in
+// turn. Format 1 is a JSON document, which starts with '{'; format 2 is written with Poco::BinaryWriter: integers and
+// lengths with seven bits in each byte, names as length and bytes, and times as ages in milliseconds.
+//
+// All functions are thread-safe.
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "pimentosail/directory/loadtable.h"
+#include "pimentosail/directory/ratelimits.h"
+#include "pimentosail/directory/targetnotices.h"
+
+namespace pimentosail
+{
+
+// The newest format of load reports that this program reads and writes.
+constexpr int LoadFormat = 2;
+
+enum class LoadMessageKind {
+    // The load of the sender alone.
+    Report,
+    // The load of a relay and its followers, for other relays.
+    Group,
+    // The load of all hosts, for a follower.
+    Totals,
+};
+
+struct LoadMessage
+{
+    LoadMessageKind kind = LoadMessageKind::Report;
+    // Name of the sending host; empty in totals of format 1.
+    std::string sender;
+    // Number of this report; {0, 0} in format 1.
+    ReportNumber number;
+    // Report: name of the relay that the sender follows, or empty.
+    std::string relay;
+    // Report of format 1: address to which the relay sends totals.
+    std::string replyAddress;
+    // Totals: the report of the receiver that they include, or {0, 0} for none.
+    ReportNumber included;
+    std::vector<TargetLoad> loads;
+    // What targets have said of themselves to the sender; a relay adds what it heard from others.
+    std::vector<RateLimitObservation> limits;
+    std::vector<TargetNotice> notices;
+};
+
+// Return a datagram. `now` is the time from which ages count.
+std::string encodeLoadMessage(const LoadMessage &message, Time now);
+std::string encodeLegacyLoadMessage(const LoadMessage &message, Time now);
+
+// Encodes totals for several followers: `makeFor` adds to the common part the report of one follower that they include.
+class TotalsEncoder
+{
+public:
+    // `message` is of the kind `Totals`; its `included` is not used.
+    TotalsEncoder(const LoadMessage &message, Time now);
+
+    std::string makeFor(const ReportNumber &included) const;
+
+private:
+    std::string common;
+};
+
+// Decodes a datagram of either format. Throws `Failure` (BadRequest) if it is incomplete, has a format that is not known, or
+// exceeds a bound.
+LoadMessage decodeLoadMessage(std::string_view bytes, Time now);
+
+} // namespace pimentosail
--- a/pimentosail/entry/stateupdater.cpp
+++ b/pimentosail/entry/stateupdater.cpp
@@ -23,6 +23,13 @@
     return first != keys.end() && first->starts_with(prefix);
 }
 
+HostEntry decodeHost(const StoredItem &item)
+{
+    const Json::Value value = parseJson(item.value);
+    return {item.key.substr(HostsPrefix.size()), jsonString(value, "address"), jsonString(value, "zone"), jsonString(value, "gossip"),
+        value["cores"].isNumeric() ? value["cores"].asDouble() : 0.0, static_cast<int>(jsonInteger(value, "load_format", 1))};
+}
+
 } // namespace
 
 // A loss is a row without field names, because there may be hundreds of them.
@@ -123,15 +130,15 @@
 void StateUpdater::refreshTargets(const StoreMirror &mirror)
 {
     const std::string &prefix = this->context.wire.layout.targetPrefix;
-    std::vector<Registration> registrations;
-    for (const StoredItem &item : mirror.items(prefix)) {
-        Result<Registration> registration = this->context.wire.layout.decodeRegistration(item.key.substr(prefix.size()), item);
-        if (!registration) {
-            this->reportUnreadable(item, registration.error().message);
-            continue;
-        }
-        registrations.push_back(std::move(*registration));
-    }
+    const std::vector<Registration> registrations
+        = this->decodedRegistrations.update(mirror.items(prefix), [this, &prefix](const StoredItem &item) -> std::optional<Registration> {
+              Result<Registration> registration = this->context.wire.layout.decodeRegistration(item.key.substr(prefix.size()), item);
+              if (!registration) {
+                  this->reportUnreadable(item, registration.error().message);
+                  return std::nullopt;
+              }
+              return std::move(*registration);
+          });
     const MirrorStatus status = mirror.status();
     this->context.directory.apply(registrations, status.isReachable, status.recoveredAt);
     const size_t size = this->context.directory.size();
@@ -186,16 +193,14 @@
 
 void StateUpdater::updateHosts(const StoreMirror &mirror)
 {
-    std::vector<HostEntry> hosts;
-    for (const StoredItem &item : mirror.items(HostsPrefix)) {
+    std::vector<HostEntry> hosts = this->decodedHosts.update(mirror.items(HostsPrefix), [this](const StoredItem &item) -> std::optional<HostEntry> {
         try {
-            const Json::Value value = parseJson(item.value);
-            hosts.push_back({item.key.substr(HostsPrefix.size()), jsonString(value, "address"), jsonString(value, "zone"), jsonString(value, "gossip"),
-                value["cores"].isNumeric() ? value["cores"].asDouble() : 0.0});
-        } catch (const Failure &failure) {
-            this->reportUnreadable(item, failure.what());
+            return decodeHost(item);
+        } catch (const std::exception &exception) {
+            this->reportUnreadable(item, exception.what());
+            return std::nullopt;
         }
-    }
+    });
     RelayPlan plan = RelayPlan::make(hosts, this->context.settings.name, this->context.settings.zone);
     this->context.log.write(LogLevel::Info, "hosts_changed",
         {{"hosts", hosts.size()}, {"relays", plan.relays.size()}, {"reads_itself", plan.readsFromSource},
--- a/pimentosail/entry/stateupdater.h
+++ b/pimentosail/entry/stateupdater.h
@@ -15,6 +15,7 @@
 #include <json/value.h>
 
 #include "pimentosail/entry/context.h"
+#include "pimentosail/entry/decodeditems.h"
 #include "pimentosail/mirror/storemirror.h"
 
 namespace pimentosail
@@ -69,6 +70,8 @@
     std::set<std::string> timedVersions;
     // Last logged revision of an unreadable value, by key.
     std::map<std::string, int64_t> reportedRevisions;
+    DecodedItems<Registration> decodedRegistrations;
+    DecodedItems<HostEntry> decodedHosts;
     std::set<std::string> evacuatedZones;
     size_t lastTargetCount = 0;
 };
--- a/pimentosail/entry/storeduties.h
+++ b/pimentosail/entry/storeduties.h
@@ -159,7 +159,7 @@
 using CacheRelayCall = std::function<CacheChanges(const HostEntry &relay, const std::string &journal, int64_t position, Duration wait)>;
 
 // Keeps track of the contents of the cache stores. A host that reads from the source polls the change events of each
-// cache store in a thread of its own; a follower polls a relay.
+// cache store in a thread of its own; a follower polls a relay and has no such threads.
 class CacheEventDuty
 {
 public:
@@ -170,7 +170,15 @@
     void stop();
 
 private:
+    // The thread that polls one cache store while this host is to poll it.
+    struct PollThread
+    {
+        std::atomic<bool> hasEnded{false};
+        std::unique_ptr<DutyThread> thread;
+    };
+
     void supervise();
+    void superviseStore(const CacheStore &store);
     void pollEvents(const std::string &name);
     void applyEvents(const std::string &name, const CacheEvents &events);
     void pollRelay();
@@ -181,7 +189,8 @@
     CacheJournal &journal;
     CacheRelayCall fetchChanges;
     std::atomic<bool> stopping{false};
-    std::map<std::string, std::unique_ptr<DutyThread>> pollThreads;
+    // By cache store. Used by the supervising thread, and by `stop` after it has ended.
+    std::map<std::string, std::unique_ptr<PollThread>> pollThreads;
     DutyThread thread;
     DutyThread relayThread;
 };
