Targets: leaving and Retry-After are followed; one gate decides on each send

Callers and targets: a target that is about to end says so in its answers (Server-Leaving), and a target that refuses with 503 may name the time for which it wants nothing from this host (Retry-After). Neither header was read, so both went on getting requests until the store said something.

`sendgate` is the one place that says whether a request, an order or a probe may be sent to a target now, why not, and until when: removed, draining, leaving by its own word, zone evacuated, resting, backoff, and this host's shares of cold and rate-limited targets. It is asked for each candidate, when a candidate is chosen, right before each send and before each load order; before, these stood in the directory, the limits, the planning of requests, the attempt and the rollout. Leaving stops all hosts. A rest binds the host that was asked; others send to such a target only if no other target may get the request, because a target asks single hosts. If all targets rest, the request is refused at once as not run, and the Retry-After is the end of one of the rests, drawn at random among those that the caller will wait for, so that callers return as targets do. A time that cannot be read counts as one second, one over 5 min as 5 min; both are counted.

Also mended: after a restart under the same id, a request that was planned for the former incarnation was still sent, and not counted against the cold share of the new one (directory test, seen to fail).

Not done: the Server-Leaving of answers to load orders and reports is not read; cached blocks that only a leaving target holds are not moved.

--- a/pimentosail/directory/directory.cpp
+++ b/pimentosail/directory/directory.cpp
@@ -65,6 +65,9 @@
         const bool restarted = state && (state->startedAt != registration.startedAt || state->address != registration.address);
         if (!state || restarted) {
             const bool isNew = restarted || this->hasAppliedRegistrations;
+            if (state) {
+                state->removed = true;
+            }
             state = std::make_shared<TargetState>();
             state->id = registration.id;
             state->service = registration.service;
@@ -119,30 +122,10 @@
     }
 }
 
-bool TargetDirectory::mayReceiveLocked(const TargetState &target) const
-{
-    return !target.draining && !target.removed && !this->evacuated.contains(target.zone);
-}
-
-bool TargetDirectory::mayReceive(const TargetState &target) const
-{
-    const std::lock_guard lock(this->mutex);
-    return this->mayReceiveLocked(target);
-}
-
-std::vector<TargetView> TargetDirectory::usable(const std::string &service, const std::string &model) const
+TargetStanding TargetDirectory::standing(const TargetState &target) const
 {
     const std::lock_guard lock(this->mutex);
-    const int64_t now = this->clock.now().count();
-    std::vector<TargetView> result;
-    for (const auto &[id, target] : this->targets) {
-        if (target->service != service || !this->mayReceiveLocked(*target) || target->avoidUntil.load() > now) {
-            continue;
-        }
-        const auto version = target->modelVersions.find(model);
-        result.push_back({target, version == target->modelVersions.end() ? 0 : version->second});
-    }
-    return result;
+    return {target.removed, target.draining, this->evacuated.contains(target.zone)};
 }
 
 std::vector<TargetView> TargetDirectory::all(const std::string &service, const std::string &model) const
--- a/pimentosail/directory/directory.h
+++ b/pimentosail/directory/directory.h
@@ -7,7 +7,9 @@
 //
 //     TargetDirectory directory(clock);
 //     directory.apply(registrations, true, Time(0));
-//     std::vector<TargetView> usable = directory.usable("chat", "model-a");
+//     std::vector<TargetView> registered = directory.all("chat", "model-a");
+//
+// Whether something may be sent to a target is decided by `SendGate`, which asks the directory for the target's standing.
 //
 // Thread-safe. A `TargetState` is shared: its atomic members may be used without a lock, its other variable members are
 // guarded by the mutex of the directory.
@@ -96,6 +98,16 @@
     int64_t version = 0;
 };
 
+// What the platform's store says about a target at this moment.
+struct TargetStanding
+{
+    // The target has left, or has restarted as another incarnation.
+    bool isRemoved = false;
+    bool isDraining = false;
+    // Operators have taken the target's zone out of service.
+    bool isEvacuated = false;
+};
+
 class TargetDirectory
 {
 public:
@@ -117,11 +129,8 @@
     // Records a weight version that a target or the rollout leader reported, which the registration may not show yet.
     void recordVersion(const std::string &id, const std::string &model, int64_t version);
 
-    // Returns the targets of `service` that may receive requests now, with their versions of `model`. `model` may be
-    // empty.
-    std::vector<TargetView> usable(const std::string &service, const std::string &model) const;
-
-    // Returns all registered targets of `service`, including those that drain or are in backoff.
+    // Returns all registered targets of `service`, including those that drain or are in backoff, with their versions of `model`.
+    // `model` may be empty.
     std::vector<TargetView> all(const std::string &service, const std::string &model) const;
 
     // Returns the registered targets of all services.
@@ -130,8 +139,7 @@
     // Returns the target `id`, or nullptr.
     TargetPointer find(const std::string &id) const;
 
-    // Returns true if `target` may receive new requests at this moment. Callers check it again right before they send.
-    bool mayReceive(const TargetState &target) const;
+    TargetStanding standing(const TargetState &target) const;
 
     // Records that `target` could not be reached or closed its connection. It is put in backoff and afterwards counts as
     // cold, since it may have restarted.
@@ -140,7 +148,6 @@
     size_t size() const;
 
 private:
-    bool mayReceiveLocked(const TargetState &target) const;
     void update(TargetState &state, const Registration &registration, Time now);
 
     const Clock &clock;
--- a/pimentosail/directory/directorytest.cpp
+++ b/pimentosail/directory/directorytest.cpp
@@ -34,6 +34,17 @@
     TargetDirectory directory{this->clock};
 };
 
+// Returns the targets of the service "loom" that the directory does not rule out.
+std::vector<TargetView> usable(const Fixture &fixture)
+{
+    std::vector<TargetView> views = fixture.directory.all("loom", "m");
+    std::erase_if(views, [&fixture](const TargetView &view) {
+        const TargetStanding standing = fixture.directory.standing(*view.target);
+        return standing.isRemoved || standing.isDraining || standing.isEvacuated || Time(view.target->avoidUntil.load()) > fixture.clock.now();
+    });
+    return views;
+}
+
 } // namespace
 
 Test(directory, a_draining_target_gets_no_requests_until_it_restarts)
@@ -41,15 +52,15 @@
     Fixture fixture;
     Registration registration = makeRegistration("a", 1);
     fixture.directory.apply({registration}, true, Time(0));
-    cr_assert_eq(fixture.directory.usable("loom", "m").size(), 1);
+    cr_assert_eq(usable(fixture).size(), 1);
     registration.isDraining = true;
     registration.revision = 2;
     fixture.directory.apply({registration}, true, Time(0));
-    cr_assert(fixture.directory.usable("loom", "m").empty());
+    cr_assert(usable(fixture).empty());
     registration.isDraining = false;
     registration.revision = 3;
     fixture.directory.apply({registration}, true, Time(0));
-    cr_assert(fixture.directory.usable("loom", "m").empty(), "draining is final until the target restarts");
+    cr_assert(usable(fixture).empty(), "draining is final until the target restarts");
 }
 
 Test(directory, a_registration_that_disappears_while_the_store_is_reachable_is_removed_at_once)
@@ -57,7 +68,7 @@
     Fixture fixture;
     fixture.directory.apply({makeRegistration("a", 1)}, true, Time(0));
     fixture.directory.apply({}, true, Time(0));
-    cr_assert(fixture.directory.usable("loom", "m").empty());
+    cr_assert(usable(fixture).empty());
 }
 
 Test(directory, a_registration_that_lapsed_in_an_outage_is_kept_for_a_short_time)
@@ -66,10 +77,10 @@
     fixture.directory.apply({makeRegistration("a", 1)}, true, Time(0));
     const Time recoveredAt = fixture.clock.now();
     fixture.directory.apply({}, true, recoveredAt);
-    cr_assert_eq(fixture.directory.usable("loom", "m").size(), 1);
+    cr_assert_eq(usable(fixture).size(), 1);
     fixture.clock.advance(Milliseconds(1600));
     fixture.directory.apply({}, true, recoveredAt);
-    cr_assert(fixture.directory.usable("loom", "m").empty(), "a registration that stays missing is removed");
+    cr_assert(usable(fixture).empty(), "a registration that stays missing is removed");
 }
 
 Test(directory, a_restart_under_the_same_id_is_a_new_cold_target)
@@ -85,6 +96,7 @@
     fixture.directory.apply({registration}, true, Time(0));
     const TargetPointer after = fixture.directory.find("a");
     cr_assert_neq(before.get(), after.get());
+    cr_assert(fixture.directory.standing(*before).isRemoved, "a request that was planned for the former incarnation must not be sent");
     cr_assert_eq(after->coldUntil.load(), (fixture.clock.now() + std::chrono::seconds(3)).count());
 }
 
@@ -105,10 +117,10 @@
     Fixture fixture;
     fixture.directory.apply({makeRegistration("a", 1)}, true, Time(0));
     fixture.directory.setEvacuated({"z1"});
-    cr_assert(fixture.directory.usable("loom", "m").empty());
-    cr_assert_not(fixture.directory.mayReceive(*fixture.directory.find("a")));
+    cr_assert(usable(fixture).empty());
+    cr_assert(fixture.directory.standing(*fixture.directory.find("a")).isEvacuated);
     fixture.directory.setEvacuated({});
-    cr_assert_eq(fixture.directory.usable("loom", "m").size(), 1);
+    cr_assert_eq(usable(fixture).size(), 1);
 }
 
 Test(directory, an_unreachable_target_is_in_backoff_and_then_taken_as_cold)
@@ -118,9 +130,9 @@
     fixture.directory.apply({makeRegistration("a", 1)}, true, Time(0));
     const TargetPointer target = fixture.directory.find("a");
     fixture.directory.recordUnreachable(*target);
-    cr_assert(fixture.directory.usable("loom", "m").empty());
+    cr_assert(usable(fixture).empty());
     fixture.clock.advance(std::chrono::seconds(1));
-    cr_assert_eq(fixture.directory.usable("loom", "m").size(), 1);
+    cr_assert_eq(usable(fixture).size(), 1);
     cr_assert(target->coldUntil.load() > fixture.clock.now().count());
 }
 
--- a/pimentosail/directory/targetnotices.cpp
+++ b/pimentosail/directory/targetnotices.cpp
@@ -79,6 +79,11 @@
     return this->find(target, startedAt).ownRest.until;
 }
 
+Time TargetNoticeTable::restsSince(const std::string &target, int64_t startedAt) const
+{
+    return this->find(target, startedAt).ownRest.since;
+}
+
 Time TargetNoticeTable::othersRestUntil(const std::string &target, int64_t startedAt) const
 {
     return this->find(target, startedAt).otherRest.until;
--- a/pimentosail/directory/targetnotices.h
+++ b/pimentosail/directory/targetnotices.h
@@ -56,7 +56,7 @@
     // Time for which the notice of a leaving target that is no longer registered is kept.
     static constexpr Duration Memory = std::chrono::seconds(60);
     // Longest rest that holds; a longer one is cut to it.
-    static constexpr Duration MaxRest = std::chrono::seconds(30);
+    static constexpr Duration MaxRest = std::chrono::minutes(5);
 
     // Record a notice of an answer that this host received, or of another host's report. Return true if it changes what holds for
     // the incarnation.
@@ -69,6 +69,8 @@
     // Return until when the incarnation wants no requests of this host, and of any other host; zero or a past time if it takes
     // them.
     Time restsUntil(const std::string &target, int64_t startedAt) const;
+    // Returns when this host was asked so; zero if it was not.
+    Time restsSince(const std::string &target, int64_t startedAt) const;
     Time othersRestUntil(const std::string &target, int64_t startedAt) const;
 
     // Return the notices that still apply, those that changed last at the front: all that this host knows, or those of its own
--- a/pimentosail/dispatch/picker.h
+++ b/pimentosail/dispatch/picker.h
@@ -22,7 +22,6 @@
 
 #include "pimentosail/base/clock.h"
 #include "pimentosail/directory/directory.h"
-#include "pimentosail/dispatch/limits.h"
 #include "pimentosail/dispatch/workmix.h"
 
 namespace pimentosail
@@ -44,9 +43,7 @@
     double heldTokens = 0;
     double capacityTokens = 0;
     int maxRuns = 0;
-    // This host's shares of the requests that the target may get from all hosts; empty if it may get any number.
-    std::vector<SendShare> shares;
-    // This host has used up one of `shares` until `nextSend`.
+    // The target may get no request until `nextSend`.
     bool isAtLimit = false;
     Time nextSend{};
 };
--- a/pimentosail/entry/attempt.cpp
+++ b/pimentosail/entry/attempt.cpp
@@ -21,6 +21,8 @@
 constexpr int MaxStrayAnswers = 2;
 // Maximum size of such an answer; answers have some KB.
 constexpr size_t MaxSkippedBytes = 256 * 1024;
+// How long a target gets no requests that refuses one for a time that cannot be read.
+constexpr Duration UnreadableRest = std::chrono::seconds(1);
 
 // Adds an attempt to the load counters of its target for the lifetime of the object.
 class TargetLoadGuard
@@ -183,6 +185,41 @@
     }
 }
 
+void Attempt::recordNotice(NoticeKind kind, Duration rest)
+{
+    const TargetState &target = *this->plan.target;
+    if (this->context.notices.recordAnswer({target.id, target.startedAt, kind, this->context.clock.now(), rest})) {
+        this->context.log.write(LogLevel::Info, "target_notice",
+            {{"target", target.id}, {"incarnation", target.startedAt}, {"kind", noticeKindName(kind)}, {"rest_ms", toMilliseconds(rest)}, {"source", "answer"},
+                {"id", this->request.id}});
+    }
+}
+
+void Attempt::recordLeaving(const ReplyHeader &header)
+{
+    // Another instance at the target's address speaks of itself.
+    if (header.isLeaving && !header.isOtherInstance) {
+        this->recordNotice(NoticeKind::Leaving, Duration(0));
+    }
+}
+
+void Attempt::recordRest(const ReplyHeader &header)
+{
+    if (header.hasUnreadableRest) {
+        this->context.metrics.count("pimentosail_unreadable_rests_total", {{"service", this->plan.target->service}});
+    }
+    if (header.isOtherInstance || (!header.rest && !header.hasUnreadableRest)) {
+        return;
+    }
+    const Duration rest = header.rest.value_or(UnreadableRest);
+    if (rest > TargetNoticeTable::MaxRest) {
+        this->context.metrics.count("pimentosail_shortened_rests_total", {{"service", this->plan.target->service}});
+    }
+    if (rest > Duration(0)) {
+        this->recordNotice(NoticeKind::Resting, rest);
+    }
+}
+
 std::unique_ptr<TargetConnection> Attempt::openConnection(const AttemptLimits &limits, AttemptResult &result)
 {
     std::unique_ptr<TargetConnection> pooled = this->context.connections.take(this->plan.target->address, limits.maxConnectionIdle);
@@ -254,12 +291,14 @@
             return this->fail(ReadStatus::Broken, failure.what(), result);
         }
         this->recordRateLimit(result.header);
+        this->recordLeaving(result.header);
         const bool isSuccess = result.header.status < 300;
         const bool isMatching = result.header.requestId.empty() ? !isSuccess : result.header.requestId == this->request.id;
         if (isMatching && isSuccess && !result.header.isSigned) {
             return this->fail(ReadStatus::Broken, "a success without the target's signature", result);
         }
         if (isMatching) {
+            this->recordRest(result.header);
             return true;
         }
         this->context.metrics.count("pimentosail_stray_answers_total", {});
@@ -358,10 +397,12 @@
     if (!opened) {
         return result;
     }
-    // The target may have started to leave while the connection was opened.
-    if (!this->context.directory.mayReceive(*this->plan.target)) {
+    // The target may have started to leave or to rest while the connection was opened.
+    const SendDecision decision = this->context.gate.check(*this->plan.target, SendKind::Request);
+    if (!decision.isAllowed()) {
         result.end = AttemptEnd::NotSent;
-        result.reason = "the target is leaving";
+        result.reason = "the target may get no requests: " + std::string(sendObstacleName(decision.obstacle));
+        this->context.connections.put(this->plan.target->address, std::move(opened));
         return result;
     }
     // The caller may have left before this host came to read its request.
--- a/pimentosail/entry/attempt.h
+++ b/pimentosail/entry/attempt.h
@@ -98,7 +98,11 @@
     bool fail(ReadStatus status, const char *reason, AttemptResult &result);
     ReadStatus readWithStall(const AttemptLimits &limits, const std::function<ReadStatus(const Wait &wait)> &read);
     void recordFirstResponse(AttemptResult &result);
+    // Record what the target says of itself in its answers: in each, and in the one to this request.
     void recordRateLimit(const ReplyHeader &header);
+    void recordLeaving(const ReplyHeader &header);
+    void recordRest(const ReplyHeader &header);
+    void recordNotice(NoticeKind kind, Duration rest);
 
     EntryContext &context;
     const CallerRequest &request;
--- a/pimentosail/entry/context.h
+++ b/pimentosail/entry/context.h
@@ -7,7 +7,6 @@
 #include "pimentosail/directory/targetnotices.h"
 #include "pimentosail/dispatch/blockquarantine.h"
 #include "pimentosail/dispatch/forecast.h"
-#include "pimentosail/dispatch/limits.h"
 #include "pimentosail/dispatch/quarantine.h"
 #include "pimentosail/dispatch/workmix.h"
 #include "pimentosail/entry/answermemory.h"
@@ -17,6 +16,7 @@
 #include "pimentosail/eventlog/eventlog.h"
 #include "pimentosail/kvcache/blockreuse.h"
 #include "pimentosail/metrics/metrics.h"
+#include "pimentosail/sendgate/sendgate.h"
 #include "pimentosail/upstream/pool.h"
 
 namespace pimentosail
@@ -36,7 +36,7 @@
     RateLimitTable &rateLimits;
     TargetNoticeTable &notices;
     SharedRetryBudget &retryBudget;
-    TargetSendLimiter &sendLimiter;
+    SendGate &gate;
     Quarantine &quarantine;
     BlockQuarantine &blockQuarantine;
     CacheStores &cacheStores;
--- a/pimentosail/entry/entryprocess.cpp
+++ b/pimentosail/entry/entryprocess.cpp
@@ -72,6 +72,7 @@
     Json::Value dumpState();
     bool isReady();
     void logBlocked();
+    void dropOldNotices();
     void runRefresh();
 
     EntrySettings settings;
@@ -87,6 +88,7 @@
     TargetNoticeTable notices;
     SharedRetryBudget retryBudget;
     TargetSendLimiter sendLimiter;
+    SendGate gate;
     Quarantine quarantine;
     BlockQuarantine blockQuarantine;
     CacheStores cacheStores;
@@ -125,12 +127,13 @@
     , connections(clock)
     , retryBudget(clock, settings.retryBounds)
     , sendLimiter(clock)
+    , gate(clock, directory, notices, sendLimiter)
     , quarantine(clock)
     , cacheStores(clock)
     , cacheJournal(cacheStores)
     , answerMemory(settings.memoryBytes)
-    , context{clock, log, metrics, settings, wire, state, directory, loads, connections, rateLimits, notices, retryBudget, sendLimiter, quarantine,
-          blockQuarantine, cacheStores, blockReuse, forecast, workMix, answerMemory}
+    , context{clock, log, metrics, settings, wire, state, directory, loads, connections, rateLimits, notices, retryBudget, gate, quarantine, blockQuarantine,
+          cacheStores, blockReuse, forecast, workMix, answerMemory}
     , updater(context)
     , peers(peerHttp,
           [this](const std::string &method, size_t bytes) {
@@ -233,6 +236,11 @@
     this->metrics.set("pimentosail_limited_targets", {},
         static_cast<double>(
             std::count_if(limits.begin(), limits.end(), [](const RateLimitObservation &observation) { return observation.requestsPerSecond.has_value(); })));
+    const std::vector<TargetNotice> targetNotices = this->notices.known(this->clock.now());
+    for (const NoticeKind kind : {NoticeKind::Leaving, NoticeKind::Resting}) {
+        this->metrics.set("pimentosail_target_notices", {{"kind", std::string(noticeKindName(kind))}},
+            static_cast<double>(std::count_if(targetNotices.begin(), targetNotices.end(), [kind](const TargetNotice &notice) { return notice.kind == kind; })));
+    }
     for (const CacheStore &store : this->cacheStores.stores()) {
         this->metrics.set("pimentosail_cache_store_held_tokens", {{"store", store.name}}, static_cast<double>(this->cacheStores.heldTokens(store.name)));
     }
@@ -334,6 +342,9 @@
             value["limited_targets"][observation.target] = *observation.requestsPerSecond;
         }
     }
+    for (const TargetNotice &notice : this->notices.known(this->clock.now())) {
+        value["target_notices"][std::string(noticeKindName(notice.kind))].append(notice.target);
+    }
     value["targets"] = Json::Int64(static_cast<int64_t>(this->directory.size()));
     value["idle_connections"] = Json::Int64(static_cast<int64_t>(this->connections.size()));
     value["log"]["dropped"] = Json::Int64(this->log.dropped());
@@ -356,6 +367,18 @@
     }
 }
 
+void EntryProcess::Impl::dropOldNotices()
+{
+    if (this->notices.changeCount() == 0) {
+        return;
+    }
+    std::set<std::pair<std::string, int64_t>> registered;
+    for (const TargetPointer &target : this->directory.allTargets()) {
+        registered.emplace(target->id, target->startedAt);
+    }
+    this->notices.dropOld(registered, this->clock.now());
+}
+
 void EntryProcess::Impl::runRefresh()
 {
     while (!this->stopping.load()) {
@@ -363,6 +386,7 @@
             const std::lock_guard lock(this->updaterMutex);
             this->updater.refreshTargets(this->mirror);
         }
+        this->dropOldNotices();
         this->logBlocked();
         this->connections.closeExpired();
         this->cacheStores.expireSaves();
--- a/pimentosail/entry/requestplanning.cpp
+++ b/pimentosail/entry/requestplanning.cpp
@@ -14,6 +14,8 @@
 constexpr Duration MinTimeLeft = Milliseconds(15);
 // A request waits for a free target for at most its target latency divided by this, and is then refused.
 constexpr int TargetWaitDivisor = 8;
+// Callers follow a Retry-After up to the time that they have left divided by this.
+constexpr int CallerPatienceDivisor = 3;
 // Acceptable transfer time of a cached block: the target latency divided by this.
 constexpr int TransferTimeDivisor = 3;
 // A late prompt (expected to miss its target latency) is sent if its first token is expected within this fraction of the
@@ -60,38 +62,66 @@
     return ids;
 }
 
-// Returns when the first of the targets that are at their limits may get a further request; zero if a target is not at its limit,
-// `Time::max()` if this host has no share of any.
-Time firstSendToLimited(const std::vector<Candidate> &candidates, const std::set<std::string> &triedTargets)
+// Returns when each of the targets may get a further request (`Time::max()` if this host has no share of it); empty if one of them is
+// not at its limit.
+std::vector<Time> endsOfLimits(const std::vector<Candidate> &candidates, const std::set<std::string> &triedTargets)
 {
-    Time first{};
+    std::vector<Time> ends;
     for (const Candidate &candidate : candidates) {
         if (triedTargets.contains(candidate.target->id)) {
             continue;
         }
         if (!candidate.isAtLimit) {
-            return Time(0);
+            return {};
         }
-        first = first == Time(0) ? candidate.nextSend : std::min(first, candidate.nextSend);
+        ends.push_back(candidate.nextSend);
     }
-    return first;
+    return ends;
 }
 
 } // namespace
 
-std::vector<Candidate> RequestRunner::candidates() const
+TargetShares RequestRunner::sharesOf(const TargetState &target, ShareContext &shareContext) const
+{
+    TargetShares shares;
+    const Time now = this->context.clock.now();
+    const ServiceSettings *serviceSettings = this->serving->findService(this->service);
+    if (target.coldUntil.load() > now.count() && serviceSettings != nullptr && serviceSettings->coldRequestsPerSecond > 0) {
+        if (shareContext.sharingHosts.empty()) {
+            shareContext.sharingHosts = hostNames(this->context.state.hosts());
+            shareContext.sharingHosts.resize(std::max(shareContext.sharingHosts.size(), this->context.state.sharingHostCount()));
+        }
+        shares.cold = coldShare(serviceSettings->coldRequestsPerSecond, target.id, this->context.settings.name, shareContext.sharingHosts);
+    }
+    if (const std::optional<double> limit = this->context.rateLimits.limitOf(target.id, target.startedAt, now)) {
+        if (!shareContext.rateShares) {
+            shareContext.rateShares.emplace(this->service, this->context.settings.name, hostNames(this->context.state.hosts()),
+                this->context.state.sharingHostCount(), targetIds(this->context.directory.all(this->service, "")));
+        }
+        shares.rate = shareContext.rateShares->shareOf(target.id, *limit);
+    }
+    return shares;
+}
+
+std::vector<RequestRunner::GatedCandidate> RequestRunner::candidates() const
 {
     const std::string model = this->request.prompt ? this->request.prompt->model : "";
     const ServiceSettings *serviceSettings = this->serving->findService(this->service);
-    std::vector<std::string> sharingHosts;
-    std::optional<RateShares> rateShares;
-    std::vector<Candidate> result;
-    const int64_t now = this->context.clock.now().count();
-    for (TargetView &view : this->context.directory.usable(this->service, model)) {
-        Candidate candidate;
+    ShareContext shareContext;
+    std::vector<GatedCandidate> result;
+    const Time now = this->context.clock.now();
+    for (TargetView &view : this->context.directory.all(this->service, model)) {
+        GatedCandidate gated;
+        gated.shares = this->sharesOf(*view.target, shareContext);
+        const SendDecision decision = this->context.gate.check(*view.target, SendKind::Request, gated.shares);
+        // An obstacle whose end is known counts in the Retry-After of a refusal.
+        if (!decision.isAllowed() && !decision.endsAtKnownTime()) {
+            continue;
+        }
+        Candidate &candidate = gated.candidate;
         candidate.version = view.version;
-        const TargetLoad otherLoad = this->context.loads.loadOfOthers(view.target->id, Time(now));
-        candidate.requests = view.target->inFlight.load() + otherLoad.requests;
+        const TargetLoad otherLoad = this->context.loads.loadOfOthers(view.target->id, now);
+        candidate.requests = static_cast<double>(view.target->inFlight.load() + otherLoad.requests);
         candidate.pendingTokens = static_cast<double>(view.target->pendingTokens.load() + otherLoad.pendingTokens);
         candidate.heldTokens = static_cast<double>(view.target->heldTokens.load() + otherLoad.heldTokens);
         if (serviceSettings != nullptr && serviceSettings->engine) {
@@ -99,26 +129,11 @@
             candidate.maxRuns = serviceSettings->engine->slots;
         }
         candidate.lateTokens = static_cast<double>(view.target->lateTokens.load() + otherLoad.lateTokens);
-        if (view.target->coldUntil.load() > now && serviceSettings != nullptr && serviceSettings->coldRequestsPerSecond > 0) {
-            if (sharingHosts.empty()) {
-                sharingHosts = hostNames(this->context.state.hosts());
-                sharingHosts.resize(std::max(sharingHosts.size(), this->context.state.sharingHostCount()));
-            }
-            candidate.shares.push_back(coldShare(serviceSettings->coldRequestsPerSecond, view.target->id, this->context.settings.name, sharingHosts));
-        }
-        if (const std::optional<double> limit = this->context.rateLimits.limitOf(view.target->id, view.target->startedAt, Time(now))) {
-            if (!rateShares) {
-                rateShares.emplace(this->service, this->context.settings.name, hostNames(this->context.state.hosts()), this->context.state.sharingHostCount(),
-                    targetIds(this->context.directory.all(this->service, "")));
-            }
-            candidate.shares.push_back(rateShares->shareOf(view.target->id, *limit));
-        }
-        if (!candidate.shares.empty()) {
-            candidate.nextSend = this->context.sendLimiter.nextSend(view.target->id, candidate.shares);
-            candidate.isAtLimit = candidate.nextSend > Time(now);
-        }
+        candidate.isAtLimit = !decision.isAllowed();
+        candidate.nextSend = decision.until;
+        gated.isAvoided = decision.isAllowed() && this->context.gate.othersRestUntil(*view.target) > now;
         candidate.target = std::move(view.target);
-        result.push_back(std::move(candidate));
+        result.push_back(std::move(gated));
     }
     return result;
 }
@@ -144,28 +159,47 @@
         this->wantedVersionAge = wanted.setTime.earliest == UnknownPast ? Duration(-1) : now - wanted.setTime.earliest;
         query.oldestVersion = this->context.state.oldestAllowedVersion(prompt.model, now, this->context.settings.versionLimit - VersionMargin);
     }
-    std::vector<Candidate> targets = this->candidates();
+    const std::vector<GatedCandidate> gated = this->candidates();
     if (!query.affinity.empty()) {
         const size_t hosts = std::max<size_t>(1, this->context.state.hosts().size());
-        query.sampleSize = std::max(MinSample, SampleFactor * targets.size() / hosts);
-    }
-    if (!query.affinity.empty()) {
+        query.sampleSize = std::max(MinSample, SampleFactor * gated.size() / hosts);
         int64_t version = query.newestVersion;
-        for (const Candidate &candidate : targets) {
-            version = std::max(version, candidate.version);
+        for (const GatedCandidate &entry : gated) {
+            version = std::max(version, entry.candidate.version);
         }
         query.cacheZones = this->context.cacheStores.zonesOf(this->saltFor(version), query.affinity);
         this->isCached = !query.cacheZones.empty();
     }
+    // Targets that have asked other hosts to rest are used if no other target may get the request.
+    std::optional<TargetChoice> choice = this->pickAndAcquire(query, gated, false);
+    const bool hasAvoided = std::any_of(gated.begin(), gated.end(), [](const GatedCandidate &entry) { return entry.isAvoided; });
+    return choice || !hasAvoided ? choice : this->pickAndAcquire(query, gated, true);
+}
+
+std::optional<TargetChoice> RequestRunner::pickAndAcquire(const PickQuery &query, const std::vector<GatedCandidate> &gated, bool usesAvoided)
+{
+    std::vector<Candidate> targets;
+    std::map<std::string, const TargetShares *> sharesById;
+    for (const GatedCandidate &entry : gated) {
+        if (usesAvoided || !entry.isAvoided) {
+            targets.push_back(entry.candidate);
+            sharesById.emplace(entry.candidate.target->id, &entry.shares);
+        }
+    }
     while (std::optional<TargetChoice> choice = pickTarget(query, targets)) {
-        const auto chosen = std::find_if(targets.begin(), targets.end(), [&choice](const Candidate &candidate) { return candidate.target == choice->target; });
-        if (chosen->shares.empty() || this->context.sendLimiter.tryAcquire(choice->target->id, chosen->shares)) {
+        const SendDecision decision = this->context.gate.acquire(*choice->target, *sharesById.at(choice->target->id));
+        if (decision.isAllowed()) {
             return choice;
         }
+        const auto chosen = std::find_if(targets.begin(), targets.end(), [&choice](const Candidate &candidate) { return candidate.target == choice->target; });
+        if (!decision.endsAtKnownTime()) {
+            targets.erase(chosen);
+            continue;
+        }
         chosen->isAtLimit = true;
-        chosen->nextSend = this->context.sendLimiter.nextSend(choice->target->id, chosen->shares);
+        chosen->nextSend = decision.until;
     }
-    this->limitedUntil = firstSendToLimited(targets, this->triedTargets);
+    this->limitEnds = endsOfLimits(targets, this->triedTargets);
     return std::nullopt;
 }
 
@@ -204,7 +238,7 @@
     // Callers should return when about half of the backlog is processed; the random factor spreads their returns over
     // an interval of the same length.
     const double spread = 0.5 + static_cast<double>(this->random() % 1000) / 1000;
-    this->retryAfter = std::min<Duration>(left / 3, fromSeconds(toSeconds(expectedLate) / 2 * spread));
+    this->retryAfter = std::min<Duration>(left / CallerPatienceDivisor, fromSeconds(toSeconds(expectedLate) / 2 * spread));
     throw Failure(ErrorKind::Overloaded, "the first token is expected after " + std::to_string(toMilliseconds(expectedLate)) + " ms");
 }
 
@@ -218,8 +252,10 @@
             return *choice;
         }
         // Waiting is of no use if this host may send to no target until then.
-        if (this->limitedUntil > end) {
-            this->retryAfter = this->limitedUntil == Time::max() ? Duration(0) : this->limitedUntil - this->context.clock.now();
+        if (!this->limitEnds.empty() && *std::min_element(this->limitEnds.begin(), this->limitEnds.end()) > end) {
+            const Time now = this->context.clock.now();
+            const Time back = returnTime(this->limitEnds, now + (this->deadline - now) / CallerPatienceDivisor, this->random());
+            this->retryAfter = back == Time::max() ? Duration(0) : back - now;
             throw Failure(ErrorKind::NoTarget, "the targets of " + this->service + " take no more requests now");
         }
         if (this->context.clock.now() >= end) {
--- a/pimentosail/entry/requestrunner.h
+++ b/pimentosail/entry/requestrunner.h
@@ -32,6 +32,21 @@
     void run();
 
 private:
+    // A candidate with this host's shares of it.
+    struct GatedCandidate
+    {
+        Candidate candidate;
+        TargetShares shares;
+        // The target wants no requests of some other host.
+        bool isAvoided = false;
+    };
+    // What the shares of all targets of a service depend on, computed when a target has a limit.
+    struct ShareContext
+    {
+        std::vector<std::string> sharingHosts;
+        std::optional<RateShares> rateShares;
+    };
+
     void admit();
     void checkTeam();
     // Throws `Failure` if the request, or a block of its prompt, ended too many targets.
@@ -42,7 +57,9 @@
     void attemptUntilAnswered();
     TargetChoice chooseTarget();
     std::optional<TargetChoice> tryChoose();
-    std::vector<Candidate> candidates() const;
+    std::vector<GatedCandidate> candidates() const;
+    TargetShares sharesOf(const TargetState &target, ShareContext &shareContext) const;
+    std::optional<TargetChoice> pickAndAcquire(const PickQuery &query, const std::vector<GatedCandidate> &gated, bool usesAvoided);
     std::string saltFor(int64_t version) const;
     AttemptPlan planFor(const TargetChoice &choice);
     AttemptLimits limitsFor(const TargetChoice &choice) const;
@@ -92,8 +109,8 @@
     bool isLate = false;
     // Prompt tokens that the chosen target had to process at the first send, this prompt's included.
     double pendingAtSend = 0;
-    // When this host may send to one of the service's targets again, if all of them are at their limits at the last choice; else zero.
-    Time limitedUntil{};
+    // When each of the service's targets may get requests of this host again, if none might at the last choice; else empty.
+    std::vector<Time> limitEnds;
     // Retry-After of a refusal; zero if there is no estimate.
     Duration retryAfter{};
     // A cache store holds the last shared block of the prompt.
--- a/pimentosail/entry/rolloutduty.cpp
+++ b/pimentosail/entry/rolloutduty.cpp
@@ -222,6 +222,14 @@
             load.isOrdered = load.ordersSent > 0;
             return;
         }
+        const SendDecision decision = this->context.gate.check(*load.target, SendKind::Order);
+        if (decision.obstacle == SendObstacle::Resting) {
+            load.isOrdered = load.ordersSent > 0;
+            return;
+        }
+        if (!decision.isAllowed()) {
+            throw Failure(ErrorKind::TargetLost, "the target may get no orders: " + std::string(sendObstacleName(decision.obstacle)));
+        }
         const Time sentAt = this->context.clock.now();
         ++load.ordersSent;
         load.outcome
@@ -273,8 +281,8 @@
         target.isLate = pending != this->pendingLoads.end() && pending->second.isLate;
         target.isLoading = pending != this->pendingLoads.end() && !target.isLate;
         const auto excluded = this->excludedUntil.find(target.id);
-        target.isExcluded
-            = view.target->draining || view.target->connectFailures.load() > 0 || (excluded != this->excludedUntil.end() && now < excluded->second);
+        target.isExcluded = !this->context.gate.check(*view.target, SendKind::Order).isAllowed() || view.target->connectFailures.load() > 0
+            || (excluded != this->excludedUntil.end() && now < excluded->second);
         target.requestsInFlight = view.target->inFlight.load();
         byId[target.id] = view.target;
         targets.push_back(std::move(target));
--- a/pimentosail/entry/wire.h
+++ b/pimentosail/entry/wire.h
@@ -98,6 +98,12 @@
     std::optional<double> rateLimit;
     // The answer names a limit that cannot be read.
     bool hasUnreadableRateLimit = false;
+    // The target says that it is going to end.
+    bool isLeaving = false;
+    // A refusal: how long the target wants no requests of this host; nothing if it does not say.
+    std::optional<Duration> rest;
+    // A refusal names a time that cannot be read.
+    bool hasUnreadableRest = false;
     // How long the target keeps the connection open while it is idle.
     Duration keepAlive{};
 };
