Block quarantine: requests do not wait while findings are evaluated, and findings that arrive together are evaluated once

Cause: one mutex for the evidence and for its result, and one evaluation of all hosts' losses for each changed host.

Change: the result has a mutex of its own, which an evaluation takes only to store it; the state updater passes in all changed hosts together. Findings of hosts that have none are forgotten.

--- a/pimentosail/dispatch/blockquarantine.cpp
+++ b/pimentosail/dispatch/blockquarantine.cpp
@@ -148,18 +148,25 @@
     }
 }
 
-void BlockQuarantine::replaceFindings(const std::string &host, BlockFindings findings)
+void BlockQuarantine::replaceFindings(std::map<std::string, BlockFindings> changed)
 {
     const std::lock_guard lock(this->mutex);
-    BlockFindings &known = this->otherFindings[host];
-    known = std::move(findings);
-    // Kept here too, since the other host's list is bounded. Once no host has losses of a block, none publishes it again.
-    for (const std::string &block : known.answered) {
-        this->markAnswered(block);
-        const auto own = this->ownLosses.find(block);
-        if (own != this->ownLosses.end()) {
-            this->eraseOwnLosses(own);
-            ++this->changes;
+    std::set<std::string> changedHosts;
+    for (auto &[host, findings] : changed) {
+        changedHosts.insert(host);
+        // Kept here too, since the other host's list is bounded. Once no host has losses of a block, none publishes it again.
+        for (const std::string &block : findings.answered) {
+            this->markAnswered(block);
+            const auto own = this->ownLosses.find(block);
+            if (own != this->ownLosses.end()) {
+                this->eraseOwnLosses(own);
+                ++this->changes;
+            }
+        }
+        if (findings.losses.empty() && findings.answered.empty()) {
+            this->otherFindings.erase(host);
+        } else {
+            this->otherFindings[host] = std::move(findings);
         }
     }
     this->lostElsewhere.clear();
@@ -167,7 +174,7 @@
         for (const BlockLoss &loss : other.losses) {
             if (!this->isAnswered(loss.block)) {
                 this->lostElsewhere.insert(loss.block);
-            } else if (name == host) {
+            } else if (changedHosts.contains(name)) {
                 this->publishAnswered(loss.block);
             }
         }
@@ -234,7 +241,7 @@
 void BlockQuarantine::evaluate()
 {
     std::map<std::string, Evidence> evidence = this->unresolvedEvidence();
-    this->evaluated.clear();
+    std::vector<SuspectedBlocks> result;
     while (!evidence.empty()) {
         const auto strongest = std::max_element(
             evidence.begin(), evidence.end(), [](const auto &a, const auto &b) { return a.second.incarnations.size() < b.second.incarnations.size(); });
@@ -250,28 +257,30 @@
             std::erase_if(entry.incarnations, [&explained](const std::string &incarnation) { return explained.contains(incarnation); });
         }
         suspected.isBlocked = explained.size() >= BlockingLosses && suspected.requests >= BlockingRequests;
-        this->evaluated.push_back(std::move(suspected));
+        result.push_back(std::move(suspected));
         std::erase_if(evidence, [](const auto &entry) { return entry.second.incarnations.size() < SuspectingLosses; });
     }
+    const std::lock_guard lock(this->evaluatedMutex);
+    this->evaluated = std::move(result);
 }
 
 bool BlockQuarantine::isBlocked(const std::vector<std::string> &blocks) const
 {
-    const std::lock_guard lock(this->mutex);
+    const std::lock_guard lock(this->evaluatedMutex);
     return std::any_of(this->evaluated.begin(), this->evaluated.end(),
         [&blocks](const SuspectedBlocks &suspected) { return suspected.isBlocked && containsAll(blocks, suspected.blocks); });
 }
 
 bool BlockQuarantine::isSuspected(const std::vector<std::string> &blocks) const
 {
-    const std::lock_guard lock(this->mutex);
+    const std::lock_guard lock(this->evaluatedMutex);
     return std::any_of(
         this->evaluated.begin(), this->evaluated.end(), [&blocks](const SuspectedBlocks &suspected) { return containsAll(blocks, suspected.blocks); });
 }
 
 std::vector<SuspectedBlocks> BlockQuarantine::suspects() const
 {
-    const std::lock_guard lock(this->mutex);
+    const std::lock_guard lock(this->evaluatedMutex);
     return this->evaluated;
 }
 
--- a/pimentosail/dispatch/blockquarantine.h
+++ b/pimentosail/dispatch/blockquarantine.h
@@ -64,8 +64,9 @@
     // Records that an answer to a request with `blocks` began.
     void recordAnswer(const std::vector<std::string> &blocks);
 
-    // Replaces the findings of another host.
-    void replaceFindings(const std::string &host, BlockFindings findings);
+    // Replaces the findings of other hosts, by host. Takes time in proportion to the losses of all hosts, so changes that arrive
+    // together are passed in together.
+    void replaceFindings(std::map<std::string, BlockFindings> changed);
 
     // Adds the findings that this host published before it was restarted. Later calls do nothing: they are echoes of what this
     // process published.
@@ -109,6 +110,7 @@
     std::map<std::string, Evidence> unresolvedEvidence() const;
     void evaluate();
 
+    // Guards all members but `evaluated`.
     mutable std::mutex mutex;
     // Losses of this host by block, and how many there are.
     std::map<std::string, OwnEvidence> ownLosses;
@@ -124,6 +126,8 @@
     std::unordered_set<std::string> lostElsewhere;
     bool isRestored = false;
     uint64_t changes = 0;
+    // Guards `evaluated` only, so that a request does not wait while findings are evaluated. Locked after `mutex`.
+    mutable std::mutex evaluatedMutex;
     std::vector<SuspectedBlocks> evaluated;
 };
 
--- a/pimentosail/dispatch/dispatchtest.cpp
+++ b/pimentosail/dispatch/dispatchtest.cpp
@@ -1,7 +1,9 @@
 #include <algorithm>
 #include <array>
+#include <atomic>
 #include <cmath>
 #include <map>
+#include <thread>
 
 #include <criterion/criterion.h>
 
@@ -250,8 +252,8 @@
     cr_assert(first.isSuspected({"common", "deadly"}));
     cr_assert_not(first.isBlocked({"common", "deadly"}));
     second.recordLoss({"common", "deadly"}, "c/1", 2);
-    first.replaceFindings("second", second.ownFindings());
-    second.replaceFindings("first", first.ownFindings());
+    first.replaceFindings({{"second", second.ownFindings()}});
+    second.replaceFindings({{"first", first.ownFindings()}});
     // The second host has not seen an answer with the common block, but learns of it.
     for (const BlockQuarantine *quarantine : {&first, &second}) {
         cr_assert(quarantine->isBlocked({"common", "deadly"}));
@@ -263,7 +265,7 @@
     BlockQuarantine restarted;
     restarted.restore(first.ownFindings());
     restarted.recordLoss({"deadly"}, "d/1", 3);
-    second.replaceFindings("first", restarted.ownFindings());
+    second.replaceFindings({{"first", restarted.ownFindings()}});
     cr_assert(second.isBlocked({"common", "deadly"}));
 }
 
@@ -293,7 +295,7 @@
     cr_assert(quarantine.isBlocked({"popular"}));
     BlockFindings other;
     other.answered = {"popular"};
-    quarantine.replaceFindings("other", other);
+    quarantine.replaceFindings({{"other", other}});
     cr_assert_not(quarantine.isBlocked({"popular"}));
 }
 
@@ -352,7 +354,7 @@
         for (size_t from = 0; from < hosts.size(); ++from) {
             for (size_t to = 0; to < hosts.size(); ++to) {
                 if (to != from) {
-                    hosts[to].replaceFindings("host-" + std::to_string(from), hosts[from].ownFindings());
+                    hosts[to].replaceFindings({{"host-" + std::to_string(from), hosts[from].ownFindings()}});
                 }
             }
         }
@@ -397,8 +399,8 @@
             lastRound = round;
             const BlockFindings findings = hosts[host].ownFindings();
             hosts[host].restore(findings);
-            hosts[(host + 1) % 3].replaceFindings("host-" + std::to_string(host), findings);
-            hosts[(host + 2) % 3].replaceFindings("host-" + std::to_string(host), findings);
+            hosts[(host + 1) % 3].replaceFindings({{"host-" + std::to_string(host), findings}});
+            hosts[(host + 2) % 3].replaceFindings({{"host-" + std::to_string(host), findings}});
         }
     }
     cr_assert_leq(lastRound, 5, "the last round with a publication is %d", lastRound);
@@ -450,3 +452,42 @@
     candidates[0].requests = 16;
     cr_assert_eq(pickTarget(query, candidates)->target->id, "busy", "runs beyond the engine's number wait");
 }
+
+// Load: 67 hosts publish 256 losses each at once. Guards against requests that wait while the findings of all hosts are evaluated,
+// and against one evaluation for each host.
+Test(quarantine, requests_do_not_wait_while_the_findings_of_many_hosts_are_evaluated)
+{
+    BlockQuarantine quarantine;
+    std::map<std::string, BlockFindings> findings;
+    for (int host = 0; host < 67; ++host) {
+        BlockFindings &own = findings["host-" + std::to_string(host)];
+        for (int loss = 0; loss < 256; ++loss) {
+            own.losses.push_back(
+                {"block-" + std::to_string(loss), "i-" + std::to_string(host) + "-" + std::to_string(loss % 40), static_cast<uint64_t>(1000 * host + loss)});
+        }
+    }
+    std::atomic<bool> isDone{false};
+    std::atomic<int64_t> asked{0};
+    std::thread asking([&quarantine, &isDone, &asked] {
+        while (!isDone.load()) {
+            quarantine.isBlocked({"unknown"});
+            ++asked;
+        }
+    });
+    while (asked.load() == 0) {
+        std::this_thread::yield();
+    }
+    // The findings arrive again and again; requests go on asking meanwhile. One that had to wait would be answered a few times only,
+    // before the evaluation begins.
+    constexpr int64_t ManyAnswers = 5000;
+    int64_t rounds = 0;
+    for (int round = 0; round < 20; ++round) {
+        const int64_t before = asked.load();
+        quarantine.replaceFindings(findings);
+        rounds += asked.load() > before + ManyAnswers ? 1 : 0;
+    }
+    isDone.store(true);
+    asking.join();
+    cr_assert_geq(rounds, 5, "requests were answered during %ld of 20 evaluations", static_cast<long>(rounds));
+    cr_assert(quarantine.isBlocked({"block-1", "block-41", "block-81", "block-121", "block-161", "block-201", "block-241"}));
+}
--- a/pimentosail/entry/stateupdater.cpp
+++ b/pimentosail/entry/stateupdater.cpp
@@ -211,6 +211,7 @@
 
 void StateUpdater::updateObservations(const StoreMirror &mirror, const std::set<std::string> &changedKeys)
 {
+    std::map<std::string, BlockFindings> findings;
     std::set<std::string> removedKeys(changedKeys.lower_bound(ObservationsPrefix), changedKeys.end());
     for (const StoredItem &item : mirror.items(ObservationsPrefix)) {
         removedKeys.erase(item.key);
@@ -228,7 +229,7 @@
             if (host == this->context.settings.name) {
                 this->context.blockQuarantine.restore(decodeBlockFindings(value));
             } else {
-                this->context.blockQuarantine.replaceFindings(host, decodeBlockFindings(value));
+                findings[host] = decodeBlockFindings(value);
             }
         } catch (const std::exception &exception) {
             this->reportUnreadable(item, exception.what());
@@ -236,9 +237,12 @@
     }
     for (const std::string &key : removedKeys) {
         if (key.starts_with(ObservationsPrefix)) {
-            this->context.blockQuarantine.replaceFindings(key.substr(ObservationsPrefix.size()), {});
+            findings[key.substr(ObservationsPrefix.size())] = {};
         }
     }
+    if (!findings.empty()) {
+        this->context.blockQuarantine.replaceFindings(std::move(findings));
+    }
 }
 
 void StateUpdater::updateVersionTimes(const StoreMirror &mirror)
