Cache contents: followers receive the status of stores only when it changes; cold shares without sorting; fewer threads at rest

The share of a cold target sorted all hosts with two hashes for each comparison, for each cold target and each request: about 5,000 hashes at 295 hosts. Each of the four servers of a host kept four idle threads.

The rank of a host is counted without sorting. A server keeps one idle thread. A poll thread that is not needed any more ends after 5 s, since roles may change several times while hosts start; with an end at once, a host that becomes a relay again began to poll up to a second later, which may be what fleet/in_a_large_deployment_few_hosts_read_the_stores saw once.

--- a/pimentosail/base/basetest.cpp
+++ b/pimentosail/base/basetest.cpp
@@ -72,7 +72,12 @@
         const std::vector<std::string> withoutLast{"a", "b", "c", "d"};
         const std::string owner = rendezvousOwner(key, all);
         RC_ASSERT(owner == "e" || rendezvousOwner(key, withoutLast) == owner);
-        RC_ASSERT(rendezvousOrder(key, all).front() == owner);
+        const std::vector<std::string> order = rendezvousOrder(key, all);
+        RC_ASSERT(order.front() == owner);
+        for (size_t rank = 0; rank < order.size(); ++rank) {
+            RC_ASSERT(rendezvousRank(key, order[rank], all) == rank);
+        }
+        RC_ASSERT(rendezvousRank(key, "absent", all) == all.size());
     });
     cr_assert(passed);
 }
--- a/pimentosail/base/hash.cpp
+++ b/pimentosail/base/hash.cpp
@@ -48,6 +48,20 @@
     return members;
 }
 
+size_t rendezvousRank(std::string_view key, std::string_view member, const std::vector<std::string> &members)
+{
+    const uint64_t seed = stableHash(key);
+    const uint64_t ownWeight = stableHash(member, seed);
+    size_t rank = 0;
+    bool isMember = false;
+    for (const std::string &other : members) {
+        const uint64_t weight = stableHash(other, seed);
+        rank += weight > ownWeight || (weight == ownWeight && other < member) ? 1 : 0;
+        isMember = isMember || other == member;
+    }
+    return isMember ? rank : members.size();
+}
+
 std::string randomId()
 {
     thread_local std::mt19937_64 generator{std::random_device{}() ^ (static_cast<uint64_t>(std::random_device{}()) << 32U)};
--- a/pimentosail/base/hash.h
+++ b/pimentosail/base/hash.h
@@ -23,6 +23,10 @@
 // Returns the members ordered by descending rendezvous weight for `key`; members of equal weight are ordered by name.
 std::vector<std::string> rendezvousOrder(std::string_view key, std::vector<std::string> members);
 
+// Returns the position of `member` in the `rendezvousOrder` of `members`, without sorting them; the number of members if it is not one
+// of them.
+size_t rendezvousRank(std::string_view key, std::string_view member, const std::vector<std::string> &members);
+
 // Returns a random 64-bit identifier as 16 hexadecimal digits. It is seeded from the system's random device, so that
 // processes don't repeat each other's identifiers.
 std::string randomId();
--- a/pimentosail/dispatch/limits.cpp
+++ b/pimentosail/dispatch/limits.cpp
@@ -54,9 +54,8 @@
     if (perHost >= 1) {
         return {static_cast<int>(std::min(perHost, MaxShareCount)), ColdWindow};
     }
-    const std::vector<std::string> order = rendezvousOrder(target, hosts);
-    const auto rank = std::find(order.begin(), order.end(), ownHost) - order.begin();
-    return {rank < static_cast<int64_t>(requestsPerSecond) ? 1 : 0, ColdWindow};
+    const size_t rank = rendezvousRank(target, ownHost, hosts);
+    return {static_cast<double>(rank) < std::floor(requestsPerSecond) ? 1 : 0, ColdWindow};
 }
 
 RateShares::RateShares(
--- a/pimentosail/entry/cacheeventduty.cpp
+++ b/pimentosail/entry/cacheeventduty.cpp
@@ -15,6 +15,8 @@
 // after a listing are recovered by the next one.
 constexpr Duration ListingInterval = std::chrono::seconds(5);
 constexpr Duration SuperviseInterval = Milliseconds(500);
+// The thread of a cache store that this host no longer polls ends after this time. Roles may change several times while hosts start.
+constexpr Duration IdlePollTime = std::chrono::seconds(5);
 // Polls that are left free at each cache store, because polls of a host that was replaced may still be open.
 constexpr int ReservedPolls = 2;
 constexpr Duration RelayWait = Milliseconds(400);
@@ -129,21 +131,19 @@
 
 void CacheEventDuty::pollRelay()
 {
-    std::string journalId;
-    int64_t position = 0;
+    JournalPosition position;
     bool wasReachable = true;
     while (!this->stopping.load()) {
         const std::optional<HostEntry> relay = this->context.state.relay();
         if (this->context.state.readsFromSource() || !relay) {
-            journalId.clear();
+            position = {};
             this->context.clock.sleepFor(SuperviseInterval);
             continue;
         }
         try {
-            const CacheChanges changes = this->fetchChanges(*relay, journalId, position, RelayWait);
+            const CacheChanges changes = this->fetchChanges(*relay, position, RelayWait);
             this->applyChanges(changes);
-            journalId = changes.journal;
-            position = changes.next;
+            position = {changes.journal, changes.next, changes.statusPosition};
             if (!wasReachable) {
                 wasReachable = true;
                 this->context.log.write(LogLevel::Info, "dependency_regained", {{"dependency", "cache relay " + relay->name}});
@@ -159,7 +159,7 @@
                 this->context.log.write(LogLevel::Warning, "dependency_lost", {{"dependency", "cache relay " + relay->name}, {"reason", failure.what()}});
             }
             this->context.state.skipRelay(relay->name);
-            journalId.clear();
+            position = {};
             this->context.clock.sleepFor(RelayPause);
         }
     }
@@ -171,13 +171,21 @@
     int64_t epoch = 0;
     bool wasReachable = true;
     Time nextListing{};
+    Time lastUse = this->context.clock.now();
     while (!this->stopping.load()) {
         const std::vector<CacheStore> stores = this->context.cacheStores.stores();
         const auto store = std::find_if(stores.begin(), stores.end(), [&name](const CacheStore &candidate) { return candidate.name == name; });
         if (store == stores.end() || !this->shouldPoll(*store)) {
-            // The contents are updated from another source from now on, so the position is no longer valid.
-            return;
+            // The contents are updated from another source meanwhile, so the position is no longer valid.
+            next = 0;
+            epoch = 0;
+            if (this->context.clock.now() > lastUse + IdlePollTime) {
+                return;
+            }
+            this->context.clock.sleepFor(SuperviseInterval);
+            continue;
         }
+        lastUse = this->context.clock.now();
         try {
             // The first poll returns at once, because no blocks are saved in a store before its epoch is known.
             const CacheEvents events = this->context.wire.pollCacheStore(store->address, next, epoch == 0 ? Duration(0) : PollWait);
--- a/pimentosail/entry/entryprocess.cpp
+++ b/pimentosail/entry/entryprocess.cpp
@@ -66,7 +66,7 @@
     void serveMetrics(HttpExchange &exchange);
     void updateGauges();
     MirrorPeers mirrorPeers();
-    CacheChanges fetchCacheChanges(const HostEntry &relay, const std::string &journal, int64_t position, Duration wait);
+    CacheChanges fetchCacheChanges(const HostEntry &relay, const JournalPosition &position, Duration wait);
     MirrorChanges fetchStoreChangesFromAnyHost(int64_t revision, Duration wait);
     MirrorChanges fetchStoreChanges(const std::string &address, int64_t revision, Duration wait);
     Json::Value dumpState();
@@ -152,7 +152,9 @@
           {"cache_changes",
               [this](const Json::Value &arguments) {
                   const Duration wait = std::min<Duration>(Milliseconds(jsonInteger(arguments, "wait_ms")), MaxPeerWait);
-                  return encodeCacheChanges(this->cacheJournal.changesAfter(jsonString(arguments, "journal"), jsonInteger(arguments, "after"), wait));
+                  // A host of an earlier version names no status.
+                  const JournalPosition position{jsonString(arguments, "journal"), jsonInteger(arguments, "after"), jsonInteger(arguments, "status_after", -1)};
+                  return encodeCacheChanges(this->cacheJournal.changesAfter(position, wait));
               }},
           {"state",
               [this](const Json::Value & /*arguments*/) {
@@ -161,9 +163,7 @@
     , hostDuty(context, store, mirror)
     , rolloutDuty(context, store, mirror)
     , cacheDuty(context, cacheJournal,
-          [this](const HostEntry &relay, const std::string &journal, int64_t position, Duration wait) {
-              return this->fetchCacheChanges(relay, journal, position, wait);
-          })
+          [this](const HostEntry &relay, const JournalPosition &position, Duration wait) { return this->fetchCacheChanges(relay, position, wait); })
     , loadDuty(context)
     , refreshThread("refresh", [this] { this->runRefresh(); })
     , callerServer(settings.listen, callerConnections(settings), [this](HttpExchange &exchange) { RequestRunner(this->context, exchange).run(); })
@@ -281,11 +281,12 @@
     return decodeStoreChanges(this->peers.call(address, "store_changes", arguments, wait + PeerCallMargin));
 }
 
-CacheChanges EntryProcess::Impl::fetchCacheChanges(const HostEntry &relay, const std::string &journal, int64_t position, Duration wait)
+CacheChanges EntryProcess::Impl::fetchCacheChanges(const HostEntry &relay, const JournalPosition &position, Duration wait)
 {
     Json::Value arguments;
-    arguments["journal"] = journal;
-    arguments["after"] = Json::Int64(position);
+    arguments["journal"] = position.journal;
+    arguments["after"] = Json::Int64(position.next);
+    arguments["status_after"] = Json::Int64(position.statusPosition);
     arguments["wait_ms"] = Json::Int64(toMilliseconds(wait));
     return decodeCacheChanges(this->peers.call(relay.address, "cache_changes", arguments, wait + PeerCallMargin));
 }
--- a/pimentosail/entry/peermessages.cpp
+++ b/pimentosail/entry/peermessages.cpp
@@ -43,6 +43,7 @@
     changes.journal = jsonString(value, "journal");
     changes.next = jsonInteger(value, "next");
     changes.isSnapshot = jsonBoolean(value, "snapshot");
+    changes.statusPosition = jsonInteger(value, "status", -1);
     for (const Json::Value &row : value["stores"]) {
         changes.stores.push_back({row[0].asString(), row[1].asInt64(), row[2].asBool()});
     }
@@ -99,6 +100,7 @@
     value["journal"] = changes.journal;
     value["next"] = Json::Int64(changes.next);
     value["snapshot"] = changes.isSnapshot;
+    value["status"] = Json::Int64(changes.statusPosition);
     value["stores"] = Json::Value(Json::arrayValue);
     std::map<std::string, int> storeIndexes;
     for (const CacheStoreStatus &status : changes.stores) {
--- a/pimentosail/entry/storeduties.h
+++ b/pimentosail/entry/storeduties.h
@@ -156,7 +156,7 @@
 };
 
 // Fetches changes of the cache stores from a relay. Throws `Failure` (PeerLost).
-using CacheRelayCall = std::function<CacheChanges(const HostEntry &relay, const std::string &journal, int64_t position, Duration wait)>;
+using CacheRelayCall = std::function<CacheChanges(const HostEntry &relay, const JournalPosition &position, Duration wait)>;
 
 // Keeps track of the contents of the cache stores. A host that reads from the source polls the change events of each
 // cache store in a thread of its own; a follower polls a relay and has no such threads.
--- a/pimentosail/kvcache/cachejournal.cpp
+++ b/pimentosail/kvcache/cachejournal.cpp
@@ -1,5 +1,7 @@
 #include "pimentosail/kvcache/cachejournal.h"
 
+#include <set>
+
 #include "pimentosail/base/hash.h"
 
 namespace pimentosail
@@ -35,25 +37,46 @@
     this->changed.notify_all();
 }
 
-CacheChanges CacheJournal::changesAfter(const std::string &journal, int64_t position, Duration wait) const
+void CacheJournal::addStatus(int64_t knownPosition, CacheChanges &result)
+{
+    std::set<std::string> changedStores;
+    for (const CacheChange &change : result.changes) {
+        changedStores.insert(change.store);
+    }
+    const std::vector<CacheStoreStatus> current = this->cacheStores.status();
+    const std::lock_guard lock(this->mutex);
+    for (const CacheStoreStatus &status : current) {
+        StatusEntry &entry = this->statuses[status.store];
+        if (entry.changedAt == 0 || entry.status.epoch != status.epoch || entry.status.isReachable != status.isReachable) {
+            entry = {status, ++this->statusChanges};
+        }
+        if (result.isSnapshot || entry.changedAt > knownPosition || changedStores.contains(status.store)) {
+            result.stores.push_back(status);
+        }
+    }
+    result.statusPosition = this->statusChanges;
+}
+
+CacheChanges CacheJournal::changesAfter(const JournalPosition &position, Duration wait)
 {
     CacheChanges result;
     result.journal = this->name;
-    std::unique_lock lock(this->mutex);
-    const int64_t oldest = this->next - static_cast<int64_t>(this->recent.size());
-    result.isSnapshot = journal != this->name || position < oldest || position > this->next;
-    if (!result.isSnapshot) {
-        this->changed.wait_for(lock, wait, [this, position] { return this->next > position; });
-        const int64_t first = this->next - static_cast<int64_t>(this->recent.size());
-        for (int64_t number = std::max(first, position); number < this->next; ++number) {
-            result.changes.push_back(this->recent[static_cast<size_t>(number - first)]);
+    {
+        std::unique_lock lock(this->mutex);
+        const int64_t oldest = this->next - static_cast<int64_t>(this->recent.size());
+        result.isSnapshot = position.journal != this->name || position.next < oldest || position.next > this->next;
+        if (!result.isSnapshot) {
+            this->changed.wait_for(lock, wait, [this, &position] { return this->next > position.next; });
+            const int64_t first = this->next - static_cast<int64_t>(this->recent.size());
+            for (int64_t number = std::max(first, position.next); number < this->next; ++number) {
+                result.changes.push_back(this->recent[static_cast<size_t>(number - first)]);
+            }
         }
+        // The contents below may already include changes recorded after this point. The next call returns these changes again,
+        // which is harmless because applying a change is idempotent.
+        result.next = this->next;
     }
-    // The contents below may already include changes recorded after this point. The next call returns these changes again,
-    // which is harmless because applying a change is idempotent.
-    result.next = this->next;
-    lock.unlock();
-    result.stores = this->cacheStores.status();
+    this->addStatus(position.statusPosition, result);
     if (result.isSnapshot) {
         result.changes = this->cacheStores.allBlocks();
     }
--- a/pimentosail/kvcache/cachejournal.h
+++ b/pimentosail/kvcache/cachejournal.h
@@ -2,13 +2,14 @@
 // stores themselves.
 //
 //     journal.record("store-a", events);
-//     CacheChanges changes = journal.changesAfter(position, Milliseconds(400));
+//     CacheChanges changes = journal.changesAfter({journalName, position, statusPosition}, Milliseconds(400));
 //
 // Thread-safe.
 #pragma once
 
 #include <condition_variable>
 #include <deque>
+#include <map>
 #include <mutex>
 #include <string>
 #include <vector>
@@ -26,10 +27,22 @@
     int64_t next = 0;
     // True if `changes` lists the full contents of the cache stores; what it does not list is no longer stored.
     bool isSnapshot = false;
+    // Number of the last change of a cache store's status.
+    int64_t statusPosition = 0;
+    // The cache stores of `changes`, and those whose status has changed; all in a snapshot.
     std::vector<CacheStoreStatus> stores;
     std::vector<CacheChange> changes;
 };
 
+// What a reader of a journal has received: the journal's name, the next change, and the last change of a status (-1: none, so that
+// it receives the status of all cache stores).
+struct JournalPosition
+{
+    std::string journal;
+    int64_t next = 0;
+    int64_t statusPosition = -1;
+};
+
 class CacheJournal
 {
 public:
@@ -40,16 +53,28 @@
 
     // Returns the changes from `position` on and waits at most `wait` for the first one. Returns a snapshot if the position
     // is of another journal or too old.
-    CacheChanges changesAfter(const std::string &journal, int64_t position, Duration wait) const;
+    CacheChanges changesAfter(const JournalPosition &position, Duration wait);
 
 private:
+    struct StatusEntry
+    {
+        CacheStoreStatus status;
+        int64_t changedAt = 0;
+    };
+
+    // Adds the status of the cache stores that the reader needs.
+    void addStatus(int64_t knownPosition, CacheChanges &result);
+
     const CacheStores &cacheStores;
     const std::string name;
-    mutable std::mutex mutex;
-    mutable std::condition_variable changed;
+    std::mutex mutex;
+    std::condition_variable changed;
     std::deque<CacheChange> recent;
     // Number of the next change to be recorded.
     int64_t next = 1;
+    // By cache store, as of the last call.
+    std::map<std::string, StatusEntry> statuses;
+    int64_t statusChanges = 0;
 };
 
 } // namespace pimentosail
--- a/pimentosail/net/httpserver.cpp
+++ b/pimentosail/net/httpserver.cpp
@@ -25,7 +25,8 @@
 {
 
 constexpr int Backlog = 256;
-constexpr int MinThreads = 4;
+// Threads that a server keeps when it has no connections.
+constexpr int MinThreads = 1;
 // How long a read waits for a caller that sends nothing within its request.
 constexpr long ReceiveTimeoutSeconds = 10;
 // How long an idle connection stays open.
