Answers: a refusal that names no request, an error that answers a resumed stream, repeated events, and streams that only drip

The answer was taken for the present request because a failure needs no id. Now an answer without an id on a kept connection makes the outcome unknown (502, or another attempt where the request may be repeated), and the connection is closed. On a new connection it is believed as before, since there was no earlier request. With the earlier request's id, or cut in its middle, it did no harm before either (tests). - A stream that broke off, and whose resumption was answered by an error with the content type of a stream (500, 503, 404, 206): it ended as complete, without its last events. Only status 200 continues and ends a stream now. The error's text was not passed on before either. - A target that resumes a stream before the last event: callers got events twice. Events whose number is not above the last one are dropped and counted. - A stalled stream of a route that may be resumed, which sends a byte or a comment now and then: each byte restarted the stall limit, so that it lasted until the deadline. Progress is now a complete event other than a comment; after three stall limits without, the attempt is given up and the stream resumed elsewhere. A stream with the longest pauses that its route allows is not cut (test).

Not shown: a second copy of an answer, late, on a connection in use (test passes on the code before: the id does not match).

--- a/pimentosail/entry/attempt.cpp
+++ b/pimentosail/entry/attempt.cpp
@@ -78,6 +78,19 @@
     return lineFeedEnd == std::string_view::npos ? 0 : lineFeedEnd + LineFeedEnd.size();
 }
 
+// Returns true if the event contains comments only: each line is empty or begins with a colon.
+bool isComment(const std::string &event)
+{
+    bool isLineStart = true;
+    for (const char character : event) {
+        if (isLineStart && character != ':' && character != '\n' && character != '\r') {
+            return false;
+        }
+        isLineStart = character == '\n';
+    }
+    return true;
+}
+
 // Returns the value of the event's `id:` line, or an empty string.
 std::string eventId(const std::string &event)
 {
@@ -293,7 +306,13 @@
         this->recordRateLimit(result.header);
         this->recordLeaving(result.header);
         const bool isSuccess = result.header.status < 300;
-        const bool isMatching = result.header.requestId.empty() ? !isSuccess : result.header.requestId == this->request.id;
+        const bool isUnnamed = result.header.requestId.empty();
+        if (isUnnamed && !this->request.id.empty() && result.usedPooledConnection) {
+            // It may repeat the answer to an earlier request on this connection, so it says nothing of this one.
+            this->context.metrics.count("pimentosail_unnamed_answers_total", {});
+            return this->fail(ReadStatus::Broken, "an answer on a kept connection that names no request", result);
+        }
+        const bool isMatching = isUnnamed ? !isSuccess : result.header.requestId == this->request.id;
         if (isMatching && isSuccess && !result.header.isSigned) {
             return this->fail(ReadStatus::Broken, "a success without the target's signature", result);
         }
@@ -352,6 +371,7 @@
 void Attempt::readEvents(TargetConnection &connection, const AttemptLimits &limits, const EventSink &sink, AttemptResult &result)
 {
     std::string data;
+    Time progressAt = this->context.clock.now();
     while (true) {
         const size_t searched = data.size();
         const ReadStatus status = this->readWithStall(limits, [&](const Wait &wait) { return connection.readBody(data, wait); });
@@ -363,6 +383,7 @@
                 if (result.timeToFirstEvent == Duration(0)) {
                     this->recordFirstResponse(result);
                 }
+                progressAt = isComment(event) ? progressAt : this->context.clock.now();
                 if (!sink(result.header, event, eventId(event))) {
                     result.end = AttemptEnd::CallerDisconnected;
                     result.reason = "write to the caller";
@@ -377,6 +398,12 @@
             if (!this->holdMemory(data, result)) {
                 return;
             }
+            // A target that sends parts of an event, or comments, sends no answer.
+            if (limits.stallTimeout > Duration(0) && this->context.clock.now() > progressAt + MaxStallRounds * limits.stallTimeout) {
+                this->isStallTimeout = true;
+                this->fail(ReadStatus::Timeout, "no complete event", result);
+                return;
+            }
             continue;
         }
         if (status == ReadStatus::End && data.empty()) {
--- a/pimentosail/entry/requestrunner.cpp
+++ b/pimentosail/entry/requestrunner.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <Poco/NumberParser.h>
+
 #include "pimentosail/base/hash.h"
 #include "pimentosail/base/json.h"
 #include "pimentosail/base/socketstate.h"
@@ -29,6 +31,14 @@
 // Maximum wait for the connection by which a host checks whether a target has ended.
 constexpr Duration ReconnectProbe = Milliseconds(200);
 
+// Returns true if the event `id` does not come after `lastId`. IDs that are no numbers can't be compared.
+bool isRepeatedEvent(const std::string &id, const std::string &lastId)
+{
+    Poco::Int64 number = 0;
+    Poco::Int64 lastNumber = 0;
+    return Poco::NumberParser::tryParse64(id, number) && Poco::NumberParser::tryParse64(lastId, lastNumber) && number <= lastNumber;
+}
+
 double milliseconds(Duration duration)
 {
     return static_cast<double>(duration.count()) / 1000;
@@ -139,6 +149,10 @@
 
 bool RequestRunner::forwardEvent(const ReplyHeader &header, const std::string &event, const std::string &id)
 {
+    if (isRepeatedEvent(id, this->lastEventId.empty() ? this->request.resumeAfter : this->lastEventId)) {
+        this->context.metrics.count("pimentosail_repeated_events_total", {});
+        return true;
+    }
     try {
         if (!this->streaming) {
             if (this->context.state.isDraining.load()) {
@@ -283,7 +297,8 @@
         this->exchange.abort();
         return true;
     }
-    if (result.end == AttemptEnd::Answered && this->streaming && result.header.isEventStream) {
+    // An error that answers the resumption of a stream is no end of it, whatever its content type.
+    if (result.end == AttemptEnd::Answered && this->streaming && result.header.isEventStream && result.header.status == Poco::Net::HTTPResponse::HTTP_OK) {
         this->streamEnded = true;
         return true;
     }
