--- a/pimentosail/kvcache/kvcachetest.cpp
+++ b/pimentosail/kvcache/kvcachetest.cpp
@@ -32,6 +32,8 @@
         for (const char *name : {"fast", "slow", "slow2"}) {
             this->stores.apply(name, {1, 0, false, {}});
         }
+        // Until then nothing is saved to a store whose epoch is new.
+        this->clock.advance(std::chrono::seconds(2));
     }
     Clock clock;
     CacheStores stores{this->clock};
@@ -79,6 +81,23 @@
     cr_assert_eq(fixture.stores.heldTokens("fast"), 0);
 }
 
+// Guards against a target that reads a block while it is written again: hosts that do not know of a restart yet have the former blocks
+// fetched, so the others save nothing there for a while.
+Test(kvcache, nothing_is_saved_to_a_store_that_has_just_restarted)
+{
+    Fixture fixture;
+    cr_assert_eq(fixture.stores.plan("w1", SamplePrompt, 2, "z1", AcceptableTransferTime, 0).saveTo[1], "fast:80");
+    fixture.stores.apply("fast", {2, 0, false, {}});
+    cr_assert_neq(fixture.stores.plan("w2", SamplePrompt, 2, "z1", AcceptableTransferTime, 0).saveTo[1], "fast:80");
+    fixture.clock.advance(Milliseconds(1999));
+    cr_assert_neq(fixture.stores.plan("w3", SamplePrompt, 2, "z1", AcceptableTransferTime, 0).saveTo[1], "fast:80");
+    fixture.clock.advance(Milliseconds(1));
+    cr_assert_eq(fixture.stores.plan("w4", SamplePrompt, 2, "z1", AcceptableTransferTime, 0).saveTo[1], "fast:80");
+    // The same for a follower, which learns of the restart from its relay.
+    fixture.stores.replace({{"fast", 3, true}, {"slow", 1, true}, {"slow2", 1, true}}, {});
+    cr_assert_neq(fixture.stores.plan("w5", SamplePrompt, 2, "z1", AcceptableTransferTime, 0).saveTo[1], "fast:80");
+}
+
 Test(kvcache, no_block_is_saved_to_a_full_store)
 {
     Fixture fixture;
@@ -212,6 +231,7 @@
     const std::vector<PromptBlock> blocks{{"session-0", 3000}};
     cr_assert_neq(fixture.stores.plan("w1", blocks, 1, "z1", AcceptableTransferTime, 0).saveTo[0], "fast:80");
     fixture.stores.apply("fast", {2, 0, false, {}});
+    fixture.clock.advance(std::chrono::seconds(2));
     const std::vector<PromptBlock> others{{"session-9", 3000}};
     cr_assert_eq(fixture.stores.plan("w1", others, 1, "z1", AcceptableTransferTime, 0).saveTo[0], "fast:80", "a restarted store is empty");
 }
--- a/pimentosail/kvcache/storecontents.cpp
+++ b/pimentosail/kvcache/storecontents.cpp
@@ -14,6 +14,9 @@
 // A planned save that was not reported within this time has failed or its event was lost. The block is then saved again.
 constexpr Duration SaveReportTime = std::chrono::seconds(3);
 constexpr size_t MaxPendingSaves = 8192;
+// Nothing is saved to a cache store for this long after its restart, or after this host has come to know it. By then all hosts know
+// of the restart, and prompts that were sent before have begun or given up their transfers.
+constexpr Duration SaveDelay = std::chrono::seconds(2);
 // No more blocks are saved to a cache store once it is this full. The remaining space absorbs the saves of other hosts: a
 // block that does not fit completely is lost.
 constexpr double MaxFillFraction = 0.97;
@@ -69,6 +72,7 @@
         entry.heldTokens = 0;
         entry.unreportedTokens = 0;
         entry.epoch = events.epoch;
+        entry.epochSeenAt = this->clock.now();
     }
     for (const CacheEvent &event : events.events) {
         const BlockKey key{event.salt, event.block};
@@ -118,7 +122,10 @@
     for (const CacheStoreStatus &status : statuses) {
         const auto found = this->entries.find(status.store);
         if (found != this->entries.end()) {
-            found->second.unreportedTokens = found->second.epoch == status.epoch ? found->second.unreportedTokens : 0;
+            if (found->second.epoch != status.epoch) {
+                found->second.unreportedTokens = 0;
+                found->second.epochSeenAt = this->clock.now();
+            }
             found->second.epoch = status.epoch;
             found->second.isReachable = status.isReachable;
         }
@@ -284,7 +291,8 @@
     for (auto &[name, entry] : this->entries) {
         const auto capacity = static_cast<double>(entry.store.capacityTokens);
         const double freeTokens = MaxFillFraction * capacity - usedTokens(entry);
-        if (&entry == excluded || !entry.isReachable || entry.epoch == 0 || freeTokens < static_cast<double>(block.tokens)) {
+        const bool acceptsSaves = entry.isReachable && entry.epoch != 0 && this->clock.now() >= entry.epochSeenAt + SaveDelay;
+        if (&entry == excluded || !acceptsSaves || freeTokens < static_cast<double>(block.tokens)) {
             continue;
         }
         // A fill difference of two or more tenths of the capacity outweighs the zone, so that cache stores fill evenly.
--- a/pimentosail/kvcache/storecontents.h
+++ b/pimentosail/kvcache/storecontents.h
@@ -2,7 +2,9 @@
 // KV-cache blocks of a prompt and to which it saves them.
 //
 // A block is fetched only after its cache store has reported it complete. A lost event can cause a target to recompute a
-// block that is stored; it never causes a target to fetch an incomplete block.
+// block that is stored; it never causes a target to fetch an incomplete block. After a restart, a cache store is empty, but hosts that do
+// not know of the restart yet still have its former blocks fetched; so nothing is saved there for `SaveDelay`, because a block that is
+// being written again could be read.
 //
 //     CacheStores stores(clock);
 //     stores.setStores(serving->all().stores);
@@ -185,6 +187,8 @@
         CacheStore store;
         bool isReachable = true;
         int64_t epoch = 0;
+        // When this host first saw this epoch.
+        Time epochSeenAt{};
         int64_t heldTokens = 0;
         // Tokens of planned saves that were never reported, because the save was interrupted or its event was lost. Both may
         // take space in the cache store.
