Admission: prompts wait for the cache memory of targets, and are refused when it stays taken

Ruled out: blocks that cache stores lost or had no room for (28 parts), fetches that came too late (0); over 90 % of the prompts fetched their blocks.

Change: `admission/memoryadmission`. A prompt is sent while the runs of the best target hold less than 1.1, 1.0 or 0.9 of its memory, by the route's priority; else it waits for half of its target latency, and is then refused as not run, with a Retry-After at 0.6 to 1 of what callers follow. The size of the prompt does not count, so that large ones are not starved. The share is logged (`held_share`).

--- a/pimentosail/dispatch/picker.cpp
+++ b/pimentosail/dispatch/picker.cpp
@@ -168,7 +168,8 @@
         cost += query.affinity.empty() ? plainCost(query, candidate) : promptCost(query, candidate, isPreferred);
         if (cost < bestCost) {
             bestCost = cost;
-            best = TargetChoice{candidate.target, candidate.version, candidate.pendingTokens, candidate.lateTokens, isPreferred};
+            const double heldShare = candidate.capacityTokens > 0 ? candidate.heldTokens / candidate.capacityTokens : 0;
+            best = TargetChoice{candidate.target, candidate.version, candidate.pendingTokens, candidate.lateTokens, heldShare, isPreferred};
         }
     }
     return best;
--- a/pimentosail/dispatch/picker.h
+++ b/pimentosail/dispatch/picker.h
@@ -83,6 +83,8 @@
     // Prompt tokens that the target has to process before this prompt, and those of late requests, which run after it.
     double pendingTokens = 0;
     double lateTokens = 0;
+    // Share of the target's cache memory that its present runs hold; 0 if unknown.
+    double heldShare = 0;
     // The target is the preferred target of the prompt.
     bool isPreferred = false;
 };
--- a/pimentosail/entry/requestplanning.cpp
+++ b/pimentosail/entry/requestplanning.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "pimentosail/admission/memoryadmission.h"
+
 namespace pimentosail
 {
 
@@ -27,6 +29,8 @@
 constexpr size_t SampleFactor = 2;
 // Interval at which a waiting request looks for a free target.
 constexpr Duration TargetWaitInterval = Milliseconds(10);
+// Interval at which a prompt that waits for memory looks for a target.
+constexpr Duration MemoryWaitInterval = Milliseconds(25);
 // Maximum idle time of a connection that is reused. Targets close connections that have been idle for some seconds, so
 // the limit is short for requests that must not be sent twice.
 constexpr Duration MaxIdleUnsafe = Milliseconds(1500);
@@ -242,6 +246,24 @@
     throw Failure(ErrorKind::Overloaded, "the first token is expected after " + std::to_string(toMilliseconds(expectedLate)) + " ms");
 }
 
+bool RequestRunner::admitToMemory(const TargetChoice &choice)
+{
+    this->heldShare = choice.heldShare;
+    // What has reached a target before must not be refused as not run.
+    if (!this->request.prompt || this->streaming || this->arrivals > 0) {
+        return true;
+    }
+    const Time now = this->context.clock.now();
+    // The limits are for kinds of prompts, so a team's own priority does not count here; the engine goes by it.
+    const AdmissionDecision decision = admitPrompt({choice.heldShare, this->route->priority, this->route->targetLatency,
+        this->elapsedBefore + (now - this->received), this->deadline - now, this->random()});
+    if (decision.verdict == AdmissionVerdict::Refuse) {
+        this->retryAfter = decision.retryAfter;
+        throw Failure(ErrorKind::Overloaded, "the cache memory of the targets is taken: " + std::to_string(choice.heldShare));
+    }
+    return decision.verdict == AdmissionVerdict::Send;
+}
+
 // Waits for a target to become free, for at most a fraction of the target latency and only while the caller is connected.
 TargetChoice RequestRunner::chooseTarget()
 {
@@ -249,7 +271,11 @@
     while (true) {
         this->checkCallerConnected();
         if (std::optional<TargetChoice> choice = this->tryChoose()) {
-            return *choice;
+            if (this->admitToMemory(*choice)) {
+                return *choice;
+            }
+            this->context.clock.sleepFor(MemoryWaitInterval);
+            continue;
         }
         // Waiting is of no use if this host may send to no target until then.
         if (!this->limitEnds.empty() && *std::min_element(this->limitEnds.begin(), this->limitEnds.end()) > end) {
--- a/pimentosail/entry/requestrunner.cpp
+++ b/pimentosail/entry/requestrunner.cpp
@@ -431,8 +431,8 @@
             {"config", this->serving ? this->serving->all().version : 0}, {"config_age_ms", toMilliseconds(now - this->context.state.servingSince())},
             {"weights", this->weightVersion}, {"expected_version", this->expectedVersion}, {"wanted_version", this->wantedVersion},
             {"wanted_age_ms", this->wantedVersionAge < Duration(0) ? -1 : toMilliseconds(this->wantedVersionAge)}, {"late", this->isLate},
-            {"pending_tokens", this->pendingAtSend}, {"cache_source", this->cacheSource}, {"fetch_expected_ms", milliseconds(this->expectedTransfer)},
-            {"fetch_tokens", this->fetchTokens}, {"save_tokens", this->saveTokens}});
+            {"pending_tokens", this->pendingAtSend}, {"held_share", this->heldShare}, {"cache_source", this->cacheSource},
+            {"fetch_expected_ms", milliseconds(this->expectedTransfer)}, {"fetch_tokens", this->fetchTokens}, {"save_tokens", this->saveTokens}});
 }
 
 } // namespace pimentosail
--- a/pimentosail/entry/requestrunner.h
+++ b/pimentosail/entry/requestrunner.h
@@ -57,6 +57,8 @@
     void attemptUntilAnswered();
     TargetChoice chooseTarget();
     std::optional<TargetChoice> tryChoose();
+    // Returns false if the prompt is to wait for memory of a target. Throws `Failure` (Overloaded) if it has waited too long.
+    bool admitToMemory(const TargetChoice &choice);
     std::vector<GatedCandidate> candidates() const;
     TargetShares sharesOf(const TargetState &target, ShareContext &shareContext) const;
     std::optional<TargetChoice> pickAndAcquire(const PickQuery &query, const std::vector<GatedCandidate> &gated, bool usesAvoided);
@@ -107,6 +109,8 @@
     Duration elapsedBefore{};
     // The prompt is expected to miss its target latency.
     bool isLate = false;
+    // Share of the last target's cache memory that its runs held at the choice; 0 if unknown.
+    double heldShare = 0;
     // Prompt tokens that the chosen target had to process at the first send, this prompt's included.
     double pendingAtSend = 0;
     // When each of the service's targets may get requests of this host again, if none might at the last choice; else empty.
