--- a/pimentosail/directory/relays.cpp
+++ b/pimentosail/directory/relays.cpp
@@ -18,6 +18,8 @@
 constexpr size_t HostsPerRelay = 12;
 // Enough relays are left when one fails together with its zone and another fails at the same time.
 constexpr size_t MinRelays = 4;
+// Relays that watch the key-value store. They stand in different zones, so that one is left when a zone and another one fail.
+constexpr size_t StoreWatchers = 3;
 
 // Returns the relays: the hosts with the most cores of each zone, taken from the zones in rotation.
 std::vector<HostEntry> chooseRelays(const std::vector<HostEntry> &hosts)
@@ -55,14 +57,20 @@
     }
     plan.relays = chooseRelays(hosts);
     plan.readsFromSource = std::any_of(plan.relays.begin(), plan.relays.end(), isOwn);
-    plan.relaysByPreference = plan.relays;
-    std::erase_if(plan.relaysByPreference, isOwn);
-    std::sort(plan.relaysByPreference.begin(), plan.relaysByPreference.end(), [&](const HostEntry &a, const HostEntry &b) {
-        if ((a.zone == ownZone) != (b.zone == ownZone)) {
-            return a.zone == ownZone;
-        }
-        return combineHashes(stableHash(ownName), stableHash(a.name)) > combineHashes(stableHash(ownName), stableHash(b.name));
-    });
+    const auto inPreference = [&](std::vector<HostEntry> hostsToAsk) {
+        std::erase_if(hostsToAsk, isOwn);
+        std::sort(hostsToAsk.begin(), hostsToAsk.end(), [&](const HostEntry &a, const HostEntry &b) {
+            if ((a.zone == ownZone) != (b.zone == ownZone)) {
+                return a.zone == ownZone;
+            }
+            return combineHashes(stableHash(ownName), stableHash(a.name)) > combineHashes(stableHash(ownName), stableHash(b.name));
+        });
+        return hostsToAsk;
+    };
+    plan.relaysByPreference = inPreference(plan.relays);
+    const std::vector<HostEntry> watchers(plan.relays.begin(), plan.relays.begin() + static_cast<long>(std::min(StoreWatchers, plan.relays.size())));
+    plan.watchesStore = std::any_of(watchers.begin(), watchers.end(), isOwn);
+    plan.storeSources = plan.readsFromSource ? inPreference(watchers) : plan.relaysByPreference;
     return plan;
 }
 
--- a/pimentosail/directory/relays.h
+++ b/pimentosail/directory/relays.h
@@ -1,6 +1,7 @@
 // Selects the relays: the hosts that read shared state from its source and forward it to the other hosts, their
 // followers. Relays keep the number of calls to a source independent of the number of hosts. In a small deployment every
-// host reads from the source itself.
+// host reads from the source itself. Of the relays, only a few watch the platform's key-value store, whose calls are the dearest; the
+// others follow these in turn.
 //
 //     RelayPlan plan = RelayPlan::make(hosts, "front-3", "z1");
 //     if (!plan.readsFromSource) { fetchFrom(plan.relaysByPreference[0]); }
@@ -34,10 +35,15 @@
 {
     // This host reads from the source, because it is a relay, there are few hosts, or it is not in the host list yet.
     bool readsFromSource = true;
+    // This host watches the platform's key-value store.
+    bool watchesStore = true;
     // All relays; empty if every host reads from the source itself.
     std::vector<HostEntry> relays;
     // The relays except this host, in the order in which this host tries them: those of the local zone first.
     std::vector<HostEntry> relaysByPreference;
+    // The hosts that this host asks for changes of the key-value store, in the same order: for a relay the other relays that watch the
+    // store, for a follower all relays.
+    std::vector<HostEntry> storeSources;
 
     // Returns the plan of the host `ownName` in `ownZone`.
     static RelayPlan make(const std::vector<HostEntry> &hosts, const std::string &ownName, const std::string &ownZone);
--- a/pimentosail/directory/relaystest.cpp
+++ b/pimentosail/directory/relaystest.cpp
@@ -66,3 +66,34 @@
         }
     }
 }
+
+// Guards against store calls that grow with the number of relays: of ten relays, three in different zones watch the store, and the
+// others ask these.
+Test(relays, few_relays_watch_the_key_value_store)
+{
+    for (const size_t count : {11UL, 75UL, 295UL}) {
+        const std::vector<HostEntry> hosts = makeHosts(count, 4, 12);
+        std::set<std::string> watchers;
+        std::set<std::string> zones;
+        for (const HostEntry &host : hosts) {
+            const RelayPlan plan = RelayPlan::make(hosts, host.name, host.zone);
+            if (plan.watchesStore) {
+                cr_assert(plan.readsFromSource, "a watcher is a relay");
+                watchers.insert(host.name);
+                zones.insert(host.zone);
+            }
+        }
+        cr_assert_eq(watchers.size(), 3);
+        cr_assert_eq(zones.size(), 3);
+        for (const HostEntry &host : hosts) {
+            const RelayPlan plan = RelayPlan::make(hosts, host.name, host.zone);
+            cr_assert_geq(plan.storeSources.size(), 2, "another source is left when one fails");
+            for (const HostEntry &source : plan.storeSources) {
+                cr_assert_neq(source.name, host.name);
+                cr_assert(!plan.readsFromSource || watchers.contains(source.name), "a relay asks watchers only, so that no two ask each other");
+            }
+        }
+    }
+    const RelayPlan small = RelayPlan::make(makeHosts(7, 3, 0), "host-1", "z1");
+    cr_assert(small.watchesStore && small.storeSources.empty());
+}
--- a/pimentosail/entry/cacheeventduty.cpp
+++ b/pimentosail/entry/cacheeventduty.cpp
@@ -21,7 +21,7 @@
 constexpr int ReservedPolls = 2;
 constexpr Duration RelayWait = Milliseconds(400);
 // Pause between two polls of a relay, so that the changes of this time arrive together.
-constexpr Duration RelayPause = Milliseconds(80);
+constexpr Duration RelayPause = Milliseconds(250);
 
 } // namespace
 
--- a/pimentosail/entry/entryprocess.cpp
+++ b/pimentosail/entry/entryprocess.cpp
@@ -5,6 +5,7 @@
 #include <set>
 
 #include <Poco/Exception.h>
+#include <Poco/NumberParser.h>
 
 #include "pimentosail/base/json.h"
 #include "pimentosail/entry/loadduty.h"
@@ -43,6 +44,19 @@
 // Time that a call to another host may take beyond the wait that it asks for.
 constexpr Duration PeerCallMargin = Milliseconds(500);
 
+// How long a snapshot of the cache stores' contents is given out. Changes since then follow by the journal.
+constexpr Duration SnapshotLifetime = Milliseconds(500);
+constexpr const char *CacheChangesPath = "/cache/changes";
+
+int64_t parseQueryNumber(const HttpExchange &exchange, const char *name)
+{
+    Poco::Int64 value = 0;
+    if (!Poco::NumberParser::tryParse64(exchange.query(name), value)) {
+        throw Failure(ErrorKind::BadRequest, std::string(name) + " is not a number");
+    }
+    return value;
+}
+
 int64_t callerConnections(const EntrySettings &settings)
 {
     return std::clamp<int64_t>(settings.fileDescriptors - ReservedDescriptors, 64, MaxCallerThreads);
@@ -66,6 +80,7 @@
     void serveMetrics(HttpExchange &exchange);
     void updateGauges();
     MirrorPeers mirrorPeers();
+    std::string answerCacheChanges(const HttpExchange &exchange);
     CacheChanges fetchCacheChanges(const HostEntry &relay, const JournalPosition &position, Duration wait);
     MirrorChanges fetchStoreChangesFromAnyHost(int64_t revision, Duration wait);
     MirrorChanges fetchStoreChanges(const std::string &address, int64_t revision, Duration wait);
@@ -108,6 +123,10 @@
     RolloutDuty rolloutDuty;
     CacheEventDuty cacheDuty;
     LoadDuty loadDuty;
+    std::mutex snapshotMutex;
+    // The contents of the cache stores in binary form, for followers whose position this host does not know, and when it was made.
+    std::string snapshot;
+    Time snapshotAt{};
     std::atomic<bool> stopping{false};
     // Groups of blocked blocks that were logged. Used by the refresh thread only.
     std::set<std::vector<std::string>> loggedBlocked;
@@ -204,6 +223,12 @@
     const std::string path = exchange.path();
     if (path == "/rpc") {
         exchange.send(200, "application/json", this->rpc.handle(exchange.readBody(1024 * 1024, this->clock, PeerCallMargin)));
+    } else if (path == CacheChangesPath) {
+        try {
+            exchange.send(200, "application/octet-stream", this->answerCacheChanges(exchange));
+        } catch (const Failure &failure) {
+            exchange.sendError(failure.error, "");
+        }
     } else if (path == "/debug/state") {
         exchange.send(200, "application/json", printJsonIndented(this->dumpState()));
     } else {
@@ -211,6 +236,22 @@
     }
 }
 
+std::string EntryProcess::Impl::answerCacheChanges(const HttpExchange &exchange)
+{
+    const JournalPosition position{exchange.query("journal"), parseQueryNumber(exchange, "after"), parseQueryNumber(exchange, "status_after")};
+    const Duration wait = std::clamp<Duration>(Milliseconds(parseQueryNumber(exchange, "wait_ms")), Duration(0), MaxPeerWait);
+    if (this->cacheJournal.covers(position)) {
+        return writeCacheChanges(this->cacheJournal.changesAfter(position, wait));
+    }
+    // Many followers need a snapshot at once when another relay fails. It is made once for all of them.
+    const std::lock_guard lock(this->snapshotMutex);
+    if (this->snapshotAt == Time(0) || this->clock.now() > this->snapshotAt + SnapshotLifetime) {
+        this->snapshot = writeCacheChanges(this->cacheJournal.changesAfter({}, Duration(0)));
+        this->snapshotAt = this->clock.now();
+    }
+    return this->snapshot;
+}
+
 void EntryProcess::Impl::serveMetrics(HttpExchange &exchange)
 {
     this->updateGauges();
@@ -224,7 +265,7 @@
     this->metrics.set("pimentosail_store_answer_age_seconds", {}, toSeconds(this->clock.now() - status.lastAnswer));
     this->metrics.set("pimentosail_configuration_age_seconds", {}, toSeconds(this->clock.now() - this->state.servingSince()));
     this->metrics.set("pimentosail_targets", {}, static_cast<double>(this->directory.size()));
-    this->metrics.set("pimentosail_hosts", {}, static_cast<double>(this->state.hosts().size()));
+    this->metrics.set("pimentosail_hosts", {}, static_cast<double>(this->state.hostCount()));
     this->metrics.set("pimentosail_idle_connections", {}, static_cast<double>(this->connections.size()));
     this->metrics.set("pimentosail_log_lines_dropped", {}, static_cast<double>(this->log.dropped()));
     this->metrics.set("pimentosail_log_lines_suppressed", {}, static_cast<double>(this->log.suppressed()));
@@ -253,22 +294,22 @@
         return this->fetchStoreChangesFromAnyHost(revision, wait);
     };
     result.fetchFromRelay = [this](int64_t revision, Duration wait) {
-        const std::optional<HostEntry> relay = this->state.relay();
-        if (!relay) {
+        const std::optional<HostEntry> source = this->state.storeSource();
+        if (!source) {
             throw Failure(ErrorKind::PeerLost, "no relay is known");
         }
-        return this->fetchStoreChanges(relay->address, revision, wait);
+        return this->fetchStoreChanges(source->address, revision, wait);
     };
     result.skipRelay = [this] {
-        if (const std::optional<HostEntry> relay = this->state.relay()) {
-            this->state.skipRelay(relay->name);
+        if (const std::optional<HostEntry> source = this->state.storeSource()) {
+            this->state.skipStoreSource(source->name);
         }
     };
     result.watchesStore = [this] {
-        return this->state.readsFromSource();
+        return this->state.watchesStore();
     };
     result.hasFollowers = [this] {
-        return !this->state.relays().empty();
+        return this->state.hasRelays();
     };
     return result;
 }
@@ -283,6 +324,17 @@
 
 CacheChanges EntryProcess::Impl::fetchCacheChanges(const HostEntry &relay, const JournalPosition &position, Duration wait)
 {
+    if (relay.loadFormat >= LoadFormat) {
+        const std::string query = "?journal=" + position.journal + "&after=" + std::to_string(position.next)
+            + "&status_after=" + std::to_string(position.statusPosition) + "&wait_ms=" + std::to_string(toMilliseconds(wait));
+        const HttpReply reply = this->peerHttp.call(relay.address, {"GET", CacheChangesPath + query, {}, ""}, wait + PeerCallMargin);
+        this->metrics.count("pimentosail_peer_bytes_total", {{"method", "cache_changes"}}, static_cast<double>(query.size() + reply.body.size()));
+        if (reply.status != 200) {
+            throw Failure(ErrorKind::PeerLost, relay.address + " answered " + std::to_string(reply.status));
+        }
+        return readCacheChanges(reply.body);
+    }
+    // A relay of an earlier version.
     Json::Value arguments;
     arguments["journal"] = position.journal;
     arguments["after"] = Json::Int64(position.next);
--- a/pimentosail/entry/entrystate.h
+++ b/pimentosail/entry/entrystate.h
@@ -172,6 +172,12 @@
         return this->hostEntries;
     }
 
+    size_t hostCount() const
+    {
+        const std::lock_guard lock(this->mutex);
+        return this->hostEntries.size();
+    }
+
     // Sets which hosts are relays and the order in which this host asks them.
     void setRelayPlan(RelayPlan plan)
     {
@@ -186,12 +192,48 @@
         return this->relayPlan.readsFromSource;
     }
 
+    bool hasRelays() const
+    {
+        const std::lock_guard lock(this->mutex);
+        return !this->relayPlan.relays.empty();
+    }
+
     std::vector<HostEntry> relays() const
     {
         const std::lock_guard lock(this->mutex);
         return this->relayPlan.relays;
     }
 
+    // Returns true if this host watches the key-value store and does not ask other hosts for its changes.
+    bool watchesStore() const
+    {
+        const std::lock_guard lock(this->mutex);
+        return this->relayPlan.watchesStore;
+    }
+
+    // Returns the host that this host asks for changes of the key-value store now, or nothing if there is none. A follower asks its
+    // relay.
+    std::optional<HostEntry> storeSource() const
+    {
+        const std::lock_guard lock(this->mutex);
+        const std::vector<HostEntry> &sources = this->relayPlan.storeSources;
+        const size_t index = this->relayPlan.readsFromSource ? this->storeSourceIndex : this->relayIndex;
+        return sources.empty() ? std::nullopt : std::optional<HostEntry>(sources[index % sources.size()]);
+    }
+
+    // Switches to the next store source because `name` did not answer or has lost the store.
+    void skipStoreSource(const std::string &name)
+    {
+        {
+            const std::lock_guard lock(this->mutex);
+            if (this->relayPlan.readsFromSource) {
+                ++this->storeSourceIndex;
+                return;
+            }
+        }
+        this->skipRelay(name);
+    }
+
     // Returns the relay that this host asks now, or nothing if there is none.
     std::optional<HostEntry> relay() const
     {
@@ -255,6 +297,7 @@
     std::vector<HostEntry> hostEntries;
     RelayPlan relayPlan;
     size_t relayIndex = 0;
+    size_t storeSourceIndex = 0;
     size_t sharingHosts = 0;
     Time mayShrinkAt{};
 };
--- a/pimentosail/entry/loadduty.cpp
+++ b/pimentosail/entry/loadduty.cpp
@@ -16,8 +16,10 @@
 {
 
 constexpr Duration ReportInterval = Milliseconds(100);
-// Reports are sent twice as often if there are relays, since they take three hops.
+// Reports are sent twice as often if there are relays, since they take three hops; but not in a large deployment, where a host's share of
+// the load at each target is small.
 constexpr Duration RelayReportInterval = Milliseconds(50);
+constexpr size_t LargeDeploymentHosts = 150;
 constexpr Duration ReceiveWait = Milliseconds(1000);
 // Bytes; below the limit of a UDP datagram.
 constexpr size_t MaxDatagram = 60 * 1024;
@@ -282,7 +284,9 @@
 {
     Time last = this->context.clock.now();
     while (!this->stopping.load()) {
-        const Duration interval = this->context.state.relays().empty() ? ReportInterval : RelayReportInterval;
+        const size_t hosts = this->context.state.hostCount();
+        const bool isFrequent = this->context.state.hasRelays() && hosts < LargeDeploymentHosts;
+        const Duration interval = isFrequent ? RelayReportInterval : ReportInterval;
         this->context.clock.sleepFor(interval);
         const Time now = this->context.clock.now();
         if (now > last + interval + MaxOwnDelay) {
--- a/pimentosail/entry/loadmessages.cpp
+++ b/pimentosail/entry/loadmessages.cpp
@@ -2,14 +2,10 @@
 
 #include <algorithm>
 #include <optional>
-#include <sstream>
-
-#include <Poco/BinaryReader.h>
-#include <Poco/BinaryWriter.h>
-#include <Poco/MemoryStream.h>
 
 #include "pimentosail/base/error.h"
 #include "pimentosail/base/json.h"
+#include "pimentosail/entry/binarymessage.h"
 
 namespace pimentosail
 {
@@ -18,130 +14,16 @@
 {
 
 constexpr char FirstByteOfJson = '{';
-// Bytes of a name.
-constexpr uint64_t MaxName = 200;
 // Rows of each list in a datagram. A datagram of 60 KiB has no more rows than this.
 constexpr uint64_t MaxRows = 8192;
 // A datagram has at most this many notices and limits; the newest are sent.
 constexpr size_t MaxSentNotices = 500;
 
-uint64_t toUnsigned(int64_t value)
-{
-    return static_cast<uint64_t>(std::max<int64_t>(0, value));
-}
-
 uint64_t ageOf(Time at, Time now)
 {
     return toUnsigned(toMilliseconds(now - at));
 }
 
-class MessageWriter
-{
-public:
-    MessageWriter()
-        : writer(this->stream, Poco::BinaryWriter::LITTLE_ENDIAN_BYTE_ORDER)
-    {
-    }
-
-    void byte(uint8_t value)
-    {
-        this->writer << value;
-    }
-
-    void number(uint64_t value)
-    {
-        this->writer.write7BitEncoded(static_cast<Poco::UInt64>(value));
-    }
-
-    void name(const std::string &value)
-    {
-        this->number(value.size());
-        this->writer.writeRaw(value);
-    }
-
-    std::string take()
-    {
-        return std::move(this->stream).str();
-    }
-
-private:
-    std::ostringstream stream;
-    Poco::BinaryWriter writer;
-};
-
-class MessageReader
-{
-public:
-    explicit MessageReader(std::string_view bytes)
-        : stream(bytes.data(), static_cast<std::streamsize>(bytes.size()))
-        , reader(this->stream, Poco::BinaryReader::LITTLE_ENDIAN_BYTE_ORDER)
-    {
-    }
-
-    uint8_t byte()
-    {
-        uint8_t value = 0;
-        this->reader >> value;
-        this->check(this->reader.good());
-        return value;
-    }
-
-    uint64_t number()
-    {
-        Poco::UInt64 value = 0;
-        this->reader.read7BitEncoded(value);
-        this->check(this->reader.good());
-        return value;
-    }
-
-    int64_t signedNumber()
-    {
-        const uint64_t value = this->number();
-        this->check(value <= static_cast<uint64_t>(INT64_MAX / 4));
-        return static_cast<int64_t>(value);
-    }
-
-    std::string name()
-    {
-        const uint64_t size = this->number();
-        this->check(size <= MaxName);
-        std::string value;
-        this->reader.readRaw(static_cast<std::streamsize>(size), value);
-        this->check(this->reader.good() && value.size() == size);
-        return value;
-    }
-
-    uint64_t rows()
-    {
-        const uint64_t count = this->number();
-        this->check(count <= MaxRows);
-        return count;
-    }
-
-    Duration age()
-    {
-        return Milliseconds(std::min<int64_t>(this->signedNumber(), MaxAge.count()));
-    }
-
-    void checkEnd()
-    {
-        this->check(this->stream.peek() == std::char_traits<char>::eof());
-    }
-
-private:
-    static constexpr Milliseconds MaxAge = std::chrono::hours(24);
-
-    void check(bool isValid)
-    {
-        if (!isValid) {
-            throw Failure(ErrorKind::BadRequest, "the load report is incomplete or exceeds a bound");
-        }
-    }
-
-    Poco::MemoryInputStream stream;
-    Poco::BinaryReader reader;
-};
-
 void writeLoads(MessageWriter &writer, const std::vector<TargetLoad> &loads)
 {
     writer.number(loads.size());
@@ -232,7 +114,7 @@
     message.sender = reader.name();
     message.number = readNumber(reader);
     message.relay = reader.name();
-    const uint64_t loads = reader.rows();
+    const uint64_t loads = reader.rows(MaxRows);
     message.loads.reserve(loads);
     for (uint64_t row = 0; row < loads; ++row) {
         TargetLoad &load = message.loads.emplace_back();
@@ -242,7 +124,7 @@
         load.lateTokens = reader.signedNumber();
         load.heldTokens = reader.signedNumber();
     }
-    for (uint64_t rows = reader.rows(); rows > 0; --rows) {
+    for (uint64_t rows = reader.rows(MaxRows); rows > 0; --rows) {
         RateLimitObservation &limit = message.limits.emplace_back();
         limit.target = reader.name();
         limit.startedAt = reader.signedNumber();
@@ -250,7 +132,7 @@
         limit.requestsPerSecond = perMille == 0 ? std::nullopt : std::optional<double>(static_cast<double>(perMille - 1) / 1000);
         limit.observedAt = now - reader.age();
     }
-    for (uint64_t rows = reader.rows(); rows > 0; --rows) {
+    for (uint64_t rows = reader.rows(MaxRows); rows > 0; --rows) {
         TargetNotice notice;
         const uint8_t noticeKind = reader.byte();
         notice.kind = static_cast<NoticeKind>(noticeKind);
--- a/pimentosail/entry/peermessages.cpp
+++ b/pimentosail/entry/peermessages.cpp
@@ -4,6 +4,7 @@
 #include <map>
 
 #include "pimentosail/base/json.h"
+#include "pimentosail/entry/binarymessage.h"
 #include "pimentosail/kv/etcdclient.h"
 
 namespace pimentosail
@@ -37,7 +38,7 @@
     return changes;
 }
 
-CacheChanges readCacheChanges(const Json::Value &value)
+CacheChanges decodeCacheRows(const Json::Value &value)
 {
     CacheChanges changes;
     changes.journal = jsonString(value, "journal");
@@ -55,13 +56,18 @@
     return changes;
 }
 
+// Version of the binary form of cache changes.
+constexpr uint8_t CacheChangesFormat = 1;
+constexpr uint64_t MaxCacheStores = 10000;
+constexpr uint64_t MaxCacheChanges = 4000000;
+
 // Runs `reader` and reports every exception as a failure of the peer, because another version of this program may send a
 // different format.
-template <typename Reader>
-auto readAnswer(Reader reader, const Json::Value &value) -> decltype(reader(value))
+template <typename Reader, typename Answer>
+auto readAnswer(Reader reader, const Answer &answer) -> decltype(reader(answer))
 {
     try {
-        return reader(value);
+        return reader(answer);
     } catch (const std::exception &exception) {
         throw Failure(ErrorKind::PeerLost, std::string("unreadable answer of another host: ") + exception.what());
     }
@@ -137,7 +143,74 @@
 
 CacheChanges decodeCacheChanges(const Json::Value &value)
 {
-    return readAnswer(readCacheChanges, value);
+    return readAnswer(decodeCacheRows, value);
+}
+
+std::string writeCacheChanges(const CacheChanges &changes)
+{
+    MessageWriter writer;
+    writer.byte(CacheChangesFormat);
+    writer.name(changes.journal);
+    writer.number(toUnsigned(changes.next));
+    writer.number(toUnsigned(changes.statusPosition));
+    writer.byte(changes.isSnapshot ? 1 : 0);
+    writer.number(changes.stores.size());
+    std::map<std::string, uint64_t> storeIndexes;
+    for (const CacheStoreStatus &status : changes.stores) {
+        storeIndexes.emplace(status.store, storeIndexes.size());
+        writer.name(status.store);
+        writer.number(toUnsigned(status.epoch));
+        writer.byte(status.isReachable ? 1 : 0);
+    }
+    const auto isListed = [&storeIndexes](const CacheChange &change) {
+        return storeIndexes.contains(change.store);
+    };
+    writer.number(static_cast<uint64_t>(std::count_if(changes.changes.begin(), changes.changes.end(), isListed)));
+    for (const CacheChange &change : changes.changes) {
+        if (isListed(change)) {
+            writer.number(storeIndexes.at(change.store));
+            writer.number(toUnsigned(change.epoch));
+            writer.name(change.event.salt);
+            writer.name(change.event.block);
+            // 0 stands for a removal.
+            writer.number(change.event.isRemoval ? 0 : toUnsigned(change.event.tokens) + 1);
+        }
+    }
+    return writer.take();
+}
+
+CacheChanges readCacheChanges(std::string_view bytes)
+{
+    const auto read = [](std::string_view text) {
+        MessageReader reader(text);
+        if (reader.byte() != CacheChangesFormat) {
+            throw Failure(ErrorKind::BadRequest, "unknown format of cache changes");
+        }
+        CacheChanges changes;
+        changes.journal = reader.name();
+        changes.next = reader.signedNumber();
+        changes.statusPosition = reader.signedNumber();
+        changes.isSnapshot = reader.byte() != 0;
+        for (uint64_t rows = reader.rows(MaxCacheStores); rows > 0; --rows) {
+            CacheStoreStatus &status = changes.stores.emplace_back();
+            status.store = reader.name();
+            status.epoch = reader.signedNumber();
+            status.isReachable = reader.byte() != 0;
+        }
+        for (uint64_t rows = reader.rows(MaxCacheChanges); rows > 0; --rows) {
+            CacheChange &change = changes.changes.emplace_back();
+            change.store = changes.stores.at(reader.number()).store;
+            change.epoch = reader.signedNumber();
+            change.event.salt = reader.name();
+            change.event.block = reader.name();
+            const int64_t tokens = reader.signedNumber();
+            change.event.isRemoval = tokens == 0;
+            change.event.tokens = std::max<int64_t>(0, tokens - 1);
+        }
+        reader.checkEnd();
+        return changes;
+    };
+    return readAnswer(read, bytes);
 }
 
 } // namespace pimentosail
--- a/pimentosail/entry/peermessages.h
+++ b/pimentosail/entry/peermessages.h
@@ -7,6 +7,9 @@
 // All functions are thread-safe.
 #pragma once
 
+#include <string>
+#include <string_view>
+
 #include <json/value.h>
 
 #include "pimentosail/kvcache/cachejournal.h"
@@ -18,8 +21,13 @@
 Json::Value encodeStoreChanges(const MirrorChanges &changes);
 Json::Value encodeCacheChanges(const CacheChanges &changes);
 
+// The same for the cache stores in binary form, without a tree of values: the whole contents of the cache stores of a large deployment
+// take a megabyte in it and some tens of megabytes as a tree.
+std::string writeCacheChanges(const CacheChanges &changes);
+
 // Decode an answer of another host. Throw `Failure` (PeerLost) if the answer is invalid.
 MirrorChanges decodeStoreChanges(const Json::Value &value);
 CacheChanges decodeCacheChanges(const Json::Value &value);
+CacheChanges readCacheChanges(std::string_view bytes);
 
 } // namespace pimentosail
--- a/pimentosail/entry/peermessagestest.cpp
+++ b/pimentosail/entry/peermessagestest.cpp
@@ -43,6 +43,39 @@
     cr_assert(decoded.changes[1].event.isRemoval);
 }
 
+// Guards against a copied list that is cut or damaged, and against blocks that get lost in the binary form.
+Test(peermessages, the_binary_form_of_cache_changes_is_complete_or_refused)
+{
+    CacheChanges sent;
+    sent.journal = "j";
+    sent.next = 7;
+    sent.statusPosition = 3;
+    sent.isSnapshot = true;
+    sent.stores = {{"jar", 5, true}, {"urn", 600, false}};
+    sent.changes
+        = {{"urn", 600, {"m/1", "p", 800, false}}, {"jar", 5, {"m/1", "q", 0, true}}, {"jar", 5, {"m/1", "r", 0, false}}, {"gone", 1, {"s", "t", 1, false}}};
+    const std::string bytes = writeCacheChanges(sent);
+    const CacheChanges decoded = readCacheChanges(bytes);
+    cr_assert(decoded.isSnapshot);
+    cr_assert_eq(decoded.statusPosition, 3);
+    cr_assert_eq(decoded.stores[1].epoch, 600);
+    cr_assert_not(decoded.stores[1].isReachable);
+    cr_assert_eq(decoded.changes.size(), 3, "a change of a store that is not listed is left out");
+    cr_assert_eq(decoded.changes[0].store, "urn");
+    cr_assert_eq(decoded.changes[0].event.tokens, 800);
+    cr_assert(decoded.changes[1].event.isRemoval);
+    cr_assert(!decoded.changes[2].event.isRemoval && decoded.changes[2].event.tokens == 0);
+    for (size_t size = 0; size < bytes.size(); ++size) {
+        bool isRefused = false;
+        try {
+            readCacheChanges(std::string_view(bytes).substr(0, size));
+        } catch (const Failure &failure) {
+            isRefused = failure.error.kind == ErrorKind::PeerLost;
+        }
+        cr_assert(isRefused, "a list cut at byte %zu", size);
+    }
+}
+
 Test(peermessages, an_invalid_answer_is_a_failure_of_the_peer)
 {
     for (const char *text : {"[]", "{}", "3", R"({"revision":1,"changes":3})", R"({"journal":"j","next":1,"stores":[],"changes":[[9,1,"s","p",2]]})"}) {
--- a/pimentosail/entry/requestplanning.cpp
+++ b/pimentosail/entry/requestplanning.cpp
@@ -165,7 +165,7 @@
     }
     const std::vector<GatedCandidate> gated = this->candidates();
     if (!query.affinity.empty()) {
-        const size_t hosts = std::max<size_t>(1, this->context.state.hosts().size());
+        const size_t hosts = std::max<size_t>(1, this->context.state.hostCount());
         query.sampleSize = std::max(MinSample, SampleFactor * gated.size() / hosts);
         int64_t version = query.newestVersion;
         for (const GatedCandidate &entry : gated) {
--- a/pimentosail/kvcache/cachejournal.cpp
+++ b/pimentosail/kvcache/cachejournal.cpp
@@ -57,14 +57,25 @@
     result.statusPosition = this->statusChanges;
 }
 
+bool CacheJournal::covers(const JournalPosition &position)
+{
+    const std::lock_guard lock(this->mutex);
+    return this->coversLocked(position);
+}
+
+bool CacheJournal::coversLocked(const JournalPosition &position) const
+{
+    const int64_t oldest = this->next - static_cast<int64_t>(this->recent.size());
+    return position.journal == this->name && position.next >= oldest && position.next <= this->next;
+}
+
 CacheChanges CacheJournal::changesAfter(const JournalPosition &position, Duration wait)
 {
     CacheChanges result;
     result.journal = this->name;
     {
         std::unique_lock lock(this->mutex);
-        const int64_t oldest = this->next - static_cast<int64_t>(this->recent.size());
-        result.isSnapshot = position.journal != this->name || position.next < oldest || position.next > this->next;
+        result.isSnapshot = !this->coversLocked(position);
         if (!result.isSnapshot) {
             this->changed.wait_for(lock, wait, [this, &position] { return this->next > position.next; });
             const int64_t first = this->next - static_cast<int64_t>(this->recent.size());
--- a/pimentosail/kvcache/cachejournal.h
+++ b/pimentosail/kvcache/cachejournal.h
@@ -51,6 +51,9 @@
     // Appends events that were applied to `store`.
     void record(const std::string &store, const CacheEvents &events);
 
+    // Returns true if the changes from `position` on are kept, so that a reader there needs no snapshot.
+    bool covers(const JournalPosition &position);
+
     // Returns the changes from `position` on and waits at most `wait` for the first one. Returns a snapshot if the position
     // is of another journal or too old.
     CacheChanges changesAfter(const JournalPosition &position, Duration wait);
@@ -62,6 +65,8 @@
         int64_t changedAt = 0;
     };
 
+    bool coversLocked(const JournalPosition &position) const;
+
     // Adds the status of the cache stores that the reader needs.
     void addStatus(int64_t knownPosition, CacheChanges &result);
 
--- a/pimentosail/mirror/storemirror.cpp
+++ b/pimentosail/mirror/storemirror.cpp
@@ -20,17 +20,19 @@
 constexpr Duration PeerWait = Milliseconds(400);
 constexpr Duration PeerPause = Milliseconds(150);
 // Interval at which the peer thread checks whether the store is still reachable.
-constexpr Duration IdlePause = Milliseconds(100);
+constexpr Duration IdlePause = Milliseconds(250);
 // A relay uses a shorter wait, so that its followers detect soon that it has lost the store.
 constexpr Duration RelayWatchWait = Milliseconds(600);
 // How long a follower's call to its relay waits for changes.
 constexpr Duration FollowWait = Milliseconds(500);
-// A relay pauses this long after it has received changes, and a follower after each call, so that one call transfers
-// several changes.
+// In a deployment with relays, a host pauses this long after the store has sent it changes, and a follower after each call, so that one
+// call transfers several changes.
 constexpr Duration BatchPause = Milliseconds(60);
 // If the store's last answer to a relay is older than this, the relay may have lost the store.
 constexpr Duration MaxAnswerAge = Milliseconds(1200);
-// How long a follower watches the store itself after its relay has failed.
+// Relays that fail one after the other before a follower watches the store itself, and for how long it then does so. All followers of
+// a relay that fails would otherwise call the store at once.
+constexpr int MaxRelayFailures = 2;
 constexpr Duration DirectWatchTime = std::chrono::seconds(3);
 // Longer than `ProbePause`, because many followers may lose the store and their relays at the same time.
 constexpr Duration FollowerProbePause = Milliseconds(1000);
@@ -225,7 +227,9 @@
 {
     try {
         const Time calledAt = this->clock.nowWithSuspend();
-        const MirrorChanges changes = this->peers.fetchFromRelay(this->status().revision, FollowWait);
+        // After a failure, the next relay answers at once and shows whether it has the store.
+        const Duration wait = this->relayFailures == 0 ? FollowWait : Duration(0);
+        const MirrorChanges changes = this->peers.fetchFromRelay(this->status().revision, wait);
         this->merge(changes, peerCompleteAt(changes, calledAt));
         if (!changes.isReachable || changes.answerAge > MaxAnswerAge) {
             throw Failure(ErrorKind::PeerLost, "the last answer of the store to the relay is " + std::to_string(toMilliseconds(changes.answerAge)) + " ms old");
@@ -248,7 +252,9 @@
     while (!this->stopping.load()) {
         const bool watchesStore = this->peers.watchesStore();
         if (!watchesStore && this->clock.now() >= this->watchDirectlyUntil) {
-            if (!this->follow()) {
+            this->relayFailures = this->follow() ? 0 : this->relayFailures + 1;
+            if (this->relayFailures >= MaxRelayFailures) {
+                this->relayFailures = 0;
                 this->watchDirectlyUntil = this->clock.now() + DirectWatchTime;
             }
             this->clock.sleepFor(BatchPause);
@@ -274,7 +280,7 @@
             // The store answers without a change only at the end of the wait.
             const bool isWaitOver = changes.changes.empty() && this->clock.nowWithSuspend() >= calledAt + callWait;
             this->merge({changes.changes, changes.revision, false}, isWaitOver ? calledAt + callWait : calledAt);
-            if (isRelay && !changes.changes.empty()) {
+            if (this->peers.hasFollowers() && !changes.changes.empty()) {
                 this->clock.sleepFor(BatchPause);
             }
         } catch (const Failure &failure) {
--- a/pimentosail/mirror/storemirror.h
+++ b/pimentosail/mirror/storemirror.h
@@ -127,7 +127,8 @@
     // Changes up to this revision may be missing from `recent`.
     int64_t recentAfterRevision = 0;
     MirrorStatus state;
-    // After a relay has failed, this host watches the store itself until this time.
+    // After relays have failed in a row, this host watches the store itself until this time. Used by the store thread only.
+    int relayFailures = 0;
     Time watchDirectlyUntil{};
     std::atomic<bool> stopping{false};
     DutyThread storeThread;
