--- a/pimentosail/directory/loadtable.cpp
+++ b/pimentosail/directory/loadtable.cpp
@@ -158,10 +158,4 @@
     return withOwn(this->allSums, own);
 }
 
-Time LoadTable::lastTotalsAt() const
-{
-    const std::lock_guard lock(this->mutex);
-    return this->relayTotalsAt;
-}
-
 } // namespace pimentosail
--- a/pimentosail/directory/loadtable.h
+++ b/pimentosail/directory/loadtable.h
@@ -78,9 +78,6 @@
     std::vector<TargetLoad> groupLoad(const std::vector<TargetLoad> &own, Time now) const;
     std::vector<TargetLoad> totalLoad(const std::vector<TargetLoad> &own, Time now) const;
 
-    // Returns the time at which totals of a relay were last received, or zero.
-    Time lastTotalsAt() const;
-
 private:
     using Sums = std::map<std::string, TargetLoad>;
     struct Report
--- a/pimentosail/entry/loadduty.cpp
+++ b/pimentosail/entry/loadduty.cpp
@@ -23,17 +23,6 @@
 constexpr Duration ReceiveWait = Milliseconds(1000);
 // Bytes; below the limit of a UDP datagram.
 constexpr size_t MaxDatagram = 60 * 1024;
-// A relay sends totals to a follower for this long after the follower's last report. A follower that gets no totals for
-// this long changes to another relay.
-constexpr Duration FollowTimeout = std::chrono::seconds(1);
-// Totals are late if they include no newer report of this host than one of this age.
-constexpr Duration MaxTotalsAge = Milliseconds(400);
-// A follower leaves a relay whose totals have all been late for this long, and for a random part of the second time more: the
-// followers that stay longer may find that the relay has caught up.
-constexpr Duration LateTimeout = std::chrono::seconds(1);
-constexpr Duration LateSpread = std::chrono::seconds(3);
-// A host whose own intervals take this much longer is slow itself and can't tell whether its relay is.
-constexpr Duration MaxOwnDelay = Milliseconds(100);
 // Reports that are remembered to interpret the relay's totals.
 constexpr size_t MaxSentReports = 64;
 // What targets have said is sent at once when it changes, and again in this interval, in case reports are lost. A rate limit that
@@ -179,7 +168,7 @@
     std::map<std::string, Follower> current;
     {
         const std::lock_guard lock(this->mutex);
-        std::erase_if(this->followers, [now](const auto &entry) { return entry.second.lastReportAt + FollowTimeout < now; });
+        std::erase_if(this->followers, [now](const auto &entry) { return entry.second.lastReportAt + RelayMonitor::Timeout < now; });
         current = this->followers;
     }
     if (current.empty()) {
@@ -218,29 +207,15 @@
     if (name != (this->followedRelay ? this->followedRelay->name : "")) {
         this->leaveRelay(now);
         this->followedRelay = relay;
-        this->followedSince = now;
+        this->relayMonitor.follow(this->context.settings.name, name, now);
         const std::lock_guard lock(this->mutex);
         this->sentReports.clear();
-        this->lateSince = Time(0);
-        return;
-    }
-    if (!relay) {
         return;
     }
     this->followedRelay = relay;
-    const char *reason = nullptr;
-    const uint64_t draw = combineHashes(stableHash(this->context.settings.name), stableHash(name));
-    const Duration patience = LateTimeout + Duration(static_cast<int64_t>(draw % static_cast<uint64_t>(LateSpread.count())));
-    {
-        const std::lock_guard lock(this->mutex);
-        if (now > std::max(this->followedSince, this->context.loads.lastTotalsAt()) + FollowTimeout) {
-            reason = "no load totals received";
-        } else if (this->lateSince != Time(0) && now > this->lateSince + patience) {
-            reason = "load totals are late";
-        }
-    }
-    if (reason != nullptr) {
-        this->context.log.write(LogLevel::Warning, "relay_skipped", {{"reason", reason}, {"relay", name}});
+    const RelayFault fault = relay ? this->relayMonitor.fault(now) : RelayFault::None;
+    if (fault != RelayFault::None) {
+        this->context.log.write(LogLevel::Warning, "relay_skipped", {{"reason", relayFaultText(fault)}, {"relay", name}});
         this->context.state.skipRelay(name);
     }
 }
@@ -289,10 +264,7 @@
         const Duration interval = isFrequent ? RelayReportInterval : ReportInterval;
         this->context.clock.sleepFor(interval);
         const Time now = this->context.clock.now();
-        if (now > last + interval + MaxOwnDelay) {
-            const std::lock_guard lock(this->mutex);
-            this->lateSince = Time(0);
-        }
+        this->relayMonitor.recordOwnDelay(now - last - interval);
         last = now;
         this->sendInterval(now);
     }
@@ -349,20 +321,23 @@
 void LoadDuty::handleTotals(LoadMessage message, Time now)
 {
     std::vector<TargetLoad> ownIncluded;
-    {
-        const std::lock_guard lock(this->mutex);
-        if (message.included.process == this->processId) {
-            const auto sent = std::find_if(
+    if (message.included.process == this->processId) {
+        std::optional<SentReport> sent;
+        {
+            const std::lock_guard lock(this->mutex);
+            const auto found = std::find_if(
                 this->sentReports.begin(), this->sentReports.end(), [&message](const SentReport &report) { return report.number == message.included; });
-            const bool isLate = sent == this->sentReports.end() || sent->at + MaxTotalsAge < now;
-            this->lateSince = !isLate ? Time(0) : this->lateSince == Time(0) ? now : this->lateSince;
-            if (sent == this->sentReports.end()) {
-                // Totals of a relay that this host has left, or that are older than all that it remembers.
-                this->countDropped("totals_too_old");
-                return;
-            }
-            ownIncluded = sent->loads;
+            sent = found == this->sentReports.end() ? std::nullopt : std::optional<SentReport>(*found);
         }
+        this->relayMonitor.recordTotals(sent ? sent->at : Time::min(), now);
+        if (!sent) {
+            // Totals of a relay that this host has left, or that are older than all that it remembers.
+            this->countDropped("totals_too_old");
+            return;
+        }
+        ownIncluded = std::move(sent->loads);
+    } else {
+        this->relayMonitor.recordTotalsWithoutReport(now);
     }
     this->context.loads.recordTotals(std::move(message.loads), ownIncluded, now);
 }
--- a/pimentosail/entry/loadduty.h
+++ b/pimentosail/entry/loadduty.h
@@ -25,6 +25,7 @@
 #include <Poco/Net/SocketAddress.h>
 
 #include "pimentosail/base/duty.h"
+#include "pimentosail/directory/relaymonitor.h"
 #include "pimentosail/entry/context.h"
 #include "pimentosail/entry/loadmessages.h"
 
@@ -81,16 +82,14 @@
     Poco::Net::DatagramSocket socket;
     const uint64_t processId;
     std::mutex mutex;
-    // The next three are guarded by `mutex`.
+    // The next two are guarded by `mutex`.
     std::map<std::string, Follower> followers;
     std::deque<SentReport> sentReports;
-    // Since when the totals of the followed relay have been late; zero if the last ones were in time.
-    Time lateSince{};
+    RelayMonitor relayMonitor;
     // The following are used by the sending thread only.
     uint64_t sequence = 0;
-    // The relay that this host follows, and since when.
+    // The relay that this host follows.
     std::optional<HostEntry> followedRelay;
-    Time followedSince{};
     // The last report in a deployment without relays was empty.
     bool wasEmpty = false;
     // When statements of targets were last sent, and how many changes of them there were until then.
