--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# Builds the program of each script into target/review/. It needs a compiler and jsoncpp, as the build of the deploy file does.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+mkdir -p target/review
+for source in review/[1-5]/case.cpp; do
+    [ -e "$source" ] || continue
+    name=$(basename "$(dirname "$source")")
+    c++ -std=c++20 -O1 -Wall -Wextra -Ireview/rig $(pkg-config --cflags jsoncpp) "$source" -o "target/review/case-$name" $(pkg-config --libs jsoncpp) -pthread
+done
