--- a/review/1/case.cpp
+++ b/review/1/case.cc
@@ -1,6 +1,6 @@
 // One of three entry hosts is cut from the store, the two others are killed and restarted, and a worker leaves meanwhile. Does any host
 // send requests to that worker after DrainMs?
-#include "rig.h"
+#include "rig.hpp"
 
 using namespace rig;
 
@@ -108,6 +108,7 @@
     }
     record.line("requests that got no complete answer or 502: " + std::to_string(unanswered.load()));
     finish(total > 0 ? 1 : 0,
-        total > 0 ? "DRAIN broken: requests that reached the worker later than DrainMs after the store had acknowledged that it is gone, from hosts in touch:" + text
-                  : std::string("held: no host in touch sent to the worker that had left"));
+        total > 0
+            ? "DRAIN broken: requests that reached the worker later than DrainMs after the store had acknowledged that it is gone, from hosts in touch:" + text
+            : std::string("held: no host in touch sent to the worker that had left"));
 }
