mirror: log what a host takes from another one

Its log showed that the number of targets rose from 2 to 3 while the store was reachable and no target had registered, but not where the entry came from: the store's watch, the directory's grace time or another host. store_state_from_host names the sender, both revisions and how many keys changed.

The watch and the directory are ruled out.

--- a/pimentosail/entry/entryprocess.cpp
+++ b/pimentosail/entry/entryprocess.cpp
@@ -319,7 +319,9 @@
     Json::Value arguments;
     arguments["after"] = Json::Int64(revision);
     arguments["wait_ms"] = Json::Int64(toMilliseconds(wait));
-    return decodeStoreChanges(this->peers.call(address, "store_changes", arguments, wait + PeerCallMargin));
+    MirrorChanges changes = decodeStoreChanges(this->peers.call(address, "store_changes", arguments, wait + PeerCallMargin));
+    changes.sender = address;
+    return changes;
 }
 
 CacheChanges EntryProcess::Impl::fetchCacheChanges(const HostEntry &relay, const JournalPosition &position, Duration wait)
--- a/pimentosail/mirror/storemirror.cpp
+++ b/pimentosail/mirror/storemirror.cpp
@@ -122,7 +122,7 @@
     return result;
 }
 
-void StoreMirror::merge(const MirrorChanges &batch, Time completeAt)
+size_t StoreMirror::merge(const MirrorChanges &batch, Time completeAt)
 {
     // Also held while the listener runs, so that it receives the changes in order.
     const std::lock_guard listenerLock(this->listenerMutex);
@@ -183,6 +183,19 @@
     if (!changedKeys.empty()) {
         this->listener(changedKeys);
     }
+    return changedKeys.size();
+}
+
+void StoreMirror::mergeFromHost(const MirrorChanges &changes, Time calledAt)
+{
+    const int64_t revisionBefore = this->status().revision;
+    const size_t applied = this->merge(changes, peerCompleteAt(changes, calledAt));
+    // Changes of a reachable store arrive all the time at followers, and are not logged.
+    if (!changes.changes.empty() && (changes.isSnapshot || !changes.isReachable || changes.revision < revisionBefore)) {
+        this->log.write(LogLevel::Info, "store_state_from_host",
+            {{"from", changes.sender}, {"revision", changes.revision}, {"own_revision", revisionBefore}, {"snapshot", changes.isSnapshot},
+                {"reachable", changes.isReachable}, {"changes", changes.changes.size()}, {"applied", applied}});
+    }
 }
 
 void StoreMirror::setReachable(bool isReachable, const std::string &reason)
@@ -230,7 +243,7 @@
         // After a failure, the next relay answers at once and shows whether it has the store.
         const Duration wait = this->relayFailures == 0 ? FollowWait : Duration(0);
         const MirrorChanges changes = this->peers.fetchFromRelay(this->status().revision, wait);
-        this->merge(changes, peerCompleteAt(changes, calledAt));
+        this->mergeFromHost(changes, calledAt);
         if (!changes.isReachable || changes.answerAge > MaxAnswerAge) {
             throw Failure(ErrorKind::PeerLost, "the last answer of the store to the relay is " + std::to_string(toMilliseconds(changes.answerAge)) + " ms old");
         }
@@ -302,7 +315,7 @@
         try {
             const Time calledAt = this->clock.nowWithSuspend();
             const MirrorChanges changes = this->peers.fetchFromAny(before.revision, PeerWait);
-            this->merge(changes, peerCompleteAt(changes, calledAt));
+            this->mergeFromHost(changes, calledAt);
         } catch (const Failure &) {
             // The peer client counts the failure; the next call asks another host.
             this->clock.sleepFor(PeerPause);
--- a/pimentosail/mirror/storemirror.h
+++ b/pimentosail/mirror/storemirror.h
@@ -41,6 +41,8 @@
     Duration recoveryAge{-1};
     // How long ago the contents up to `revision` were certainly complete; negative if that is not known.
     Duration completeAge{-1};
+    // Address of the host that sent the changes. It is not part of the message.
+    std::string sender;
 };
 
 // Asks another host for its changes after `revision` and waits at most about `wait` for one. Throws `Failure` if the
@@ -97,13 +99,15 @@
     // `revision` is 0 or older than the changes that are kept.
     MirrorChanges changesAfter(int64_t revision, Duration wait) const;
 
-    // Merges changes from any source, such as a caller's own writes. Changes that are older than the contents are
-    // ignored. `completeAt`: the contents with these changes are complete up to this time; zero if that is not known.
-    void merge(const MirrorChanges &changes, Time completeAt = Time(0));
+    // Merges changes from any source. Changes that are older than the contents are ignored. `completeAt`: the contents with these
+    // changes are complete up to this time; zero if that is not known. Returns the number of keys that have changed.
+    size_t merge(const MirrorChanges &changes, Time completeAt = Time(0));
 
 private:
     void runStore();
     void runPeers();
+    // Merges changes of another host, which was called at `calledAt`, and logs them.
+    void mergeFromHost(const MirrorChanges &changes, Time calledAt);
     // Merges changes from the relay. Returns false if the relay failed or has lost the store.
     bool follow();
     // Records the result of a call to the store, and logs a change of its reachability.
