--- a/pimentosail/mirror/mirrortest.cpp
+++ b/pimentosail/mirror/mirrortest.cpp
@@ -137,6 +137,20 @@
     cr_assert_eq(some.changes.size(), 1);
 }
 
+// Guards against a host that sends to targets that have left: after its restart it took their entries from a host that was cut off from
+// the store.
+Test(mirror, the_older_contents_of_another_host_restore_no_removed_key)
+{
+    for (const bool isSnapshot : {true, false}) {
+        Fixture fixture;
+        const auto mirror = fixture.make();
+        mirror->merge({{{{"servers/stays", "1", 10}, false}}, 1000, true});
+        mirror->merge({{{{"servers/stays", "1", 10}, false}, {{"servers/left", "1", 11}, false}}, 900, isSnapshot});
+        cr_assert(mirror->items("servers/left").empty());
+        cr_assert_eq(mirror->status().revision, 1000);
+    }
+}
+
 // Guards against a follower that still calls the store: when each of many hosts watched the store itself, the watches
 // made most of the calls to it.
 Test(mirror, a_follower_receives_changes_from_its_relay_without_calling_the_store)
--- a/pimentosail/mirror/storemirror.cpp
+++ b/pimentosail/mirror/storemirror.cpp
@@ -36,9 +36,8 @@
 constexpr Duration DirectWatchTime = std::chrono::seconds(3);
 // Longer than `ProbePause`, because many followers may lose the store and their relays at the same time.
 constexpr Duration FollowerProbePause = Milliseconds(1000);
-// Changes kept for other hosts, and removed keys whose revisions are kept.
+// Changes kept for other hosts.
 constexpr size_t MaxRecentChanges = 4096;
-constexpr size_t MaxRemovedKeys = 8192;
 
 // Returns up to which time changes from another host, which was called at `calledAt`, are complete; zero if that is not
 // known. The time of the answer can't be used, since this host may have been suspended before it read the answer.
@@ -137,21 +136,17 @@
         for (const StoreChange &change : batch.changes) {
             const std::string &key = change.item.key;
             present.insert(key);
+            // The contents have all changes up to their revision: an older item that they lack has been removed since.
+            const bool isContained = change.item.revision <= this->state.revision && (!batch.isSnapshot || batch.revision < this->state.revision);
             const auto known = this->contents.find(key);
-            const int64_t knownRevision = known == this->contents.end() ? 0 : known->second.revision;
-            const auto removal = this->removalRevisions.find(key);
-            if (change.item.revision <= knownRevision || (removal != this->removalRevisions.end() && change.item.revision <= removal->second)) {
+            if (isContained || (known != this->contents.end() && change.item.revision <= known->second.revision)) {
                 continue;
             }
-            if (change.isRemoval) {
-                this->removalRevisions[key] = change.item.revision;
-                if (known != this->contents.end()) {
-                    this->contents.erase(known);
-                    record(change);
-                }
-                continue;
+            if (!change.isRemoval) {
+                this->contents[key] = change.item;
+            } else if (known != this->contents.end()) {
+                this->contents.erase(known);
             }
-            this->contents[key] = change.item;
             record(change);
         }
         if (batch.isSnapshot && batch.revision >= this->state.revision) {
@@ -161,7 +156,6 @@
                     continue;
                 }
                 record({{entry->first, "", batch.revision}, true});
-                this->removalRevisions[entry->first] = batch.revision;
                 entry = this->contents.erase(entry);
             }
         }
@@ -174,10 +168,6 @@
             this->recentAfterRevision = std::max(this->recentAfterRevision, this->recent.front().item.revision);
             this->recent.pop_front();
         }
-        while (this->removalRevisions.size() > MaxRemovedKeys) {
-            this->removalRevisions.erase(std::min_element(
-                this->removalRevisions.begin(), this->removalRevisions.end(), [](const auto &a, const auto &b) { return a.second < b.second; }));
-        }
         this->changed.notify_all();
     }
     if (!changedKeys.empty()) {
--- a/pimentosail/mirror/storemirror.h
+++ b/pimentosail/mirror/storemirror.h
@@ -6,7 +6,8 @@
 //     mirror.start();
 //     std::vector<StoredItem> targets = mirror.items("servers/");
 //
-// A key never returns to an older revision. Thread-safe; the listener is called by one thread at a time, and in the
+// The contents have every change up to their revision, whichever source it came from. A key never returns to an older revision, and a
+// removed one returns only when it is written anew. Thread-safe; the listener is called by one thread at a time, and in the
 // order of the changes.
 #pragma once
 
@@ -126,8 +127,6 @@
     std::map<std::string, StoredItem> contents;
     // Latest changes in the order in which they were merged, for other hosts.
     std::deque<StoreChange> recent;
-    // Revisions at which keys were removed, so that a change that arrives late does not restore a removed key.
-    std::map<std::string, int64_t> removalRevisions;
     // Changes up to this revision may be missing from `recent`.
     int64_t recentAfterRevision = 0;
     MirrorStatus state;
