--- a/pimentosail/kv/kvtest.cpp
+++ b/pimentosail/kv/kvtest.cpp
@@ -4,6 +4,7 @@
 #include "pimentosail/kv/etcdclient.h"
 #include "pimentosail/kv/keyvaluestore.h"
 #include "pimentosail/kv/memorykeyvalue.h"
+#include "pimentosail/kv/prefixstore.h"
 
 using namespace pimentosail;
 
@@ -91,3 +92,41 @@
     }
     cr_assert_eq(decodeBase64(encodeBase64(bytes)), bytes);
 }
+
+// Guards against a listing that lacks a key which the store had at the listing's revision: the pages are read one after the other.
+Test(prefixstore, a_listing_whose_pages_straddle_changes_is_brought_to_one_revision)
+{
+    int listings = 0;
+    int watches = 0;
+    PrefixStore store;
+    store.list = [&listings](const std::string &) -> StoreListing {
+        ++listings;
+        return {{{"a", "1", 5}, {"b", "1", 6}, {"d", "2", 12}}, 10, 12};
+    };
+    store.watch = [&watches](const std::string &, int64_t after, Duration) -> StoreChanges {
+        cr_assert_eq(after, 10);
+        if (++watches == 1) {
+            return {{}, 0, true};
+        }
+        return {{{{"a", "", 11}, true}, {{"d", "2", 12}, false}, {{"c", "3", 13}, false}}, 13, false};
+    };
+    const StoreListing listing = listAtOneRevision(store);
+    cr_assert_eq(listings, 2, "a listing whose history is lost is read again");
+    cr_assert_eq(listing.revision, 13);
+    cr_assert_eq(listing.items.size(), 3);
+    cr_assert_eq(listing.items[0].key, "b");
+    cr_assert_eq(listing.items[1].key, "c");
+    cr_assert_eq(listing.items[2].revision, 12);
+}
+
+Test(prefixstore, a_store_that_always_loses_its_history_while_it_is_listed_is_an_error)
+{
+    PrefixStore store;
+    store.list = [](const std::string &) -> StoreListing {
+        return {{}, 10, 12};
+    };
+    store.watch = [](const std::string &, int64_t, Duration) -> StoreChanges {
+        return {{}, 0, true};
+    };
+    cr_assert_throw(listAtOneRevision(store), Failure);
+}
--- a/pimentosail/kv/prefixstore.h
+++ b/pimentosail/kv/prefixstore.h
@@ -38,6 +38,9 @@
 {
     std::vector<StoredItem> items;
     int64_t revision = 0;
+    // Revision of the store when the last page was read. If it is above `revision`, the listing may have changes after `revision`, and lack
+    // keys that were removed after it.
+    int64_t lastPageRevision = 0;
 };
 
 // The changes after a revision.
@@ -100,4 +103,8 @@
     std::function<void(int64_t lease)> revokeLease;
 };
 
+// Returns all keys of the store as they were at the revision of the returned listing, also if the store changed while its pages were read.
+// Throws `Failure` (KeyValueUnavailable).
+StoreListing listAtOneRevision(const PrefixStore &store);
+
 } // namespace pimentosail
--- a/pimentosail/mirror/storemirror.cpp
+++ b/pimentosail/mirror/storemirror.cpp
@@ -121,6 +121,52 @@
     return result;
 }
 
+std::set<std::string> StoreMirror::replaceContents(const MirrorChanges &snapshot)
+{
+    std::set<std::string> changedKeys;
+    std::map<std::string, StoredItem> next;
+    for (const StoreChange &change : snapshot.changes) {
+        const auto known = this->contents.find(change.item.key);
+        if (known == this->contents.end() || known->second.revision != change.item.revision) {
+            changedKeys.insert(change.item.key);
+        }
+        next[change.item.key] = change.item;
+    }
+    for (const auto &[key, item] : this->contents) {
+        if (!next.contains(key)) {
+            changedKeys.insert(key);
+        }
+    }
+    this->contents = std::move(next);
+    // What was removed between the two revisions is not known.
+    this->recent.clear();
+    this->recentAfterRevision = snapshot.revision;
+    return changedKeys;
+}
+
+std::set<std::string> StoreMirror::applyChanges(const MirrorChanges &batch)
+{
+    std::set<std::string> changedKeys;
+    for (const StoreChange &change : batch.changes) {
+        // The contents have all changes up to their revision: an older item that they lack has been removed since.
+        if (change.item.revision <= this->state.revision) {
+            continue;
+        }
+        if (change.isRemoval) {
+            this->contents.erase(change.item.key);
+        } else {
+            this->contents[change.item.key] = change.item;
+        }
+        this->recent.push_back(change);
+        changedKeys.insert(change.item.key);
+    }
+    while (this->recent.size() > MaxRecentChanges) {
+        this->recentAfterRevision = std::max(this->recentAfterRevision, this->recent.front().item.revision);
+        this->recent.pop_front();
+    }
+    return changedKeys;
+}
+
 size_t StoreMirror::merge(const MirrorChanges &batch, Time completeAt)
 {
     // Also held while the listener runs, so that it receives the changes in order.
@@ -128,46 +174,16 @@
     std::set<std::string> changedKeys;
     {
         const std::lock_guard lock(this->mutex);
-        std::set<std::string> present;
-        auto record = [this, &changedKeys](const StoreChange &change) {
-            this->recent.push_back(change);
-            changedKeys.insert(change.item.key);
-        };
-        for (const StoreChange &change : batch.changes) {
-            const std::string &key = change.item.key;
-            present.insert(key);
-            // The contents have all changes up to their revision: an older item that they lack has been removed since.
-            const bool isContained = change.item.revision <= this->state.revision && (!batch.isSnapshot || batch.revision < this->state.revision);
-            const auto known = this->contents.find(key);
-            if (isContained || (known != this->contents.end() && change.item.revision <= known->second.revision)) {
-                continue;
-            }
-            if (!change.isRemoval) {
-                this->contents[key] = change.item;
-            } else if (known != this->contents.end()) {
-                this->contents.erase(known);
-            }
-            record(change);
-        }
-        if (batch.isSnapshot && batch.revision >= this->state.revision) {
-            for (auto entry = this->contents.begin(); entry != this->contents.end();) {
-                if (present.contains(entry->first) || entry->second.revision > batch.revision) {
-                    ++entry;
-                    continue;
-                }
-                record({{entry->first, "", batch.revision}, true});
-                entry = this->contents.erase(entry);
-            }
+        if (!batch.isSnapshot) {
+            changedKeys = this->applyChanges(batch);
+        } else if (batch.revision > this->state.revision) {
+            changedKeys = this->replaceContents(batch);
         }
         if (batch.revision >= this->state.revision) {
             this->state.completeBefore = this->state.completeAt;
             this->state.completeAt = std::max(this->state.completeAt, completeAt);
         }
         this->state.revision = std::max(this->state.revision, batch.revision);
-        while (this->recent.size() > MaxRecentChanges) {
-            this->recentAfterRevision = std::max(this->recentAfterRevision, this->recent.front().item.revision);
-            this->recent.pop_front();
-        }
         this->changed.notify_all();
     }
     if (!changedKeys.empty()) {
@@ -214,7 +230,7 @@
 void StoreMirror::listAll()
 {
     const Time calledAt = this->clock.nowWithSuspend();
-    const StoreListing listing = this->store.list("");
+    const StoreListing listing = listAtOneRevision(this->store);
     MirrorChanges changes;
     changes.revision = listing.revision;
     changes.isSnapshot = true;
--- a/pimentosail/mirror/storemirror.h
+++ b/pimentosail/mirror/storemirror.h
@@ -6,8 +6,8 @@
 //     mirror.start();
 //     std::vector<StoredItem> targets = mirror.items("servers/");
 //
-// The contents have every change up to their revision, whichever source it came from. A key never returns to an older revision, and a
-// removed one returns only when it is written anew. Thread-safe; the listener is called by one thread at a time, and in the
+// The contents are those that the store had at their revision, whichever source they came from, and that revision never decreases. So
+// a removed key returns only when it is written anew. Thread-safe; the listener is called by one thread at a time, and in the
 // order of the changes.
 #pragma once
 
@@ -96,8 +96,8 @@
 
     MirrorStatus status() const;
 
-    // Returns the changes after `revision`, and waits at most `wait` if there are none yet. Returns a snapshot if
-    // `revision` is 0 or older than the changes that are kept.
+    // Returns the changes after `revision`, and waits at most `wait` if there are none yet. Returns a snapshot if `revision` is 0 or older
+    // than the changes that are kept, which begin anew with each snapshot that this mirror has merged itself.
     MirrorChanges changesAfter(int64_t revision, Duration wait) const;
 
     // Merges changes from any source. Changes that are older than the contents are ignored. `completeAt`: the contents with these
@@ -107,6 +107,9 @@
 private:
     void runStore();
     void runPeers();
+    // Both return the keys that have changed; for the caller that holds `mutex`. The snapshot must be newer than the contents.
+    std::set<std::string> replaceContents(const MirrorChanges &snapshot);
+    std::set<std::string> applyChanges(const MirrorChanges &batch);
     // Merges changes of another host, which was called at `calledAt`, and logs them.
     void mergeFromHost(const MirrorChanges &changes, Time calledAt);
     // Merges changes from the relay. Returns false if the relay failed or has lost the store.
@@ -125,7 +128,7 @@
     mutable std::condition_variable changed;
     std::mutex listenerMutex;
     std::map<std::string, StoredItem> contents;
-    // Latest changes in the order in which they were merged, for other hosts.
+    // All changes after `recentAfterRevision`, for other hosts.
     std::deque<StoreChange> recent;
     // Changes up to this revision may be missing from `recent`.
     int64_t recentAfterRevision = 0;
