attempt: a stream that ends by its connection before its first event is no answer (ORDER)

Another operator reported: a worker stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body, framed as whole.

Here, a head that ends early is no answer at any of its bytes (broken_answers/a_head_that_ends_early_is_no_answer passed at once, for an unsafe request and a stream). But a target that closed right after the head of a stream without a length gave its caller a 200 with an empty body and Content-Length: 0 (the new test got it): the close of the connection counted as the end of the stream.

Change: a stream whose only end is the close of its connection, and that had no event, ends as lost; a resumable one is sent elsewhere. A stream with its own end (chunked, length) and no event is passed on as before. Test: broken_answers/a_stream_without_a_length_that_ends_before_its_first_event_is_no_answer, 200 before, 502 now.

--- a/pimentosail/entry/attempt.cpp
+++ b/pimentosail/entry/attempt.cpp
@@ -406,6 +406,11 @@
             }
             continue;
         }
+        if (status == ReadStatus::End && data.empty() && result.timeToFirstEvent == Duration(0) && connection.wasAnswerEndedByClose()) {
+            // A target that ends after its head closes its connection too.
+            this->fail(ReadStatus::Broken, "the stream ended before its first event", result);
+            return;
+        }
         if (status == ReadStatus::End && data.empty()) {
             result.end = AttemptEnd::Answered;
             return;
--- a/pimentosail/upstream/connection.h
+++ b/pimentosail/upstream/connection.h
@@ -85,6 +85,12 @@
     // open.
     bool isReusable() const;
 
+    // Returns true if only the close of the connection marked the end of the last answer, so that the answer may lack its end.
+    bool wasAnswerEndedByClose() const
+    {
+        return this->complete && this->framing == Framing::UntilClose;
+    }
+
     // When the connection was last used; set by the pool.
     Time lastUsed{};
     // How long the target keeps an idle connection open according to its answer; zero if the answer did not say.
