net: an answer whose head ends with its connection is a failure

Change: an answer with neither a length nor chunks, and without a body, counts as truncated, unless its status has no body. Now an answer is taken from where its length is known.

--- a/pimentosail/net/httpclient.cpp
+++ b/pimentosail/net/httpclient.cpp
@@ -55,6 +55,12 @@
     }
 }
 
+bool mayHaveBody(const HttpRequest &request, const Poco::Net::HTTPResponse &response)
+{
+    return request.method != "HEAD" && response.getStatus() != Poco::Net::HTTPResponse::HTTP_NO_CONTENT
+        && response.getStatus() != Poco::Net::HTTPResponse::HTTP_NOT_MODIFIED;
+}
+
 [[noreturn]] void throwLost(const std::string &address, const std::string &reason, bool connected)
 {
     throw Failure(Error(ErrorKind::PeerLost, address + ": " + reason, !connected));
@@ -112,7 +118,9 @@
         reply.contentType = response.getContentType();
         Poco::StreamCopier::copyToString(in, reply.body);
         const bool truncated = response.hasContentLength() && reply.body.size() < static_cast<size_t>(response.getContentLength64());
-        if (truncated) {
+        // POCO takes a head that ends with the connection for complete. Such an answer has no body either.
+        const bool hasNoEnd = !response.hasContentLength() && !response.getChunkedTransferEncoding() && reply.body.empty() && mayHaveBody(request, response);
+        if (truncated || hasNoEnd) {
             throw Poco::IOException("the answer was truncated");
         }
         if (response.getKeepAlive()) {
--- a/pimentosail/net/nettest.cpp
+++ b/pimentosail/net/nettest.cpp
@@ -1,6 +1,8 @@
 #include <atomic>
 #include <thread>
 
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/SocketAddress.h>
 #include <criterion/criterion.h>
 
 #include "pimentosail/net/httpclient.h"
@@ -50,3 +52,34 @@
     caller.join();
     cr_assert_eq(status.load(), 200);
 }
+
+// Guards against an order or a call between hosts that counts as carried out although the other side stopped within the head of its answer.
+Test(net, an_answer_whose_head_ends_early_is_a_failure)
+{
+    const std::string head = "HTTP/1.1 202 Accepted\r\nContent-Type: application/json\r\nContent-Length: 0\r\n\r\n";
+    Poco::Net::ServerSocket listener(Poco::Net::SocketAddress("127.0.0.1:18933"));
+    std::atomic<size_t> cut{0};
+    std::thread server([&] {
+        for (size_t connections = 0; connections <= head.size(); ++connections) {
+            Poco::Net::StreamSocket socket = listener.acceptConnection();
+            char request[4096];
+            socket.receiveBytes(request, sizeof(request));
+            socket.sendBytes(head.data(), static_cast<int>(cut.load()));
+        }
+    });
+    std::vector<size_t> taken;
+    for (cut = 0; cut.load() <= head.size(); ++cut) {
+        HttpClient client;
+        try {
+            client.call("127.0.0.1:18933", {"POST", "/", {}, ""}, Milliseconds(1000));
+            taken.push_back(cut.load());
+        } catch (const Failure &) {
+            // Nothing is known of the outcome.
+        }
+    }
+    server.join();
+    // Without its last line ends, the head still says all that the call returns.
+    const size_t known = head.find("\r\n\r\n");
+    cr_assert_eq(taken.front(), known, "an answer was taken that was cut after %zu bytes", taken.front());
+    cr_assert_eq(taken.back(), head.size());
+}
