shutdown: requests that run at the end of the grace period are answered (LOST)

Another operator reported: in a planned stop, requests that came late in the grace were taken and passed on; at its end they were cut with no answer, among them requests that may not be repeated.

But a request that was taken earlier and whose target was still at work 0.5 s before the end of the grace lost its connection without an answer.

Change: at that moment waits for targets end as at the deadline (Interrupt, a pipe that they poll beside their sockets; no wake-ups more), so a request that may have run is answered 504, one that was not sent 503. The process leaves 0.2 s for that, within the margin that it had. Streams that have begun end without their last chunk, as before.

--- a/pimentosail/entry/attempt.cpp
+++ b/pimentosail/entry/attempt.cpp
@@ -144,9 +144,9 @@
     for (int round = 1;; ++round) {
         const Time stallEnd = limits.stallTimeout > Duration(0) ? this->context.clock.now() + limits.stallTimeout : limits.deadline;
         const bool mustBegin = limits.answerBeginsBy != Time(0) && !this->hasBegun && limits.answerBeginsBy < std::min(stallEnd, limits.deadline);
-        const Wait wait{this->context.clock, mustBegin ? limits.answerBeginsBy : std::min(stallEnd, limits.deadline), limits.callerSocket};
+        const Wait wait{this->context.clock, mustBegin ? limits.answerBeginsBy : std::min(stallEnd, limits.deadline), limits.callerSocket, limits.interrupt};
         const ReadStatus status = read(wait);
-        if (status != ReadStatus::Timeout || wait.end >= limits.deadline) {
+        if (status != ReadStatus::Timeout || wait.end >= limits.deadline || limits.interrupt->isSet()) {
             return status;
         }
         if (mustBegin || round >= MaxStallRounds || this->plan.target->lastResponse.load() <= this->sentAt.count()) {
@@ -245,7 +245,7 @@
         result.end = AttemptEnd::Deadline;
         return nullptr;
     }
-    const Wait wait{this->context.clock, std::min(limits.deadline, now + ConnectTimeout), limits.callerSocket};
+    const Wait wait{this->context.clock, std::min(limits.deadline, now + ConnectTimeout), limits.callerSocket, limits.interrupt};
     Result<std::unique_ptr<TargetConnection>> connection = TargetConnection::connect(this->plan.target->address, wait);
     if (!connection && connection.error().kind == ErrorKind::Cancelled) {
         result.end = AttemptEnd::CallerDisconnected;
@@ -267,7 +267,7 @@
 {
     bool anySent = false;
     this->sentAt = this->context.clock.now();
-    const Wait wait{this->context.clock, limits.deadline, limits.callerSocket};
+    const Wait wait{this->context.clock, limits.deadline, limits.callerSocket, limits.interrupt};
     const SendStatus status = connection.send(this->context.wire.encodeAttempt(this->request, this->plan), wait, anySent);
     result.sentAt = anySent ? this->sentAt : Time(0);
     switch (status) {
--- a/pimentosail/entry/attempt.h
+++ b/pimentosail/entry/attempt.h
@@ -49,6 +49,8 @@
     Time answerBeginsBy{};
     // Socket of the caller's connection, which is watched for its end.
     int callerSocket = -1;
+    // Ends the attempt as its deadline would.
+    const Interrupt *interrupt = nullptr;
     // Maximum idle time of a connection that is reused.
     Duration maxConnectionIdle{};
 };
--- a/pimentosail/entry/entryprocess.cpp
+++ b/pimentosail/entry/entryprocess.cpp
@@ -35,6 +35,8 @@
 constexpr Duration BalancerRemovalTime = Milliseconds(2600);
 // The process exits this long before the end of the grace period, at which it would be killed.
 constexpr Duration ShutdownMargin = Milliseconds(500);
+// Maximum time for the answers to requests that still run at the end of the grace period; part of the margin.
+constexpr Duration LastAnswerTime = Milliseconds(200);
 // The process exits after this time without requests, since a request may have been read but not counted yet.
 constexpr Duration IdleTime = Milliseconds(300);
 constexpr Duration ShutdownStep = Milliseconds(20);
@@ -486,9 +488,16 @@
         }
         this->clock.sleepFor(ShutdownStep);
     }
+    const long unfinished = this->callerServer.running();
+    this->state.shutdownEnd.set();
+    const Time answeredBy = this->clock.now() + LastAnswerTime;
+    while (this->callerServer.running() > 0 && this->clock.now() < answeredBy) {
+        this->clock.sleepFor(ShutdownStep);
+    }
     const long interrupted = this->callerServer.running();
     this->hostDuty.stop();
-    this->log.write(LogLevel::Info, "stopped", {{"cut", interrupted}, {"took_ms", toMilliseconds(this->clock.now() - shutdownStart)}});
+    this->log.write(
+        LogLevel::Info, "stopped", {{"cut", interrupted}, {"unfinished", unfinished}, {"took_ms", toMilliseconds(this->clock.now() - shutdownStart)}});
     return interrupted;
 }
 
--- a/pimentosail/entry/entrystate.h
+++ b/pimentosail/entry/entrystate.h
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "pimentosail/base/clock.h"
+#include "pimentosail/base/interrupt.h"
 #include "pimentosail/directory/relays.h"
 #include "pimentosail/routing/servingconfiguration.h"
 
@@ -266,6 +267,8 @@
     std::atomic<bool> isDraining{false};
     // New requests are refused, because the load balancer has had time to notice the shutdown.
     std::atomic<bool> isClosing{false};
+    // The process is about to exit. Requests that still run are answered with what is known of them.
+    Interrupt shutdownEnd;
 
 private:
     // After this time, the lease and all requests of a host that is no longer listed have ended.
--- a/pimentosail/entry/requestplanning.cpp
+++ b/pimentosail/entry/requestplanning.cpp
@@ -270,6 +270,9 @@
     const Time end = std::min(this->deadline - MinTimeLeft, this->context.clock.now() + this->route->targetLatency / TargetWaitDivisor);
     while (true) {
         this->checkCallerConnected();
+        if (this->context.state.shutdownEnd.isSet()) {
+            throw Failure(ErrorKind::ShuttingDown, "this host is shutting down");
+        }
         if (std::optional<TargetChoice> choice = this->tryChoose()) {
             if (this->admitToMemory(*choice)) {
                 return *choice;
@@ -332,6 +335,7 @@
     AttemptLimits limits;
     limits.deadline = this->deadline;
     limits.callerSocket = this->exchange.callerSocket();
+    limits.interrupt = &this->context.state.shutdownEnd;
     limits.maxConnectionIdle = this->route->isIdempotent() ? MaxIdleIdempotent : MaxIdleUnsafe;
     if (this->route->isIdempotent()) {
         limits.stallTimeout = std::max({MinStallTimeout, 2 * this->route->targetLatency, Duration(StallFactor * target.responseTime.load())});
--- a/pimentosail/entry/requestrunner.cpp
+++ b/pimentosail/entry/requestrunner.cpp
@@ -251,7 +251,7 @@
 
 bool RequestRunner::mayTryAgain(const AttemptResult &result)
 {
-    if (this->deadline - this->context.clock.now() < MinTimeLeft + AnswerMargin) {
+    if (this->deadline - this->context.clock.now() < MinTimeLeft + AnswerMargin || this->context.state.shutdownEnd.isSet()) {
         return false;
     }
     if (result.end == AttemptEnd::NotSent) {
--- a/pimentosail/upstream/connection.cpp
+++ b/pimentosail/upstream/connection.cpp
@@ -51,9 +51,10 @@
         if (left <= Duration(0)) {
             return Readiness::Timeout;
         }
-        std::array<pollfd, 2> entries{};
+        std::array<pollfd, 3> entries{};
         entries[0] = {descriptor, events, 0};
         entries[1] = {wait.callerSocket, callerEvents, 0};
+        entries[2] = {wait.interrupt == nullptr ? -1 : wait.interrupt->descriptor(), POLLIN, 0};
         const int readyCount = ::poll(entries.data(), entries.size(), static_cast<int>(toMilliseconds(left)) + 1);
         if (readyCount < 0 && errno != EINTR) {
             return Readiness::Ready;
@@ -68,6 +69,9 @@
         if (entries[0].revents != 0) {
             return Readiness::Ready;
         }
+        if (entries[2].revents != 0) {
+            return Readiness::Timeout;
+        }
     }
 }
 
--- a/pimentosail/upstream/connection.h
+++ b/pimentosail/upstream/connection.h
@@ -20,6 +20,7 @@
 
 #include "pimentosail/base/clock.h"
 #include "pimentosail/base/error.h"
+#include "pimentosail/base/interrupt.h"
 
 namespace pimentosail
 {
@@ -31,6 +32,8 @@
     Time end{};
     // Socket descriptor of the caller's connection; -1 watches none.
     int callerSocket = -1;
+    // Ends the wait as its time would; null watches none.
+    const Interrupt *interrupt = nullptr;
 };
 
 enum class ReadStatus {
