--- a/pimentosail/net/httpserver.cpp
+++ b/pimentosail/net/httpserver.cpp
@@ -1,7 +1,6 @@
 #include "pimentosail/net/httpserver.h"
 
 #include <algorithm>
-#include <array>
 
 #include <sys/socket.h>
 
@@ -10,13 +9,17 @@
 #include <Poco/Net/HTTPRequestHandlerFactory.h>
 #include <Poco/Net/HTTPServerParams.h>
 #include <Poco/Net/HTTPServerRequestImpl.h>
+#include <Poco/Net/HTTPServerSession.h>
+#include <Poco/Net/HTTPSession.h>
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/ServerSocket.h>
+#include <Poco/String.h>
 #include <Poco/URI.h>
 
 #include "pimentosail/base/json.h"
 #include "pimentosail/base/socketstate.h"
 #include "pimentosail/base/statelog.h"
+#include "pimentosail/net/chunkdecoder.h"
 
 namespace pimentosail
 {
@@ -33,6 +36,36 @@
 constexpr long KeepAliveSeconds = 30;
 constexpr size_t ReadBlock = 16 * 1024;
 
+// Digits of a Content-Length that fits 64 bits with a sign.
+constexpr size_t MaxLengthDigits = 18;
+
+// Reads from the buffer and the socket of a POCO session. POCO's own streams take a cut or malformed body for one that ended.
+class SessionReader : public Poco::Net::HTTPSession
+{
+public:
+    static int bufferedBytes(const Poco::Net::HTTPSession &session)
+    {
+        return (session.*(&SessionReader::buffered))();
+    }
+
+    // Returns the number of bytes read; 0 if the peer has closed the connection.
+    static size_t receive(Poco::Net::HTTPSession &session, char *buffer, size_t size)
+    {
+        // A single byte is taken through the buffer, so that not each costs a system call.
+        if (size == 1) {
+            const int byte = (session.*(&SessionReader::get))();
+            *buffer = static_cast<char>(byte);
+            return byte == std::char_traits<char>::eof() ? 0 : 1;
+        }
+        return static_cast<size_t>(std::max(0, (session.*(&SessionReader::read))(buffer, static_cast<std::streamsize>(size))));
+    }
+
+private:
+    using Poco::Net::HTTPSession::buffered;
+    using Poco::Net::HTTPSession::get;
+    using Poco::Net::HTTPSession::read;
+};
+
 class FunctionHandler : public Poco::Net::HTTPRequestHandler
 {
 public:
@@ -119,51 +152,119 @@
     return result;
 }
 
-// Reads up to `limit` bytes more than are allowed, so that most callers have sent their body and read the error answer.
-void HttpExchange::discardBody(int64_t limit, Clock &clock, Duration timeout)
+HttpExchange::Framing HttpExchange::framing() const
 {
-    const Time end = clock.now() + timeout;
-    std::array<char, ReadBlock> block{};
-    std::istream &in = this->request.stream();
-    int64_t discarded = 0;
-    while (in.good() && discarded < 2 * limit && clock.now() < end) {
-        in.read(block.data(), block.size());
-        discarded += in.gcount();
+    int lengths = 0;
+    int encodings = 0;
+    bool isKnown = true;
+    for (const auto &[name, value] : this->request) {
+        if (Poco::icompare(name, Poco::Net::HTTPMessage::CONTENT_LENGTH) == 0) {
+            ++lengths;
+            isKnown = isKnown && !value.empty() && value.size() <= MaxLengthDigits && value.find_first_not_of("0123456789") == std::string::npos;
+        } else if (Poco::icompare(name, Poco::Net::HTTPMessage::TRANSFER_ENCODING) == 0) {
+            ++encodings;
+            isKnown = isKnown && Poco::icompare(value, Poco::Net::HTTPMessage::CHUNKED_TRANSFER_ENCODING) == 0;
+        }
+    }
+    if (!isKnown || lengths + encodings > 1) {
+        return Framing::Ambiguous;
     }
+    return lengths > 0 ? Framing::Length : encodings > 0 ? Framing::Chunked : Framing::None;
 }
 
-std::string HttpExchange::readBody(int64_t limit, Clock &clock, Duration timeout)
+std::string HttpExchange::receive(uint64_t size, Clock &clock, Time end)
 {
-    if (this->request.hasContentLength() && this->request.getContentLength64() > limit) {
-        this->response.setKeepAlive(false);
-        this->discardBody(limit, clock, timeout);
-        throw Failure(ErrorKind::BodyTooLarge, "the body is larger than " + std::to_string(limit) + " bytes");
+    auto *implementation = dynamic_cast<Poco::Net::HTTPServerRequestImpl *>(&this->request);
+    if (implementation == nullptr) {
+        throw Failure(ErrorKind::Internal, "the request has no connection");
     }
-    const Time end = clock.now() + timeout;
-    std::string body;
-    std::array<char, ReadBlock> block{};
-    std::istream &in = this->request.stream();
+    Poco::Net::HTTPSession &session = implementation->session();
+    std::string block(static_cast<size_t>(std::min<uint64_t>(size, ReadBlock)), '\0');
     try {
-        while (in.good()) {
-            in.read(block.data(), block.size());
-            body.append(block.data(), static_cast<size_t>(in.gcount()));
-            if (static_cast<int64_t>(body.size()) > limit) {
-                this->response.setKeepAlive(false);
-                throw Failure(ErrorKind::BodyTooLarge, "the body is larger than " + std::to_string(limit) + " bytes");
-            }
-            if (clock.now() > end) {
-                this->response.setKeepAlive(false);
-                throw Failure(ErrorKind::RequestTimeout, "the request took too long to arrive");
-            }
+        const Duration left = end - clock.now();
+        const bool isReadable = SessionReader::bufferedBytes(session) > 0
+            || (left > Duration(0) && implementation->socket().poll(Poco::Timespan(left.count()), Poco::Net::Socket::SELECT_READ));
+        if (!isReadable) {
+            throw Failure(ErrorKind::RequestTimeout, "the request took too long to arrive");
         }
+        block.resize(SessionReader::receive(session, block.data(), block.size()));
     } catch (const Poco::TimeoutException &) {
-        this->response.setKeepAlive(false);
         throw Failure(ErrorKind::RequestTimeout, "the request took too long to arrive");
+    } catch (const Poco::Exception &exception) {
+        throw Failure(ErrorKind::BadRequest, "the body was truncated: " + exception.displayText());
     }
-    if (this->request.hasContentLength() && static_cast<int64_t>(body.size()) < this->request.getContentLength64()) {
-        this->response.setKeepAlive(false);
+    if (block.empty()) {
         throw Failure(ErrorKind::BadRequest, "the body was truncated");
     }
+    return block;
+}
+
+void HttpExchange::consumeLength(int64_t limit, Clock &clock, Time end, const BodySink &sink)
+{
+    const int64_t length = this->request.getContentLength64();
+    // Some bytes more than are allowed are read, so that most callers have sent their body and read the error answer.
+    const int64_t readable = length > limit ? std::min(length, 2 * limit) : length;
+    for (int64_t left = readable; left > 0;) {
+        const std::string block = this->receive(static_cast<uint64_t>(left), clock, end);
+        left -= static_cast<int64_t>(block.size());
+        if (length <= limit) {
+            sink(block);
+        }
+    }
+    if (length > limit) {
+        throw Failure(ErrorKind::BodyTooLarge, "the body is larger than " + std::to_string(limit) + " bytes");
+    }
+}
+
+void HttpExchange::consumeChunks(int64_t limit, Clock &clock, Time end, const BodySink &sink)
+{
+    ChunkDecoder decoder;
+    ChunkStatus status = ChunkStatus::NeedsMore;
+    std::string received;
+    int64_t total = 0;
+    while (status == ChunkStatus::NeedsMore) {
+        received += this->receive(decoder.bytesWanted(), clock, end);
+        std::string data;
+        status = decoder.decode(received, data);
+        total += static_cast<int64_t>(data.size());
+        if (total > limit) {
+            throw Failure(ErrorKind::BodyTooLarge, "the body is larger than " + std::to_string(limit) + " bytes");
+        }
+        sink(data);
+        if (clock.now() > end) {
+            throw Failure(ErrorKind::RequestTimeout, "the request took too long to arrive");
+        }
+    }
+    if (status == ChunkStatus::Malformed) {
+        throw Failure(ErrorKind::BadRequest, "the chunks of the body are malformed");
+    }
+}
+
+void HttpExchange::consumeBody(int64_t limit, Clock &clock, Time end, const BodySink &sink)
+{
+    switch (this->framing()) {
+    case Framing::None:
+        break;
+    case Framing::Length:
+        this->consumeLength(limit, clock, end, sink);
+        break;
+    case Framing::Chunked:
+        this->consumeChunks(limit, clock, end, sink);
+        break;
+    case Framing::Ambiguous:
+        throw Failure(ErrorKind::BadRequest, "the length of the body is not clear");
+    }
+}
+
+std::string HttpExchange::readBody(int64_t limit, Clock &clock, Duration timeout)
+{
+    std::string body;
+    try {
+        this->consumeBody(limit, clock, clock.now() + timeout, [&body](const std::string &block) { body += block; });
+    } catch (const Failure &) {
+        this->response.setKeepAlive(false);
+        throw;
+    }
     return body;
 }
 
--- a/pimentosail/net/httpserver.h
+++ b/pimentosail/net/httpserver.h
@@ -60,8 +60,8 @@
     // Returns all headers in the order of the request.
     std::vector<std::pair<std::string, std::string>> headers() const;
 
-    // Reads the body. Throws `Failure`: BodyTooLarge over `limit` bytes, RequestTimeout after `timeout`, BadRequest if
-    // it is truncated.
+    // Reads the body. Throws `Failure`: BodyTooLarge over `limit` bytes, RequestTimeout after `timeout`, BadRequest if it is truncated or
+    // its length is ambiguous.
     std::string readBody(int64_t limit, Clock &clock, Duration timeout);
 
     // Sets a header of the answer.
@@ -108,9 +108,23 @@
     bool isCallerDisconnected() const;
 
 private:
-    // Reads the rest of a body that is too large, within limits.
-    void discardBody(int64_t limit, Clock &clock, Duration timeout);
-
+    // How the end of the request's body is found.
+    enum class Framing {
+        None,
+        Length,
+        Chunked,
+        // The headers contradict each other, or name an unknown encoding.
+        Ambiguous,
+    };
+    using BodySink = std::function<void(const std::string &block)>;
+
+    Framing framing() const;
+    // Passes the body to `sink` block by block. Throws as `readBody`.
+    void consumeBody(int64_t limit, Clock &clock, Time end, const BodySink &sink);
+    void consumeLength(int64_t limit, Clock &clock, Time end, const BodySink &sink);
+    void consumeChunks(int64_t limit, Clock &clock, Time end, const BodySink &sink);
+    // Returns at least one and at most `size` bytes of the connection.
+    std::string receive(uint64_t size, Clock &clock, Time end);
     Poco::Net::HTTPServerRequest &request;
     Poco::Net::HTTPServerResponse &response;
     std::ostream *stream = nullptr;
--- a/pimentosail/upstream/connection.cpp
+++ b/pimentosail/upstream/connection.cpp
@@ -27,10 +27,6 @@
 // Maximum size of the header of an answer, together with the interim answers before it; far above those that targets send,
 // and small because each connection may hold as much.
 constexpr size_t MaxHeaderBytes = 16 * 1024;
-// Maximum size of a line with a chunk size, and of all trailer fields of an answer.
-constexpr size_t MaxLineBytes = 4096;
-// Size of the line end after the data of a chunk.
-constexpr size_t MaxLineEndBytes = 2;
 // TCP closes the connection if sent bytes stay unacknowledged for this time, so that a request does not wait for a
 // silent target until its deadline.
 constexpr unsigned UserTimeoutMilliseconds = 1500;
@@ -221,8 +217,7 @@
             return ReadStatus::Broken;
         }
         this->framing = Framing::Chunked;
-        this->chunkState = ChunkState::Size;
-        this->trailerBytes = 0;
+        this->chunks = ChunkDecoder();
     } else if (header.has("Content-Length")) {
         Poco::UInt64 length = 0;
         if (!Poco::NumberParser::tryParseUnsigned64(header.get("Content-Length"), length)) {
@@ -236,86 +231,17 @@
     return ReadStatus::Data;
 }
 
-bool TargetConnection::extractLine(std::string &line)
-{
-    const size_t end = this->buffer.find('\n');
-    if (end == std::string::npos) {
-        return false;
-    }
-    line = this->buffer.substr(0, end);
-    this->buffer.erase(0, end + 1);
-    if (!line.empty() && line.back() == '\r') {
-        line.pop_back();
-    }
-    return true;
-}
-
 ReadStatus TargetConnection::decodeChunked(std::string &data)
 {
     const size_t before = data.size();
-    std::string line;
-    while (true) {
-        switch (this->chunkState) {
-        case ChunkState::Size: {
-            if (!this->extractLine(line)) {
-                if (this->buffer.size() > MaxLineBytes) {
-                    return ReadStatus::Broken;
-                }
-                return data.size() > before ? ReadStatus::Data : ReadStatus::Timeout;
-            }
-            unsigned size = 0;
-            if (!Poco::NumberParser::tryParseHex(line.substr(0, line.find(';')), size)) {
-                return ReadStatus::Broken;
-            }
-            this->remaining = size;
-            this->chunkState = size == 0 ? ChunkState::Trailer : ChunkState::Data;
-            break;
-        }
-        case ChunkState::Data: {
-            const size_t count = std::min<size_t>(this->remaining, this->buffer.size());
-            data.append(this->buffer, 0, count);
-            this->buffer.erase(0, count);
-            this->remaining -= count;
-            if (this->remaining > 0) {
-                return data.size() > before ? ReadStatus::Data : ReadStatus::Timeout;
-            }
-            this->chunkState = ChunkState::DataEnd;
-            break;
-        }
-        case ChunkState::DataEnd:
-            if (!this->extractLine(line)) {
-                if (this->buffer.size() >= MaxLineEndBytes) {
-                    return ReadStatus::Broken;
-                }
-                return data.size() > before ? ReadStatus::Data : ReadStatus::Timeout;
-            }
-            if (!line.empty()) {
-                return ReadStatus::Broken;
-            }
-            this->chunkState = ChunkState::Size;
-            break;
-        case ChunkState::Trailer:
-            if (!this->extractLine(line)) {
-                if (this->trailerBytes + this->buffer.size() > MaxLineBytes) {
-                    return ReadStatus::Broken;
-                }
-                return data.size() > before ? ReadStatus::Data : ReadStatus::Timeout;
-            }
-            this->trailerBytes += line.size() + 1;
-            if (this->trailerBytes > MaxLineBytes) {
-                return ReadStatus::Broken;
-            }
-            if (line.empty()) {
-                this->chunkState = ChunkState::Done;
-            }
-            break;
-        case ChunkState::Done:
-            if (data.size() > before) {
-                return ReadStatus::Data;
-            }
-            return this->endAnswer();
-        }
+    const ChunkStatus status = this->chunks.decode(this->buffer, data);
+    if (status == ChunkStatus::Malformed) {
+        return ReadStatus::Broken;
+    }
+    if (data.size() > before) {
+        return ReadStatus::Data;
     }
+    return status == ChunkStatus::Done ? this->endAnswer() : ReadStatus::Timeout;
 }
 
 ReadStatus TargetConnection::decodeFixedLength(std::string &data)
--- a/pimentosail/upstream/connection.h
+++ b/pimentosail/upstream/connection.h
@@ -21,6 +21,7 @@
 #include "pimentosail/base/clock.h"
 #include "pimentosail/base/error.h"
 #include "pimentosail/base/interrupt.h"
+#include "pimentosail/net/chunkdecoder.h"
 
 namespace pimentosail
 {
@@ -107,14 +108,6 @@
         Chunked,
         UntilClose,
     };
-    enum class ChunkState {
-        Size,
-        Data,
-        DataEnd,
-        Trailer,
-        Done,
-    };
-
     explicit TargetConnection(Poco::Net::StreamSocket connectedSocket)
         : socket(std::move(connectedSocket))
     {
@@ -127,18 +120,14 @@
     ReadStatus decodeFixedLength(std::string &data);
     // Marks the answer as complete. Returns End.
     ReadStatus endAnswer();
-    // Removes one line from `buffer`. Returns false if no complete line is buffered.
-    bool extractLine(std::string &line);
 
     Poco::Net::StreamSocket socket;
     // Bytes received and not yet decoded.
     std::string buffer;
     Framing framing = Framing::None;
-    ChunkState chunkState = ChunkState::Size;
-    // Bytes left of the body or of the current chunk.
+    ChunkDecoder chunks;
+    // Bytes left of a body with a length.
     uint64_t remaining = 0;
-    // Bytes of trailer fields that have been read.
-    size_t trailerBytes = 0;
     bool closedByPeer = false;
     bool complete = false;
     bool targetKeepsAlive = false;
