--- a/pimentosail/entry/requestrunner.cpp
+++ b/pimentosail/entry/requestrunner.cpp
@@ -382,6 +382,9 @@
         this->exchange.abort();
         return;
     }
+    // A request that was refused by its head has a body that is not read yet.
+    const CallerLimits limits = this->serving ? this->serving->all().limits : CallerLimits{};
+    this->exchange.skipBody(limits.bodyBytes, this->context.clock, limits.headerTimeout);
     const ErrorAnswer &answer = answerFor(failure.error.kind);
     HeaderList headers = this->context.wire.ownAnswerHeaders(this->request);
     headers.emplace_back("Content-Type", "application/json");
--- a/pimentosail/net/httpserver.cpp
+++ b/pimentosail/net/httpserver.cpp
@@ -242,6 +242,7 @@
 
 void HttpExchange::consumeBody(int64_t limit, Clock &clock, Time end, const BodySink &sink)
 {
+    this->isBodyBegun = true;
     switch (this->framing()) {
     case Framing::None:
         break;
@@ -254,18 +255,33 @@
     case Framing::Ambiguous:
         throw Failure(ErrorKind::BadRequest, "the length of the body is not clear");
     }
+    this->isBodyRead = true;
 }
 
 std::string HttpExchange::readBody(int64_t limit, Clock &clock, Duration timeout)
 {
     std::string body;
+    this->consumeBody(limit, clock, clock.now() + timeout, [&body](const std::string &block) { body += block; });
+    return body;
+}
+
+void HttpExchange::skipBody(int64_t limit, Clock &clock, Duration timeout)
+{
+    if (this->isBodyBegun) {
+        return;
+    }
     try {
-        this->consumeBody(limit, clock, clock.now() + timeout, [&body](const std::string &block) { body += block; });
+        this->consumeBody(limit, clock, clock.now() + timeout, [](const std::string &) {});
     } catch (const Failure &) {
+        // The connection is closed after the answer.
+    }
+}
+
+void HttpExchange::closeIfBodyIsUnread()
+{
+    if (!this->isBodyRead && this->framing() != Framing::None) {
         this->response.setKeepAlive(false);
-        throw;
     }
-    return body;
 }
 
 void HttpExchange::setHeader(const std::string &name, const std::string &value)
@@ -275,6 +291,7 @@
 
 void HttpExchange::send(int status, const std::string &contentType, const std::string &body)
 {
+    this->closeIfBodyIsUnread();
     this->response.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
     this->response.setReason(Poco::Net::HTTPResponse::getReasonForStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status)));
     this->response.setContentType(contentType);
@@ -286,6 +303,7 @@
 
 void HttpExchange::sendWithHeaders(int status, const std::vector<std::pair<std::string, std::string>> &headers, const std::string &body, bool hasBody)
 {
+    this->closeIfBodyIsUnread();
     const auto code = static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status);
     this->response.setStatusAndReason(code);
     for (const auto &[name, value] : headers) {
@@ -303,6 +321,7 @@
 
 void HttpExchange::startStreamWithHeaders(int status, const std::vector<std::pair<std::string, std::string>> &headers)
 {
+    this->closeIfBodyIsUnread();
     this->response.setStatusAndReason(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
     for (const auto &[name, value] : headers) {
         this->response.add(name, value);
@@ -354,6 +373,7 @@
 
 void HttpExchange::startStream(const std::string &contentType)
 {
+    this->closeIfBodyIsUnread();
     this->response.setStatus(Poco::Net::HTTPResponse::HTTP_OK);
     this->response.setContentType(contentType);
     this->response.setChunkedTransferEncoding(true);
--- a/pimentosail/net/httpserver.h
+++ b/pimentosail/net/httpserver.h
@@ -61,9 +61,14 @@
     std::vector<std::pair<std::string, std::string>> headers() const;
 
     // Reads the body. Throws `Failure`: BodyTooLarge over `limit` bytes, RequestTimeout after `timeout`, BadRequest if it is truncated or
-    // its length is ambiguous.
+    // its length is ambiguous. After an answer to a request whose body was not read completely, the connection is closed, because the rest
+    // would be taken for the next request.
     std::string readBody(int64_t limit, Clock &clock, Duration timeout);
 
+    // Reads and drops a body that `readBody` has not begun to read, within the same limits, so that the connection can be kept and the
+    // caller reads the answer. Throws nothing.
+    void skipBody(int64_t limit, Clock &clock, Duration timeout);
+
     // Sets a header of the answer.
     void setHeader(const std::string &name, const std::string &value);
 
@@ -125,9 +130,14 @@
     void consumeChunks(int64_t limit, Clock &clock, Time end, const BodySink &sink);
     // Returns at least one and at most `size` bytes of the connection.
     std::string receive(uint64_t size, Clock &clock, Time end);
+    // To be called before the header of an answer is sent.
+    void closeIfBodyIsUnread();
+
     Poco::Net::HTTPServerRequest &request;
     Poco::Net::HTTPServerResponse &response;
     std::ostream *stream = nullptr;
+    bool isBodyBegun = false;
+    bool isBodyRead = false;
 };
 
 // A listening socket and the threads that serve its connections.
