--- a/pimentosail/dispatch/dispatchtest.cpp
+++ b/pimentosail/dispatch/dispatchtest.cpp
@@ -217,10 +217,10 @@
     first.recordLoss(7, "b/1");
     cr_assert_not(first.isBlocked(7));
     second.recordLoss(7, "c/1");
-    first.merge(second.ownLosses());
+    first.merge(second.ownLosses(), second.soundRequests());
     cr_assert(first.isBlocked(7));
     cr_assert_not(first.isBlocked(8));
-    second.merge(first.ownLosses());
+    second.merge(first.ownLosses(), first.soundRequests());
     cr_assert(second.isBlocked(7));
 }
 
@@ -491,3 +491,45 @@
     cr_assert_geq(rounds, 5, "requests were answered during %ld of 20 evaluations", static_cast<long>(rounds));
     cr_assert(quarantine.isBlocked({"block-1", "block-41", "block-81", "block-121", "block-161", "block-201", "block-241"}));
 }
+
+// Guards against a sound request that all hosts refuse for good because targets crashed for other reasons while they ran it among others.
+Test(quarantine, a_request_that_was_answered_once_is_never_blocked)
+{
+    PausedClock clock;
+    for (const int answerAfter : {0, 1, 3}) {
+        Quarantine first(clock);
+        Quarantine second(clock);
+        for (int loss = 0; loss < 5; ++loss) {
+            if (loss == answerAfter) {
+                first.recordAnswer(7);
+            }
+            first.recordLoss(7, "a/" + std::to_string(loss));
+        }
+        cr_assert_not(first.isBlocked(7), "answered after %d losses", answerAfter);
+        second.merge(first.ownLosses(), first.soundRequests());
+        cr_assert_not(second.isBlocked(7), "another host");
+        Quarantine restarted(clock);
+        restarted.merge(second.ownLosses(), second.soundRequests());
+        second.recordLoss(7, "b/1");
+        restarted.merge(second.ownLosses(), second.soundRequests());
+        cr_assert_not(restarted.isBlocked(7), "a host that starts later");
+    }
+}
+
+// Guards against a request that ends each target which runs it and goes on doing so because others were answered.
+Test(quarantine, a_request_that_was_never_answered_stays_blocked)
+{
+    PausedClock clock;
+    Quarantine quarantine(clock);
+    for (uint64_t other = 100; other < 20000; ++other) {
+        quarantine.recordAnswer(other);
+    }
+    for (int loss = 0; loss < 3; ++loss) {
+        cr_assert_not(quarantine.isBlocked(7));
+        quarantine.recordLoss(7, "a/" + std::to_string(loss));
+    }
+    quarantine.recordAnswer(8);
+    cr_assert(quarantine.isBlocked(7));
+    clock.advance(std::chrono::minutes(30));
+    cr_assert(quarantine.isBlocked(7));
+}
--- a/pimentosail/dispatch/quarantine.cpp
+++ b/pimentosail/dispatch/quarantine.cpp
@@ -15,13 +15,22 @@
 // Maximum number of this host's observations that are published. A crash of a busy target produces about as many
 // observations as the target has slots.
 constexpr size_t MaxOwnLosses = 256;
+// Maximum number of sound requests that are published.
+constexpr size_t MaxPublishedSound = 256;
+// Number of answered requests after which the older ones are forgotten.
+constexpr size_t MaxAnswered = 8192;
 constexpr Duration EntryTimeToLive = std::chrono::minutes(10);
 
 } // namespace
 
-bool Quarantine::add(uint64_t fingerprint, const std::string &incarnation, Time now)
+bool Quarantine::isAnswered(uint64_t fingerprint) const
 {
-    if (this->entries.size() >= MaxEntries) {
+    return this->recentAnswered.contains(fingerprint) || this->olderAnswered.contains(fingerprint);
+}
+
+Quarantine::Entry &Quarantine::entryOf(uint64_t fingerprint, Time now)
+{
+    if (this->entries.size() >= MaxEntries && !this->entries.contains(fingerprint)) {
         std::erase_if(this->entries, [now](const auto &entry) { return entry.second.last + EntryTimeToLive < now; });
         if (this->entries.size() >= MaxEntries) {
             this->entries.erase(
@@ -30,6 +39,28 @@
     }
     Entry &entry = this->entries[fingerprint];
     entry.last = now;
+    return entry;
+}
+
+void Quarantine::markSound(uint64_t fingerprint, Entry &entry)
+{
+    if (entry.isSound) {
+        return;
+    }
+    entry.isSound = true;
+    if (this->publishedSound.size() >= MaxPublishedSound) {
+        this->publishedSound.erase(this->publishedSound.begin());
+    }
+    this->publishedSound.push_back(fingerprint);
+}
+
+bool Quarantine::addLoss(uint64_t fingerprint, const std::string &incarnation, Time now)
+{
+    Entry &entry = this->entryOf(fingerprint, now);
+    if (!entry.isSound && this->isAnswered(fingerprint)) {
+        this->markSound(fingerprint, entry);
+        ++this->changes;
+    }
     return entry.incarnations.insert(incarnation).second;
 }
 
@@ -37,7 +68,7 @@
 {
     const std::lock_guard lock(this->mutex);
     const Time now = this->clock.now();
-    if (!this->add(fingerprint, incarnation, now)) {
+    if (!this->addLoss(fingerprint, incarnation, now)) {
         return false;
     }
     if (this->recentOwnLosses.size() >= MaxOwnLosses) {
@@ -48,12 +79,30 @@
     return true;
 }
 
-void Quarantine::merge(const std::vector<std::pair<uint64_t, std::string>> &losses)
+void Quarantine::recordAnswer(uint64_t fingerprint)
+{
+    const std::lock_guard lock(this->mutex);
+    if (this->recentAnswered.size() >= MaxAnswered) {
+        this->olderAnswered = std::move(this->recentAnswered);
+        this->recentAnswered.clear();
+    }
+    this->recentAnswered.insert(fingerprint);
+    const auto found = this->entries.find(fingerprint);
+    if (found != this->entries.end() && !found->second.isSound) {
+        this->markSound(fingerprint, found->second);
+        ++this->changes;
+    }
+}
+
+void Quarantine::merge(const std::vector<std::pair<uint64_t, std::string>> &losses, const std::vector<uint64_t> &sound)
 {
     const std::lock_guard lock(this->mutex);
     const Time now = this->clock.now();
     for (const auto &[fingerprint, incarnation] : losses) {
-        this->add(fingerprint, incarnation, now);
+        this->addLoss(fingerprint, incarnation, now);
+    }
+    for (const uint64_t fingerprint : sound) {
+        this->markSound(fingerprint, this->entryOf(fingerprint, now));
     }
 }
 
@@ -66,7 +115,15 @@
 
 bool Quarantine::isBlocked(uint64_t fingerprint) const
 {
-    return this->lossCount(fingerprint) >= BlockingLosses;
+    const std::lock_guard lock(this->mutex);
+    const auto found = this->entries.find(fingerprint);
+    return found != this->entries.end() && !found->second.isSound && found->second.incarnations.size() >= BlockingLosses;
+}
+
+std::vector<uint64_t> Quarantine::soundRequests() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->publishedSound;
 }
 
 std::vector<std::pair<uint64_t, std::string>> Quarantine::ownLosses() const
--- a/pimentosail/dispatch/quarantine.h
+++ b/pimentosail/dispatch/quarantine.h
@@ -2,11 +2,15 @@
 // host, so each host publishes its observations and merges those of the others.
 //
 //     quarantine.recordLoss(fingerprint, targetIncarnation);
+//     quarantine.recordAnswer(fingerprint);   // a target ran the request to a good end
 //     if (quarantine.isBlocked(fingerprint)) { refuse }
 //
 // A lost connection alone is no evidence against a request: call `recordLoss` only after the target is found to be
 // unreachable. An incarnation is one run of a target process, from its start to its end.
 //
+// A request that ends targets ends each that runs it. So one that was ever run to a good end is sound: the targets that ended under it
+// had other reasons. It is never blocked, on any host. Without an answer, losses do not expire.
+//
 // Thread-safe.
 #pragma once
 
@@ -15,6 +19,7 @@
 #include <mutex>
 #include <set>
 #include <string>
+#include <unordered_set>
 #include <vector>
 
 #include "pimentosail/base/clock.h"
@@ -33,8 +38,11 @@
     // Records that `incarnation` ended while it ran the request. Returns true if this was not recorded before.
     bool recordLoss(uint64_t fingerprint, const std::string &incarnation);
 
-    // Adds the observations that another host published.
-    void merge(const std::vector<std::pair<uint64_t, std::string>> &losses);
+    // Records that a target ran the request to a good end.
+    void recordAnswer(uint64_t fingerprint);
+
+    // Adds the observations that another host published, or this one before it was restarted.
+    void merge(const std::vector<std::pair<uint64_t, std::string>> &losses, const std::vector<uint64_t> &sound);
 
     // Returns the number of incarnations that ended while they ran the request.
     size_t lossCount(uint64_t fingerprint) const;
@@ -45,7 +53,10 @@
     // Returns the recent observations of this host, for publishing.
     std::vector<std::pair<uint64_t, std::string>> ownLosses() const;
 
-    // Increases with each change of `ownLosses`, whose size stays the same once it is full.
+    // Returns the sound requests with losses that this host knows, for publishing.
+    std::vector<uint64_t> soundRequests() const;
+
+    // Increases with each change of `ownLosses`, whose size stays the same once it is full, and with each answer to a request with losses.
     uint64_t changeCount() const;
 
 private:
@@ -53,6 +64,7 @@
     {
         std::set<std::string> incarnations;
         Time last{};
+        bool isSound = false;
     };
     struct OwnLoss
     {
@@ -61,12 +73,21 @@
         Time at{};
     };
 
-    bool add(uint64_t fingerprint, const std::string &incarnation, Time now);
+    // Returns true if the loss was not known.
+    bool addLoss(uint64_t fingerprint, const std::string &incarnation, Time now);
+    Entry &entryOf(uint64_t fingerprint, Time now);
+    void markSound(uint64_t fingerprint, Entry &entry);
+    bool isAnswered(uint64_t fingerprint) const;
 
     const Clock &clock;
     mutable std::mutex mutex;
     std::map<uint64_t, Entry> entries;
     std::vector<OwnLoss> recentOwnLosses;
+    // Sound requests that this host publishes, oldest first.
+    std::vector<uint64_t> publishedSound;
+    // Requests that were answered on this host. When `recentAnswered` is full, it replaces `olderAnswered`.
+    std::unordered_set<uint64_t> recentAnswered;
+    std::unordered_set<uint64_t> olderAnswered;
     uint64_t changes = 0;
 };
 
--- a/pimentosail/entry/hostduty.cpp
+++ b/pimentosail/entry/hostduty.cpp
@@ -110,6 +110,9 @@
         loss["target"] = incarnation;
         value["losses"].append(loss);
     }
+    for (const uint64_t fingerprint : this->context.quarantine.soundRequests()) {
+        value["sound_requests"].append(std::to_string(fingerprint));
+    }
     encodeBlockFindings(this->context.blockQuarantine.ownFindings(), value);
     try {
         this->store.commit({{}, {{ObservationsPrefix + this->context.settings.name, printJson(value), 0}}, {}});
--- a/pimentosail/entry/requestrunner.cpp
+++ b/pimentosail/entry/requestrunner.cpp
@@ -297,6 +297,9 @@
         this->exchange.abort();
         return true;
     }
+    if (result.end == AttemptEnd::Answered && result.header.status < 300) {
+        this->context.quarantine.recordAnswer(this->fingerprint);
+    }
     // An error that answers the resumption of a stream is no end of it, whatever its content type.
     if (result.end == AttemptEnd::Answered && this->streaming && result.header.isEventStream && result.header.status == Poco::Net::HTTPResponse::HTTP_OK) {
         this->streamEnded = true;
--- a/pimentosail/entry/stateupdater.cpp
+++ b/pimentosail/entry/stateupdater.cpp
@@ -224,7 +224,11 @@
             for (const Json::Value &loss : value["losses"]) {
                 losses.emplace_back(std::stoull(jsonString(loss, "request", "0")), jsonString(loss, "target"));
             }
-            this->context.quarantine.merge(losses);
+            std::vector<uint64_t> sound;
+            for (const Json::Value &fingerprint : value["sound_requests"]) {
+                sound.push_back(std::stoull(fingerprint.asString()));
+            }
+            this->context.quarantine.merge(losses, sound);
             const std::string host = item.key.substr(ObservationsPrefix.size());
             if (host == this->context.settings.name) {
                 this->context.blockQuarantine.restore(decodeBlockFindings(value));
