--- a/pimentosail/entry/attempt.cpp
+++ b/pimentosail/entry/attempt.cpp
@@ -350,7 +350,7 @@
 
 void Attempt::readBody(TargetConnection &connection, const AttemptLimits &limits, AttemptResult &result)
 {
-    while (static_cast<int64_t>(result.body.size()) <= this->context.answerMemory.maxAnswerBytes()) {
+    while (static_cast<int64_t>(result.body.size()) <= this->context.answerMemory.maxMessageBytes()) {
         const ReadStatus status = this->readWithStall(limits, [&](const Wait &wait) { return connection.readBody(result.body, wait); });
         if (status == ReadStatus::End) {
             this->recordFirstResponse(result);
@@ -444,7 +444,7 @@
         this->context.connections.put(this->plan.target->address, std::move(opened));
         return result;
     }
-    result.memory = std::make_unique<AnswerMemory::Share>(this->context.answerMemory);
+    result.memory = std::make_unique<MessageMemory::Share>(this->context.answerMemory);
     if (!this->sendRequest(*opened, limits, result) || !this->readMatchingHeader(*opened, limits, result)) {
         return result;
     }
--- a/pimentosail/entry/attempt.h
+++ b/pimentosail/entry/attempt.h
@@ -61,7 +61,7 @@
     ReplyHeader header;
     std::string body;
     // Memory counted for `body`, or for the events of a stream; null if nothing was received.
-    std::unique_ptr<AnswerMemory::Share> memory;
+    std::unique_ptr<MessageMemory::Share> memory;
     // Reason of the end, for the log.
     std::string reason;
     // When the first byte of the request may have reached the target; zero if none can have.
--- a/pimentosail/entry/context.h
+++ b/pimentosail/entry/context.h
@@ -9,9 +9,9 @@
 #include "pimentosail/dispatch/forecast.h"
 #include "pimentosail/dispatch/quarantine.h"
 #include "pimentosail/dispatch/workmix.h"
-#include "pimentosail/entry/answermemory.h"
 #include "pimentosail/entry/entrysettings.h"
 #include "pimentosail/entry/entrystate.h"
+#include "pimentosail/entry/messagememory.h"
 #include "pimentosail/entry/wire.h"
 #include "pimentosail/eventlog/eventlog.h"
 #include "pimentosail/kvcache/blockreuse.h"
@@ -43,7 +43,8 @@
     BlockReuse &blockReuse;
     FirstTokenForecast &forecast;
     WorkMix &workMix;
-    AnswerMemory &answerMemory;
+    MessageMemory &answerMemory;
+    MessageMemory &requestMemory;
 };
 
 } // namespace pimentosail
--- a/pimentosail/entry/entryprocess.cpp
+++ b/pimentosail/entry/entryprocess.cpp
@@ -4,6 +4,8 @@
 #include <random>
 #include <set>
 
+#include <malloc.h>
+
 #include <Poco/Exception.h>
 #include <Poco/NumberParser.h>
 
@@ -40,6 +42,9 @@
 // The process exits after this time without requests, since a request may have been read but not counted yet.
 constexpr Duration IdleTime = Milliseconds(300);
 constexpr Duration ShutdownStep = Milliseconds(20);
+// Larger allocations are returned to the system when they are freed. By default, the allocator raises this size with each one that is
+// freed, and the heaps of many threads would keep the memory of large bodies.
+constexpr int LargeAllocationBytes = 256 * 1024;
 constexpr Duration RefreshInterval = Milliseconds(500);
 // Maximum time for which a long poll of another host is held open.
 constexpr Duration MaxPeerWait = Milliseconds(1000);
@@ -113,7 +118,8 @@
     BlockReuse blockReuse;
     FirstTokenForecast forecast;
     WorkMix workMix;
-    AnswerMemory answerMemory;
+    MessageMemory answerMemory;
+    MessageMemory requestMemory;
     EntryContext context;
     StateUpdater updater;
     std::mutex updaterMutex;
@@ -153,8 +159,9 @@
     , cacheStores(clock)
     , cacheJournal(cacheStores)
     , answerMemory(settings.memoryBytes)
+    , requestMemory(settings.memoryBytes)
     , context{clock, log, metrics, settings, wire, state, directory, loads, connections, rateLimits, notices, retryBudget, gate, quarantine, blockQuarantine,
-          cacheStores, blockReuse, forecast, workMix, answerMemory}
+          cacheStores, blockReuse, forecast, workMix, answerMemory, requestMemory}
     , updater(context)
     , peers(peerHttp,
           [this](const std::string &method, size_t bytes) {
@@ -511,6 +518,7 @@
 Result<std::unique_ptr<EntryProcess>> EntryProcess::create(
     const EntrySettings &settings, Clock &clock, EventLog &log, const Wire &wire, const PrefixStore &store)
 {
+    ::mallopt(M_MMAP_THRESHOLD, LargeAllocationBytes);
     try {
         return std::unique_ptr<EntryProcess>(new EntryProcess(std::make_unique<Impl>(settings, clock, log, wire, store)));
     } catch (const Poco::Exception &exception) {
--- a/pimentosail/entry/requestrunner.cpp
+++ b/pimentosail/entry/requestrunner.cpp
@@ -39,6 +39,13 @@
     return Poco::NumberParser::tryParse64(id, number) && Poco::NumberParser::tryParse64(lastId, lastNumber) && number <= lastNumber;
 }
 
+// The body is held once as received and once in the bytes that are sent.
+constexpr int64_t BodyCopies = 2;
+// A large body waits this long for memory that others hold, and looks for it in this interval. Callers give a request up that is not read
+// for a second.
+constexpr Duration MaxBodyMemoryWait = Milliseconds(800);
+constexpr Duration BodyMemoryInterval = Milliseconds(20);
+
 double milliseconds(Duration duration)
 {
     return static_cast<double>(duration.count()) / 1000;
@@ -144,7 +151,22 @@
 void RequestRunner::readBody()
 {
     const CallerLimits limits = this->serving ? this->serving->all().limits : CallerLimits{};
-    this->request.body = this->exchange.readBody(limits.bodyBytes, this->context.clock, limits.headerTimeout + limits.idleTimeout);
+    this->bodyMemory = std::make_unique<MessageMemory::Share>(this->context.requestMemory);
+    this->request.body = this->exchange.readBody(
+        limits.bodyBytes, this->context.clock, limits.headerTimeout + limits.idleTimeout, [this](size_t bytes) { this->reserveBodyMemory(bytes); });
+}
+
+void RequestRunner::reserveBodyMemory(size_t bytes)
+{
+    const Time end = this->context.clock.now() + MaxBodyMemoryWait;
+    while (!this->bodyMemory->resize(static_cast<int64_t>(bytes) * BodyCopies)) {
+        this->checkCallerConnected();
+        if (this->context.clock.now() >= end) {
+            this->context.metrics.count("pimentosail_bodies_without_memory_total", {});
+            throw Failure(ErrorKind::Overloaded, "this host has no memory for the body now");
+        }
+        this->context.clock.sleepFor(BodyMemoryInterval);
+    }
 }
 
 bool RequestRunner::forwardEvent(const ReplyHeader &header, const std::string &event, const std::string &id)
--- a/pimentosail/entry/requestrunner.h
+++ b/pimentosail/entry/requestrunner.h
@@ -9,6 +9,7 @@
 // Not thread-safe. One object serves one request on one thread.
 #pragma once
 
+#include <memory>
 #include <optional>
 #include <random>
 #include <set>
@@ -54,6 +55,8 @@
     // Throws `Failure` (Cancelled) if the caller has closed its connection.
     void checkCallerConnected() const;
     void readBody();
+    // Counts the memory of the body, and waits for it for a short time. Throws `Failure` (Overloaded, Cancelled).
+    void reserveBodyMemory(size_t bytes);
     void attemptUntilAnswered();
     TargetChoice chooseTarget();
     std::optional<TargetChoice> tryChoose();
@@ -96,6 +99,8 @@
     Time received{};
     Time deadline{};
     CallerRequest request;
+    // Memory counted for the body and its copy in the bytes that are sent; null before it is read.
+    std::unique_ptr<MessageMemory::Share> bodyMemory;
     ServingConfigurationPointer serving;
     const Route *route = nullptr;
     const TeamSettings *team = nullptr;
--- a/pimentosail/net/httpserver.cpp
+++ b/pimentosail/net/httpserver.cpp
@@ -258,10 +258,25 @@
     this->isBodyRead = true;
 }
 
-std::string HttpExchange::readBody(int64_t limit, Clock &clock, Duration timeout)
+std::string HttpExchange::readBody(int64_t limit, Clock &clock, Duration timeout, const BodyReserve &reserve)
 {
     std::string body;
-    this->consumeBody(limit, clock, clock.now() + timeout, [&body](const std::string &block) { body += block; });
+    const auto ensureCapacity = [&body, &reserve](size_t size) {
+        if (size > body.capacity()) {
+            const size_t capacity = std::max(size, 2 * body.capacity());
+            if (reserve) {
+                reserve(capacity);
+            }
+            body.reserve(capacity);
+        }
+    };
+    if (this->framing() == Framing::Length) {
+        ensureCapacity(static_cast<size_t>(std::min(this->request.getContentLength64(), limit)));
+    }
+    this->consumeBody(limit, clock, clock.now() + timeout, [&body, &ensureCapacity](const std::string &block) {
+        ensureCapacity(body.size() + block.size());
+        body += block;
+    });
     return body;
 }
 
