--- a/pimentosail/net/httpserver.cpp
+++ b/pimentosail/net/httpserver.cpp
@@ -51,19 +51,20 @@
     // Returns the number of bytes read; 0 if the peer has closed the connection.
     static size_t receive(Poco::Net::HTTPSession &session, char *buffer, size_t size)
     {
-        // A single byte is taken through the buffer, so that not each costs a system call.
-        if (size == 1) {
-            const int byte = (session.*(&SessionReader::get))();
-            *buffer = static_cast<char>(byte);
-            return byte == std::char_traits<char>::eof() ? 0 : 1;
+        // Few bytes are taken through the buffer, so that not each read costs a system call.
+        if (size < ReadBlock && bufferedBytes(session) == 0) {
+            (session.*(&SessionReader::refill))();
+            if (bufferedBytes(session) == 0) {
+                return 0;
+            }
         }
         return static_cast<size_t>(std::max(0, (session.*(&SessionReader::read))(buffer, static_cast<std::streamsize>(size))));
     }
 
 private:
     using Poco::Net::HTTPSession::buffered;
-    using Poco::Net::HTTPSession::get;
     using Poco::Net::HTTPSession::read;
+    using Poco::Net::HTTPSession::refill;
 };
 
 class FunctionHandler : public Poco::Net::HTTPRequestHandler
@@ -169,7 +170,10 @@
     if (!isKnown || lengths + encodings > 1) {
         return Framing::Ambiguous;
     }
-    return lengths > 0 ? Framing::Length : encodings > 0 ? Framing::Chunked : Framing::None;
+    if (encodings > 0) {
+        return Framing::Chunked;
+    }
+    return lengths > 0 && this->request.getContentLength64() > 0 ? Framing::Length : Framing::None;
 }
 
 std::string HttpExchange::receive(uint64_t size, Clock &clock, Time end)
--- a/pimentosail/net/httpserver.h
+++ b/pimentosail/net/httpserver.h
@@ -31,6 +31,8 @@
 class HttpExchange
 {
 public:
+    using BodyReserve = std::function<void(size_t bytes)>;
+
     HttpExchange(Poco::Net::HTTPServerRequest &serverRequest, Poco::Net::HTTPServerResponse &serverResponse)
         : request(serverRequest)
         , response(serverResponse)
@@ -63,8 +65,7 @@
     // Reads the body. Throws `Failure`: BodyTooLarge over `limit` bytes, RequestTimeout after `timeout`, BadRequest if it is truncated or
     // its length is ambiguous. After an answer to a request whose body was not read completely, the connection is closed, because the rest
     // would be taken for the next request.
-    // `reserve` is called with the memory that the body takes, before it takes it, and may throw.
-    using BodyReserve = std::function<void(size_t bytes)>;
+    // `reserve` is called with the size of the buffer before each allocation, and may throw.
     std::string readBody(int64_t limit, Clock &clock, Duration timeout, const BodyReserve &reserve = nullptr);
 
     // Reads and drops a body that `readBody` has not begun to read, within the same limits, so that the connection can be kept and the
