admission: a host with an old configuration refuses nothing as unknown (CONFIG)

By its log, the host had no processor time for five seconds, and its calls to the store and to others timed out.

Cause, by reading and the test: a host that has not heard of the store refuses a route or key that it does not know for good (404, 401), although either may be new. The mirror knows until when its contents were complete.

What is known is served as before. Why the relay had no processor time is not changed. Test: entry/a_host_whose_configuration_may_be_out_of_date_refuses_nothing_as_unknown failed before (404).

--- a/pimentosail/entry/context.h
+++ b/pimentosail/entry/context.h
@@ -16,6 +16,7 @@
 #include "pimentosail/eventlog/eventlog.h"
 #include "pimentosail/kvcache/blockreuse.h"
 #include "pimentosail/metrics/metrics.h"
+#include "pimentosail/mirror/storemirror.h"
 #include "pimentosail/sendgate/sendgate.h"
 #include "pimentosail/upstream/pool.h"
 
@@ -45,6 +46,7 @@
     WorkMix &workMix;
     MessageMemory &answerMemory;
     MessageMemory &requestMemory;
+    const StoreMirror &mirror;
 };
 
 } // namespace pimentosail
--- a/pimentosail/entry/entryprocess.cpp
+++ b/pimentosail/entry/entryprocess.cpp
@@ -161,7 +161,7 @@
     , answerMemory(settings.memoryBytes)
     , requestMemory(settings.memoryBytes)
     , context{clock, log, metrics, settings, wire, state, directory, loads, connections, rateLimits, notices, retryBudget, gate, quarantine, blockQuarantine,
-          cacheStores, blockReuse, forecast, workMix, answerMemory, requestMemory}
+          cacheStores, blockReuse, forecast, workMix, answerMemory, requestMemory, mirror}
     , updater(context)
     , peers(peerHttp,
           [this](const std::string &method, size_t bytes) {
--- a/pimentosail/entry/entrysettings.h
+++ b/pimentosail/entry/entrysettings.h
@@ -41,6 +41,8 @@
     Duration shutdownGrace = std::chrono::seconds(8);
     // Minimum time between the last load order of one rollout leader and the first load order of the next.
     Duration leaderGap = std::chrono::seconds(3);
+    // Time after which a change of the configuration must be in force on every host that reaches the store.
+    Duration configurationLimit = std::chrono::seconds(2);
     // Time after a version is wanted from which no work may begin on older weights.
     Duration versionLimit = std::chrono::seconds(15);
     // Bounds on retries of requests.
--- a/pimentosail/entry/requestrunner.cpp
+++ b/pimentosail/entry/requestrunner.cpp
@@ -89,7 +89,7 @@
     }
     this->route = this->serving->findRoute(this->request.host, this->request.path);
     if (this->route == nullptr) {
-        throw Failure(ErrorKind::NotFound, "no route for this host and path");
+        this->refuseAsUnknown(ErrorKind::NotFound, "no route for this host and path");
     }
     this->checkTeam();
     this->service = pickService(*this->route, this->random());
@@ -109,6 +109,17 @@
     this->checkNotBlocked();
 }
 
+// A route or key may be new if this host has not heard of the store for too long.
+void RequestRunner::refuseAsUnknown(ErrorKind kind, const std::string &reason) const
+{
+    const Time completeAt = this->context.mirror.status().completeAt;
+    const Duration age = this->context.clock.nowWithSuspend() - completeAt;
+    if (completeAt != Time(0) && age < this->context.settings.configurationLimit) {
+        throw Failure(kind, reason);
+    }
+    throw Failure(ErrorKind::NotReady, reason + ", but the configuration may be " + std::to_string(toMilliseconds(age)) + " ms old");
+}
+
 void RequestRunner::checkNotBlocked() const
 {
     const bool isRequestBlocked = this->context.quarantine.isBlocked(this->fingerprint);
@@ -144,7 +155,7 @@
     }
     this->team = this->request.key.empty() ? nullptr : this->serving->findTeam(this->request.key);
     if (this->team == nullptr && !this->route->isPublic) {
-        throw Failure(ErrorKind::Unauthorized, "the key is unknown");
+        this->refuseAsUnknown(ErrorKind::Unauthorized, "the key is unknown");
     }
 }
 
--- a/pimentosail/entry/requestrunner.h
+++ b/pimentosail/entry/requestrunner.h
@@ -50,6 +50,8 @@
 
     void admit();
     void checkTeam();
+    // Throws `Failure` of `kind`, or NotReady if the configuration of this host may be out of date.
+    [[noreturn]] void refuseAsUnknown(ErrorKind kind, const std::string &reason) const;
     // Throws `Failure` if the request, or a block of its prompt, ended too many targets.
     void checkNotBlocked() const;
     // Throws `Failure` (Cancelled) if the caller has closed its connection.
