quarantine: soundness is published only near to a block

Each such answer published the host's observations anew, with up to 256 sound requests, to all hosts. An answer is only news to others once two losses are known and a third could block the request.

Change: soundness counts on the own host at once, and is published from two losses on.

--- a/pimentosail/dispatch/dispatchtest.cpp
+++ b/pimentosail/dispatch/dispatchtest.cpp
@@ -516,6 +516,25 @@
     }
 }
 
+// Guards against observations that are published anew, to all hosts, for each request that was lost once and answered by another target.
+Test(quarantine, a_sound_request_is_published_only_when_it_is_near_to_being_blocked)
+{
+    PausedClock clock;
+    Quarantine quarantine(clock);
+    quarantine.recordLoss(7, "a/1");
+    const uint64_t changes = quarantine.changeCount();
+    quarantine.recordAnswer(7);
+    quarantine.recordAnswer(7);
+    cr_assert_eq(quarantine.changeCount(), changes);
+    cr_assert(quarantine.soundRequests().empty());
+    quarantine.recordLoss(7, "b/1");
+    cr_assert_eq(quarantine.soundRequests().size(), 1);
+    const uint64_t published = quarantine.changeCount();
+    quarantine.recordAnswer(7);
+    quarantine.merge({{7, "c/1"}}, {7});
+    cr_assert_eq(quarantine.changeCount(), published);
+}
+
 // Guards against a request that ends each target which runs it and goes on doing so because others were answered.
 Test(quarantine, a_request_that_was_never_answered_stays_blocked)
 {
--- a/pimentosail/dispatch/quarantine.cpp
+++ b/pimentosail/dispatch/quarantine.cpp
@@ -11,6 +11,8 @@
 // Number of incarnations that must end while they run a request before it is blocked. A request that happened to run on
 // two targets that crashed for another reason is still served.
 constexpr size_t BlockingLosses = 3;
+// A sound request is published once one more loss could block it. Most lost requests have one loss only.
+constexpr size_t PublishingLosses = BlockingLosses - 1;
 constexpr size_t MaxEntries = 4096;
 // Maximum number of this host's observations that are published. A crash of a busy target produces about as many
 // observations as the target has slots.
@@ -44,10 +46,12 @@
 
 void Quarantine::markSound(uint64_t fingerprint, Entry &entry)
 {
-    if (entry.isSound) {
+    entry.isSound = true;
+    if (entry.isPublished || entry.incarnations.size() < PublishingLosses) {
         return;
     }
-    entry.isSound = true;
+    entry.isPublished = true;
+    ++this->changes;
     if (this->publishedSound.size() >= MaxPublishedSound) {
         this->publishedSound.erase(this->publishedSound.begin());
     }
@@ -57,11 +61,11 @@
 bool Quarantine::addLoss(uint64_t fingerprint, const std::string &incarnation, Time now)
 {
     Entry &entry = this->entryOf(fingerprint, now);
-    if (!entry.isSound && this->isAnswered(fingerprint)) {
+    const bool isNew = entry.incarnations.insert(incarnation).second;
+    if (entry.isSound || this->isAnswered(fingerprint)) {
         this->markSound(fingerprint, entry);
-        ++this->changes;
     }
-    return entry.incarnations.insert(incarnation).second;
+    return isNew;
 }
 
 bool Quarantine::recordLoss(uint64_t fingerprint, const std::string &incarnation)
@@ -88,9 +92,8 @@
     }
     this->recentAnswered.insert(fingerprint);
     const auto found = this->entries.find(fingerprint);
-    if (found != this->entries.end() && !found->second.isSound) {
+    if (found != this->entries.end()) {
         this->markSound(fingerprint, found->second);
-        ++this->changes;
     }
 }
 
@@ -102,7 +105,7 @@
         this->addLoss(fingerprint, incarnation, now);
     }
     for (const uint64_t fingerprint : sound) {
-        this->markSound(fingerprint, this->entryOf(fingerprint, now));
+        this->entryOf(fingerprint, now).isSound = true;
     }
 }
 
--- a/pimentosail/dispatch/quarantine.h
+++ b/pimentosail/dispatch/quarantine.h
@@ -53,10 +53,10 @@
     // Returns the recent observations of this host, for publishing.
     std::vector<std::pair<uint64_t, std::string>> ownLosses() const;
 
-    // Returns the sound requests with losses that this host knows, for publishing.
+    // Returns the sound requests that this host found near to being blocked, for publishing.
     std::vector<uint64_t> soundRequests() const;
 
-    // Increases with each change of `ownLosses`, whose size stays the same once it is full, and with each answer to a request with losses.
+    // Increases with each change of `ownLosses`, whose size stays the same once it is full, and with `soundRequests`.
     uint64_t changeCount() const;
 
 private:
@@ -65,6 +65,7 @@
         std::set<std::string> incarnations;
         Time last{};
         bool isSound = false;
+        bool isPublished = false;
     };
     struct OwnLoss
     {
