Log: attempt_failed tells what an answer states; failure answers are counted by status and statement

Logs could not tell a refusal that the target states from a status that only looks like one, nor an attempt that sent nothing from one that did: status and end were there, the statement, the request id of the answer, its signature and whether a byte was sent were not. Failed answers below 500 were not logged at all. request_done tells how many sends may have run the request.

--- a/pimentosail/entry/requestrunner.cpp
+++ b/pimentosail/entry/requestrunner.cpp
@@ -265,10 +265,16 @@
         this->recordLostTarget(target, result);
     }
     this->context.metrics.count("pimentosail_attempts_total", {{"end", std::string(attemptEndName(result.end))}, {"service", this->service}});
-    if (result.end != AttemptEnd::Answered || failedRun) {
+    if (result.header.status >= 400) {
+        this->context.metrics.count("pimentosail_failure_answers_total",
+            {{"service", this->service}, {"status", std::to_string(result.header.status)}, {"stated", result.header.isNotRun ? "1" : "0"}});
+    }
+    if (result.end != AttemptEnd::Answered || result.header.status >= 400) {
         this->context.log.write(LogLevel::Warning, "attempt_failed",
             {{"id", this->request.id}, {"target", target.id}, {"zone", target.zone}, {"end", attemptEndName(result.end)}, {"status", result.header.status},
-                {"reason", result.reason}, {"kept_connection", result.usedPooledConnection}, {"arrivals", this->arrivals}, {"version", choice.version},
+                {"reason", result.reason}, {"kept_connection", result.usedPooledConnection}, {"sent", result.sentAt != Time(0)},
+                {"stated", result.header.isNotRun}, {"named", !result.header.requestId.empty()}, {"signed", result.header.isSigned},
+                {"arrivals", this->arrivals}, {"possible_runs", this->possibleRuns}, {"version", choice.version},
                 {"target_failures_permille", target.failurePermille.load()}, {"age_ms", milliseconds(now - this->received)}});
     }
 }
@@ -461,7 +467,7 @@
     this->context.log.write(isGood ? LogLevel::Info : LogLevel::Warning, "request_done",
         {{"id", this->request.id}, {"route", routeName}, {"kind", kind}, {"team", this->team == nullptr ? "" : this->team->name},
             {"status", this->answeredStatus}, {"outcome", this->outcome}, {"reason", this->lastReason}, {"target", this->lastTarget},
-            {"arrivals", this->arrivals}, {"unsent", this->unsent},
+            {"arrivals", this->arrivals}, {"possible_runs", this->possibleRuns}, {"unsent", this->unsent},
             {"first_ms", this->firstEventAt > Time(0) ? milliseconds(this->firstEventAt - this->received) : 0.0},
             {"total_ms", milliseconds(now - this->received)}, {"queued_ms", milliseconds(this->queued)},
             {"admitted_ms", this->admittedAt > Time(0) ? milliseconds(this->admittedAt - this->received) : 0.0},
