Answers: a status that means "not run" is passed on only if the target states it (REFUSED, TWICE)

What callers saw: a target ran a request and answered 429 or 408; the caller read a promise and sent the request again, which ran a second time. Cause: finishAttempt kept back an unstated 503 only; 429 and 408 were delivered as they are. Change: the statuses that callers read as a promise stand in one place (promisesNotRun). Ruled out: sending at once to the same target again (a tried target is never chosen again, pickTarget).

--- a/pimentosail/base/error.cpp
+++ b/pimentosail/base/error.cpp
@@ -1,5 +1,6 @@
 #include "pimentosail/base/error.h"
 
+#include <algorithm>
 #include <array>
 
 namespace pimentosail
@@ -55,6 +56,12 @@
     return Answers.back();
 }
 
+bool promisesNotRun(int httpStatus)
+{
+    constexpr std::array Promises{408, 421, 429, 503};
+    return std::find(Promises.begin(), Promises.end(), httpStatus) != Promises.end();
+}
+
 std::string_view errorName(ErrorKind kind)
 {
     return answerFor(kind).name;
--- a/pimentosail/base/error.h
+++ b/pimentosail/base/error.h
@@ -68,6 +68,9 @@
 // Returns the answer for `kind`.
 const ErrorAnswer &answerFor(ErrorKind kind);
 
+// Returns true if callers take `httpStatus` to mean that the request was not run and never will be, so that they may send it again.
+bool promisesNotRun(int httpStatus);
+
 // Returns the stable snake_case name of `kind`.
 std::string_view errorName(ErrorKind kind);
 
--- a/pimentosail/entry/requestrunner.cpp
+++ b/pimentosail/entry/requestrunner.cpp
@@ -344,7 +344,9 @@
         this->streamEnded = true;
         return true;
     }
-    const bool isFailureAnswer = result.end == AttemptEnd::Answered && result.header.status >= 500;
+    // A target that refuses a request states so; then the attempt has not ended as answered.
+    const bool isUnstatedRefusal = result.end == AttemptEnd::Answered && promisesNotRun(result.header.status);
+    const bool isFailureAnswer = result.end == AttemptEnd::Answered && (result.header.status >= 500 || isUnstatedRefusal);
     if (result.end == AttemptEnd::Answered && !isFailureAnswer && !this->streaming) {
         if (result.header.status < 300) {
             this->recordAnswerBegun();
@@ -353,7 +355,7 @@
         return true;
     }
     if (this->mayTryAgain(result)) {
-        if (isFailureAnswer) {
+        if (isFailureAnswer && !isUnstatedRefusal) {
             this->fallback = std::move(result);
         }
         return false;
@@ -361,9 +363,7 @@
     if (this->streaming) {
         throw Failure(Error(ErrorKind::Incomplete, "the stream was interrupted: " + result.reason, false));
     }
-    // Callers take status 503 to mean that the request was not run. It is passed on only if the target states that.
-    const bool meansNotRun = result.header.status == 503;
-    if (isFailureAnswer && !meansNotRun) {
+    if (isFailureAnswer && !isUnstatedRefusal) {
         this->deliver(result);
         return true;
     }
@@ -383,7 +383,7 @@
             if (this->streaming) {
                 throw Failure(Error(ErrorKind::Incomplete, "no target to resume the stream", false));
             }
-            if (this->fallback && this->fallback->header.status != 503) {
+            if (this->fallback) {
                 this->deliver(*this->fallback);
                 return;
             }
@@ -412,8 +412,11 @@
     }
 }
 
-void RequestRunner::answerFailure(const Failure &failure)
+void RequestRunner::answerFailure(const Failure &reported)
 {
+    // Whatever failed after the request was sent, callers must not be told that it was not run.
+    const bool isPromise = promisesNotRun(answerFor(reported.error.kind).httpStatus);
+    const Failure failure = isPromise && this->possibleRuns > 0 ? Failure(Error(ErrorKind::TargetLost, reported.what(), false)) : reported;
     this->outcome = errorName(failure.error.kind);
     this->lastReason = failure.what();
     if (failure.error.kind == ErrorKind::Cancelled) {
--- a/pimentosail/entry/requestrunner.h
+++ b/pimentosail/entry/requestrunner.h
@@ -84,7 +84,7 @@
     void recordResult(const TargetChoice &choice, const AttemptResult &result);
     bool mayTryAgain(const AttemptResult &result);
     void deliver(const AttemptResult &result);
-    void answerFailure(const Failure &failure);
+    void answerFailure(const Failure &reported);
     Failure failureFor(const AttemptResult &result) const;
     void logDone();
     bool isAborted() const
--- a/testing/soakcaller.cpp
+++ b/testing/soakcaller.cpp
@@ -14,6 +14,7 @@
 #include <Poco/Net/StreamSocket.h>
 #include <Poco/NumberParser.h>
 
+#include "pimentosail/base/error.h"
 #include "pimentosail/net/chunkdecoder.h"
 #include "testing/soaktarget.h"
 
--- a/testing/soakledger.cpp
+++ b/testing/soakledger.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "pimentosail/base/error.h"
+
 namespace pimentosail::testing
 {
 
@@ -15,11 +17,6 @@
 
 } // namespace
 
-bool promisesNotRun(int status)
-{
-    return status == 408 || status == 421 || status == 429 || status == 503;
-}
-
 size_t SoakLedger::beginRun(SoakRun run)
 {
     const std::lock_guard lock(this->mutex);
--- a/testing/soakledger.h
+++ b/testing/soakledger.h
@@ -21,9 +21,6 @@
 namespace pimentosail::testing
 {
 
-// Returns true if callers take `status` to mean that the request was not run and never will be.
-bool promisesNotRun(int status);
-
 struct SoakRun
 {
     std::string task;
