Answers: a statement beside a success or another error is not believed (TWICE)

What callers saw: a request that may run once ran at two targets or more, or was answered 503 and had run. Cause: the header X-Pimentosail-Not-Executed alone decided, beside any status. A target that ran a request and added the header to a success, a 500 or a 504 had it sent to the next target. Change: the statement counts beside the statuses of a refusal only (400, 408, 421, 429, 503). A success with it is of unknown outcome: 502, or another target where the request may be repeated.

--- a/pimentosail/entry/attempt.cpp
+++ b/pimentosail/entry/attempt.cpp
@@ -316,6 +316,9 @@
         if (isMatching && isSuccess && !result.header.isSigned) {
             return this->fail(ReadStatus::Broken, "a success without the target's signature", result);
         }
+        if (isMatching && isSuccess && result.header.contradictsItself) {
+            return this->fail(ReadStatus::Broken, "a success that states that the request was not run", result);
+        }
         if (isMatching) {
             this->recordRest(result.header);
             return true;
--- a/pimentosail/entry/wire.h
+++ b/pimentosail/entry/wire.h
@@ -84,8 +84,10 @@
     HeaderList headers;
     // ID of the request that the answer belongs to; empty if the target sent none.
     std::string requestId;
-    // The target states that it did not and will not run the request.
+    // The target states that it did not and will not run the request, with a status that agrees.
     bool isNotRun = false;
+    // The target states that it did not run the request, with a status that does not agree: whether it ran is unknown.
+    bool contradictsItself = false;
     // The request was meant for another incarnation of the target and was not run.
     bool isOtherInstance = false;
     // The answer has the target's signature. Without it, a success may come from another server.
