--- a/pimentosail/entry/requestrunner.cpp
+++ b/pimentosail/entry/requestrunner.cpp
@@ -288,6 +288,14 @@
     return result.end == AttemptEnd::NotRun ? Failure(ErrorKind::TargetFull, text) : Failure(ErrorKind::NoTarget, text);
 }
 
+// The configuration may have changed since the request was admitted.
+bool RequestRunner::isRepeatable() const
+{
+    const ServingConfigurationPointer newest = this->context.state.serving();
+    const Route *newestRoute = newest ? newest->findRoute(this->request.host, this->request.path) : nullptr;
+    return this->route->isIdempotent() && (newestRoute == nullptr || newestRoute->isIdempotent());
+}
+
 bool RequestRunner::mayTryAgain(const AttemptResult &result)
 {
     if (this->deadline - this->context.clock.now() < MinTimeLeft + AnswerMargin || this->context.state.shutdownEnd.isSet()) {
@@ -297,7 +305,7 @@
         return ++this->unsent < MaxUnsent;
     }
     const bool mayHaveRun = result.end != AttemptEnd::NotRun;
-    if (mayHaveRun && (!this->route->isIdempotent() || this->possibleRuns >= this->route->maxAttempts)) {
+    if (mayHaveRun && (!this->isRepeatable() || this->possibleRuns >= this->route->maxAttempts)) {
         return false;
     }
     if (this->arrivals >= MaxArrivals || this->context.quarantine.isBlocked(this->fingerprint)) {
--- a/pimentosail/entry/requestrunner.h
+++ b/pimentosail/entry/requestrunner.h
@@ -82,6 +82,8 @@
     void recordLostTarget(const TargetState &target, const AttemptResult &result);
     void recordAnswerBegun();
     void recordResult(const TargetChoice &choice, const AttemptResult &result);
+    // Returns true if the request may run again, by the configuration at its admission and by the newest one.
+    bool isRepeatable() const;
     bool mayTryAgain(const AttemptResult &result);
     void deliver(const AttemptResult &result);
     void answerFailure(const Failure &reported);
