--- a/pimentosail/entry/attempt.cpp
+++ b/pimentosail/entry/attempt.cpp
@@ -233,9 +233,9 @@
     }
 }
 
-std::unique_ptr<TargetConnection> Attempt::openConnection(const AttemptLimits &limits, AttemptResult &result)
+std::unique_ptr<HttpConnection> Attempt::openConnection(const AttemptLimits &limits, AttemptResult &result)
 {
-    std::unique_ptr<TargetConnection> pooled = this->context.connections.take(this->plan.target->address, limits.maxConnectionIdle);
+    std::unique_ptr<HttpConnection> pooled = this->context.connections.take(this->plan.target->address, limits.maxConnectionIdle);
     if (pooled) {
         result.usedPooledConnection = true;
         return pooled;
@@ -246,7 +246,7 @@
         return nullptr;
     }
     const Wait wait{this->context.clock, std::min(limits.deadline, now + ConnectTimeout), limits.callerSocket, limits.interrupt};
-    Result<std::unique_ptr<TargetConnection>> connection = TargetConnection::connect(this->plan.target->address, wait);
+    Result<std::unique_ptr<HttpConnection>> connection = HttpConnection::connect(this->plan.target->address, wait);
     if (!connection && connection.error().kind == ErrorKind::Cancelled) {
         result.end = AttemptEnd::CallerDisconnected;
         result.reason = "connect";
@@ -263,7 +263,7 @@
     return std::move(*connection);
 }
 
-bool Attempt::sendRequest(TargetConnection &connection, const AttemptLimits &limits, AttemptResult &result)
+bool Attempt::sendRequest(HttpConnection &connection, const AttemptLimits &limits, AttemptResult &result)
 {
     bool anySent = false;
     this->sentAt = this->context.clock.now();
@@ -289,7 +289,7 @@
 }
 
 // Reads answer headers until one belongs to this request. Answers to earlier requests on the same connection are skipped.
-bool Attempt::readMatchingHeader(TargetConnection &connection, const AttemptLimits &limits, AttemptResult &result)
+bool Attempt::readMatchingHeader(HttpConnection &connection, const AttemptLimits &limits, AttemptResult &result)
 {
     for (int stray = 0; stray <= MaxStrayAnswers; ++stray) {
         Poco::Net::HTTPResponse header;
@@ -351,7 +351,7 @@
     return this->fail(ReadStatus::Broken, "this host has no more memory for answers", result);
 }
 
-void Attempt::readBody(TargetConnection &connection, const AttemptLimits &limits, AttemptResult &result)
+void Attempt::readBody(HttpConnection &connection, const AttemptLimits &limits, AttemptResult &result)
 {
     while (static_cast<int64_t>(result.body.size()) <= this->context.answerMemory.maxMessageBytes()) {
         const ReadStatus status = this->readWithStall(limits, [&](const Wait &wait) { return connection.readBody(result.body, wait); });
@@ -371,7 +371,7 @@
     this->fail(ReadStatus::Broken, "the answer is too large", result);
 }
 
-void Attempt::readEvents(TargetConnection &connection, const AttemptLimits &limits, const EventSink &sink, AttemptResult &result)
+void Attempt::readEvents(HttpConnection &connection, const AttemptLimits &limits, const EventSink &sink, AttemptResult &result)
 {
     std::string data;
     Time progressAt = this->context.clock.now();
@@ -428,7 +428,7 @@
 {
     AttemptResult result;
     TargetLoadGuard load(*this->plan.target, this->plan.prefillTokens, this->plan.heldTokens, this->plan.isLate);
-    std::unique_ptr<TargetConnection> opened = this->openConnection(limits, result);
+    std::unique_ptr<HttpConnection> opened = this->openConnection(limits, result);
     if (!opened) {
         return result;
     }
--- a/pimentosail/entry/attempt.h
+++ b/pimentosail/entry/attempt.h
@@ -91,11 +91,11 @@
     AttemptResult run(const AttemptLimits &limits, const EventSink &sink);
 
 private:
-    std::unique_ptr<TargetConnection> openConnection(const AttemptLimits &limits, AttemptResult &result);
-    bool sendRequest(TargetConnection &connection, const AttemptLimits &limits, AttemptResult &result);
-    bool readMatchingHeader(TargetConnection &connection, const AttemptLimits &limits, AttemptResult &result);
-    void readBody(TargetConnection &connection, const AttemptLimits &limits, AttemptResult &result);
-    void readEvents(TargetConnection &connection, const AttemptLimits &limits, const EventSink &sink, AttemptResult &result);
+    std::unique_ptr<HttpConnection> openConnection(const AttemptLimits &limits, AttemptResult &result);
+    bool sendRequest(HttpConnection &connection, const AttemptLimits &limits, AttemptResult &result);
+    bool readMatchingHeader(HttpConnection &connection, const AttemptLimits &limits, AttemptResult &result);
+    void readBody(HttpConnection &connection, const AttemptLimits &limits, AttemptResult &result);
+    void readEvents(HttpConnection &connection, const AttemptLimits &limits, const EventSink &sink, AttemptResult &result);
     bool holdMemory(const std::string &received, AttemptResult &result);
     bool fail(ReadStatus status, const char *reason, AttemptResult &result);
     ReadStatus readWithStall(const AttemptLimits &limits, const std::function<ReadStatus(const Wait &wait)> &read);
--- a/pimentosail/entry/requestrunner.cpp
+++ b/pimentosail/entry/requestrunner.cpp
@@ -214,7 +214,7 @@
 void RequestRunner::recordLostTarget(const TargetState &target, const AttemptResult &result)
 {
     const Wait wait{this->context.clock, this->context.clock.now() + ReconnectProbe, this->exchange.callerSocket()};
-    const Result<std::unique_ptr<TargetConnection>> connection = TargetConnection::connect(target.address, wait);
+    const Result<std::unique_ptr<HttpConnection>> connection = HttpConnection::connect(target.address, wait);
     if (connection || connection.error().kind == ErrorKind::Cancelled) {
         return;
     }
--- a/pimentosail/upstream/connection.cpp
+++ b/pimentosail/net/httpconnection.cpp
@@ -1,4 +1,4 @@
-#include "pimentosail/upstream/connection.h"
+#include "pimentosail/net/httpconnection.h"
 
 #include <algorithm>
 #include <array>
@@ -73,7 +73,7 @@
 
 } // namespace
 
-Result<std::unique_ptr<TargetConnection>> TargetConnection::connect(const std::string &address, const Wait &wait)
+Result<std::unique_ptr<HttpConnection>> HttpConnection::connect(const std::string &address, const Wait &wait)
 {
     try {
         Poco::Net::StreamSocket socket;
@@ -92,13 +92,13 @@
         socket.setNoDelay(true);
         const unsigned userTimeout = UserTimeoutMilliseconds;
         socket.setOption(IPPROTO_TCP, TCP_USER_TIMEOUT, userTimeout);
-        return std::unique_ptr<TargetConnection>(new TargetConnection(std::move(socket)));
+        return std::unique_ptr<HttpConnection>(new HttpConnection(std::move(socket)));
     } catch (const Poco::Exception &exception) {
         return tl::unexpected<Error>(Error(ErrorKind::TargetLost, exception.displayText(), true));
     }
 }
 
-TargetConnection::~TargetConnection()
+HttpConnection::~HttpConnection()
 {
     if (this->awaitsAnswer) {
         const linger dropUnsent{1, 0};
@@ -106,7 +106,7 @@
     }
 }
 
-SendStatus TargetConnection::send(const std::string &bytes, const Wait &wait, bool &anySent)
+SendStatus HttpConnection::send(const std::string &bytes, const Wait &wait, bool &anySent)
 {
     const int descriptor = this->socket.impl()->sockfd();
     size_t sent = 0;
@@ -139,7 +139,7 @@
     return SendStatus::Sent;
 }
 
-ReadStatus TargetConnection::fillBuffer(const Wait &wait)
+ReadStatus HttpConnection::fillBuffer(const Wait &wait)
 {
     if (this->closedByPeer) {
         return ReadStatus::End;
@@ -173,7 +173,7 @@
     }
 }
 
-ReadStatus TargetConnection::readHeader(Poco::Net::HTTPResponse &header, bool expectsBody, const Wait &wait)
+ReadStatus HttpConnection::readHeader(Poco::Net::HTTPResponse &header, bool expectsBody, const Wait &wait)
 {
     this->complete = false;
     this->awaitsAnswer = true;
@@ -231,7 +231,7 @@
     return ReadStatus::Data;
 }
 
-ReadStatus TargetConnection::decodeChunked(std::string &data)
+ReadStatus HttpConnection::decodeChunked(std::string &data)
 {
     const size_t before = data.size();
     const ChunkStatus status = this->chunks.decode(this->buffer, data);
@@ -244,7 +244,7 @@
     return status == ChunkStatus::Done ? this->endAnswer() : ReadStatus::Timeout;
 }
 
-ReadStatus TargetConnection::decodeFixedLength(std::string &data)
+ReadStatus HttpConnection::decodeFixedLength(std::string &data)
 {
     const size_t count = std::min<size_t>(this->remaining, this->buffer.size());
     data.append(this->buffer, 0, count);
@@ -259,14 +259,14 @@
     return this->endAnswer();
 }
 
-ReadStatus TargetConnection::endAnswer()
+ReadStatus HttpConnection::endAnswer()
 {
     this->complete = true;
     this->awaitsAnswer = false;
     return ReadStatus::End;
 }
 
-ReadStatus TargetConnection::readBody(std::string &data, const Wait &wait)
+ReadStatus HttpConnection::readBody(std::string &data, const Wait &wait)
 {
     while (true) {
         ReadStatus status = ReadStatus::Timeout;
@@ -301,14 +301,14 @@
     }
 }
 
-bool TargetConnection::hasNoPendingInput() const
+bool HttpConnection::hasNoPendingInput() const
 {
     char byte = 0;
     const ssize_t count = ::recv(this->socket.impl()->sockfd(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
     return this->buffer.empty() && count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
-bool TargetConnection::isReusable() const
+bool HttpConnection::isReusable() const
 {
     return this->complete && this->requestSent && this->targetKeepsAlive && !this->closedByPeer && this->framing != Framing::UntilClose
         && this->hasNoPendingInput();
--- a/pimentosail/upstream/connection.h
+++ b/pimentosail/net/httpconnection.h
@@ -1,10 +1,10 @@
-// One HTTP/1.1 connection to a target, which checks the framing of answers strictly.
+// One HTTP/1.1 connection to a target, another host or a store, which checks the framing of answers strictly.
 //
 // POCO parses the header of an answer. The body is decoded here, because POCO's chunked reader reports a truncated body
 // as one that ended. Each wait also watches the caller's connection, so that it ends at once when the caller
 // disconnects.
 //
-//     Result<std::unique_ptr<TargetConnection>> connection = TargetConnection::connect("10.0.0.1:80", wait);
+//     Result<std::unique_ptr<HttpConnection>> connection = HttpConnection::connect("10.0.0.1:80", wait);
 //     (*connection)->send(bytes, wait, anySent);
 //     (*connection)->readHeader(header, true, wait);
 //     while ((*connection)->readBody(data, wait) == ReadStatus::Data) { ... }
@@ -59,17 +59,17 @@
 };
 
 // A connection to one target, used for one request at a time.
-class TargetConnection
+class HttpConnection
 {
 public:
     // Connects to `address` (`IP:PORT`). Errors: Cancelled if the caller disconnected meanwhile, else TargetLost. They have
     // `notRun` set, because nothing was sent.
-    static Result<std::unique_ptr<TargetConnection>> connect(const std::string &address, const Wait &wait);
+    static Result<std::unique_ptr<HttpConnection>> connect(const std::string &address, const Wait &wait);
 
     // A connection whose answer is incomplete is reset, so that bytes that have not reached the target yet are dropped.
-    ~TargetConnection();
-    TargetConnection(const TargetConnection &) = delete;
-    TargetConnection &operator=(const TargetConnection &) = delete;
+    ~HttpConnection();
+    HttpConnection(const HttpConnection &) = delete;
+    HttpConnection &operator=(const HttpConnection &) = delete;
 
     // Sends one complete request. Sets `anySent` as soon as a byte may have reached the target.
     SendStatus send(const std::string &bytes, const Wait &wait, bool &anySent);
@@ -108,7 +108,7 @@
         Chunked,
         UntilClose,
     };
-    explicit TargetConnection(Poco::Net::StreamSocket connectedSocket)
+    explicit HttpConnection(Poco::Net::StreamSocket connectedSocket)
         : socket(std::move(connectedSocket))
     {
     }
--- a/pimentosail/upstream/pool.cpp
+++ b/pimentosail/upstream/pool.cpp
@@ -17,27 +17,27 @@
 constexpr Duration IdleMargin = Milliseconds(1000);
 
 // Returns how long `connection` may be idle and still be used.
-Duration maxUsableIdle(const TargetConnection &connection)
+Duration maxUsableIdle(const HttpConnection &connection)
 {
     return connection.targetIdleTimeout > Duration(0) ? std::max(Duration(0), connection.targetIdleTimeout - IdleMargin) : DefaultIdleLimit;
 }
 
 } // namespace
 
-std::unique_ptr<TargetConnection> ConnectionPool::take(const std::string &address, Duration maxIdle)
+std::unique_ptr<HttpConnection> ConnectionPool::take(const std::string &address, Duration maxIdle)
 {
-    std::unique_ptr<TargetConnection> result;
-    std::deque<std::unique_ptr<TargetConnection>> rejected;
+    std::unique_ptr<HttpConnection> result;
+    std::deque<std::unique_ptr<HttpConnection>> rejected;
     {
         const std::lock_guard lock(this->mutex);
         const auto found = this->idle.find(address);
         if (found == this->idle.end()) {
             return nullptr;
         }
-        std::deque<std::unique_ptr<TargetConnection>> &connections = found->second;
+        std::deque<std::unique_ptr<HttpConnection>> &connections = found->second;
         const Time now = this->clock.now();
         while (!connections.empty() && !result) {
-            std::unique_ptr<TargetConnection> connection = std::move(connections.back());
+            std::unique_ptr<HttpConnection> connection = std::move(connections.back());
             connections.pop_back();
             const Duration idleFor = now - connection->lastUsed;
             if (idleFor > maxUsableIdle(*connection) || !connection->hasNoPendingInput()) {
@@ -55,14 +55,14 @@
     return result;
 }
 
-void ConnectionPool::put(const std::string &address, std::unique_ptr<TargetConnection> connection)
+void ConnectionPool::put(const std::string &address, std::unique_ptr<HttpConnection> connection)
 {
     if (!connection->isReusable()) {
         return;
     }
     connection->lastUsed = this->clock.now();
     const std::lock_guard lock(this->mutex);
-    std::deque<std::unique_ptr<TargetConnection>> &connections = this->idle[address];
+    std::deque<std::unique_ptr<HttpConnection>> &connections = this->idle[address];
     if (connections.size() < MaxIdlePerTarget) {
         connections.push_back(std::move(connection));
     }
--- a/pimentosail/upstream/pool.h
+++ b/pimentosail/upstream/pool.h
@@ -1,7 +1,7 @@
 // Idle connections to targets, kept for reuse.
 //
-//     std::unique_ptr<TargetConnection> connection = pool.take(address, MaxIdleForUnsafe);
-//     if (!connection) { ... TargetConnection::connect ... }
+//     std::unique_ptr<HttpConnection> connection = pool.take(address, MaxIdleForUnsafe);
+//     if (!connection) { ... HttpConnection::connect ... }
 //     pool.put(address, std::move(connection));
 //
 // `take` returns a connection only if no input is pending on it and it has not been idle for longer than allowed,
@@ -14,7 +14,7 @@
 #include <mutex>
 #include <string>
 
-#include "pimentosail/upstream/connection.h"
+#include "pimentosail/net/httpconnection.h"
 
 namespace pimentosail
 {
@@ -29,10 +29,10 @@
 
     // Returns the connection to `address` that was used last, or nullptr if there is none or it has been idle for
     // longer than `maxIdle`.
-    std::unique_ptr<TargetConnection> take(const std::string &address, Duration maxIdle);
+    std::unique_ptr<HttpConnection> take(const std::string &address, Duration maxIdle);
 
     // Keeps `connection` if it is reusable; closes it otherwise.
-    void put(const std::string &address, std::unique_ptr<TargetConnection> connection);
+    void put(const std::string &address, std::unique_ptr<HttpConnection> connection);
 
     // Closes the idle connections to `address`.
     void closeIdle(const std::string &address);
@@ -47,7 +47,7 @@
     const Clock &clock;
     mutable std::mutex mutex;
     // Idle connections by address, the one used last at the back.
-    std::map<std::string, std::deque<std::unique_ptr<TargetConnection>>> idle;
+    std::map<std::string, std::deque<std::unique_ptr<HttpConnection>>> idle;
 };
 
 } // namespace pimentosail
--- a/pimentosail/upstream/upstreamtest.cpp
+++ b/pimentosail/upstream/upstreamtest.cpp
@@ -122,7 +122,7 @@
 {
     Clock clock;
     Exchange result;
-    Result<std::unique_ptr<TargetConnection>> connection = TargetConnection::connect(address, waitFor(TestWait));
+    Result<std::unique_ptr<HttpConnection>> connection = HttpConnection::connect(address, waitFor(TestWait));
     cr_assert(connection);
     const Time start = clock.now();
     const Wait wait{clock, start + TestWait, -1};
@@ -219,7 +219,7 @@
         Clock().sleepFor(Milliseconds(300));
     });
     Clock clock;
-    Result<std::unique_ptr<TargetConnection>> connection = TargetConnection::connect(peer.address(), waitFor(TestWait));
+    Result<std::unique_ptr<HttpConnection>> connection = HttpConnection::connect(peer.address(), waitFor(TestWait));
     cr_assert(connection);
     const Wait wait{clock, clock.now() + TestWait, -1};
     const std::string body(32 * 1024 * 1024, 'x');
@@ -243,7 +243,7 @@
     int pair[2];
     cr_assert_eq(::socketpair(AF_UNIX, SOCK_STREAM, 0, pair), 0);
     Clock clock;
-    Result<std::unique_ptr<TargetConnection>> connection = TargetConnection::connect(peer.address(), waitFor(TestWait));
+    Result<std::unique_ptr<HttpConnection>> connection = HttpConnection::connect(peer.address(), waitFor(TestWait));
     cr_assert(connection);
     const Wait wait{clock, clock.now() + TestWait, pair[0]};
     bool anySent = false;
@@ -265,7 +265,7 @@
     Poco::Net::ServerSocket closed(Poco::Net::SocketAddress("127.0.0.1:0"));
     const std::string address = closed.address().toString();
     closed.close();
-    const Result<std::unique_ptr<TargetConnection>> connection = TargetConnection::connect(address, waitFor(TestWait));
+    const Result<std::unique_ptr<HttpConnection>> connection = HttpConnection::connect(address, waitFor(TestWait));
     cr_assert_not(connection.has_value());
     cr_assert(connection.error().notRun);
 }
@@ -279,7 +279,7 @@
     });
     Clock clock;
     ConnectionPool pool(clock);
-    Result<std::unique_ptr<TargetConnection>> connection = TargetConnection::connect(peer.address(), waitFor(TestWait));
+    Result<std::unique_ptr<HttpConnection>> connection = HttpConnection::connect(peer.address(), waitFor(TestWait));
     cr_assert(connection);
     const Wait wait{clock, clock.now() + TestWait, -1};
     bool anySent = false;
@@ -304,7 +304,7 @@
         sendWithoutEnd(socket, "x", EndlessTime);
     });
     Clock clock;
-    Result<std::unique_ptr<TargetConnection>> connection = TargetConnection::connect(peer.address(), waitFor(TestWait));
+    Result<std::unique_ptr<HttpConnection>> connection = HttpConnection::connect(peer.address(), waitFor(TestWait));
     cr_assert(connection);
     const Time start = clock.now();
     const Wait wait{clock, start + Milliseconds(300), -1};
@@ -405,7 +405,7 @@
         }
     });
     {
-        Result<std::unique_ptr<TargetConnection>> connection = TargetConnection::connect(peer.address(), waitFor(TestWait));
+        Result<std::unique_ptr<HttpConnection>> connection = HttpConnection::connect(peer.address(), waitFor(TestWait));
         cr_assert(connection);
         bool anySent = false;
         cr_assert((*connection)->send("GET / HTTP/1.1\r\n\r\n", waitFor(TestWait), anySent) == SendStatus::Sent);
