--- a/pimentosail/net/httpconnection.cpp
+++ b/pimentosail/net/httpconnection.cpp
@@ -5,6 +5,7 @@
 #include <cerrno>
 #include <sstream>
 #include <system_error>
+#include <vector>
 
 #include <netinet/tcp.h>
 #include <poll.h>
@@ -14,6 +15,7 @@
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/NumberParser.h>
+#include <Poco/String.h>
 
 #include "pimentosail/base/socketstate.h"
 
@@ -71,6 +73,18 @@
     }
 }
 
+// Returns the values of all headers called `wanted`.
+std::vector<std::string> valuesOf(const Poco::Net::HTTPResponse &header, const std::string &wanted)
+{
+    std::vector<std::string> values;
+    for (const auto &[name, value] : header) {
+        if (Poco::icompare(name, wanted) == 0) {
+            values.push_back(value);
+        }
+    }
+    return values;
+}
+
 } // namespace
 
 Result<std::unique_ptr<HttpConnection>> HttpConnection::connect(const std::string &address, const Wait &wait)
@@ -212,23 +226,29 @@
         = !expectsBody || header.getStatus() == Poco::Net::HTTPResponse::HTTP_NO_CONTENT || header.getStatus() == Poco::Net::HTTPResponse::HTTP_NOT_MODIFIED;
     if (hasNoBody) {
         this->framing = Framing::None;
-    } else if (header.has("Transfer-Encoding")) {
-        if (!header.getChunkedTransferEncoding()) {
-            return ReadStatus::Broken;
-        }
+        return ReadStatus::Data;
+    }
+    return this->readFraming(header) ? ReadStatus::Data : ReadStatus::Broken;
+}
+
+bool HttpConnection::readFraming(const Poco::Net::HTTPResponse &header)
+{
+    const std::vector<std::string> lengths = valuesOf(header, Poco::Net::HTTPMessage::CONTENT_LENGTH);
+    const std::vector<std::string> encodings = valuesOf(header, Poco::Net::HTTPMessage::TRANSFER_ENCODING);
+    if (!encodings.empty()) {
         this->framing = Framing::Chunked;
         this->chunks = ChunkDecoder();
-    } else if (header.has("Content-Length")) {
-        Poco::UInt64 length = 0;
-        if (!Poco::NumberParser::tryParseUnsigned64(header.get("Content-Length"), length)) {
-            return ReadStatus::Broken;
-        }
-        this->framing = Framing::Length;
-        this->remaining = length;
-    } else {
+        return lengths.empty() && encodings.size() == 1 && Poco::icompare(encodings.front(), Poco::Net::HTTPMessage::CHUNKED_TRANSFER_ENCODING) == 0;
+    }
+    if (lengths.empty()) {
         this->framing = Framing::UntilClose;
+        return true;
     }
-    return ReadStatus::Data;
+    const std::string &length = lengths.front();
+    const bool isNumber = !length.empty() && length.find_first_not_of("0123456789") == std::string::npos;
+    this->framing = Framing::Length;
+    return isNumber && std::all_of(lengths.begin(), lengths.end(), [&length](const std::string &other) { return other == length; })
+        && Poco::NumberParser::tryParseUnsigned64(length, this->remaining);
 }
 
 ReadStatus HttpConnection::decodeChunked(std::string &data)
--- a/pimentosail/net/httpconnection.h
+++ b/pimentosail/net/httpconnection.h
@@ -113,6 +113,8 @@
     {
     }
 
+    // Finds out where the body ends. Returns false if the header is ambiguous about it, so that the next answer could not be found.
+    bool readFraming(const Poco::Net::HTTPResponse &header);
     // Reads once from the socket into `buffer`.
     ReadStatus fillBuffer(const Wait &wait);
     // Decode buffered bytes of a body and append them to `data`. Return Timeout if more bytes are needed.
@@ -127,7 +129,7 @@
     Framing framing = Framing::None;
     ChunkDecoder chunks;
     // Bytes left of a body with a length.
-    uint64_t remaining = 0;
+    Poco::UInt64 remaining = 0;
     bool closedByPeer = false;
     bool complete = false;
     bool targetKeepsAlive = false;
--- a/pimentosail/upstream/upstreamtest.cpp
+++ b/pimentosail/upstream/upstreamtest.cpp
@@ -171,6 +171,24 @@
     cr_assert(exchangeWith(peer.address()).end == ReadStatus::Broken);
 }
 
+// Guards against an answer of which a part is taken for the next answer on the connection.
+Test(upstream, an_answer_whose_length_is_ambiguous_is_reported_as_broken)
+{
+    for (const char *framing : {"Content-Length: 2\r\nContent-Length: 4\r\n", "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n", "Content-Length: 1,0\r\n",
+             "Content-Length: +4\r\n", "Content-Length: \r\n", "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n"}) {
+        ScriptedPeer peer([framing](Poco::Net::StreamSocket &socket) {
+            receiveRequestHeader(socket);
+            sendText(socket, std::string("HTTP/1.1 200 OK\r\n") + framing + "\r\n0\r\n\r\n");
+        });
+        cr_expect(exchangeWith(peer.address()).header == ReadStatus::Broken, "%s", framing);
+    }
+    ScriptedPeer peer([](Poco::Net::StreamSocket &socket) {
+        receiveRequestHeader(socket);
+        sendText(socket, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 2\r\n\r\nok");
+    });
+    cr_expect(exchangeWith(peer.address()).end == ReadStatus::End, "the same length twice");
+}
+
 Test(upstream, an_answer_without_length_ends_with_an_orderly_close_only)
 {
     ScriptedPeer orderly([](Poco::Net::StreamSocket &socket) {
