--- a/pimentosail/net/httpserver.cpp
+++ b/pimentosail/net/httpserver.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <Poco/Exception.h>
@@ -35,6 +37,11 @@
 // How long an idle connection stays open.
 constexpr long KeepAliveSeconds = 30;
 constexpr size_t ReadBlock = 16 * 1024;
+// A connection ends if what was sent to its peer stays unacknowledged for this time. Long enough for several losses of a packet in a row.
+constexpr unsigned UserTimeoutMilliseconds = 3000;
+// A connection on which nothing is sent is probed in this interval, and ends after this number of lost probes.
+constexpr int KeepAliveProbeSeconds = 1;
+constexpr int KeepAliveProbes = 3;
 
 // Digits of a Content-Length that fits 64 bits with a sign.
 constexpr size_t MaxLengthDigits = 18;
@@ -67,6 +74,16 @@
     using Poco::Net::HTTPSession::refill;
 };
 
+// A connection can go silent for good without an end. Accepted sockets inherit these options.
+void endSilentConnections(Poco::Net::ServerSocket &listener)
+{
+    listener.setOption(IPPROTO_TCP, TCP_USER_TIMEOUT, UserTimeoutMilliseconds);
+    listener.setKeepAlive(true);
+    listener.setOption(IPPROTO_TCP, TCP_KEEPIDLE, KeepAliveProbeSeconds);
+    listener.setOption(IPPROTO_TCP, TCP_KEEPINTVL, KeepAliveProbeSeconds);
+    listener.setOption(IPPROTO_TCP, TCP_KEEPCNT, KeepAliveProbes);
+}
+
 class FunctionHandler : public Poco::Net::HTTPRequestHandler
 {
 public:
@@ -422,6 +439,7 @@
     : pool(MinThreads, static_cast<int>(maxConnections) + MinThreads)
     , listener(Poco::Net::SocketAddress(address), Backlog)
 {
+    endSilentConnections(this->listener);
     auto *params = new Poco::Net::HTTPServerParams();
     params->setMaxThreads(static_cast<int>(maxConnections));
     params->setMaxQueued(static_cast<int>(maxConnections));
--- a/pimentosail/net/nettest.cpp
+++ b/pimentosail/net/nettest.cpp
@@ -1,6 +1,10 @@
 #include <atomic>
 #include <thread>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
 #include <criterion/criterion.h>
@@ -27,6 +31,33 @@
     server.stop();
 }
 
+// Guards against an answer that goes on for a caller whose connection has gone silent without an end, while the caller has resumed it elsewhere.
+Test(net, connections_of_callers_end_when_nothing_is_acknowledged)
+{
+    std::atomic<unsigned> userTimeout{0};
+    std::atomic<int> keepsAlive{0};
+    std::atomic<int> idleSeconds{0};
+    HttpServer server("127.0.0.1:18934", 8, [&](HttpExchange &exchange) {
+        const auto read = [&exchange](int level, int option) {
+            int value = 0;
+            socklen_t size = sizeof(value);
+            ::getsockopt(exchange.callerSocket(), level, option, &value, &size);
+            return value;
+        };
+        userTimeout = static_cast<unsigned>(read(IPPROTO_TCP, TCP_USER_TIMEOUT));
+        keepsAlive = read(SOL_SOCKET, SO_KEEPALIVE);
+        idleSeconds = read(IPPROTO_TCP, TCP_KEEPIDLE);
+        exchange.send(200, "text/plain", "ok");
+    });
+    server.start();
+    HttpClient client;
+    cr_assert_eq(client.call("127.0.0.1:18934", {"GET", "/", {}, ""}, Milliseconds(1000)).status, 200);
+    cr_assert_eq(userTimeout.load(), 3000, "%u ms", userTimeout.load());
+    cr_assert_eq(keepsAlive.load(), 1);
+    cr_assert_eq(idleSeconds.load(), 1);
+    server.stop();
+}
+
 // Guards against connections that hang: the kernel accepts them into the queue of a listening socket even after the
 // server has stopped accepting.
 Test(net, a_server_that_stops_accepting_refuses_connections_and_finishes_its_requests)
