--- a/testing/answersoaktest.cpp
+++ b/testing/answersoaktest.cpp
@@ -2,6 +2,7 @@
 // stopped and restarted. It checks that nothing runs twice, that refusals are true and that answers are whole.
 //
 // A longer run by hand: PIMENTOSAIL_SOAK_SEED=17 PIMENTOSAIL_SOAK_SECONDS=60 build/testing/soak_test
+// PIMENTOSAIL_SOAK_NETWORK=N (0 to 255) uses the addresses 127.0.N.*, so that several soaks can run at once.
 // PIMENTOSAIL_SOAK_FAULTS limits the faults of targets to those named ("repeated refusals", "no statement", "contradiction").
 #include <array>
 #include <csignal>
@@ -34,7 +35,7 @@
 constexpr int HostCount = 6;
 constexpr int TargetCount = 6;
 constexpr int CallerCount = 32;
-constexpr int StorePort = 24000;
+constexpr const char *StorePort = ":24000";
 constexpr int FirstTargetPort = 24100;
 constexpr int FirstHostOctet = 21;
 constexpr Duration ReadyTimeout = std::chrono::seconds(30);
@@ -70,22 +71,22 @@
         : plan(soakPlan)
         , random(soakPlan.seed)
     {
-        const std::string directory = environment("PIMENTOSAIL_OUT", "out") + "/soak-" + std::to_string(this->plan.seed);
+        const std::string directory = environment("PIMENTOSAIL_OUT", "out") + "/soak-" + network() + "-" + std::to_string(this->plan.seed);
         std::filesystem::remove_all(directory);
         std::filesystem::create_directories(directory);
         this->deployment.configure(
             {.routes = platform::AllRoutes, .services = R"({"Name":"desk","HealthPath":"/h","ConnectionLimit":400,"ColdS":0,"ColdPerS":0})"});
         for (int index = 0; index < TargetCount; ++index) {
             const std::string name = "t" + std::to_string(index + 1);
-            this->targets.push_back(std::make_unique<SoakTarget>(
-                name, FirstTargetPort + index, this->ledger, this->plan.faults, this->plan.seed * 100 + static_cast<uint64_t>(index)));
+            this->targets.push_back(std::make_unique<SoakTarget>(name, address(1) + ":" + std::to_string(FirstTargetPort + index), this->ledger,
+                this->plan.faults, this->plan.seed * 100 + static_cast<uint64_t>(index)));
             this->deployment.addTarget(name, this->targets.back()->address());
         }
         for (int index = 0; index < HostCount; ++index) {
-            const std::string ip = "127.0.0." + std::to_string(FirstHostOctet + index);
-            const std::string peer = HostProcess::peerAddress("127.0.0." + std::to_string(FirstHostOctet + (index + 1) % HostCount));
+            const std::string ip = address(FirstHostOctet + index);
+            const std::string peer = HostProcess::peerAddress(address(FirstHostOctet + (index + 1) % HostCount));
             this->hosts.push_back(std::make_unique<HostProcess>(
-                HostProcessPlan{.name = "front-" + std::to_string(index + 1), .ip = ip, .storeAddress = StoreAddress, .peers = {peer}},
+                HostProcessPlan{.name = "front-" + std::to_string(index + 1), .ip = ip, .storeAddress = address(1) + StorePort, .peers = {peer}},
                 environment("PIMENTOSAIL_BUILD", "build"), directory));
         }
     }
@@ -122,7 +123,14 @@
     }
 
 private:
-    inline static const std::string StoreAddress = "127.0.0.1:" + std::to_string(StorePort);
+    static std::string network()
+    {
+        return environment("PIMENTOSAIL_SOAK_NETWORK", "0");
+    }
+    static std::string address(int lastOctet)
+    {
+        return "127.0." + network() + "." + std::to_string(lastOctet);
+    }
 
     void runCaller(int index, Time end)
     {
@@ -212,7 +220,7 @@
     SoakPlan plan;
     std::mt19937_64 random;
     platform::Deployment deployment;
-    platform::HttpStoreStandIn store{StoreAddress, this->deployment.store};
+    platform::HttpStoreStandIn store{address(1) + StorePort, this->deployment.store};
     SoakLedger ledger{this->deployment.clock};
     std::vector<std::unique_ptr<SoakTarget>> targets;
     std::vector<std::unique_ptr<HostProcess>> hosts;
--- a/testing/soaktarget.cpp
+++ b/testing/soaktarget.cpp
@@ -298,9 +298,9 @@
     std::string lastRefusal;
 };
 
-SoakTarget::SoakTarget(std::string targetName, int port, SoakLedger &soakLedger, const TargetFaults &targetFaults, uint64_t randomSeed)
+SoakTarget::SoakTarget(std::string targetName, std::string address, SoakLedger &soakLedger, const TargetFaults &targetFaults, uint64_t randomSeed)
     : name(std::move(targetName))
-    , listenAddress("127.0.0.1:" + std::to_string(port))
+    , listenAddress(std::move(address))
     , ledger(soakLedger)
     , faults(targetFaults)
     , seed(randomSeed)
--- a/testing/soaktarget.h
+++ b/testing/soaktarget.h
@@ -1,6 +1,6 @@
 // A target of a soak that answers by raw sockets: it serves requests, and now and then fails in one of the ways in which targets fail.
 //
-//     SoakTarget target("t1", 24100, ledger, TargetFaults{.share = 0.3}, seed);
+//     SoakTarget target("t1", "127.0.0.1:24100", ledger, TargetFaults{.share = 0.3}, seed);
 //
 // What a connection does is drawn from a random sequence of its own, so that a seed gives the same faults as far as requests come in the same
 // order. Serves each connection on a thread of its own until the object is destroyed.
@@ -34,7 +34,7 @@
 class SoakTarget
 {
 public:
-    SoakTarget(std::string targetName, int port, SoakLedger &soakLedger, const TargetFaults &targetFaults, uint64_t randomSeed);
+    SoakTarget(std::string targetName, std::string address, SoakLedger &soakLedger, const TargetFaults &targetFaults, uint64_t randomSeed);
     ~SoakTarget();
     SoakTarget(const SoakTarget &) = delete;
     SoakTarget &operator=(const SoakTarget &) = delete;
