--- a/testing/answersoaktest.cpp
+++ b/testing/answersoaktest.cpp
@@ -3,7 +3,9 @@
 //
 // A longer run by hand: PIMENTOSAIL_SOAK_SEED=17 PIMENTOSAIL_SOAK_SECONDS=60 build/testing/soak_test
 // PIMENTOSAIL_SOAK_NETWORK=N (0 to 255) uses the addresses 127.0.N.*, so that several soaks can run at once.
+// PIMENTOSAIL_SOAK_STARVED=N starves the first N hosts, and PIMENTOSAIL_SOAK_STARVED_RUN_MS sets how long they run in each tenth of a second.
 // PIMENTOSAIL_SOAK_FAULTS limits the faults of targets to those named ("repeated refusals", "no statement", "contradiction").
+#include <algorithm>
 #include <array>
 #include <csignal>
 #include <cstdlib>
@@ -38,10 +40,11 @@
 constexpr const char *StorePort = ":24000";
 constexpr int FirstTargetPort = 24100;
 constexpr int FirstHostOctet = 21;
+constexpr int HostMemoryMegabytes = 88;
+constexpr int64_t MegaByte = 1024 * 1024;
 constexpr Duration ReadyTimeout = std::chrono::seconds(30);
 constexpr Duration EndTimeout = std::chrono::seconds(15);
-// A starved host runs for the first time of each period of the second.
-constexpr Duration StarvedRun = Milliseconds(25);
+// A starved host runs at the beginning of each of these periods.
 constexpr Duration StarvedPeriod = Milliseconds(100);
 // Broken promises of one kind that are printed.
 constexpr int MaxPrinted = 5;
@@ -61,6 +64,8 @@
     bool disturbsHosts = true;
     // Number of hosts that run for a part of the time only.
     int starvedHosts = 0;
+    // How long they run in each `StarvedPeriod`.
+    Duration starvedRun = Milliseconds(25);
 };
 
 // The hosts, targets and callers of one soak.
@@ -85,8 +90,11 @@
         for (int index = 0; index < HostCount; ++index) {
             const std::string ip = address(FirstHostOctet + index);
             const std::string peer = HostProcess::peerAddress(address(FirstHostOctet + (index + 1) % HostCount));
-            this->hosts.push_back(std::make_unique<HostProcess>(
-                HostProcessPlan{.name = "front-" + std::to_string(index + 1), .ip = ip, .storeAddress = address(1) + StorePort, .peers = {peer}},
+            this->hosts.push_back(std::make_unique<HostProcess>(HostProcessPlan{.name = "front-" + std::to_string(index + 1),
+                                                                    .ip = ip,
+                                                                    .storeAddress = address(1) + StorePort,
+                                                                    .peers = {peer},
+                                                                    .memoryMegabytes = HostMemoryMegabytes},
                 environment("PIMENTOSAIL_BUILD", "build"), directory));
         }
     }
@@ -119,7 +127,7 @@
         const SoakTotals totals = this->ledger.totals();
         return "seed " + std::to_string(this->plan.seed) + ": " + std::to_string(totals.answers) + " attempts, " + std::to_string(totals.runs) + " runs, "
             + std::to_string(totals.successes) + " successes, " + std::to_string(totals.refusals) + " refusals, " + std::to_string(totals.lost)
-            + " without an answer";
+            + " without an answer, at most " + std::to_string(this->peakMegabytes) + " MB a host";
     }
 
 private:
@@ -154,11 +162,11 @@
             for (int index = 0; index < this->plan.starvedHosts; ++index) {
                 this->hosts[static_cast<size_t>(index)]->signal(SIGCONT);
             }
-            this->deployment.clock.sleepFor(StarvedRun);
+            this->deployment.clock.sleepFor(this->plan.starvedRun);
             for (int index = 0; index < this->plan.starvedHosts; ++index) {
                 this->hosts[static_cast<size_t>(index)]->signal(SIGSTOP);
             }
-            this->deployment.clock.sleepFor(StarvedPeriod - StarvedRun);
+            this->deployment.clock.sleepFor(StarvedPeriod - this->plan.starvedRun);
             this->finishDisturbances(false);
             if (this->plan.disturbsHosts && this->deployment.clock.now() >= next) {
                 this->beginDisturbance();
@@ -173,6 +181,11 @@
             if (host->hasEndedByItself()) {
                 this->ledger.recordViolation("LOST: " + host->name() + " ended by itself");
             }
+            const int64_t memory = host->peakMemory() / MegaByte;
+            this->peakMegabytes = std::max(this->peakMegabytes, memory);
+            if (memory > HostMemoryMegabytes) {
+                this->ledger.recordViolation("LOST: " + host->name() + " took " + std::to_string(memory) + " MB of memory");
+            }
         }
     }
 
@@ -225,6 +238,7 @@
     std::vector<std::unique_ptr<SoakTarget>> targets;
     std::vector<std::unique_ptr<HostProcess>> hosts;
     std::vector<Disturbance> disturbances;
+    int64_t peakMegabytes = 0;
 };
 
 // Runs a soak and fails with the first broken promises.
@@ -232,6 +246,8 @@
 {
     plan.seed = std::stoull(environment("PIMENTOSAIL_SOAK_SEED", std::to_string(plan.seed)));
     plan.duration = std::chrono::seconds(std::stoi(environment("PIMENTOSAIL_SOAK_SECONDS", std::to_string(plan.duration / std::chrono::seconds(1)))));
+    plan.starvedHosts = std::stoi(environment("PIMENTOSAIL_SOAK_STARVED", std::to_string(plan.starvedHosts)));
+    plan.starvedRun = Milliseconds(std::stoi(environment("PIMENTOSAIL_SOAK_STARVED_RUN_MS", std::to_string(toMilliseconds(plan.starvedRun)))));
     const std::string faults = environment("PIMENTOSAIL_SOAK_FAULTS", "repeated refusals, no statement, contradiction");
     plan.faults.repeatsRefusals = faults.find("repeated refusals") != std::string::npos;
     plan.faults.answersWithoutStatement = faults.find("no statement") != std::string::npos;
--- a/testing/soaktarget.cpp
+++ b/testing/soaktarget.cpp
@@ -23,6 +23,8 @@
 
 constexpr int PollMilliseconds = 10;
 constexpr const char *IdHeader = "X-Pimentosail-Request-Id";
+// An answer without end stops after this many bytes if its reader takes them all.
+constexpr size_t MaxEndlessBytes = 256 * 1024 * 1024;
 constexpr const char *Statement = "X-Pimentosail-Not-Executed: 1\r\n";
 
 std::string answerText(const std::string &statusLine, const std::string &headers, const std::string &body)
@@ -61,6 +63,7 @@
         AnswerLate,
         Fail,
         ClosesAfterAnswer,
+        AnswerWithoutEnd,
         RepeatsRefusal,
         NoStatement,
         Contradiction,
@@ -82,7 +85,7 @@
             return Fault::None;
         }
         std::vector<Fault> possible{Fault::Refuse, Fault::Refuse, Fault::Refuse, Fault::RefuseUnnamed, Fault::OtherInstance, Fault::BreakOff, Fault::TearHead,
-            Fault::AnswerLate, Fault::Fail, Fault::ClosesAfterAnswer};
+            Fault::AnswerLate, Fault::Fail, Fault::ClosesAfterAnswer, Fault::AnswerWithoutEnd};
         if (this->target.faults.repeatsRefusals) {
             possible.insert(possible.end(), 4, Fault::RepeatsRefusal);
         }
@@ -222,6 +225,18 @@
         return goesOn && fault != Fault::ClosesAfterAnswer;
     }
 
+    // Sends bytes until the host closes the connection.
+    void sendWithoutEnd(const std::string &start)
+    {
+        const std::string block(16 * 1024, 'x');
+        size_t sent = 0;
+        bool isOpen = this->send(start);
+        while (isOpen && sent < MaxEndlessBytes) {
+            isOpen = this->send(block);
+            sent += block.size();
+        }
+    }
+
     std::string success(const std::string &headers) const
     {
         return answerText("200 OK", this->idLine(this->id) + "X-Pimentosail-Response-Signature: s\r\n" + headers, "done " + this->id);
@@ -234,6 +249,9 @@
         }
         const std::string withId = this->idLine(this->id);
         switch (fault) {
+        case Fault::AnswerWithoutEnd:
+            this->sendWithoutEnd("HTTP/1.1 200 OK\r\n" + withId + "X-Pimentosail-Response-Signature: s\r\n" + (this->chance(0.5) ? "\r\n" : "X-Field: "));
+            return false;
         case Fault::BreakOff:
             this->reset();
             return false;
@@ -267,6 +285,10 @@
                 + "X-Pimentosail-Response-Signature: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")) {
             return false;
         }
+        if (fault == Fault::AnswerWithoutEnd) {
+            this->sendWithoutEnd("ffffff\r\nid: 1\ndata: ");
+            return false;
+        }
         const int cut = fault == Fault::BreakOff || fault == Fault::TearHead ? this->between(first + 1, StreamEvents) : 0;
         for (int event = first + 1; event <= StreamEvents; ++event) {
             const std::string text = "id: " + std::to_string(event) + "\ndata: " + this->task + "\n\n";
