--- a/pimentosail/net/httpclient.cpp
+++ b/pimentosail/net/httpclient.cpp
@@ -16,6 +16,17 @@
 // Maximum time from the header of an answer to the end of its body.
 constexpr Duration MaxBodyTime = std::chrono::seconds(5);
 
+// Makes room for a further part of a body. A string that grows by itself doubles and may take twice the limit; here the last step ends at
+// the limit.
+void growTowards(std::string &body, size_t maxBytes)
+{
+    if (body.capacity() - body.size() < HttpConnection::MaxReadBytes) {
+        const size_t limit = maxBytes + 2 * HttpConnection::MaxReadBytes;
+        const size_t next = 2 * body.capacity() + HttpConnection::MaxReadBytes;
+        body.reserve(2 * next > limit ? limit : next);
+    }
+}
+
 std::string encode(const std::string &address, const HttpRequest &request)
 {
     Poco::Net::HTTPRequest header(request.method, request.path, Poco::Net::HTTPRequest::HTTP_1_1);
@@ -76,6 +87,7 @@
         if (reply.body.size() > request.maxReplyBytes) {
             return tl::unexpected<ExchangeFailure>({"the answer is longer than " + std::to_string(request.maxReplyBytes) + " bytes", false});
         }
+        growTowards(reply.body, request.maxReplyBytes);
         status = connection.readBody(reply.body, Wait{clock, std::min(bodyEnd, clock.now() + timeout)});
     }
     if (status != ReadStatus::End) {
--- a/pimentosail/net/httpconnection.cpp
+++ b/pimentosail/net/httpconnection.cpp
@@ -25,7 +25,6 @@
 namespace
 {
 
-constexpr size_t ReadBlock = 16 * 1024;
 // Maximum size of the header of an answer, together with the interim answers before it; far above those that targets send,
 // and small because each connection may hold as much.
 constexpr size_t MaxHeaderBytes = 16 * 1024;
@@ -164,7 +163,7 @@
     }
     const int descriptor = this->socket.impl()->sockfd();
     while (true) {
-        std::array<char, ReadBlock> block;
+        std::array<char, MaxReadBytes> block;
         const ssize_t count = ::recv(descriptor, block.data(), block.size(), MSG_DONTWAIT);
         if (count > 0) {
             this->buffer.append(block.data(), static_cast<size_t>(count));
--- a/pimentosail/net/httpconnection.h
+++ b/pimentosail/net/httpconnection.h
@@ -62,6 +62,9 @@
 class HttpConnection
 {
 public:
+    // Maximum number of bytes that one call of `readBody` appends, unless the header came with more.
+    static constexpr size_t MaxReadBytes = 16 * 1024;
+
     // Connects to `address` (`IP:PORT`). Errors: Cancelled if the caller disconnected meanwhile, else TargetLost. They have
     // `notRun` set, because nothing was sent.
     static Result<std::unique_ptr<HttpConnection>> connect(const std::string &address, const Wait &wait);
--- a/testing/answersoaktest.cpp
+++ b/testing/answersoaktest.cpp
@@ -127,7 +127,8 @@
         const SoakTotals totals = this->ledger.totals();
         return "seed " + std::to_string(this->plan.seed) + ": " + std::to_string(totals.answers) + " attempts, " + std::to_string(totals.runs) + " runs, "
             + std::to_string(totals.successes) + " successes, " + std::to_string(totals.refusals) + " refusals, " + std::to_string(totals.lost)
-            + " without an answer, at most " + std::to_string(this->peakMegabytes) + " MB a host";
+            + " without an answer, at most " + std::to_string(this->peakMegabytes) + " MB a host, " + std::to_string(totals.stalledRuns)
+            + " runs of targets that stalled";
     }
 
 private:
--- a/testing/soakledger.cpp
+++ b/testing/soakledger.cpp
@@ -12,6 +12,8 @@
 
 // A run that was replaced by one at another target must have ended this long after the latter began.
 constexpr Duration MaxOverlap = Milliseconds(400);
+// A target whose own thread stalls for this long may notice the end of its connection too late for the bound above.
+constexpr Duration MaxTargetStall = Milliseconds(200);
 // A host that was disturbed less than this before is not held to the bound above.
 constexpr Duration ContactTime = std::chrono::seconds(3);
 
@@ -25,10 +27,11 @@
     return this->runs.size() - 1;
 }
 
-void SoakLedger::endRun(size_t number)
+void SoakLedger::endRun(size_t number, Duration longestStall)
 {
     const std::lock_guard lock(this->mutex);
     this->runs[number].end = this->clock.now();
+    this->runs[number].longestStall = longestStall;
 }
 
 void SoakLedger::recordSend(const std::string &id, const std::string &host)
@@ -89,7 +92,7 @@
             const SoakRun &later = *taskRuns[next];
             const Time bound = later.begin + MaxOverlap;
             const bool isOverlapping = former.end == Time(0) || former.end > bound;
-            if (isOverlapping && former.target != later.target && !this->isDisturbed(former.id, later.begin, bound)) {
+            if (isOverlapping && former.longestStall < MaxTargetStall && former.target != later.target && !this->isDisturbed(former.id, later.begin, bound)) {
                 found.push_back(
                     "TWICE: task " + former.task + " ran at " + former.target + " (" + former.id + ") and " + later.target + " (" + later.id + ") at once");
             }
@@ -120,6 +123,8 @@
     const std::lock_guard lock(this->mutex);
     SoakTotals totals;
     totals.runs = this->runs.size();
+    totals.stalledRuns
+        = static_cast<size_t>(std::count_if(this->runs.begin(), this->runs.end(), [](const SoakRun &run) { return run.longestStall >= MaxTargetStall; }));
     totals.answers = this->answers.size();
     for (const auto &[id, status] : this->answers) {
         totals.successes += status == 200 ? 1 : 0;
--- a/testing/soakledger.h
+++ b/testing/soakledger.h
@@ -4,7 +4,7 @@
 //
 //     SoakLedger ledger(clock);
 //     size_t run = ledger.beginRun({.task = "17", .id = "17.0", .target = "t1", .isRepeatable = false});
-//     ledger.endRun(run);
+//     ledger.endRun(run, longestStall);
 //     ledger.recordAnswer("17.0", 503);
 //     for (const std::string &violation : ledger.violations()) { ... }
 //
@@ -32,6 +32,8 @@
     Time begin{};
     // Zero while the run goes on.
     Time end{};
+    // Longest time for which the target's own thread did not get on; set by `endRun`.
+    Duration longestStall{};
 };
 
 // Numbers of what a soak has done, for its report.
@@ -42,6 +44,8 @@
     size_t successes = 0;
     size_t refusals = 0;
     size_t lost = 0;
+    // Runs whose target's own thread stalled for so long that nothing can be said of its end.
+    size_t stalledRuns = 0;
 };
 
 class SoakLedger
@@ -54,7 +58,7 @@
 
     // Returns the number of the run, for `endRun`.
     size_t beginRun(SoakRun run);
-    void endRun(size_t number);
+    void endRun(size_t number, Duration longestStall);
     // Records to which host a request was sent.
     void recordSend(const std::string &id, const std::string &host);
     // `status` is 0 if the connection ended without a complete answer.
--- a/testing/soaktarget.cpp
+++ b/testing/soaktarget.cpp
@@ -168,14 +168,25 @@
         return std::string(IdHeader) + ": " + requestId + "\r\n";
     }
 
+    // Records how long this thread has not got on; it waits for `PollMilliseconds` at most.
+    void noteTurn()
+    {
+        const Time now = this->clock.now();
+        this->longestStall = std::max(this->longestStall, now - this->lastTurn);
+        this->lastTurn = now;
+    }
+
     // Works for a time, or until the caller closes the connection. Returns false in the latter case.
     bool work(int milliseconds)
     {
         const Time end = this->clock.now() + Milliseconds(milliseconds);
         while (this->clock.now() < end && !this->target.stopping.load()) {
+            this->noteTurn();
             pollfd entry{this->socket.impl()->sockfd(), POLLRDHUP, 0};
             const int left = static_cast<int>(toMilliseconds(end - this->clock.now()));
-            if (::poll(&entry, 1, std::clamp(left, 0, PollMilliseconds)) > 0) {
+            const bool isClosed = ::poll(&entry, 1, std::clamp(left, 0, PollMilliseconds)) > 0;
+            this->noteTurn();
+            if (isClosed) {
                 return false;
             }
         }
@@ -218,9 +229,12 @@
             run = this->target.ledger.beginRun({.task = this->task, .id = this->id, .target = this->target.name, .isRepeatable = this->kind == "talk"});
         }
         const bool isStream = this->kind == "talk" || this->kind == "say";
+        this->lastTurn = this->clock.now();
+        this->longestStall = Duration(0);
         const bool goesOn = isStream ? this->answerStream(fault) : this->answerOnce(fault);
         if (run) {
-            this->target.ledger.endRun(*run);
+            this->noteTurn();
+            this->target.ledger.endRun(*run, this->longestStall);
         }
         return goesOn && fault != Fault::ClosesAfterAnswer;
     }
@@ -316,6 +330,8 @@
     std::string id;
     std::string kind;
     std::string task;
+    Time lastTurn{};
+    Duration longestStall{};
     // The last refusal that was sent on this connection; empty if there was none.
     std::string lastRefusal;
 };
