--- a/testing/answersoaktest.cpp
+++ b/testing/answersoaktest.cpp
@@ -21,15 +21,15 @@
 #include <criterion/criterion.h>
 
 #include "platform/standin/deployment.h"
+#include "platform/standin/hostprocess.h"
 #include "platform/standin/httpstore.h"
 #include "platform/standin/rawtarget.h"
-#include "testing/hostprocess.h"
-#include "testing/soakcaller.h"
-#include "testing/soakledger.h"
-#include "testing/soaktarget.h"
+#include "platform/standin/soakcaller.h"
+#include "platform/standin/soakledger.h"
+#include "platform/standin/soaktarget.h"
 
 using namespace pimentosail;
-using namespace pimentosail::testing;
+using namespace pimentosail::platform;
 
 namespace
 {
