Log: attempt_failed tells whether the connection had carried the id before; such sends are counted

Nothing told whether an answer that bears the id of the request under way may belong to an earlier send of the same id (docs/incidents/ 2026-12-06-copies-of-refusals.md, hypothesis 1). Connections remember hashes of the ids that they carried. No decision depends on it yet.

--- a/pimentosail/entry/attempt.cpp
+++ b/pimentosail/entry/attempt.cpp
@@ -268,7 +268,11 @@
     bool anySent = false;
     this->sentAt = this->context.clock.now();
     const Wait wait{this->context.clock, limits.deadline, limits.callerSocket, limits.interrupt};
-    const SendStatus status = connection.send(this->context.wire.encodeAttempt(this->request, this->plan), wait, anySent);
+    result.isIdRepeated = connection.hasCarried(this->request.id);
+    if (result.isIdRepeated) {
+        this->context.metrics.count("pimentosail_repeated_ids_total", {{"service", this->plan.target->service}});
+    }
+    const SendStatus status = connection.sendNamed(this->context.wire.encodeAttempt(this->request, this->plan), this->request.id, wait, anySent);
     result.sentAt = anySent ? this->sentAt : Time(0);
     switch (status) {
     case SendStatus::Sent:
--- a/pimentosail/net/httpconnection.cpp
+++ b/pimentosail/net/httpconnection.cpp
@@ -17,6 +17,7 @@
 #include <Poco/NumberParser.h>
 #include <Poco/String.h>
 
+#include "pimentosail/base/hash.h"
 #include "pimentosail/base/socketstate.h"
 
 namespace pimentosail
@@ -152,6 +153,20 @@
     return SendStatus::Sent;
 }
 
+SendStatus HttpConnection::sendNamed(const std::string &bytes, const std::string &requestId, const Wait &wait, bool &anySent)
+{
+    this->carriedIds.push_back(stableHash(requestId));
+    return this->send(bytes, wait, anySent);
+}
+
+bool HttpConnection::hasCarried(const std::string &requestId) const
+{
+    if (requestId.empty()) {
+        return !this->carriedIds.empty();
+    }
+    return std::find(this->carriedIds.begin(), this->carriedIds.end(), stableHash(requestId)) != this->carriedIds.end();
+}
+
 ReadStatus HttpConnection::fillBuffer(const Wait &wait)
 {
     if (this->closedByPeer) {
--- a/pimentosail/net/httpconnection.h
+++ b/pimentosail/net/httpconnection.h
@@ -12,8 +12,10 @@
 // Not thread-safe: a connection belongs to one thread at a time.
 #pragma once
 
+#include <cstdint>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/StreamSocket.h>
@@ -77,6 +79,12 @@
     // Sends one complete request. Sets `anySent` as soon as a byte may have reached the target.
     SendStatus send(const std::string &bytes, const Wait &wait, bool &anySent);
 
+    // The same for a request whose answer repeats `requestId`. The connection remembers the id.
+    SendStatus sendNamed(const std::string &bytes, const std::string &requestId, const Wait &wait, bool &anySent);
+
+    // Returns true if a request with this id has been sent on this connection; with an empty id, if any request has.
+    bool hasCarried(const std::string &requestId) const;
+
     // Reads the header of the final answer and skips interim answers (1xx), up to a total size. Returns Data on success.
     // `expectsBody` is false for the answer to HEAD.
     ReadStatus readHeader(Poco::Net::HTTPResponse &header, bool expectsBody, const Wait &wait);
@@ -127,6 +135,8 @@
     ReadStatus endAnswer();
 
     Poco::Net::StreamSocket socket;
+    // Hashes of the ids of the requests that were sent.
+    std::vector<uint64_t> carriedIds;
     // Bytes received and not yet decoded.
     std::string buffer;
     Framing framing = Framing::None;
