upstream: a connection carries each request id once (TWICE, REFUSED)

What callers saw: a request was refused as not run and ran, so that its repeat ran a second time. Cause: a target may write a refusal again when the request that it refused is under way once more on the same connection. The copy bears the id of the present send and the target's statement, so that neither tells whose it is. The pool keeps connections by address and remembered no ids; what kept an id from coming twice was only that an attempt tries each target id once. Two entries at one address, or a caller's repeat, broke that. Change: a connection remembers hashes of the ids that it has carried and refuses to send one again; the pool passes over such connections, and gives none to a request without an id. An answer that bears the id on a connection therefore belongs to the only send of that id there. A connection ends after 1,024 requests, which bounds the memory (8 KB). Ruled out: dropping each connection on which a refusal came. It needs no memory, but costs a new connection for each refusal, and does not cover copies of other answers (a copy of a success reached the caller in place of the present answer).

--- a/pimentosail/entry/attempt.cpp
+++ b/pimentosail/entry/attempt.cpp
@@ -235,7 +235,7 @@
 
 std::unique_ptr<HttpConnection> Attempt::openConnection(const AttemptLimits &limits, AttemptResult &result)
 {
-    std::unique_ptr<HttpConnection> pooled = this->context.connections.take(this->plan.target->address, limits.maxConnectionIdle);
+    std::unique_ptr<HttpConnection> pooled = this->context.connections.take(this->plan.target->address, this->request.id, limits.maxConnectionIdle);
     if (pooled) {
         result.usedPooledConnection = true;
         return pooled;
@@ -268,16 +268,16 @@
     bool anySent = false;
     this->sentAt = this->context.clock.now();
     const Wait wait{this->context.clock, limits.deadline, limits.callerSocket, limits.interrupt};
-    result.isIdRepeated = connection.hasCarried(this->request.id);
-    if (result.isIdRepeated) {
-        this->context.metrics.count("pimentosail_repeated_ids_total", {{"service", this->plan.target->service}});
-    }
     const SendStatus status = connection.sendNamed(this->context.wire.encodeAttempt(this->request, this->plan), this->request.id, wait, anySent);
     result.sentAt = anySent ? this->sentAt : Time(0);
     switch (status) {
     case SendStatus::Sent:
     case SendStatus::AnsweredEarly:
         return true;
+    case SendStatus::IdRepeated:
+        result.end = AttemptEnd::NotSent;
+        result.reason = "the connection has carried this id";
+        return false;
     case SendStatus::Broken:
         result.end = anySent ? AttemptEnd::Lost : AttemptEnd::NotSent;
         break;
--- a/pimentosail/entry/attempt.h
+++ b/pimentosail/entry/attempt.h
@@ -68,8 +68,6 @@
     Time sentAt{};
     // The request was sent on a connection of the pool.
     bool usedPooledConnection = false;
-    // The connection had carried a request with this id before, so that its answer can't be told from this one's.
-    bool isIdRepeated = false;
     // Time from sending the request to the first event, or to the end of an answer without events; zero if there was
     // neither.
     Duration timeToFirstEvent{};
--- a/pimentosail/entry/entryprocess.cpp
+++ b/pimentosail/entry/entryprocess.cpp
@@ -276,6 +276,7 @@
     this->metrics.set("pimentosail_targets", {}, static_cast<double>(this->directory.size()));
     this->metrics.set("pimentosail_hosts", {}, static_cast<double>(this->state.hostCount()));
     this->metrics.set("pimentosail_idle_connections", {}, static_cast<double>(this->connections.size()));
+    this->metrics.set("pimentosail_repeated_ids", {}, static_cast<double>(this->connections.repeatedIds()));
     this->metrics.set("pimentosail_log_lines_dropped", {}, static_cast<double>(this->log.dropped()));
     this->metrics.set("pimentosail_log_lines_suppressed", {}, static_cast<double>(this->log.suppressed()));
     const std::vector<SuspectedBlocks> suspects = this->blockQuarantine.suspects();
--- a/pimentosail/entry/requestrunner.cpp
+++ b/pimentosail/entry/requestrunner.cpp
@@ -272,9 +272,9 @@
     if (result.end != AttemptEnd::Answered || result.header.status >= 400) {
         this->context.log.write(LogLevel::Warning, "attempt_failed",
             {{"id", this->request.id}, {"target", target.id}, {"zone", target.zone}, {"end", attemptEndName(result.end)}, {"status", result.header.status},
-                {"reason", result.reason}, {"kept_connection", result.usedPooledConnection}, {"id_repeated", result.isIdRepeated},
-                {"sent", result.sentAt != Time(0)}, {"stated", result.header.isNotRun}, {"named", !result.header.requestId.empty()},
-                {"signed", result.header.isSigned}, {"arrivals", this->arrivals}, {"possible_runs", this->possibleRuns}, {"version", choice.version},
+                {"reason", result.reason}, {"kept_connection", result.usedPooledConnection}, {"sent", result.sentAt != Time(0)},
+                {"stated", result.header.isNotRun}, {"named", !result.header.requestId.empty()}, {"signed", result.header.isSigned},
+                {"arrivals", this->arrivals}, {"possible_runs", this->possibleRuns}, {"version", choice.version},
                 {"target_failures_permille", target.failurePermille.load()}, {"age_ms", milliseconds(now - this->received)}});
     }
 }
--- a/pimentosail/net/httpconnection.cpp
+++ b/pimentosail/net/httpconnection.cpp
@@ -155,6 +155,9 @@
 
 SendStatus HttpConnection::sendNamed(const std::string &bytes, const std::string &requestId, const Wait &wait, bool &anySent)
 {
+    if (this->hasCarried(requestId)) {
+        return SendStatus::IdRepeated;
+    }
     this->carriedIds.push_back(stableHash(requestId));
     return this->send(bytes, wait, anySent);
 }
@@ -345,7 +348,7 @@
 bool HttpConnection::isReusable() const
 {
     return this->complete && this->requestSent && this->targetKeepsAlive && !this->closedByPeer && this->framing != Framing::UntilClose
-        && this->hasNoPendingInput();
+        && this->carriedIds.size() < MaxCarriedIds && this->hasNoPendingInput();
 }
 
 } // namespace pimentosail
--- a/pimentosail/net/httpconnection.h
+++ b/pimentosail/net/httpconnection.h
@@ -55,6 +55,8 @@
     // The target answered before it had read the complete request. The rest was not sent, so that the connection cannot
     // be reused.
     AnsweredEarly,
+    // The connection has carried a request with the same id. Nothing was sent.
+    IdRepeated,
     Broken,
     Timeout,
     CallerDisconnected,
@@ -66,6 +68,8 @@
 public:
     // Maximum number of bytes that one call of `readBody` appends, unless the header came with more.
     static constexpr size_t MaxReadBytes = 16 * 1024;
+    // Bounds the memory of the ids that a connection has carried.
+    static constexpr size_t MaxCarriedIds = 1024;
 
     // Connects to `address` (`IP:PORT`). Errors: Cancelled if the caller disconnected meanwhile, else TargetLost. They have
     // `notRun` set, because nothing was sent.
@@ -79,7 +83,8 @@
     // Sends one complete request. Sets `anySent` as soon as a byte may have reached the target.
     SendStatus send(const std::string &bytes, const Wait &wait, bool &anySent);
 
-    // The same for a request whose answer repeats `requestId`. The connection remembers the id.
+    // The same for a request whose answer repeats `requestId`. A connection carries an id once only: a peer may send a copy of an earlier
+    // answer, and the id must tell it from the answer to this request.
     SendStatus sendNamed(const std::string &bytes, const std::string &requestId, const Wait &wait, bool &anySent);
 
     // Returns true if a request with this id has been sent on this connection; with an empty id, if any request has.
@@ -96,8 +101,8 @@
     // Returns true if neither a byte nor the close of the connection is pending, so that another request may be sent.
     bool hasNoPendingInput() const;
 
-    // Returns true if the last request was sent completely, its answer is complete, and the target keeps the connection
-    // open.
+    // Returns true if the last request was sent completely, its answer is complete, the target keeps the connection open, and the
+    // connection has carried fewer than `MaxCarriedIds` requests with ids.
     bool isReusable() const;
 
     // Returns true if only the close of the connection marked the end of the last answer, so that the answer may lack its end.
--- a/pimentosail/upstream/pool.cpp
+++ b/pimentosail/upstream/pool.cpp
@@ -24,7 +24,7 @@
 
 } // namespace
 
-std::unique_ptr<HttpConnection> ConnectionPool::take(const std::string &address, Duration maxIdle)
+std::unique_ptr<HttpConnection> ConnectionPool::take(const std::string &address, const std::string &requestId, Duration maxIdle)
 {
     std::unique_ptr<HttpConnection> result;
     std::deque<std::unique_ptr<HttpConnection>> rejected;
@@ -36,20 +36,25 @@
         }
         std::deque<std::unique_ptr<HttpConnection>> &connections = found->second;
         const Time now = this->clock.now();
-        while (!connections.empty() && !result) {
-            std::unique_ptr<HttpConnection> connection = std::move(connections.back());
-            connections.pop_back();
-            const Duration idleFor = now - connection->lastUsed;
-            if (idleFor > maxUsableIdle(*connection) || !connection->hasNoPendingInput()) {
-                rejected.push_back(std::move(connection));
+        for (size_t position = connections.size(); position > 0 && !result; --position) {
+            const auto entry = connections.begin() + static_cast<std::ptrdiff_t>(position - 1);
+            HttpConnection &connection = **entry;
+            const Duration idleFor = now - connection.lastUsed;
+            if (idleFor > maxUsableIdle(connection) || !connection.hasNoPendingInput()) {
+                rejected.push_back(std::move(*entry));
+                connections.erase(entry);
                 continue;
             }
             if (idleFor > maxIdle) {
                 // The other connections have been idle for longer, but can still serve requests that may be repeated.
-                connections.push_back(std::move(connection));
                 break;
             }
-            result = std::move(connection);
+            if (connection.hasCarried(requestId)) {
+                this->repeatedIdCount.fetch_add(1);
+                continue;
+            }
+            result = std::move(*entry);
+            connections.erase(entry);
         }
     }
     return result;
--- a/pimentosail/upstream/pool.h
+++ b/pimentosail/upstream/pool.h
@@ -1,13 +1,15 @@
 // Idle connections to targets, kept for reuse.
 //
-//     std::unique_ptr<HttpConnection> connection = pool.take(address, MaxIdleForUnsafe);
+//     std::unique_ptr<HttpConnection> connection = pool.take(address, requestId, MaxIdleForUnsafe);
 //     if (!connection) { ... HttpConnection::connect ... }
 //     pool.put(address, std::move(connection));
 //
-// `take` returns a connection only if no input is pending on it and it has not been idle for longer than allowed,
-// because a target may close an idle connection while a request is on its way to it. Thread-safe.
+// `take` returns a connection only if no input is pending on it, it has not been idle for longer than allowed, because a
+// target may close an idle connection while a request is on its way to it, and it has not carried the request's id.
+// Thread-safe.
 #pragma once
 
+#include <atomic>
 #include <deque>
 #include <map>
 #include <memory>
@@ -27,9 +29,9 @@
     {
     }
 
-    // Returns the connection to `address` that was used last, or nullptr if there is none or it has been idle for
-    // longer than `maxIdle`.
-    std::unique_ptr<HttpConnection> take(const std::string &address, Duration maxIdle);
+    // Returns the connection to `address` that was used last among those that have not carried a request with the id `requestId`, or
+    // nullptr if there is none or it has been idle for longer than `maxIdle`. A request without an id gets none.
+    std::unique_ptr<HttpConnection> take(const std::string &address, const std::string &requestId, Duration maxIdle);
 
     // Keeps `connection` if it is reusable; closes it otherwise.
     void put(const std::string &address, std::unique_ptr<HttpConnection> connection);
@@ -43,11 +45,18 @@
     // Returns the number of idle connections.
     size_t size() const;
 
+    // Returns how often a connection was passed over because it had carried the id of the request.
+    int64_t repeatedIds() const
+    {
+        return this->repeatedIdCount.load();
+    }
+
 private:
     const Clock &clock;
     mutable std::mutex mutex;
     // Idle connections by address, the one used last at the back.
     std::map<std::string, std::deque<std::unique_ptr<HttpConnection>>> idle;
+    std::atomic<int64_t> repeatedIdCount{0};
 };
 
 } // namespace pimentosail
--- a/pimentosail/upstream/upstreamtest.cpp
+++ b/pimentosail/upstream/upstreamtest.cpp
@@ -310,7 +310,7 @@
     pool.put(peer.address(), std::move(*connection));
     cr_assert_eq(pool.size(), 1);
     Clock().sleepFor(Milliseconds(500));
-    cr_assert_null(pool.take(peer.address(), std::chrono::seconds(10)).get());
+    cr_assert_null(pool.take(peer.address(), "next", std::chrono::seconds(10)).get());
 }
 
 // Guards against a read that never ends while the target sends faster than the host reads.
@@ -434,3 +434,65 @@
     clock.sleepFor(Milliseconds(200));
     cr_assert(wasReset.load());
 }
+
+namespace
+{
+
+// Sends a request with the id `id` and reads its answer, which is empty.
+void exchangeNamed(HttpConnection &connection, const std::string &id)
+{
+    bool anySent = false;
+    cr_assert(connection.sendNamed("GET / HTTP/1.1\r\n\r\n", id, waitFor(TestWait), anySent) == SendStatus::Sent);
+    Poco::Net::HTTPResponse header;
+    std::string body;
+    cr_assert(connection.readHeader(header, true, waitFor(TestWait)) == ReadStatus::Data);
+    while (connection.readBody(body, waitFor(TestWait)) == ReadStatus::Data) { }
+}
+
+// Answers `count` requests on one connection.
+ScriptedPeer::Script answering(size_t count)
+{
+    return [count](Poco::Net::StreamSocket &socket) {
+        for (size_t request = 0; request < count; ++request) {
+            receiveRequestHeader(socket);
+            sendText(socket, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        }
+        receiveRequestHeader(socket);
+    };
+}
+
+} // namespace
+
+// Guards against a refusal of an earlier send that is taken for the answer to a later send of the same id.
+Test(upstream, a_connection_carries_an_id_once)
+{
+    ScriptedPeer peer(answering(2));
+    Clock clock;
+    ConnectionPool pool(clock);
+    std::unique_ptr<HttpConnection> connection = std::move(*HttpConnection::connect(peer.address(), waitFor(TestWait)));
+    exchangeNamed(*connection, "first");
+    bool anySent = false;
+    cr_assert(connection->sendNamed("GET / HTTP/1.1\r\n\r\n", "first", waitFor(TestWait), anySent) == SendStatus::IdRepeated);
+    cr_assert(connection->sendNamed("GET / HTTP/1.1\r\n\r\n", "", waitFor(TestWait), anySent) == SendStatus::IdRepeated, "without an id, on a used connection");
+    cr_assert_not(anySent);
+    pool.put(peer.address(), std::move(connection));
+    cr_assert_null(pool.take(peer.address(), "first", std::chrono::seconds(10)).get());
+    cr_assert_null(pool.take(peer.address(), "", std::chrono::seconds(10)).get());
+    cr_assert_eq(pool.repeatedIds(), 2);
+    connection = pool.take(peer.address(), "second", std::chrono::seconds(10));
+    cr_assert_not_null(connection.get(), "a request with another id uses the connection");
+    exchangeNamed(*connection, "second");
+    cr_assert(connection->hasCarried("first"));
+}
+
+// Guards against ids of requests that take more and more memory.
+Test(upstream, a_connection_that_has_carried_its_number_of_ids_is_not_kept)
+{
+    ScriptedPeer peer(answering(HttpConnection::MaxCarriedIds));
+    std::unique_ptr<HttpConnection> connection = std::move(*HttpConnection::connect(peer.address(), waitFor(TestWait)));
+    for (size_t request = 0; request < HttpConnection::MaxCarriedIds; ++request) {
+        cr_assert(request == 0 || connection->isReusable());
+        exchangeNamed(*connection, std::to_string(request));
+    }
+    cr_assert_not(connection->isReusable());
+}
