kv: positions, leases and conditions bear the era of the store; the store in memory can be restored from a copy

A store that comes back from an older copy gives out revisions and lease ids again, so that they mean something only together with their era. The interface says so; the store in memory does it (era, revisions and lease ids given out again, watches from revisions that it does not have report a lost history). Nothing reads the eras yet; the client of the platform's store reports era 0.

--- a/pimentosail/entry/hostduty.cpp
+++ b/pimentosail/entry/hostduty.cpp
@@ -57,12 +57,12 @@
 {
     this->stopping.store(true);
     this->thread.join();
-    if (this->lease != 0) {
+    if (this->lease.isGranted()) {
         try {
-            this->store.revokeLease(std::exchange(this->lease, 0));
+            this->store.revokeLease(std::exchange(this->lease, {}));
         } catch (const Failure &failure) {
             // The lease expires by itself.
-            this->context.log.write(LogLevel::Warning, "lease_not_ended", {{"lease", this->lease}, {"reason", failure.what()}});
+            this->context.log.write(LogLevel::Warning, "lease_not_ended", {{"lease", this->lease.id}, {"reason", failure.what()}});
         }
     }
 }
@@ -70,11 +70,11 @@
 void HostDuty::renew()
 {
     try {
-        if (this->lease != 0 && !this->store.keepAlive(this->lease)) {
-            this->context.log.write(LogLevel::Warning, "host_lease_ended", {{"lease", this->lease}});
-            this->lease = 0;
+        if (this->lease.isGranted() && !this->store.keepAlive(this->lease)) {
+            this->context.log.write(LogLevel::Warning, "host_lease_ended", {{"lease", this->lease.id}});
+            this->lease = {};
         }
-        if (this->lease == 0) {
+        if (!this->lease.isGranted()) {
             this->lease = this->store.grantLease(HostLease);
             this->isWritten = false;
         }
@@ -87,7 +87,7 @@
             value["load_format"] = LoadFormat;
             const CommitOutcome outcome = this->store.commit({{}, {{HostsPrefix + this->context.settings.name, printJson(value), this->lease}}, {}});
             this->isWritten = outcome.status == CommitStatus::Committed;
-            this->lease = outcome.status == CommitStatus::LeaseEnded ? 0 : this->lease;
+            this->lease = outcome.status == CommitStatus::LeaseEnded ? StoreLease{} : this->lease;
         }
     } catch (const Failure &) {
         // The mirror logs that the store is unreachable. The renewal is tried again after the next interval.
@@ -160,7 +160,7 @@
     StoreTransaction transaction;
     try {
         for (const AgeMark &mark : ageMarks(age, makeAgeRecord(limit, Duration(0), spread))) {
-            const int64_t markLease = this->store.grantLease(mark.ttl);
+            const StoreLease markLease = this->store.grantLease(mark.ttl);
             if (this->context.clock.nowWithSuspend() > begin + MaxGrantTime) {
                 this->context.log.write(LogLevel::Warning, "version_time_not_recorded", {{"version", name}, {"reason", "the store is slow"}});
                 return;
--- a/pimentosail/entry/rolloutduty.cpp
+++ b/pimentosail/entry/rolloutduty.cpp
@@ -76,11 +76,11 @@
 {
     this->stopping.store(true);
     this->thread.join();
-    if (this->lease != 0) {
+    if (this->lease.isGranted()) {
         try {
-            this->store.revokeLease(std::exchange(this->lease, 0));
+            this->store.revokeLease(std::exchange(this->lease, {}));
         } catch (const Failure &failure) {
-            this->context.log.write(LogLevel::Warning, "lease_not_ended", {{"lease", this->lease}, {"reason", failure.what()}});
+            this->context.log.write(LogLevel::Warning, "lease_not_ended", {{"lease", this->lease.id}, {"reason", failure.what()}});
         }
     }
 }
@@ -95,7 +95,7 @@
 {
     this->context.log.write(LogLevel::Warning, "rollout_right_lost", {{"fence", this->fencingToken}, {"reason", reason}});
     this->fencingToken = 0;
-    this->lease = 0;
+    this->lease = {};
     this->mayOrderFrom = Time::max();
 }
 
@@ -118,7 +118,7 @@
     const CommitOutcome outcome = this->store.commit({{{RolloutLeaderKey, 0}}, {{RolloutLeaderKey, printJson(value), this->lease}}, {}});
     if (outcome.status != CommitStatus::Committed) {
         this->store.revokeLease(this->lease);
-        this->lease = 0;
+        this->lease = {};
         return;
     }
     this->fencingToken = outcome.revision;
@@ -167,7 +167,7 @@
             this->loseLeadership("not renewed in time");
         } else if (this->fencingToken == 0) {
             // The key may have been written although the answer was lost. It is removed when its lease ends.
-            this->lease = 0;
+            this->lease = {};
         }
     }
 }
@@ -187,7 +187,7 @@
     try {
         // The lease starts before the announcement. It is long enough to end no earlier than `leaderGap` after the last
         // load order that the announcement permits.
-        const int64_t recent = this->store.grantLease(2 * OrderWindow + this->context.settings.leaderGap);
+        const StoreLease recent = this->store.grantLease(2 * OrderWindow + this->context.settings.leaderGap);
         const CommitOutcome outcome = this->store.commit({{{RolloutLeaderKey, this->fencingToken}},
             {{RolloutStateKey, encodeAnnouncement(announcement), 0}, {RecentLoadOrderKey, std::to_string(this->fencingToken), recent}}, {}});
         if (outcome.status == CommitStatus::Committed) {
--- a/pimentosail/entry/storeduties.h
+++ b/pimentosail/entry/storeduties.h
@@ -51,8 +51,7 @@
     EntryContext &context;
     PrefixStore store;
     const StoreMirror &mirror;
-    // 0 if this host has no lease.
-    int64_t lease = 0;
+    StoreLease lease;
     bool isWritten = false;
     uint64_t publishedChanges = 0;
     // Time of `Clock::nowWithSuspend`.
@@ -132,7 +131,7 @@
     PrefixStore store;
     const StoreMirror &mirror;
     std::string nonce;
-    int64_t lease = 0;
+    StoreLease lease;
     // Store revision at which this host became the leader; 0 if it is not the leader.
     int64_t fencingToken = 0;
     // The leadership is certain until this time. This and the next three times are on the clock that includes suspension.
--- a/pimentosail/kv/memoryprefixstore.cpp
+++ b/pimentosail/kv/memoryprefixstore.cpp
@@ -30,20 +30,25 @@
     store.grantLease = [this](Duration ttl) {
         const std::lock_guard lock(this->mutex);
         this->throwIfDown();
-        this->leases[this->nextLease] = {ttl, this->clock.nowWithSuspend() + ttl};
-        return this->nextLease++;
+        this->state.leases[this->state.nextLease] = {ttl, this->clock.nowWithSuspend() + ttl};
+        return StoreLease{this->state.nextLease++, this->era};
     };
-    store.keepAlive = [this](int64_t lease) {
+    store.keepAlive = [this](const StoreLease &lease) {
         const std::lock_guard lock(this->mutex);
         this->throwIfDown();
         this->endExpiredLeases();
-        Lease &renewed = this->leases[lease];
-        const bool isAlive = renewed.end > Time(0);
-        renewed.end = isAlive ? this->clock.nowWithSuspend() + renewed.ttl : Time(0);
+        const bool isAlive = this->isAlive(lease);
+        if (isAlive) {
+            Lease &renewed = this->state.leases.at(lease.id);
+            renewed.end = this->clock.nowWithSuspend() + renewed.ttl;
+        }
         return isAlive;
     };
-    store.revokeLease = [this](int64_t lease) {
-        this->expireLease(lease);
+    store.revokeLease = [this](const StoreLease &lease) {
+        const std::lock_guard lock(this->mutex);
+        if (lease.era == this->era) {
+            this->revokeLease(lease.id);
+        }
     };
     return store;
 }
@@ -57,15 +62,15 @@
 
 void MemoryPrefixStore::write(const std::string &key, const std::string &value, int64_t lease)
 {
-    this->entries[key] = {value, ++this->revision, lease};
-    this->history.push_back({{key, value, this->revision}, false});
+    this->state.entries[key] = {value, ++this->state.revision, lease};
+    this->state.history.push_back({{key, value, this->state.revision}, false});
     this->changed.notify_all();
 }
 
 void MemoryPrefixStore::erase(const std::string &key)
 {
-    if (this->entries.erase(key) > 0) {
-        this->history.push_back({{key, "", ++this->revision}, true});
+    if (this->state.entries.erase(key) > 0) {
+        this->state.history.push_back({{key, "", ++this->state.revision}, true});
         this->changed.notify_all();
     }
 }
@@ -92,8 +97,8 @@
 void MemoryPrefixStore::compact()
 {
     const std::lock_guard lock(this->mutex);
-    this->compactedAt = this->revision;
-    this->history.clear();
+    this->state.compactedAt = this->state.revision;
+    this->state.history.clear();
 }
 
 void MemoryPrefixStore::loseNextAnswers(int count)
@@ -102,6 +107,36 @@
     this->answersLeftToLose = count;
 }
 
+MemoryPrefixStore::Copy MemoryPrefixStore::copy() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->state;
+}
+
+int64_t MemoryPrefixStore::currentEra() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->era;
+}
+
+void MemoryPrefixStore::restore(const Copy &older)
+{
+    const std::lock_guard lock(this->mutex);
+    this->state = older;
+    ++this->era;
+    const Time now = this->clock.nowWithSuspend();
+    for (auto &[id, lease] : this->state.leases) {
+        lease.end = lease.end == Time(0) ? Time(0) : now + lease.ttl;
+    }
+    this->changed.notify_all();
+}
+
+bool MemoryPrefixStore::isAlive(const StoreLease &lease) const
+{
+    const auto found = this->state.leases.find(lease.id);
+    return lease.era == this->era && found != this->state.leases.end() && found->second.end > Time(0);
+}
+
 void MemoryPrefixStore::expireLease(int64_t lease)
 {
     const std::lock_guard lock(this->mutex);
@@ -111,7 +146,7 @@
 void MemoryPrefixStore::endExpiredLeases()
 {
     const Time now = this->clock.nowWithSuspend();
-    for (const auto &[id, lease] : this->leases) {
+    for (const auto &[id, lease] : this->state.leases) {
         if (lease.end > Time(0) && lease.end <= now) {
             this->revokeLease(id);
         }
@@ -120,9 +155,9 @@
 
 void MemoryPrefixStore::revokeLease(int64_t lease)
 {
-    this->leases[lease].end = Time(0);
+    this->state.leases[lease].end = Time(0);
     std::vector<std::string> keys;
-    for (const auto &[key, entry] : this->entries) {
+    for (const auto &[key, entry] : this->state.entries) {
         if (entry.lease == lease) {
             keys.push_back(key);
         }
@@ -135,8 +170,8 @@
 std::string MemoryPrefixStore::value(const std::string &key) const
 {
     const std::lock_guard lock(this->mutex);
-    const auto found = this->entries.find(key);
-    return found == this->entries.end() ? "" : found->second.value;
+    const auto found = this->state.entries.find(key);
+    return found == this->state.entries.end() ? "" : found->second.value;
 }
 
 long MemoryPrefixStore::commits() const
@@ -151,10 +186,11 @@
     this->throwIfDown();
     this->endExpiredLeases();
     StoreListing listing;
-    listing.revision = this->revision;
-    for (const auto &[key, entry] : this->entries) {
+    listing.revision = this->state.revision;
+    listing.era = this->era;
+    for (const auto &[key, entry] : this->state.entries) {
         if (key.starts_with(prefix)) {
-            listing.items.push_back({key, entry.value, entry.revision});
+            listing.items.push_back({key, entry.value, entry.revision, this->era});
         }
     }
     return listing;
@@ -163,9 +199,9 @@
 StoreChanges MemoryPrefixStore::watch(const std::string &prefix, int64_t afterRevision, Duration wait)
 {
     std::unique_lock lock(this->mutex);
-    const auto canReturn = [this, afterRevision] {
+    const auto canReturn = [this, afterRevision, firstEra = this->era] {
         this->endExpiredLeases();
-        return this->down || this->revision > afterRevision;
+        return this->down || this->era != firstEra || this->state.revision != afterRevision;
     };
     for (Duration left = wait; left > Duration(0); left -= LeaseCheckInterval) {
         if (this->changed.wait_for(lock, std::min(left, LeaseCheckInterval), canReturn)) {
@@ -174,11 +210,13 @@
     }
     this->throwIfDown();
     StoreChanges result;
-    result.revision = this->revision;
-    result.isCompacted = afterRevision < this->compactedAt;
-    for (const StoreChange &change : this->history) {
+    result.revision = this->state.revision;
+    result.era = this->era;
+    result.isCompacted = afterRevision < this->state.compactedAt || afterRevision > this->state.revision;
+    for (const StoreChange &change : this->state.history) {
         if (change.item.revision > afterRevision && change.item.key.starts_with(prefix)) {
             result.changes.push_back(change);
+            result.changes.back().item.era = this->era;
         }
     }
     return result;
@@ -191,18 +229,19 @@
     this->endExpiredLeases();
     ++this->commitCount;
     for (const StoreCondition &condition : transaction.conditions) {
-        const auto found = this->entries.find(condition.key);
-        if ((found == this->entries.end() ? 0 : found->second.revision) != condition.revision) {
-            return {CommitStatus::ConditionFailed, this->revision};
+        const auto found = this->state.entries.find(condition.key);
+        const bool isOfEarlierEra = condition.revision != 0 && condition.era != this->era;
+        if (isOfEarlierEra || (found == this->state.entries.end() ? 0 : found->second.revision) != condition.revision) {
+            return {CommitStatus::ConditionFailed, this->state.revision, this->era};
         }
     }
     for (const StorePut &put : transaction.puts) {
-        if (put.lease != 0 && this->leases[put.lease].end == Time(0)) {
-            return {CommitStatus::LeaseEnded, this->revision};
+        if (put.lease.isGranted() && !this->isAlive(put.lease)) {
+            return {CommitStatus::LeaseEnded, this->state.revision, this->era};
         }
     }
     for (const StorePut &put : transaction.puts) {
-        this->write(put.key, put.value, put.lease);
+        this->write(put.key, put.value, put.lease.id);
     }
     for (const std::string &key : transaction.removals) {
         this->erase(key);
@@ -211,7 +250,7 @@
         --this->answersLeftToLose;
         throw Failure(ErrorKind::KeyValueUnavailable, "the answer was lost");
     }
-    return {CommitStatus::Committed, this->revision};
+    return {CommitStatus::Committed, this->state.revision, this->era};
 }
 
 } // namespace pimentosail
--- a/pimentosail/kv/memoryprefixstore.h
+++ b/pimentosail/kv/memoryprefixstore.h
@@ -1,5 +1,5 @@
 // A `PrefixStore` in memory for tests that can simulate faults of a real store: an outage, lost answers, a compacted
-// history, and leases that end.
+// history, leases that end, and a return from an older copy.
 //
 //     MemoryPrefixStore memory(clock);
 //     PrefixStore store = memory.asPrefixStore();
@@ -43,14 +43,9 @@
     // Makes the next `count` commits take effect and then throw.
     void loseNextAnswers(int count);
 
-    // Ends a lease now.
+    // Ends a lease of the present era now.
     void expireLease(int64_t lease);
 
-    // Returns the value of `key`, or an empty string if the key is absent.
-    std::string value(const std::string &key) const;
-    // Returns the number of calls of `commit` so far.
-    long commits() const;
-
 private:
     struct Entry
     {
@@ -66,8 +61,37 @@
         Time end{};
     };
 
+public:
+    // What a store loses or gets back when it is restored.
+    struct Copy
+    {
+        std::map<std::string, Entry> entries;
+        std::map<int64_t, Lease> leases;
+        std::vector<StoreChange> history;
+        int64_t revision = 1;
+        int64_t compactedAt = 0;
+        int64_t nextLease = 1;
+    };
+
+    // Returns a copy of the present contents.
+    Copy copy() const;
+
+    // Returns the era of the store, which begins with 0.
+    int64_t currentEra() const;
+
+    // Replaces the contents by `older` and begins the next era. Revisions and lease ids after the copy are given out again. The leases of the
+    // copy run anew.
+    void restore(const Copy &older);
+
+    // Returns the value of `key`, or an empty string if the key is absent.
+    std::string value(const std::string &key) const;
+    // Returns the number of calls of `commit` so far.
+    long commits() const;
+
+private:
     void throwIfDown() const;
     void endExpiredLeases();
+    bool isAlive(const StoreLease &lease) const;
     void revokeLease(int64_t lease);
     void write(const std::string &key, const std::string &value, int64_t lease);
     void erase(const std::string &key);
@@ -78,12 +102,8 @@
     Clock &clock;
     mutable std::mutex mutex;
     std::condition_variable changed;
-    std::map<std::string, Entry> entries;
-    std::map<int64_t, Lease> leases;
-    std::vector<StoreChange> history;
-    int64_t revision = 1;
-    int64_t compactedAt = 0;
-    int64_t nextLease = 1;
+    Copy state;
+    int64_t era = 0;
     long commitCount = 0;
     int answersLeftToLose = 0;
     bool down = false;
--- a/pimentosail/kv/prefixstore.h
+++ b/pimentosail/kv/prefixstore.h
@@ -7,8 +7,13 @@
 //
 // Every function can throw `Failure` (KeyValueUnavailable). After that it is unknown whether a `commit` took effect, and
 // it may still take effect later if its conditions are met then. All functions are thread-safe.
+//
+// A store may come back from an older copy. It then begins a new era: what was written after the copy is lost, and revisions and lease
+// ids are given out again. So a revision or a lease means something only together with its era. Conditions on revisions of an earlier
+// era fail, and leases of an earlier era have ended. A call during which the era changed throws, as a call without an answer does.
 #pragma once
 
+#include <compare>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -19,12 +24,29 @@
 namespace pimentosail
 {
 
+// A moment of the store. All positions of an era are before those of later eras.
+struct StorePosition
+{
+    int64_t era = 0;
+    // 0: before the first write.
+    int64_t revision = 0;
+
+    friend auto operator<=>(const StorePosition &, const StorePosition &) = default;
+};
+
 struct StoredItem
 {
     std::string key;
     std::string value;
     // Revision of the store at the last write of the key.
     int64_t revision = 0;
+    // Era in which the item was read.
+    int64_t era = 0;
+
+    StorePosition position() const
+    {
+        return {this->era, this->revision};
+    }
 };
 
 struct StoreChange
@@ -41,6 +63,7 @@
     // Revision of the store when the last page was read. If it is above `revision`, the listing may have changes after `revision`, and lack
     // keys that were removed after it.
     int64_t lastPageRevision = 0;
+    int64_t era = 0;
 };
 
 // The changes after a revision.
@@ -51,21 +74,37 @@
     int64_t revision = 0;
     // True if the store no longer has all changes after the requested revision, so the caller must list again.
     bool isCompacted = false;
+    // Era of the answer. If it is not that of the revision from which the caller watched, `changes` are of another history, and the
+    // caller must list again.
+    int64_t era = 0;
+};
+
+// A lease. Its id is 0 if there is none.
+struct StoreLease
+{
+    int64_t id = 0;
+    int64_t era = 0;
+
+    bool isGranted() const
+    {
+        return this->id != 0;
+    }
 };
 
 struct StorePut
 {
     std::string key;
     std::string value;
-    // The key is removed when this lease ends; 0: it does not expire.
-    int64_t lease = 0;
+    // The key is removed when this lease ends; without a lease, it does not expire.
+    StoreLease lease;
 };
 
-// A condition of a transaction: the revision that a key must have; 0: the key must not exist.
+// A condition of a transaction: the revision that a key must have, and its era; revision 0: the key must not exist.
 struct StoreCondition
 {
     std::string key;
     int64_t revision = 0;
+    int64_t era = 0;
 };
 
 // Writes and removals that take effect together, and only if all conditions are met.
@@ -85,8 +124,14 @@
 struct CommitOutcome
 {
     CommitStatus status = CommitStatus::ConditionFailed;
-    // Revision of the commit.
+    // Revision and era of the commit.
     int64_t revision = 0;
+    int64_t era = 0;
+
+    StorePosition position() const
+    {
+        return {this->era, this->revision};
+    }
 };
 
 struct PrefixStore
@@ -95,12 +140,12 @@
     // Returns as soon as the store has a revision above `afterRevision`, or after `wait`.
     std::function<StoreChanges(const std::string &prefix, int64_t afterRevision, Duration wait)> watch;
     std::function<CommitOutcome(const StoreTransaction &transaction)> commit;
-    // Creates a lease that ends `ttl` after its last renewal. Returns its id.
-    std::function<int64_t(Duration ttl)> grantLease;
+    // Creates a lease that ends `ttl` after its last renewal.
+    std::function<StoreLease(Duration ttl)> grantLease;
     // Renews a lease. Returns false if it has ended.
-    std::function<bool(int64_t lease)> keepAlive;
-    // Ends a lease and removes its keys.
-    std::function<void(int64_t lease)> revokeLease;
+    std::function<bool(const StoreLease &lease)> keepAlive;
+    // Ends a lease and removes its keys. Does nothing for a lease of an earlier era.
+    std::function<void(const StoreLease &lease)> revokeLease;
 };
 
 // Returns all keys of the store as they were at the revision of the returned listing, also if the store changed while its pages were read.
