--- a/pimentosail/entry/entryprocess.cpp
+++ b/pimentosail/entry/entryprocess.cpp
@@ -89,8 +89,8 @@
     MirrorPeers mirrorPeers();
     std::string answerCacheChanges(const HttpExchange &exchange);
     CacheChanges fetchCacheChanges(const HostEntry &relay, const JournalPosition &position, Duration wait);
-    MirrorChanges fetchStoreChangesFromAnyHost(int64_t revision, Duration wait);
-    MirrorChanges fetchStoreChanges(const std::string &address, int64_t revision, Duration wait);
+    MirrorChanges fetchStoreChangesFromAnyHost(const StorePosition &position, Duration wait);
+    MirrorChanges fetchStoreChanges(const std::string &address, const StorePosition &position, Duration wait);
     Json::Value dumpState();
     bool isReady();
     void logBlocked();
@@ -175,7 +175,9 @@
     , rpc({{"store_changes",
                [this](const Json::Value &arguments) {
                    const Duration wait = std::min<Duration>(Milliseconds(jsonInteger(arguments, "wait_ms")), MaxPeerWait);
-                   return encodeStoreChanges(this->mirror.changesAfter(jsonInteger(arguments, "after"), wait));
+                   // A host of an earlier version names no era.
+                   const int64_t era = jsonInteger(arguments, "era", this->mirror.status().era);
+                   return encodeStoreChanges(this->mirror.changesAfter({era, jsonInteger(arguments, "after")}, wait));
                }},
           {"cache_changes",
               [this](const Json::Value &arguments) {
@@ -300,15 +302,15 @@
 MirrorPeers EntryProcess::Impl::mirrorPeers()
 {
     MirrorPeers result;
-    result.fetchFromAny = [this](int64_t revision, Duration wait) {
-        return this->fetchStoreChangesFromAnyHost(revision, wait);
+    result.fetchFromAny = [this](const StorePosition &position, Duration wait) {
+        return this->fetchStoreChangesFromAnyHost(position, wait);
     };
-    result.fetchFromRelay = [this](int64_t revision, Duration wait) {
+    result.fetchFromRelay = [this](const StorePosition &position, Duration wait) {
         const std::optional<HostEntry> source = this->state.storeSource();
         if (!source) {
             throw Failure(ErrorKind::PeerLost, "no relay is known");
         }
-        return this->fetchStoreChanges(source->address, revision, wait);
+        return this->fetchStoreChanges(source->address, position, wait);
     };
     result.skipRelay = [this] {
         if (const std::optional<HostEntry> source = this->state.storeSource()) {
@@ -324,10 +326,11 @@
     return result;
 }
 
-MirrorChanges EntryProcess::Impl::fetchStoreChanges(const std::string &address, int64_t revision, Duration wait)
+MirrorChanges EntryProcess::Impl::fetchStoreChanges(const std::string &address, const StorePosition &position, Duration wait)
 {
     Json::Value arguments;
-    arguments["after"] = Json::Int64(revision);
+    arguments["era"] = Json::Int64(position.era);
+    arguments["after"] = Json::Int64(position.revision);
     arguments["wait_ms"] = Json::Int64(toMilliseconds(wait));
     MirrorChanges changes = decodeStoreChanges(this->peers.call(address, "store_changes", arguments, wait + PeerCallMargin));
     changes.sender = address;
@@ -355,7 +358,7 @@
     return decodeCacheChanges(this->peers.call(relay.address, "cache_changes", arguments, wait + PeerCallMargin));
 }
 
-MirrorChanges EntryProcess::Impl::fetchStoreChangesFromAnyHost(int64_t revision, Duration wait)
+MirrorChanges EntryProcess::Impl::fetchStoreChangesFromAnyHost(const StorePosition &position, Duration wait)
 {
     std::vector<std::string> addresses = this->settings.peers;
     for (const HostEntry &host : this->state.hosts()) {
@@ -366,7 +369,7 @@
         throw Failure(ErrorKind::PeerLost, "no other host is known");
     }
     static thread_local std::mt19937_64 random{std::random_device{}()};
-    return this->fetchStoreChanges(addresses[random() % addresses.size()], revision, wait);
+    return this->fetchStoreChanges(addresses[random() % addresses.size()], position, wait);
 }
 
 Json::Value EntryProcess::Impl::dumpState()
@@ -377,6 +380,7 @@
     value["ready"] = this->isReady();
     const MirrorStatus status = this->mirror.status();
     value["store"]["reachable"] = status.isReachable;
+    value["store"]["era"] = Json::Int64(status.era);
     value["store"]["revision"] = Json::Int64(status.revision);
     const ServingConfigurationPointer serving = this->state.serving();
     value["configuration"]["version"] = Json::Int64(serving ? serving->all().version : 0);
--- a/pimentosail/entry/peermessages.cpp
+++ b/pimentosail/entry/peermessages.cpp
@@ -24,6 +24,8 @@
 {
     MirrorChanges changes;
     changes.revision = jsonInteger(value, "revision");
+    // A host of an earlier version sends none.
+    changes.era = jsonInteger(value, "era");
     changes.isSnapshot = jsonBoolean(value, "snapshot");
     changes.isReachable = jsonBoolean(value, "reachable");
     changes.answerAge = Milliseconds(jsonInteger(value, "answer_age_ms"));
@@ -79,6 +81,7 @@
 {
     Json::Value value;
     value["revision"] = Json::Int64(changes.revision);
+    value["era"] = Json::Int64(changes.era);
     value["snapshot"] = changes.isSnapshot;
     value["reachable"] = changes.isReachable;
     value["answer_age_ms"] = Json::Int64(toMilliseconds(changes.answerAge));
--- a/pimentosail/entry/peermessagestest.cpp
+++ b/pimentosail/entry/peermessagestest.cpp
@@ -10,13 +10,14 @@
 {
     MirrorChanges sent;
     sent.revision = 42;
+    sent.era = 3;
     sent.isSnapshot = true;
     sent.isReachable = true;
     sent.answerAge = Milliseconds(30);
     sent.completeAge = Milliseconds(40);
     sent.changes = {{{"a", "1", 40}, false}, {{"b", "", 41}, true}, {{"foreign", "\xff\xfe\x01", 42}, false}};
     const MirrorChanges decoded = decodeStoreChanges(parseJson(printJson(encodeStoreChanges(sent))));
-    cr_assert_eq(decoded.revision, 42);
+    cr_assert(decoded.position() == (StorePosition{3, 42}));
     cr_assert(decoded.isSnapshot && decoded.isReachable);
     cr_assert_eq(decoded.answerAge, Duration(Milliseconds(30)));
     cr_assert(decoded.completeAge >= sent.completeAge && decoded.completeAge <= sent.completeAge + Milliseconds(1));
--- a/pimentosail/kv/prefixstore.h
+++ b/pimentosail/kv/prefixstore.h
@@ -40,7 +40,7 @@
     std::string value;
     // Revision of the store at the last write of the key.
     int64_t revision = 0;
-    // Era in which the item was read.
+    // Era in which this write was first read.
     int64_t era = 0;
 
     StorePosition position() const
--- a/pimentosail/mirror/mirrortest.cpp
+++ b/pimentosail/mirror/mirrortest.cpp
@@ -20,10 +20,10 @@
                  }};
     std::mutex mutex;
     std::set<std::string> changedKeys;
-    PeerSource peers = [](int64_t, Duration) -> MirrorChanges {
+    PeerSource peers = [](const StorePosition &, Duration) -> MirrorChanges {
         throw Failure(ErrorKind::PeerLost, "no peer");
     };
-    PeerSource relay = [](int64_t, Duration) -> MirrorChanges {
+    PeerSource relay = [](const StorePosition &, Duration) -> MirrorChanges {
         throw Failure(ErrorKind::PeerLost, "no relay");
     };
     std::atomic<bool> watchesStore{true};
@@ -32,8 +32,8 @@
     std::unique_ptr<StoreMirror> make()
     {
         return std::make_unique<StoreMirror>(this->clock, this->log, this->memory.asPrefixStore(),
-            MirrorPeers{[this](int64_t revision, Duration wait) { return this->peers(revision, wait); },
-                [this](int64_t revision, Duration wait) { return this->relay(revision, wait); }, [this] { ++this->skipped; },
+            MirrorPeers{[this](const StorePosition &position, Duration wait) { return this->peers(position, wait); },
+                [this](const StorePosition &position, Duration wait) { return this->relay(position, wait); }, [this] { ++this->skipped; },
                 [this] { return this->watchesStore.load(); },
                 [] {
                     return false;
@@ -102,7 +102,7 @@
     cr_assert(fixture.waitForValue(*mirror, "op/a", "1"));
     fixture.memory.setDown(true);
     const int64_t later = mirror->status().revision + 10;
-    fixture.peers = [later](int64_t, Duration) {
+    fixture.peers = [later](const StorePosition &, Duration) {
         return MirrorChanges{{{{"op/a", "from a peer", later}, false}}, later, false};
     };
     cr_assert(fixture.waitForValue(*mirror, "op/a", "from a peer"));
@@ -131,13 +131,13 @@
     const auto mirror = fixture.make();
     mirror->merge({{{{"op/a", "1", 10}, false}, {{"op/b", "1", 11}, false}}, 11, true});
     mirror->merge({{{{"op/c", "1", 12}, false}}, 12, false});
-    const MirrorChanges all = mirror->changesAfter(0, Duration(0));
+    const MirrorChanges all = mirror->changesAfter({0, 0}, Duration(0));
     cr_assert(all.isSnapshot);
     cr_assert_eq(all.changes.size(), 3);
-    const MirrorChanges older = mirror->changesAfter(10, Duration(0));
+    const MirrorChanges older = mirror->changesAfter({0, 10}, Duration(0));
     cr_assert(older.isSnapshot, "the mirror does not know the removals from before its first listing");
     cr_assert_eq(older.changes.size(), 3);
-    const MirrorChanges some = mirror->changesAfter(11, Duration(0));
+    const MirrorChanges some = mirror->changesAfter({0, 11}, Duration(0));
     cr_assert_not(some.isSnapshot);
     cr_assert_eq(some.changes.size(), 1);
 }
@@ -165,7 +165,7 @@
     restarted->merge({{{{"servers/stays", "1", 10}, false}}, 1000, true});
     const auto cutOff = fixture.make();
     cutOff->merge({{{{"servers/stays", "1", 10}, false}, {{"servers/left", "1", 11}, false}}, 900, true});
-    cutOff->merge(restarted->changesAfter(900, Duration(0)));
+    cutOff->merge(restarted->changesAfter({0, 900}, Duration(0)));
     cr_assert_eq(cutOff->status().revision, 1000);
     cr_assert(cutOff->items("servers/left").empty());
     cr_assert_eq(cutOff->items("servers/").size(), 1);
@@ -175,12 +175,13 @@
 {
 
 // A store with all its past contents, and mirrors that read it or ask each other. One step is one call, so that every order of listings,
-// watches, restarts and calls between hosts can occur.
+// watches, restarts and calls between hosts can occur, also around a return of the store from an older copy.
 class MirrorGroup
 {
 public:
-    explicit MirrorGroup(unsigned seed)
+    explicit MirrorGroup(unsigned seed, bool storeIsRestored)
         : random(seed)
+        , restoresStore(storeIsRestored)
     {
         for (size_t index = 0; index < HostCount; ++index) {
             this->mirrors.push_back(this->fixture.make());
@@ -191,14 +192,16 @@
     {
         std::unique_ptr<StoreMirror> &mirror = this->mirrors[this->pick(HostCount)];
         const size_t action = this->pick(10);
-        if (action < 4) {
+        if (this->restoresStore && this->pick(30) == 0) {
+            this->restore();
+        } else if (action < 4) {
             this->writeOrRemove();
         } else if (action < 5) {
             this->list(*mirror);
         } else if (action < 7) {
             this->watch(*mirror);
         } else if (action < 9) {
-            const MirrorChanges changes = this->mirrors[this->pick(HostCount)]->changesAfter(mirror->status().revision, Duration(0));
+            const MirrorChanges changes = this->mirrors[this->pick(HostCount)]->changesAfter(mirror->status().position(), Duration(0));
             // The answer may arrive after another change.
             if (this->pick(2) == 0) {
                 this->watch(*mirror);
@@ -213,30 +216,39 @@
     std::string findFault() const
     {
         for (const auto &mirror : this->mirrors) {
-            const int64_t revision = mirror->status().revision;
+            const StorePosition position = mirror->status().position();
             Contents held;
             for (const StoredItem &item : mirror->items("")) {
-                held[item.key] = item.revision;
+                held[item.key] = {item.revision, item.value};
             }
-            const Contents &expected = this->past.at(static_cast<size_t>(revision));
+            const Contents &expected = this->eras.at(static_cast<size_t>(position.era)).past.at(static_cast<size_t>(position.revision));
             if (held == expected) {
                 continue;
             }
-            std::string text = "at revision " + std::to_string(revision) + " a host holds";
-            for (const auto &[key, written] : held) {
-                text += " " + key + "/" + std::to_string(written);
-            }
-            text += ", the store had";
-            for (const auto &[key, written] : expected) {
-                text += " " + key + "/" + std::to_string(written);
-            }
-            return text;
+            const auto print = [](const Contents &contents) {
+                std::string text;
+                for (const auto &[key, write] : contents) {
+                    text += " " + key + "/" + std::to_string(write.first) + "=" + write.second;
+                }
+                return text;
+            };
+            return "in era " + std::to_string(position.era) + " at revision " + std::to_string(position.revision) + " a host holds" + print(held)
+                + ", the store had" + print(expected);
         }
         return {};
     }
 
 private:
-    using Contents = std::map<std::string, int64_t>;
+    // Revision and value by key.
+    using Contents = std::map<std::string, std::pair<int64_t, std::string>>;
+
+    struct Era
+    {
+        // Contents by revision. The store starts at revision 1.
+        std::vector<Contents> past{2};
+        std::vector<StoreChange> history;
+    };
+
     static constexpr size_t HostCount = 4;
     static constexpr size_t KeyCount = 6;
 
@@ -247,34 +259,57 @@
 
     int64_t revision() const
     {
-        return static_cast<int64_t>(this->past.size()) - 1;
+        return static_cast<int64_t>(this->present().past.size()) - 1;
+    }
+
+    const Era &present() const
+    {
+        return this->eras.back();
+    }
+
+    int64_t era() const
+    {
+        return static_cast<int64_t>(this->eras.size()) - 1;
+    }
+
+    // Begins an era with the contents and the history of some revisions ago.
+    void restore()
+    {
+        Era next = this->present();
+        next.past.resize(next.past.size() - std::min(this->pick(8), next.past.size() - 2));
+        const auto last = static_cast<int64_t>(next.past.size()) - 1;
+        std::erase_if(next.history, [last](const StoreChange &change) { return change.item.revision > last; });
+        this->eras.push_back(std::move(next));
     }
 
     void writeOrRemove()
     {
         const std::string key = "k" + std::to_string(this->pick(KeyCount));
-        Contents next = this->past.back();
+        Era &era = this->eras.back();
+        Contents next = era.past.back();
         const int64_t revision = this->revision() + 1;
+        const std::string value = "write " + std::to_string(++this->writes);
         const bool isRemoval = next.contains(key) && this->pick(2) == 0;
         if (isRemoval) {
             next.erase(key);
         } else {
-            next[key] = revision;
+            next[key] = {revision, value};
         }
-        this->past.push_back(next);
-        this->history.push_back({{key, isRemoval ? "" : "value", revision}, isRemoval});
+        era.past.push_back(next);
+        era.history.push_back({{key, isRemoval ? "" : value, revision}, isRemoval});
     }
 
     void addPage(StoreListing &listing, size_t begin, size_t end) const
     {
         for (size_t index = begin; index < end; ++index) {
             const std::string key = "k" + std::to_string(index);
-            const auto entry = this->past.back().find(key);
-            if (entry != this->past.back().end()) {
-                listing.items.push_back({key, "value", entry->second});
+            const auto entry = this->present().past.back().find(key);
+            if (entry != this->present().past.back().end()) {
+                listing.items.push_back({key, entry->second.second, entry->second.first});
             }
         }
         listing.lastPageRevision = this->revision();
+        listing.era = this->era();
     }
 
     // Returns the keys in two pages, between which the store may change.
@@ -294,7 +329,9 @@
     {
         StoreChanges result;
         result.revision = this->revision();
-        for (const StoreChange &change : this->history) {
+        result.era = this->era();
+        result.isCompacted = revision > result.revision;
+        for (const StoreChange &change : this->present().history) {
             if (change.item.revision > revision) {
                 result.changes.push_back(change);
             }
@@ -314,6 +351,7 @@
         const StoreListing listing = listAtOneRevision(store);
         MirrorChanges changes;
         changes.revision = listing.revision;
+        changes.era = listing.era;
         changes.isSnapshot = true;
         for (const StoredItem &item : listing.items) {
             changes.changes.push_back({item, false});
@@ -321,20 +359,25 @@
         mirror.merge(changes);
     }
 
-    void watch(StoreMirror &mirror) const
+    void watch(StoreMirror &mirror)
     {
-        const int64_t after = mirror.status().revision;
-        if (after > 0) {
-            const StoreChanges changes = this->changesAfter(after);
-            mirror.merge({changes.changes, changes.revision});
+        const StorePosition after = mirror.status().position();
+        if (after.revision == 0) {
+            return;
+        }
+        const StoreChanges changes = this->changesAfter(after.revision);
+        if (changes.isCompacted || changes.era != after.era) {
+            this->list(mirror);
+        } else {
+            mirror.merge({changes.changes, changes.revision, false, changes.era});
         }
     }
 
     std::mt19937 random;
+    const bool restoresStore;
     Fixture fixture;
-    // Contents by revision: the revision of each key's last write. The store starts at revision 1.
-    std::vector<Contents> past{2};
-    std::vector<StoreChange> history;
+    std::vector<Era> eras{1};
+    int writes = 0;
     std::vector<std::unique_ptr<StoreMirror>> mirrors;
 };
 
@@ -345,7 +388,7 @@
 Test(mirror, a_host_holds_what_the_store_had_at_its_revision_whomever_it_asked)
 {
     for (unsigned seed = 1; seed <= 300; ++seed) {
-        MirrorGroup group(seed);
+        MirrorGroup group(seed, false);
         for (int step = 0; step < 120; ++step) {
             group.step();
             const std::string fault = group.findFault();
@@ -354,6 +397,110 @@
     }
 }
 
+// The same around a store that comes back from an older copy and gives out its revisions again: hosts kept the lost history until the new one had passed
+// it, or took it from each other.
+Test(mirror, a_host_holds_what_the_store_had_in_its_era_when_the_store_is_restored)
+{
+    for (unsigned seed = 1; seed <= 300; ++seed) {
+        MirrorGroup group(seed, true);
+        for (int step = 0; step < 200; ++step) {
+            group.step();
+            const std::string fault = group.findFault();
+            cr_assert(fault.empty(), "seed %u, step %d: %s", seed, step, fault.c_str());
+        }
+    }
+}
+
+// Guards against a configuration that is not in force because the store came back from an older copy: its listings had lower revisions than the
+// contents of the lost history, and were ignored.
+Test(mirror, the_contents_of_a_restored_store_replace_the_lost_history)
+{
+    Fixture fixture;
+    fixture.memory.put("op/kept", "1");
+    const MemoryPrefixStore::Copy copy = fixture.memory.copy();
+    for (int write = 0; write < 20; ++write) {
+        fixture.memory.put("op/lost", std::to_string(write));
+    }
+    const auto mirror = fixture.make();
+    mirror->start();
+    cr_assert(fixture.waitForValue(*mirror, "op/lost", "19"));
+    fixture.memory.setDown(true);
+    fixture.clock.sleepFor(Milliseconds(300));
+    fixture.memory.restore(copy);
+    fixture.memory.put("op/new", "1");
+    fixture.memory.setDown(false);
+    cr_assert(fixture.waitForValue(*mirror, "op/new", "1", Milliseconds(2000)));
+    cr_assert(mirror->items("op/lost").empty());
+    cr_assert_eq(mirror->items("op/kept").size(), 1);
+    cr_assert_eq(mirror->status().era, 1);
+    fixture.memory.put("op/new", "2");
+    cr_assert(fixture.waitForValue(*mirror, "op/new", "2", Milliseconds(500)));
+}
+
+// The same if the new history has passed the old revisions before the next watch, so that no answer says that the history is lost.
+Test(mirror, a_restored_store_is_noticed_also_when_its_revisions_have_passed_the_lost_ones)
+{
+    Fixture fixture;
+    fixture.memory.put("op/kept", "1");
+    const MemoryPrefixStore::Copy copy = fixture.memory.copy();
+    fixture.memory.put("op/a", "lost");
+    const auto mirror = fixture.make();
+    mirror->start();
+    cr_assert(fixture.waitForValue(*mirror, "op/a", "lost"));
+    fixture.memory.setDown(true);
+    fixture.clock.sleepFor(Milliseconds(300));
+    fixture.memory.restore(copy);
+    fixture.memory.put("op/b", "new");
+    fixture.memory.put("op/kept", "2");
+    fixture.memory.put("op/kept", "3");
+    fixture.memory.setDown(false);
+    cr_assert(fixture.waitForValue(*mirror, "op/b", "new", Milliseconds(2000)));
+    cr_assert(mirror->items("op/a").empty(), "a key of the lost history");
+}
+
+// Guards against a relay with the lost history that holds the new one off, and against a host that lags and brings the lost history back.
+Test(mirror, a_follower_in_the_new_era_leaves_a_relay_with_the_lost_history)
+{
+    Fixture relayFixture;
+    const auto lagging = relayFixture.make();
+    lagging->merge({{{{"op/a", "lost", 50}, false}}, 50, true});
+    Fixture fixture;
+    fixture.watchesStore = false;
+    fixture.relay = [&lagging](const StorePosition &position, Duration) {
+        MirrorChanges changes = lagging->changesAfter(position, Milliseconds(20));
+        changes.isReachable = true;
+        changes.answerAge = Duration(0);
+        return changes;
+    };
+    fixture.memory.restore(fixture.memory.copy());
+    fixture.memory.put("op/a", "new");
+    const auto follower = fixture.make();
+    follower->merge({{{{"op/a", "new", 2}, false}}, 2, true, 1});
+    follower->start();
+    fixture.memory.put("op/b", "new");
+    cr_assert(fixture.waitForValue(*follower, "op/b", "new", Milliseconds(2000)));
+    cr_assert_eq(follower->items("op/a").front().value, "new");
+    cr_assert_geq(fixture.skipped.load(), 1);
+}
+
+// Guards against changes that are merged into contents of another era, because both have the same revisions.
+Test(mirror, changes_of_another_era_are_not_merged)
+{
+    Fixture fixture;
+    const auto mirror = fixture.make();
+    mirror->merge({{{{"op/a", "1", 10}, false}}, 10, true, 1});
+    mirror->merge({{{{"op/a", "lost", 20}, false}}, 20, false, 0});
+    mirror->merge({{{{"op/a", "lost", 20}, false}}, 20, true, 0});
+    mirror->merge({{{{"op/a", "later", 11}, false}}, 11, false, 2});
+    cr_assert_eq(mirror->items("op/a").front().value, "1");
+    mirror->merge({{{{"op/a", "2", 9}, false}}, 9, true, 2});
+    cr_assert_eq(mirror->items("op/a").front().value, "2");
+    cr_assert(mirror->items("op/a").front().position() == (StorePosition{2, 9}));
+    cr_assert(mirror->changesAfter({1, 10}, Duration(0)).isSnapshot, "a host of the former era gets all contents");
+    const MirrorChanges none = mirror->changesAfter({3, 1}, Duration(0));
+    cr_assert(none.changes.empty() && !none.isSnapshot, "a host of a later era gets nothing");
+}
+
 // Guards against a follower that still calls the store: when each of many hosts watched the store itself, the watches
 // made most of the calls to it.
 Test(mirror, a_follower_receives_changes_from_its_relay_without_calling_the_store)
@@ -365,8 +512,8 @@
     Fixture other;
     other.watchesStore = false;
     other.memory.setDown(true);
-    other.relay = [&relay](int64_t revision, Duration wait) {
-        return relay->changesAfter(revision, wait);
+    other.relay = [&relay](const StorePosition &position, Duration wait) {
+        return relay->changesAfter(position, wait);
     };
     const auto follower = other.make();
     follower->start();
@@ -386,7 +533,7 @@
         fixture.watchesStore = false;
         const Clock clock;
         const Time begin = clock.now();
-        fixture.relay = [&clock, begin, relayLostStore](int64_t, Duration wait) -> MirrorChanges {
+        fixture.relay = [&clock, begin, relayLostStore](const StorePosition &, Duration wait) -> MirrorChanges {
             Clock().sleepFor(wait);
             if (!relayLostStore) {
                 throw Failure(ErrorKind::PeerLost, "silent");
--- a/pimentosail/mirror/storemirror.cpp
+++ b/pimentosail/mirror/storemirror.cpp
@@ -93,20 +93,24 @@
     return this->state;
 }
 
-MirrorChanges StoreMirror::changesAfter(int64_t revision, Duration wait) const
+MirrorChanges StoreMirror::changesAfter(const StorePosition &position, Duration wait) const
 {
     std::unique_lock lock(this->mutex);
-    if (this->state.revision <= revision) {
-        this->changed.wait_for(lock, wait, [this, revision] { return this->state.revision > revision || this->stopping.load(); });
+    if (this->state.position() <= position) {
+        this->changed.wait_for(lock, wait, [this, &position] { return this->state.position() > position || this->stopping.load(); });
     }
     MirrorChanges result;
     const Time now = this->clock.now();
     result.completeAge = this->state.completeAt == Time(0) ? Duration(-1) : this->clock.nowWithSuspend() - this->state.completeAt;
     result.revision = this->state.revision;
+    result.era = this->state.era;
     result.isReachable = this->state.isReachable;
     result.answerAge = now - this->state.lastAnswer;
     result.recoveryAge = this->state.recoveredAt == Time(0) ? Duration(-1) : now - this->state.recoveredAt;
-    result.isSnapshot = revision == 0 || revision < this->recentAfterRevision;
+    if (this->state.position() < position) {
+        return result;
+    }
+    result.isSnapshot = position.revision == 0 || position.era != this->state.era || position.revision < this->recentAfterRevision;
     if (result.isSnapshot) {
         for (const auto &[key, item] : this->contents) {
             result.changes.push_back({item, false});
@@ -114,7 +118,7 @@
         return result;
     }
     for (const StoreChange &change : this->recent) {
-        if (change.item.revision > revision) {
+        if (change.item.revision > position.revision) {
             result.changes.push_back(change);
         }
     }
@@ -127,10 +131,16 @@
     std::map<std::string, StoredItem> next;
     for (const StoreChange &change : snapshot.changes) {
         const auto known = this->contents.find(change.item.key);
-        if (known == this->contents.end() || known->second.revision != change.item.revision) {
-            changedKeys.insert(change.item.key);
+        // The same revision may stand for another write in another era.
+        const bool isKnown = known != this->contents.end() && known->second.revision == change.item.revision
+            && (known->second.era == snapshot.era || known->second.value == change.item.value);
+        if (isKnown) {
+            next.insert(*known);
+            continue;
         }
-        next[change.item.key] = change.item;
+        StoredItem &item = next[change.item.key] = change.item;
+        item.era = snapshot.era;
+        changedKeys.insert(item.key);
     }
     for (const auto &[key, item] : this->contents) {
         if (!next.contains(key)) {
@@ -155,7 +165,8 @@
         if (change.isRemoval) {
             this->contents.erase(change.item.key);
         } else {
-            this->contents[change.item.key] = change.item;
+            StoredItem &item = this->contents[change.item.key] = change.item;
+            item.era = batch.era;
         }
         this->recent.push_back(change);
         changedKeys.insert(change.item.key);
@@ -174,16 +185,22 @@
     std::set<std::string> changedKeys;
     {
         const std::lock_guard lock(this->mutex);
+        const bool isNews = batch.position() > this->state.position();
+        if (!batch.isSnapshot && batch.era != this->state.era) {
+            return 0;
+        }
         if (!batch.isSnapshot) {
             changedKeys = this->applyChanges(batch);
-        } else if (batch.revision > this->state.revision) {
+        } else if (isNews) {
             changedKeys = this->replaceContents(batch);
         }
-        if (batch.revision >= this->state.revision) {
+        if (batch.position() >= this->state.position()) {
             this->state.completeBefore = this->state.completeAt;
             this->state.completeAt = std::max(this->state.completeAt, completeAt);
         }
-        this->state.revision = std::max(this->state.revision, batch.revision);
+        if (isNews) {
+            this->enter(batch.position());
+        }
         this->changed.notify_all();
     }
     if (!changedKeys.empty()) {
@@ -192,15 +209,28 @@
     return changedKeys.size();
 }
 
+void StoreMirror::enter(const StorePosition &position)
+{
+    if (position.era != this->state.era) {
+        this->log.write(LogLevel::Warning, "store_restored",
+            {{"era", position.era}, {"revision", position.revision}, {"former_era", this->state.era}, {"former_revision", this->state.revision}});
+    }
+    if (position.era != this->state.era || this->state.eraSince == Time(0)) {
+        this->state.eraSince = this->clock.nowWithSuspend();
+    }
+    this->state.era = position.era;
+    this->state.revision = position.revision;
+}
+
 void StoreMirror::mergeFromHost(const MirrorChanges &changes, Time calledAt)
 {
-    const int64_t revisionBefore = this->status().revision;
+    const StorePosition before = this->status().position();
     const size_t applied = this->merge(changes, peerCompleteAt(changes, calledAt));
     // Changes of a reachable store arrive all the time at followers, and are not logged.
-    if (!changes.changes.empty() && (changes.isSnapshot || !changes.isReachable || changes.revision < revisionBefore)) {
+    if (!changes.changes.empty() && (changes.isSnapshot || !changes.isReachable || changes.position() < before)) {
         this->log.write(LogLevel::Info, "store_state_from_host",
-            {{"from", changes.sender}, {"revision", changes.revision}, {"own_revision", revisionBefore}, {"snapshot", changes.isSnapshot},
-                {"reachable", changes.isReachable}, {"changes", changes.changes.size()}, {"applied", applied}});
+            {{"from", changes.sender}, {"era", changes.era}, {"revision", changes.revision}, {"own_era", before.era}, {"own_revision", before.revision},
+                {"snapshot", changes.isSnapshot}, {"reachable", changes.isReachable}, {"changes", changes.changes.size()}, {"applied", applied}});
     }
 }
 
@@ -233,11 +263,12 @@
     const StoreListing listing = listAtOneRevision(this->store);
     MirrorChanges changes;
     changes.revision = listing.revision;
+    changes.era = listing.era;
     changes.isSnapshot = true;
     for (const StoredItem &item : listing.items) {
         changes.changes.push_back({item, false});
     }
-    this->log.write(LogLevel::Info, "store_listed", {{"items", listing.items.size()}, {"revision", listing.revision}});
+    this->log.write(LogLevel::Info, "store_listed", {{"items", listing.items.size()}, {"era", listing.era}, {"revision", listing.revision}});
     this->setReachable(true, "listed");
     this->merge(changes, calledAt);
 }
@@ -248,8 +279,11 @@
         const Time calledAt = this->clock.nowWithSuspend();
         // After a failure, the next relay answers at once and shows whether it has the store.
         const Duration wait = this->relayFailures == 0 ? FollowWait : Duration(0);
-        const MirrorChanges changes = this->peers.fetchFromRelay(this->status().revision, wait);
+        const MirrorChanges changes = this->peers.fetchFromRelay(this->status().position(), wait);
         this->mergeFromHost(changes, calledAt);
+        if (changes.era < this->status().era) {
+            throw Failure(ErrorKind::PeerLost, "the relay does not know that the store was restored");
+        }
         if (!changes.isReachable || changes.answerAge > MaxAnswerAge) {
             throw Failure(ErrorKind::PeerLost, "the last answer of the store to the relay is " + std::to_string(toMilliseconds(changes.answerAge)) + " ms old");
         }
@@ -291,14 +325,14 @@
             const Time calledAt = this->clock.nowWithSuspend();
             const StoreChanges changes = this->store.watch("", before.revision, callWait);
             this->setReachable(true, "watch answered");
-            if (changes.isCompacted) {
-                this->log.write(LogLevel::Info, "store_history_lost", {{"revision", before.revision}});
+            if (changes.isCompacted || changes.era != before.era) {
+                this->log.write(LogLevel::Info, "store_history_lost", {{"era", before.era}, {"revision", before.revision}, {"new_era", changes.era}});
                 this->listAll();
                 continue;
             }
             // The store answers without a change only at the end of the wait.
             const bool isWaitOver = changes.changes.empty() && this->clock.nowWithSuspend() >= calledAt + callWait;
-            this->merge({changes.changes, changes.revision, false}, isWaitOver ? calledAt + callWait : calledAt);
+            this->merge({changes.changes, changes.revision, false, changes.era}, isWaitOver ? calledAt + callWait : calledAt);
             if (this->peers.hasFollowers() && !changes.changes.empty()) {
                 this->clock.sleepFor(BatchPause);
             }
@@ -320,7 +354,7 @@
         }
         try {
             const Time calledAt = this->clock.nowWithSuspend();
-            const MirrorChanges changes = this->peers.fetchFromAny(before.revision, PeerWait);
+            const MirrorChanges changes = this->peers.fetchFromAny(before.position(), PeerWait);
             this->mergeFromHost(changes, calledAt);
         } catch (const Failure &) {
             // The peer client counts the failure; the next call asks another host.
--- a/pimentosail/mirror/storemirror.h
+++ b/pimentosail/mirror/storemirror.h
@@ -6,9 +6,10 @@
 //     mirror.start();
 //     std::vector<StoredItem> targets = mirror.items("servers/");
 //
-// The contents are those that the store had at their revision, whichever source they came from, and that revision never decreases. So
-// a removed key returns only when it is written anew. Thread-safe; the listener is called by one thread at a time, and in the
-// order of the changes.
+// The contents are those that the store had at their position, whichever source they came from, and that position never goes back. So
+// within an era a removed key returns only when it is written anew. When the store comes back from an older copy, which begins an era, the
+// contents become those of the new history, also where its revisions are lower; nothing of the lost history is merged afterwards. Thread-safe; the listener is
+// called by one thread at a time, and in the order of the changes.
 #pragma once
 
 #include <atomic>
@@ -35,6 +36,8 @@
     int64_t revision = 0;
     // If true, `changes` lists the complete contents, and keys that are absent from it have been removed.
     bool isSnapshot = false;
+    // Era of the revisions.
+    int64_t era = 0;
     // The sender's connection to the store: whether the store is reachable, how long ago it last answered, and how long
     // ago its last outage ended (negative: there was none).
     bool isReachable = false;
@@ -44,11 +47,16 @@
     Duration completeAge{-1};
     // Address of the host that sent the changes. It is not part of the message.
     std::string sender;
+
+    StorePosition position() const
+    {
+        return {this->era, this->revision};
+    }
 };
 
-// Asks another host for its changes after `revision` and waits at most about `wait` for one. Throws `Failure` if the
+// Asks another host for its changes after `position` and waits at most about `wait` for one. Throws `Failure` if the
 // host does not answer.
-using PeerSource = std::function<MirrorChanges(int64_t revision, Duration wait)>;
+using PeerSource = std::function<MirrorChanges(const StorePosition &position, Duration wait)>;
 
 // How a mirror gets changes from other hosts.
 struct MirrorPeers
@@ -71,12 +79,20 @@
     Time recoveredAt{};
     // When the store last answered.
     Time lastAnswer{};
-    // Latest revision of the store that was merged; 0 before the first one.
+    // Latest revision of the store that was merged, 0 before the first one, and its era.
     int64_t revision = 0;
+    int64_t era = 0;
+    // When this host first had contents of the era; a time of `Clock::nowWithSuspend`.
+    Time eraSince{};
     // The contents had all changes up to this time, and up to the second one before the last merge: what the last merge
     // added was written after it. Times of `Clock::nowWithSuspend`; zero if there is none.
     Time completeAt{};
     Time completeBefore{};
+
+    StorePosition position() const
+    {
+        return {this->era, this->revision};
+    }
 };
 
 class StoreMirror
@@ -96,12 +112,12 @@
 
     MirrorStatus status() const;
 
-    // Returns the changes after `revision`, and waits at most `wait` if there are none yet. Returns a snapshot if `revision` is 0 or older
-    // than the changes that are kept, which begin anew with each snapshot that this mirror has merged itself.
-    MirrorChanges changesAfter(int64_t revision, Duration wait) const;
+    // Returns the changes after `position`, and waits at most `wait` if there are none yet. Returns a snapshot if the position has revision 0, is
+    // of an earlier era, or is older than the changes that are kept, which begin anew with each snapshot that this mirror has merged itself.
+    MirrorChanges changesAfter(const StorePosition &position, Duration wait) const;
 
-    // Merges changes from any source. Changes that are older than the contents are ignored. `completeAt`: the contents with these
-    // changes are complete up to this time; zero if that is not known. Returns the number of keys that have changed.
+    // Merges changes from any source. Changes that are older than the contents, or that are no snapshot and of another era, are ignored. `completeAt`: the
+    // contents with these changes are complete up to this time; zero if that is not known. Returns the number of keys that have changed.
     size_t merge(const MirrorChanges &changes, Time completeAt = Time(0));
 
 private:
@@ -110,6 +126,8 @@
     // Both return the keys that have changed; for the caller that holds `mutex`. The snapshot must be newer than the contents.
     std::set<std::string> replaceContents(const MirrorChanges &snapshot);
     std::set<std::string> applyChanges(const MirrorChanges &batch);
+    // Takes over the position of merged changes; for the caller that holds `mutex`.
+    void enter(const StorePosition &position);
     // Merges changes of another host, which was called at `calledAt`, and logs them.
     void mergeFromHost(const MirrorChanges &changes, Time calledAt);
     // Merges changes from the relay. Returns false if the relay failed or has lost the store.
