entry, directory: what hosts know and a restored store has lost stays in force for a time

What callers would see: requests sent to targets that have left and to zones that are evacuated, and 404 for routes that were added right before, after the store came back from an older copy. Cause: the contents of the copy were taken for news. Entries and decoded values were compared by revision alone, which a restored store gives out again. Change: registrations and decoded items have positions of era and revision. A target that had left stays gone although the copy lists it, until its entry changes or RewriteTime (8 s) has passed, by when the store has removed the entries of silent targets; its former incarnation does not take the place of the present one. An evacuation that the store has lost stays until operators have written it again and taken it back, or for RewriteTime. A route or key that this host does not know is refused with 503 for RewriteTime after a restore that it has seen. Configurations and wanted versions never go back within a process, as before. The store counts as recovered at a restore also on a host that did not notice its outage, so that missing entries are kept as after an outage.

--- a/pimentosail/directory/directory.cpp
+++ b/pimentosail/directory/directory.cpp
@@ -14,6 +14,8 @@
 // Longest time for which a missing registration is still used. It is short so that a target that left during a store
 // outage gets no requests after its drain time.
 constexpr Duration MissingRetention = Milliseconds(1500);
+// How long a target that has left is remembered; longer than the age of a copy from which a store comes back.
+constexpr Duration DepartureMemory = std::chrono::minutes(2);
 // Backoff before a target that could not be reached is tried again. It doubles with each failure up to the maximum.
 constexpr Duration InitialBackoff = Milliseconds(250);
 constexpr Duration MaxBackoff = std::chrono::seconds(4);
@@ -37,10 +39,10 @@
 void TargetDirectory::update(TargetState &state, const Registration &registration, Time now)
 {
     state.removed = false;
-    if (registration.revision != 0 && registration.revision <= state.revision) {
+    if (registration.revision != 0 && registration.position() <= state.position) {
         return;
     }
-    state.revision = registration.revision;
+    state.position = registration.position();
     state.slots = registration.slots;
     // A target that has reported draining stays draining until it restarts.
     state.draining = state.draining || registration.isDraining;
@@ -54,12 +56,43 @@
     }
 }
 
-void TargetDirectory::apply(const std::vector<Registration> &registrations, bool storeReachable, Time storeRecoveredAt)
+void TargetDirectory::recordDeparture(const TargetState &state, Time now, int64_t era)
+{
+    std::erase_if(this->departures, [now](const auto &entry) { return now > entry.second.at + DepartureMemory; });
+    this->departures[{state.id, state.startedAt}] = {state.address, era, now, std::nullopt, Time(0)};
+}
+
+bool TargetDirectory::isListedByCopy(const Registration &registration, Time now)
+{
+    const auto found = this->departures.find({registration.id, registration.startedAt});
+    if (found == this->departures.end()) {
+        return false;
+    }
+    Departure &departure = found->second;
+    if (registration.era <= departure.era || registration.address != departure.address) {
+        this->departures.erase(found);
+        return false;
+    }
+    if (!departure.listedAt) {
+        departure.listedAt = registration.position();
+        departure.doubtUntil = now + RewriteTime;
+    }
+    if (departure.listedAt == registration.position() && now < departure.doubtUntil) {
+        return true;
+    }
+    this->departures.erase(found);
+    return false;
+}
+
+void TargetDirectory::apply(const std::vector<Registration> &registrations, bool storeReachable, Time storeRecoveredAt, int64_t storeEra)
 {
     const std::lock_guard lock(this->mutex);
     const Time now = this->clock.now();
     std::set<std::string> present;
     for (const Registration &registration : registrations) {
+        if (this->isListedByCopy(registration, now)) {
+            continue;
+        }
         present.insert(registration.id);
         TargetPointer &state = this->targets[registration.id];
         const bool restarted = state && (state->startedAt != registration.startedAt || state->address != registration.address);
@@ -67,6 +100,7 @@
             const bool isNew = restarted || this->hasAppliedRegistrations;
             if (state) {
                 state->removed = true;
+                this->recordDeparture(*state, now, storeEra);
             }
             state = std::make_shared<TargetState>();
             state->id = registration.id;
@@ -95,6 +129,7 @@
             continue;
         }
         entry->second->removed = true;
+        this->recordDeparture(*entry->second, now, storeEra);
         this->missingSince.erase(entry->first);
         entry = this->targets.erase(entry);
     }
--- a/pimentosail/directory/directory.h
+++ b/pimentosail/directory/directory.h
@@ -5,6 +5,9 @@
 // reports draining. A registration that disappears while the store is unreachable, or soon after, is kept for a short
 // time, because a live target registers again within that time.
 //
+// A store that comes back from an older copy lists targets that have left since. A target that had left gets no requests until it registers
+// anew, or until `RewriteTime` after its entry came back.
+//
 //     TargetDirectory directory(clock);
 //     directory.apply(registrations, true, Time(0));
 //     std::vector<TargetView> registered = directory.all("chat", "model-a");
@@ -19,11 +22,14 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "pimentosail/base/clock.h"
+#include "pimentosail/kv/storeposition.h"
 #include "pimentosail/routing/servingconfiguration.h"
 
 namespace pimentosail
@@ -46,8 +52,14 @@
     int64_t startedAt = 0;
     // Weight version by model.
     std::map<std::string, int64_t> modelVersions;
-    // Store revision at which the entry was written. 0 if unknown.
+    // Store revision at which the entry was written, 0 if unknown, and its era.
     int64_t revision = 0;
+    int64_t era = 0;
+
+    StorePosition position() const
+    {
+        return {this->era, this->revision};
+    }
 };
 
 // The state of one incarnation of a target as this host sees it. Request threads update the counters.
@@ -85,8 +97,8 @@
     bool draining = false;
     bool removed = false;
     std::map<std::string, int64_t> modelVersions;
-    // Revision of the last applied registration.
-    int64_t revision = 0;
+    // Position of the last applied registration.
+    StorePosition position;
 };
 using TargetPointer = std::shared_ptr<TargetState>;
 
@@ -117,8 +129,9 @@
     }
 
     // Replaces the set of registrations. `storeReachable` is false while the store is unreachable. `storeRecoveredAt` is
-    // the time at which the store became reachable again after the last outage, or zero if there was none.
-    void apply(const std::vector<Registration> &registrations, bool storeReachable, Time storeRecoveredAt);
+    // the time at which the store became reachable again after the last outage, or zero if there was none. `storeEra` is the era
+    // of the registrations.
+    void apply(const std::vector<Registration> &registrations, bool storeReachable, Time storeRecoveredAt, int64_t storeEra = 0);
 
     // Sets the availability zones whose targets get no requests.
     void setEvacuated(std::set<std::string> zones);
@@ -148,13 +161,30 @@
     size_t size() const;
 
 private:
+    // An incarnation that has left.
+    struct Departure
+    {
+        std::string address;
+        // Era of the store when its entry was gone.
+        int64_t era = 0;
+        Time at{};
+        // Position of its entry that a restored store lists, and until when that entry is not believed.
+        std::optional<StorePosition> listedAt;
+        Time doubtUntil{};
+    };
+
     void update(TargetState &state, const Registration &registration, Time now);
+    void recordDeparture(const TargetState &state, Time now, int64_t era);
+    // Returns true if the entry is one that a restored store still has of a target that had left.
+    bool isListedByCopy(const Registration &registration, Time now);
 
     const Clock &clock;
     mutable std::mutex mutex;
     std::map<std::string, TargetPointer> targets;
     // Time at which a registration was first found missing, by target id.
     std::map<std::string, Time> missingSince;
+    // Incarnations that left lately, by target id and start.
+    std::map<std::pair<std::string, int64_t>, Departure> departures;
     std::set<std::string> evacuated;
     std::map<std::string, Duration> coldDurations;
     // A registration has been applied. Targets of the first set were there before this host and are not taken as cold.
--- a/pimentosail/directory/directorytest.cpp
+++ b/pimentosail/directory/directorytest.cpp
@@ -214,3 +214,67 @@
     cr_assert_not(table.limitOf("a", 2000, later).has_value());
     cr_assert(table.newestObservations(later).empty());
 }
+
+// Guards against requests to targets that have left: a store that came back from an older copy lists them again.
+Test(directory, a_target_that_left_stays_gone_when_a_restored_store_lists_it_again)
+{
+    Fixture fixture;
+    fixture.directory.apply({makeRegistration("a", 10)}, true, Time(0));
+    fixture.directory.apply({}, true, Time(0));
+    Registration copied = makeRegistration("a", 8);
+    copied.era = 1;
+    fixture.directory.apply({copied}, true, fixture.clock.now(), 1);
+    cr_assert_eq(fixture.directory.size(), 0);
+    fixture.clock.advance(RewriteTime - Milliseconds(100));
+    fixture.directory.apply({copied}, true, Time(0), 1);
+    cr_assert_eq(fixture.directory.size(), 0);
+    fixture.clock.advance(Milliseconds(200));
+    fixture.directory.apply({copied}, true, Time(0), 1);
+    cr_assert_eq(fixture.directory.size(), 1, "by then, the store has removed the entry of a target that is silent");
+}
+
+// Guards against live targets that get no requests because the store lost their entry for a moment: they register anew.
+Test(directory, a_target_that_registers_anew_after_a_restore_is_used_at_once)
+{
+    Fixture fixture;
+    fixture.directory.apply({makeRegistration("a", 10), makeRegistration("b", 11)}, true, Time(0));
+    fixture.directory.apply({}, true, Time(0));
+    Registration copied = makeRegistration("a", 8);
+    copied.era = 1;
+    fixture.directory.apply({copied}, true, fixture.clock.now(), 1);
+    cr_assert_eq(fixture.directory.size(), 0);
+    // The revision is one that the lost history had, too.
+    copied.revision = 10;
+    Registration restarted = makeRegistration("b", 9);
+    restarted.era = 1;
+    restarted.startedAt = 2000;
+    fixture.directory.apply({copied, restarted}, true, fixture.clock.now(), 1);
+    cr_assert_eq(usable(fixture).size(), 2);
+}
+
+// Guards against a former incarnation that takes the place of the present one, because the copy is from before the restart.
+Test(directory, the_former_incarnation_of_a_target_does_not_return_with_a_restored_store)
+{
+    Fixture fixture;
+    fixture.directory.apply({makeRegistration("a", 10)}, true, Time(0));
+    Registration restarted = makeRegistration("a", 12);
+    restarted.startedAt = 2000;
+    fixture.directory.apply({restarted}, true, Time(0));
+    Registration former = makeRegistration("a", 10);
+    former.era = 1;
+    fixture.directory.apply({former}, true, fixture.clock.now(), 1);
+    cr_assert_eq(usable(fixture).size(), 1);
+    cr_assert_eq(usable(fixture).front().target->startedAt, 2000, "kept, as an entry that is missing for a moment");
+}
+
+// Guards against entries of a new era that are taken for older ones, because their revisions are lower than those of the lost history.
+Test(directory, an_entry_of_a_later_era_is_newer_whatever_its_revision)
+{
+    Fixture fixture;
+    fixture.directory.apply({makeRegistration("a", 100)}, true, Time(0));
+    Registration draining = makeRegistration("a", 9);
+    draining.era = 1;
+    draining.isDraining = true;
+    fixture.directory.apply({draining}, true, Time(0), 1);
+    cr_assert(usable(fixture).empty());
+}
--- a/pimentosail/entry/decodeditems.h
+++ b/pimentosail/entry/decodeditems.h
@@ -1,4 +1,4 @@
-// Decodes items of the platform's key-value store and keeps the results, so that an item is decoded once for each revision.
+// Decodes items of the platform's key-value store and keeps the results, so that each write of an item is decoded once.
 //
 //     DecodedItems<Registration> registrations;
 //     std::vector<Registration> all = registrations.update(mirror.items("servers/"), decode);
@@ -22,7 +22,7 @@
 {
 public:
     // Returns the values of `items`, which are all items at present. `decode` gets an item and returns nothing if it cannot be
-    // decoded; it is not called again for the same revision.
+    // decoded; it is not called again for the same write.
     template <typename Decode>
     std::vector<Value> update(const std::vector<StoredItem> &items, const Decode &decode)
     {
@@ -30,8 +30,8 @@
         std::vector<Value> values;
         for (const StoredItem &item : items) {
             const auto known = this->entries.find(item.key);
-            const bool isKnown = known != this->entries.end() && known->second.revision == item.revision;
-            Entry entry = isKnown ? std::move(known->second) : Entry{item.revision, decode(item)};
+            const bool isKnown = known != this->entries.end() && known->second.position == item.position();
+            Entry entry = isKnown ? std::move(known->second) : Entry{item.position(), decode(item)};
             if (entry.value) {
                 values.push_back(*entry.value);
             }
@@ -44,7 +44,7 @@
 private:
     struct Entry
     {
-        int64_t revision = 0;
+        StorePosition position;
         std::optional<Value> value;
     };
 
--- a/pimentosail/entry/entryprocess.cpp
+++ b/pimentosail/entry/entryprocess.cpp
@@ -453,7 +453,7 @@
     while (!this->stopping.load()) {
         {
             const std::lock_guard lock(this->updaterMutex);
-            this->updater.refreshTargets(this->mirror);
+            this->updater.refresh(this->mirror);
         }
         this->dropOldNotices();
         this->logBlocked();
--- a/pimentosail/entry/entrystatetest.cpp
+++ b/pimentosail/entry/entrystatetest.cpp
@@ -41,3 +41,14 @@
     cr_assert_eq(again[1], "good");
     cr_assert_eq(decoded.update({{"c", "3", 7}}, decode).size(), 1, "an item that is back");
 }
+
+// Guards against a value of the lost history that stays in use, because a restored store gave its revision to another write.
+Test(decodeditems, an_item_of_another_era_is_decoded_anew)
+{
+    DecodedItems<std::string> decoded;
+    const auto decode = [](const StoredItem &item) {
+        return std::optional<std::string>(item.value);
+    };
+    cr_assert_eq(decoded.update({{"a", "lost", 5, 0}}, decode).front(), "lost");
+    cr_assert_eq(decoded.update({{"a", "new", 5, 1}}, decode).front(), "new");
+}
--- a/pimentosail/entry/requestrunner.cpp
+++ b/pimentosail/entry/requestrunner.cpp
@@ -112,9 +112,13 @@
 // A route or key may be new if this host has not heard of the store for too long.
 void RequestRunner::refuseAsUnknown(ErrorKind kind, const std::string &reason) const
 {
-    const Time completeAt = this->context.mirror.status().completeAt;
-    const Duration age = this->context.clock.nowWithSuspend() - completeAt;
-    if (completeAt != Time(0) && age < this->context.settings.configurationLimit) {
+    const MirrorStatus mirrorStatus = this->context.mirror.status();
+    const Time now = this->context.clock.nowWithSuspend();
+    const Duration age = now - mirrorStatus.completeAt;
+    if (mirrorStatus.completeAt != Time(0) && age < this->context.settings.configurationLimit) {
+        if (mirrorStatus.restoredAt != Time(0) && now < mirrorStatus.restoredAt + RewriteTime) {
+            throw Failure(ErrorKind::NotReady, reason + ", but the store has come back from an older copy");
+        }
         throw Failure(kind, reason);
     }
     throw Failure(ErrorKind::NotReady, reason + ", but the configuration may be " + std::to_string(toMilliseconds(age)) + " ms old");
--- a/pimentosail/entry/stateupdater.cpp
+++ b/pimentosail/entry/stateupdater.cpp
@@ -79,14 +79,14 @@
     if (changedKeys.contains(layout.servingKey)) {
         this->updateServing(mirror);
     }
-    if (anyStartsWith(changedKeys, layout.evacuationPrefix)) {
+    if (anyStartsWith(changedKeys, layout.evacuationPrefix) || mirror.status().era != this->evacuationEra) {
         this->updateEvacuations(mirror);
     }
     if (anyStartsWith(changedKeys, layout.versionPrefix)) {
         this->updateVersions(mirror);
     }
     if (anyStartsWith(changedKeys, layout.targetPrefix)) {
-        this->refreshTargets(mirror);
+        this->updateTargets(mirror);
     }
     if (anyStartsWith(changedKeys, HostsPrefix)) {
         this->updateHosts(mirror);
@@ -127,11 +127,18 @@
     }
 }
 
-void StateUpdater::refreshTargets(const StoreMirror &mirror)
+void StateUpdater::refresh(const StoreMirror &mirror)
+{
+    this->updateTargets(mirror);
+    this->updateEvacuations(mirror);
+}
+
+void StateUpdater::updateTargets(const StoreMirror &mirror)
 {
     const std::string &prefix = this->context.wire.layout.targetPrefix;
+    const MirrorItems listed = mirror.itemsOfEra(prefix);
     const std::vector<Registration> registrations
-        = this->decodedRegistrations.update(mirror.items(prefix), [this, &prefix](const StoredItem &item) -> std::optional<Registration> {
+        = this->decodedRegistrations.update(listed.items, [this, &prefix](const StoredItem &item) -> std::optional<Registration> {
               Result<Registration> registration = this->context.wire.layout.decodeRegistration(item.key.substr(prefix.size()), item);
               if (!registration) {
                   this->reportUnreadable(item, registration.error().message);
@@ -140,7 +147,7 @@
               return std::move(*registration);
           });
     const MirrorStatus status = mirror.status();
-    this->context.directory.apply(registrations, status.isReachable, status.recoveredAt);
+    this->context.directory.apply(registrations, status.isReachable, status.recoveredAt, listed.era);
     const size_t size = this->context.directory.size();
     if (size != this->lastTargetCount) {
         this->context.log.write(LogLevel::Info, "targets_changed",
@@ -153,10 +160,23 @@
 void StateUpdater::updateEvacuations(const StoreMirror &mirror)
 {
     const std::string &prefix = this->context.wire.layout.evacuationPrefix;
+    const MirrorItems listed = mirror.itemsOfEra(prefix);
     std::set<std::string> zones;
-    for (const StoredItem &item : mirror.items(prefix)) {
+    for (const StoredItem &item : listed.items) {
         zones.insert(item.key.substr(prefix.size()));
     }
+    const Time now = this->context.clock.now();
+    if (listed.era != this->evacuationEra) {
+        // The store may have come back from a copy that is older than an evacuation. Operators write it again.
+        for (const std::string &zone : this->evacuatedZones) {
+            this->lostEvacuations.emplace(zone, now + RewriteTime);
+        }
+        this->evacuationEra = listed.era;
+    }
+    std::erase_if(this->lostEvacuations, [now, &zones](const auto &lost) { return zones.contains(lost.first) || now >= lost.second; });
+    for (const auto &[zone, until] : this->lostEvacuations) {
+        zones.insert(zone);
+    }
     if (zones == this->evacuatedZones) {
         return;
     }
--- a/pimentosail/entry/stateupdater.h
+++ b/pimentosail/entry/stateupdater.h
@@ -50,10 +50,12 @@
     // Applies the present contents of `mirror`. `changedKeys` are the keys that have changed since the last call.
     void update(const StoreMirror &mirror, const std::set<std::string> &changedKeys);
 
-    // Applies the registrations again although none has changed, because a missing one is removed only after some time.
-    void refreshTargets(const StoreMirror &mirror);
+    // Applies again what changes with time although no key has changed: a missing registration is removed, and an evacuation that a restored
+    // store has lost ends, after some time.
+    void refresh(const StoreMirror &mirror);
 
 private:
+    void updateTargets(const StoreMirror &mirror);
     void updateServing(const StoreMirror &mirror);
     void updateEvacuations(const StoreMirror &mirror);
     void updateVersions(const StoreMirror &mirror);
@@ -73,6 +75,10 @@
     DecodedItems<Registration> decodedRegistrations;
     DecodedItems<HostEntry> decodedHosts;
     std::set<std::string> evacuatedZones;
+    // Era of the store in which `evacuatedZones` was read.
+    int64_t evacuationEra = 0;
+    // Zones whose evacuation a restored store has lost, and until when they stay evacuated.
+    std::map<std::string, Time> lostEvacuations;
     size_t lastTargetCount = 0;
 };
 
--- a/pimentosail/kv/prefixstore.h
+++ b/pimentosail/kv/prefixstore.h
@@ -13,27 +13,17 @@
 // era fail, and leases of an earlier era have ended. A call during which the era changed throws, as a call without an answer does.
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <functional>
 #include <string>
 #include <vector>
 
 #include "pimentosail/base/clock.h"
+#include "pimentosail/kv/storeposition.h"
 
 namespace pimentosail
 {
 
-// A moment of the store. All positions of an era are before those of later eras.
-struct StorePosition
-{
-    int64_t era = 0;
-    // 0: before the first write.
-    int64_t revision = 0;
-
-    friend auto operator<=>(const StorePosition &, const StorePosition &) = default;
-};
-
 struct StoredItem
 {
     std::string key;
--- a/pimentosail/mirror/storemirror.cpp
+++ b/pimentosail/mirror/storemirror.cpp
@@ -78,11 +78,17 @@
 }
 
 std::vector<StoredItem> StoreMirror::items(const std::string &prefix) const
+{
+    return this->itemsOfEra(prefix).items;
+}
+
+MirrorItems StoreMirror::itemsOfEra(const std::string &prefix) const
 {
     const std::lock_guard lock(this->mutex);
-    std::vector<StoredItem> result;
+    MirrorItems result;
+    result.era = this->state.era;
     for (auto entry = this->contents.lower_bound(prefix); entry != this->contents.end() && entry->first.starts_with(prefix); ++entry) {
-        result.push_back(entry->second);
+        result.items.push_back(entry->second);
     }
     return result;
 }
@@ -211,7 +217,10 @@
 
 void StoreMirror::enter(const StorePosition &position)
 {
-    if (position.era != this->state.era) {
+    if (position.era != this->state.era && this->state.revision != 0) {
+        // The store was away, also if this host did not notice it.
+        this->state.recoveredAt = this->clock.now();
+        this->state.restoredAt = this->clock.nowWithSuspend();
         this->log.write(LogLevel::Warning, "store_restored",
             {{"era", position.era}, {"revision", position.revision}, {"former_era", this->state.era}, {"former_revision", this->state.revision}});
     }
--- a/pimentosail/mirror/storemirror.h
+++ b/pimentosail/mirror/storemirror.h
@@ -84,6 +84,8 @@
     int64_t era = 0;
     // When this host first had contents of the era; a time of `Clock::nowWithSuspend`.
     Time eraSince{};
+    // The same if this host had contents of an earlier era before; zero if it has seen no restore of the store.
+    Time restoredAt{};
     // The contents had all changes up to this time, and up to the second one before the last merge: what the last merge
     // added was written after it. Times of `Clock::nowWithSuspend`; zero if there is none.
     Time completeAt{};
@@ -95,6 +97,13 @@
     }
 };
 
+// Items of the contents, which are of one era.
+struct MirrorItems
+{
+    std::vector<StoredItem> items;
+    int64_t era = 0;
+};
+
 class StoreMirror
 {
 public:
@@ -110,6 +119,9 @@
     // Returns the items whose keys start with `prefix`, ordered by key.
     std::vector<StoredItem> items(const std::string &prefix) const;
 
+    // The same with the era of the contents.
+    MirrorItems itemsOfEra(const std::string &prefix) const;
+
     MirrorStatus status() const;
 
     // Returns the changes after `position`, and waits at most `wait` if there are none yet. Returns a snapshot if the position has revision 0, is
