entry: the rollout leadership has a type of its own

RolloutDuty keeps the loads and orders; acquiring, renewing and losing the leadership, the wait after a takeover and the commit of an announcement move to RolloutLeadership. No change of behaviour.

--- a/pimentosail/entry/rolloutduty.cpp
+++ b/pimentosail/entry/rolloutduty.cpp
@@ -1,9 +1,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "pimentosail/base/hash.h"
-#include "pimentosail/base/json.h"
-#include "pimentosail/entry/stateupdater.h"
 #include "pimentosail/entry/storeduties.h"
 
 namespace pimentosail
@@ -12,17 +9,6 @@
 namespace
 {
 
-// Lease time of the rollout leadership. The failure of the leader delays a rollout by about twice this time.
-constexpr Duration LeadershipLease = std::chrono::seconds(3);
-constexpr Duration RenewInterval = Milliseconds(900);
-// If there are relays, they may acquire the leadership at once, the other hosts only after nobody has had it for this long.
-constexpr Duration NonRelayAcquireDelay = std::chrono::seconds(2);
-// No load order is sent this close to the end of the lease, because an order must arrive before another host can become
-// the leader.
-constexpr Duration LeadershipMargin = Milliseconds(700);
-// A load order is sent at most this long after its announcement. A new leader waits for the end of this time, counted from
-// the last announcement of its predecessor.
-constexpr Duration OrderWindow = Milliseconds(1000);
 // Time between announcement and load order in which the other hosts receive the announcement and stop sending to the
 // target.
 constexpr Duration NoticeTime = Milliseconds(120);
@@ -54,9 +40,7 @@
 
 RolloutDuty::RolloutDuty(EntryContext &entryContext, PrefixStore platformStore, const StoreMirror &storeMirror)
     : context(entryContext)
-    , store(std::move(platformStore))
-    , mirror(storeMirror)
-    , nonce(randomId())
+    , leadership(entryContext, std::move(platformStore), storeMirror)
     , thread("rollout", [this] { this->run(); })
 {
 }
@@ -76,107 +60,19 @@
 {
     this->stopping.store(true);
     this->thread.join();
-    if (this->lease.isGranted()) {
-        try {
-            this->store.revokeLease(std::exchange(this->lease, {}));
-        } catch (const Failure &failure) {
-            this->context.log.write(LogLevel::Warning, "lease_not_ended", {{"lease", this->lease.id}, {"reason", failure.what()}});
-        }
-    }
+    this->leadership.stop();
 }
 
+// Returns true if load orders may be sent now.
 bool RolloutDuty::mayOrder() const
 {
-    const Time now = this->context.clock.nowWithSuspend();
-    return this->fencingToken != 0 && now < this->trustedUntil - LeadershipMargin && now >= this->mayOrderFrom && !this->stopping.load();
-}
-
-void RolloutDuty::loseLeadership(const char *reason)
-{
-    this->context.log.write(LogLevel::Warning, "rollout_right_lost", {{"fence", this->fencingToken}, {"reason", reason}});
-    this->fencingToken = 0;
-    this->lease = {};
-    this->mayOrderFrom = Time::max();
-}
-
-void RolloutDuty::tryAcquireLeadership()
-{
-    const Time now = this->context.clock.now();
-    if (!this->mirror.items(RolloutLeaderKey).empty()) {
-        this->vacantSince = Time(0);
-        return;
-    }
-    this->vacantSince = this->vacantSince == Time(0) ? now : this->vacantSince;
-    if (!this->context.state.readsFromSource() && now < this->vacantSince + NonRelayAcquireDelay) {
-        return;
-    }
-    const Time requestedAt = this->context.clock.nowWithSuspend();
-    this->lease = this->store.grantLease(LeadershipLease);
-    Json::Value value;
-    value["host"] = this->context.settings.name;
-    value["nonce"] = this->nonce;
-    const CommitOutcome outcome = this->store.commit({{{RolloutLeaderKey, 0}}, {{RolloutLeaderKey, printJson(value), this->lease}}, {}});
-    if (outcome.status != CommitStatus::Committed) {
-        this->store.revokeLease(this->lease);
-        this->lease = {};
-        return;
-    }
-    this->fencingToken = outcome.revision;
-    this->trustedUntil = requestedAt + LeadershipLease;
-    this->mayOrderFrom = Time::max();
-    this->context.log.write(LogLevel::Info, "rollout_right_taken", {{"fence", this->fencingToken}});
-}
-
-// The previous leader sent its last load order at most `OrderWindow` after its last announcement, and it cannot announce
-// anything after this leader's key was written. So the last announcement is known once the mirror has the state of the
-// store as of that write.
-void RolloutDuty::finishTakeover()
-{
-    if (this->mayOrderFrom != Time::max() || this->mirror.status().revision < this->fencingToken) {
-        return;
-    }
-    const LatestRollout last = this->context.state.rollout();
-    if (last.fencingToken == 0 || (!last.isReceivedLive && this->mirror.items(RecentLoadOrderKey).empty())) {
-        // There was no announcement, or the lease of the last one has ended.
-        this->mayOrderFrom = Time(0);
-        return;
-    }
-    this->mayOrderFrom = last.at + OrderWindow + this->context.settings.leaderGap;
-}
-
-void RolloutDuty::maintainLeadership()
-{
-    const Time now = this->context.clock.nowWithSuspend();
-    if (now < this->nextRenewal) {
-        return;
-    }
-    this->nextRenewal = now + RenewInterval;
-    try {
-        if (this->fencingToken == 0) {
-            this->tryAcquireLeadership();
-            return;
-        }
-        if (this->store.keepAlive(this->lease)) {
-            this->trustedUntil = now + LeadershipLease;
-            return;
-        }
-        this->loseLeadership("the lease has ended");
-    } catch (const Failure &) {
-        this->context.metrics.count("pimentosail_store_failures_total", {{"duty", "rollout"}});
-        if (this->fencingToken != 0 && this->context.clock.nowWithSuspend() > this->trustedUntil) {
-            this->loseLeadership("not renewed in time");
-        } else if (this->fencingToken == 0) {
-            // The key may have been written although the answer was lost. It is removed when its lease ends.
-            this->lease = {};
-        }
-    }
+    return this->leadership.mayOrder() && !this->stopping.load();
 }
 
 bool RolloutDuty::publishAnnouncement()
 {
-    const Time requestedAt = this->context.clock.nowWithSuspend();
     RolloutAnnouncement announcement;
-    announcement.fencingToken = this->fencingToken;
+    announcement.fencingToken = this->leadership.token();
     for (const auto &[id, load] : this->pendingLoads) {
         if (!load.isOutstanding) {
             announcement.loading.push_back(id);
@@ -184,26 +80,7 @@
     }
     announcement.finished.assign(this->finished.begin(), this->finished.end());
     announcement.released = this->released;
-    try {
-        // The lease starts before the announcement. It is long enough to end no earlier than `leaderGap` after the last
-        // load order that the announcement permits.
-        const StoreLease recent = this->store.grantLease(2 * OrderWindow + this->context.settings.leaderGap);
-        const CommitOutcome outcome = this->store.commit({{{RolloutLeaderKey, this->fencingToken}},
-            {{RolloutStateKey, encodeAnnouncement(announcement), 0}, {RecentLoadOrderKey, std::to_string(this->fencingToken), recent}}, {}});
-        if (outcome.status == CommitStatus::Committed) {
-            this->announcedAt = requestedAt;
-            return true;
-        }
-        if (outcome.status == CommitStatus::LeaseEnded) {
-            return false;
-        }
-        this->loseLeadership("another host is the leader");
-    } catch (const Failure &) {
-        // Without the announcement, the other hosts get the version from the registrations and notice the load when the
-        // target refuses requests.
-        this->context.metrics.count("pimentosail_store_failures_total", {{"duty", "rollout"}});
-    }
-    return false;
+    return this->leadership.announce(encodeAnnouncement(announcement));
 }
 
 void RolloutDuty::sendOrder(PendingLoad &load)
@@ -217,7 +94,7 @@
             load.nextReport = this->context.clock.now();
             return;
         }
-        if (!this->mayOrder() || this->context.clock.nowWithSuspend() > this->announcedAt + OrderWindow) {
+        if (!this->mayOrder() || !this->leadership.isAnnounced()) {
             // Without an order, the load is not unanswered: it is ordered after the next announcement.
             load.isOrdered = load.ordersSent > 0;
             return;
@@ -232,13 +109,14 @@
         }
         const Time sentAt = this->context.clock.now();
         ++load.ordersSent;
-        load.outcome
-            = this->context.wire.sendLoadOrder(*load.target, {load.model, load.version, this->context.settings.name, this->fencingToken, load.orderCount});
+        load.outcome = this->context.wire.sendLoadOrder(
+            *load.target, {load.model, load.version, this->context.settings.name, this->leadership.token(), load.orderCount});
         load.orderedAt = this->context.clock.now();
         load.nextReport = load.orderedAt + (load.outcome == OrderOutcome::Accepted ? FirstReportDelay : ReportInterval);
         this->context.log.write(LogLevel::Info, "load_ordered",
-            {{"target", load.target->id}, {"model", load.model}, {"version", load.version}, {"fence", this->fencingToken}, {"order_count", load.orderCount},
-                {"outcome", static_cast<int>(load.outcome)}, {"orders_sent", load.ordersSent}, {"took_ms", toMilliseconds(load.orderedAt - sentAt)}});
+            {{"target", load.target->id}, {"model", load.model}, {"version", load.version}, {"fence", this->leadership.token()},
+                {"order_count", load.orderCount}, {"outcome", static_cast<int>(load.outcome)}, {"orders_sent", load.ordersSent},
+                {"took_ms", toMilliseconds(load.orderedAt - sentAt)}});
         if (load.outcome == OrderOutcome::Refused) {
             // Lets the next check give up this load.
             load.orderedAt -= MaxLoadTime;
@@ -353,8 +231,7 @@
     if (due.empty()) {
         return;
     }
-    const bool isAnnouncementValid = this->context.clock.nowWithSuspend() < this->announcedAt + OrderWindow - NoticeTime;
-    if (!this->mayOrder() || (!isAnnouncementValid && !this->publishAnnouncement())) {
+    if (!this->mayOrder() || (!this->leadership.isAnnounced(NoticeTime) && !this->publishAnnouncement())) {
         return;
     }
     for (PendingLoad *load : due) {
@@ -541,13 +418,10 @@
 void RolloutDuty::run()
 {
     while (!this->stopping.load()) {
-        this->maintainLeadership();
-        if (this->fencingToken != 0) {
-            this->finishTakeover();
-        }
+        this->leadership.maintain();
         if (this->mayOrder()) {
             this->advance();
-        } else if (this->fencingToken == 0) {
+        } else if (this->leadership.token() == 0) {
             this->pendingLoads.clear();
             this->finished.clear();
         }
--- /dev/null
+++ b/pimentosail/entry/rolloutleadership.h
@@ -0,0 +1,72 @@
+// The rollout leadership: the right to order targets to load weights, which one host has at a time.
+//
+//     RolloutLeadership leadership(context, store, mirror);
+//     leadership.maintain();   // again and again; acquires the leadership if no other host has it
+//     if (leadership.mayOrder() && leadership.announce(announcement)) { ... }
+//
+// The leader is the host that has written the leadership key under its lease. A leader relies on the key only for the
+// lease time after the start of its last renewal, on a clock that includes time in suspension. `mayOrder` and `isAnnounced` are
+// to be called right before each load order. These and `token` are safe to call from any thread while the others are not called; the others are
+// called by one thread.
+#pragma once
+
+#include <string>
+
+#include "pimentosail/entry/context.h"
+#include "pimentosail/mirror/storemirror.h"
+
+namespace pimentosail
+{
+
+class RolloutLeadership
+{
+public:
+    RolloutLeadership(EntryContext &entryContext, PrefixStore platformStore, const StoreMirror &storeMirror);
+
+    // Acquires or renews the leadership when it is time to.
+    void maintain();
+
+    // Gives up the leadership for good.
+    void stop();
+
+    // Returns the fencing token of this host's leadership, or 0 if it is not the leader.
+    int64_t token() const
+    {
+        return this->fencingToken;
+    }
+
+    // Returns true if this host may send load orders now.
+    bool mayOrder() const;
+
+    // Publishes an encoded announcement, which permits load orders for a short time. Returns false if it is not certain that the store has it; then
+    // no load order that depends on it may be sent.
+    bool announce(const std::string &announcement);
+
+    // Returns true if the last announcement permits load orders until `later` from now.
+    bool isAnnounced(Duration later = Duration(0)) const;
+
+private:
+    void tryAcquire();
+    void renew(Time now);
+    void lose(const char *reason);
+    // Sets from when a new leader may send load orders.
+    void finishTakeover();
+
+    EntryContext &context;
+    PrefixStore store;
+    const StoreMirror &mirror;
+    std::string nonce;
+    StoreLease lease;
+    // Store revision at which this host became the leader; 0 if it is not the leader.
+    int64_t fencingToken = 0;
+    // The leadership is certain until this time. This and the next three times are on the clock that includes suspension.
+    Time trustedUntil{};
+    // Load orders are sent only from this time on, and within a short time after their announcement.
+    Time mayOrderFrom{};
+    Time announcedAt{};
+    Time nextRenewal{};
+    // Time at which no host was first found to be the leader; zero if there is one.
+    Time vacantSince{};
+};
+
+} // namespace pimentosail
--- a/pimentosail/entry/storeduties.h
+++ b/pimentosail/entry/storeduties.h
@@ -19,6 +19,7 @@
 
 #include "pimentosail/base/duty.h"
 #include "pimentosail/entry/context.h"
+#include "pimentosail/entry/rolloutleadership.h"
 #include "pimentosail/kvcache/cachejournal.h"
 #include "pimentosail/mirror/storemirror.h"
 #include "pimentosail/rollout/announcement.h"
@@ -60,11 +61,7 @@
     DutyThread thread;
 };
 
-// Acquires the rollout leadership if no other host has it, and then orders targets to load the wanted weight versions.
-//
-// The leader is the host that has written the leadership key under its lease. A leader relies on the key only for the
-// lease time after the start of its last renewal, on a clock that includes time in suspension, and checks this again
-// right before each load order.
+// Orders targets to load the wanted weight versions while this host has the rollout leadership.
 class RolloutDuty
 {
 public:
@@ -102,11 +99,6 @@
     };
 
     void run();
-    void maintainLeadership();
-    void tryAcquireLeadership();
-    void loseLeadership(const char *reason);
-    // Sets from when a new leader may send load orders.
-    void finishTakeover();
     bool mayOrder() const;
     void advance();
     void checkPendingLoads();
@@ -128,20 +120,7 @@
     bool publishAnnouncement();
 
     EntryContext &context;
-    PrefixStore store;
-    const StoreMirror &mirror;
-    std::string nonce;
-    StoreLease lease;
-    // Store revision at which this host became the leader; 0 if it is not the leader.
-    int64_t fencingToken = 0;
-    // The leadership is certain until this time. This and the next three times are on the clock that includes suspension.
-    Time trustedUntil{};
-    // Load orders are sent only from this time on, and within a short time after their announcement.
-    Time mayOrderFrom{};
-    Time announcedAt{};
-    Time nextRenewal{};
-    // Time at which no host was first found to be the leader; zero if there is one.
-    Time vacantSince{};
+    RolloutLeadership leadership;
     // By target id.
     std::map<std::string, PendingLoad> pendingLoads;
     std::deque<FinishedLoad> finished;
