entry: a host's entry and lease outlast a restore of the store

Other hosts lost sight of a host whose lease was granted in the lost time: its id was given out again, the host renewed the lease of its new owner, and its own entry stayed away. A host that stopped ended the other's lease. And a host whose entry was in the copy wrote it anew all the same, as all hosts would at once.

HostDuty took a lease for its own as long as the store renewed the id. It now remembers the position and value of its write and compares them with the mirror, in any era: an entry that is missing or another write is written under a new lease; if a mirror of a later era shows this very write, the copy has its lease too, and the lease is carried over. The value names the lease, so that a write under another lease is never taken for it. A refused renewal waits for one interval for the mirror to show the reason. Leases of an era before the mirror's are not ended.

Seen to fail before: restored_leases/an_entry_comes_back_and_a_lease_id_given_out_again_is_not_renewed (the entry stays lost), a_lease_id_given_out_again_is_not_ended_by_its_former_owner, an_entry_that_the_copy_has_is_not_written_anew_and_its_lease_is_renewed. Seen to fail with one guard left out: a_refused_renewal_waits_until_the_mirror_shows_whether_the_copy_has_the_entry (without that wait), own_writes/a_lease_of_an_era_before_that_of_the_mirror_is_not_ended (without the check of the era).

--- a/pimentosail/entry/hostduty.cpp
+++ b/pimentosail/entry/hostduty.cpp
@@ -4,6 +4,7 @@
 #include "pimentosail/base/hash.h"
 #include "pimentosail/base/json.h"
 #include "pimentosail/entry/loadmessages.h"
+#include "pimentosail/entry/ownwrites.h"
 #include "pimentosail/entry/stateupdater.h"
 #include "pimentosail/entry/storeduties.h"
 #include "pimentosail/rollout/versionage.h"
@@ -57,23 +58,50 @@
 {
     this->stopping.store(true);
     this->thread.join();
-    if (this->lease.isGranted()) {
-        try {
-            this->store.revokeLease(std::exchange(this->lease, {}));
-        } catch (const Failure &failure) {
-            // The lease expires by itself.
-            this->context.log.write(LogLevel::Warning, "lease_not_ended", {{"lease", this->lease.id}, {"reason", failure.what()}});
-        }
+    endLease(this->context.log, this->mirror, this->store, this->lease);
+}
+
+bool HostDuty::checkEntry()
+{
+    // Read before the item, which is then at least as recent.
+    const StorePosition seen = this->mirror.status().position();
+    if (!this->isWritten) {
+        this->lease = seen.era > this->lease.era ? StoreLease{} : this->lease;
+        return true;
+    }
+    if (seen < this->entryPosition) {
+        return true;
+    }
+    const std::optional<StoredItem> item = itemAt(this->mirror, HostsPrefix + this->context.settings.name);
+    if (!item || item->revision != this->entryPosition.revision || item->value != this->entryValue) {
+        this->context.log.write(LogLevel::Warning, "host_entry_lost",
+            {{"era", seen.era}, {"revision", seen.revision}, {"written_era", this->entryPosition.era}, {"written_revision", this->entryPosition.revision},
+                {"found_revision", item ? item->revision : 0}});
+        this->lease = {};
+        this->isWritten = false;
+        return false;
     }
+    if (seen.era > this->lease.era) {
+        // The store came back from a copy that has this write, and so its lease.
+        this->lease.era = seen.era;
+        this->entryPosition.era = seen.era;
+        this->isLeaseRefused = false;
+    }
+    return true;
 }
 
 void HostDuty::renew()
 {
     try {
         if (this->lease.isGranted() && !this->store.keepAlive(this->lease)) {
-            this->context.log.write(LogLevel::Warning, "host_lease_ended", {{"lease", this->lease.id}});
+            if (this->isWritten && !std::exchange(this->isLeaseRefused, true)) {
+                // If the store has begun a new era, the lease may go on in it. The mirror is about to show whether the store has the entry.
+                return;
+            }
+            this->context.log.write(LogLevel::Warning, "host_lease_ended", {{"lease", this->lease.id}, {"era", this->lease.era}});
             this->lease = {};
         }
+        this->isLeaseRefused = false;
         if (!this->lease.isGranted()) {
             this->lease = this->store.grantLease(HostLease);
             this->isWritten = false;
@@ -85,8 +113,12 @@
             value["gossip"] = this->context.settings.gossipListen;
             value["cores"] = this->context.settings.cores;
             value["load_format"] = LoadFormat;
-            const CommitOutcome outcome = this->store.commit({{}, {{HostsPrefix + this->context.settings.name, printJson(value), this->lease}}, {}});
+            // So that a write under another lease has another value.
+            value["lease"] = Json::Int64(this->lease.id);
+            this->entryValue = printJson(value);
+            const CommitOutcome outcome = this->store.commit({{}, {{HostsPrefix + this->context.settings.name, this->entryValue, this->lease}}, {}});
             this->isWritten = outcome.status == CommitStatus::Committed;
+            this->entryPosition = outcome.position();
             this->lease = outcome.status == CommitStatus::LeaseEnded ? StoreLease{} : this->lease;
         }
     } catch (const Failure &) {
@@ -186,7 +218,8 @@
 {
     Time nextRenewal{};
     while (!this->stopping.load()) {
-        if (this->context.clock.now() >= nextRenewal) {
+        const bool isInPlace = this->checkEntry();
+        if (!isInPlace || this->context.clock.now() >= nextRenewal) {
             this->renew();
             nextRenewal = this->context.clock.now() + RenewInterval;
         }
--- a/pimentosail/entry/storeduties.h
+++ b/pimentosail/entry/storeduties.h
@@ -42,6 +42,9 @@
 
 private:
     void run();
+    // Compares this host's entry with the mirror's. Returns false if the store has lost or replaced it; it is then to be written under a new
+    // lease. If the store came back from a copy that has it, takes its lease over into the new era.
+    bool checkEntry();
     void renew();
     bool publishObservations();
     uint64_t observationChanges() const;
@@ -53,7 +56,12 @@
     PrefixStore store;
     const StoreMirror &mirror;
     StoreLease lease;
+    // The store has accepted the entry, as `entryValue`; `entryPosition` is the position of that write.
     bool isWritten = false;
+    StorePosition entryPosition;
+    std::string entryValue;
+    // The store refused the last renewal, and the mirror has not shown why.
+    bool isLeaseRefused = false;
     uint64_t publishedChanges = 0;
     // Time of `Clock::nowWithSuspend`.
     Time nextVersionRecord{};
