entry: observations that the store has lost in a restore are written again

After a restore the store lacked what a host had observed of requests and blocks that end targets, until the host observed something new; hosts that started then let such requests through. HostDuty published only when its observations had changed. It now compares them with the mirror's once in each era, and writes only if they differ. What an earlier process of the host published is written again if the store has none of it and this process has restored it.

Seen to fail before: restored_leases/observations_that_the_store_has_lost_are_written_again.

--- a/pimentosail/entry/hostduty.cpp
+++ b/pimentosail/entry/hostduty.cpp
@@ -127,14 +127,8 @@
     }
 }
 
-// Publishes what this host observed if it has changed. Returns false if the store did not accept it.
-bool HostDuty::publishObservations()
+Json::Value HostDuty::observations() const
 {
-    // Read before the observations: one that is recorded in between is published again.
-    const uint64_t changes = this->observationChanges();
-    if (changes == this->publishedChanges) {
-        return true;
-    }
     Json::Value value;
     for (const auto &[fingerprint, incarnation] : this->context.quarantine.ownLosses()) {
         Json::Value loss;
@@ -146,8 +140,36 @@
         value["sound_requests"].append(std::to_string(fingerprint));
     }
     encodeBlockFindings(this->context.blockQuarantine.ownFindings(), value);
+    return value;
+}
+
+// Returns true if the store has begun an era since the last call or publication, and does not have this host's observations.
+bool HostDuty::hasLostObservations()
+{
+    const int64_t era = this->mirror.status().era;
+    if (era <= this->observationsEra) {
+        return false;
+    }
+    this->observationsEra = era;
+    const Json::Value value = this->observations();
+    const std::optional<StoredItem> item = itemAt(this->mirror, ObservationsPrefix + this->context.settings.name);
+    // An item that another process of this host wrote may have more than this one knows, until this one has news.
+    return item ? this->publishedChanges != 0 && item->value != printJson(value) : !value.isNull();
+}
+
+// Publishes what this host observed if it has changed, or if the store has lost it. Returns false if the store did not accept it.
+bool HostDuty::publishObservations()
+{
+    // Read before the observations: one that is recorded in between is published again.
+    const uint64_t changes = this->observationChanges();
+    this->areObservationsLost = this->areObservationsLost || this->hasLostObservations();
+    if (changes == this->publishedChanges && !this->areObservationsLost) {
+        return true;
+    }
     try {
-        this->store.commit({{}, {{ObservationsPrefix + this->context.settings.name, printJson(value), 0}}, {}});
+        const CommitOutcome outcome = this->store.commit({{}, {{ObservationsPrefix + this->context.settings.name, printJson(this->observations()), {}}}, {}});
+        this->observationsEra = outcome.era;
+        this->areObservationsLost = false;
         this->publishedChanges = changes;
         return true;
     } catch (const Failure &) {
--- a/pimentosail/entry/storeduties.h
+++ b/pimentosail/entry/storeduties.h
@@ -17,6 +17,8 @@
 #include <string>
 #include <vector>
 
+#include <json/value.h>
+
 #include "pimentosail/base/duty.h"
 #include "pimentosail/entry/context.h"
 #include "pimentosail/entry/rolloutleadership.h"
@@ -46,6 +48,8 @@
     // lease. If the store came back from a copy that has it, takes its lease over into the new era.
     bool checkEntry();
     void renew();
+    Json::Value observations() const;
+    bool hasLostObservations();
     bool publishObservations();
     uint64_t observationChanges() const;
     void publishVersionTimes();
@@ -63,6 +67,9 @@
     // The store refused the last renewal, and the mirror has not shown why.
     bool isLeaseRefused = false;
     uint64_t publishedChanges = 0;
+    // Era of the store in which it is known whether the store has the observations, and whether it has lost them.
+    int64_t observationsEra = 0;
+    bool areObservationsLost = false;
     // Time of `Clock::nowWithSuspend`.
     Time nextVersionRecord{};
     std::atomic<bool> stopping{false};
