entry: one host writes the record of a version's age again after a restore, not all at once

The hosts spread their calls by the time since the version was set, which is over at a restore: each host that found the record missing granted leases for all marks at the same time. The spread now counts from the beginning of the era if that is later.

Seen to fail before: restored_leases/one_host_records_again_when_a_version_was_set (4 of 4 hosts made records).

--- a/pimentosail/entry/hostduty.cpp
+++ b/pimentosail/entry/hostduty.cpp
@@ -187,6 +187,8 @@
 void HostDuty::publishVersionTimes()
 {
     const Time now = this->context.clock.nowWithSuspend();
+    // If a store that came back from an older copy has lost a record, the calls of the hosts are spread as well.
+    const Time eraSince = this->mirror.status().eraSince;
     std::vector<std::string> hosts;
     for (const HostEntry &host : this->context.state.hosts()) {
         hosts.push_back(host.name);
@@ -198,7 +200,8 @@
         Duration delay = isSelected ? Duration(0) : (1 + rank) * FallbackPublishDelay;
         // A host that started after the version was set does not know its age, so it leaves time to all others.
         delay = wanted.setTime.earliest == UnknownPast ? std::max<Duration>(2 * FallbackPublishDelay, delay) : delay;
-        if (now >= wanted.setTime.latest + delay && now >= this->nextVersionRecord && this->mirror.items(VersionTimesPrefix + name).empty()) {
+        if (now >= std::max(wanted.setTime.latest, eraSince) + delay && now >= this->nextVersionRecord
+            && this->mirror.items(VersionTimesPrefix + name).empty()) {
             this->publishVersionTime(name, wanted.setTime);
         }
     }
