--- a/pimentosail/entry/entrystate.h
+++ b/pimentosail/entry/entrystate.h
@@ -18,6 +18,7 @@
 #include "pimentosail/base/clock.h"
 #include "pimentosail/base/interrupt.h"
 #include "pimentosail/directory/relays.h"
+#include "pimentosail/kv/prefixstore.h"
 #include "pimentosail/routing/servingconfiguration.h"
 
 namespace pimentosail
@@ -50,6 +51,8 @@
     Time at{};
     // The announcement was written while this host was running; it was not read at this host's start.
     bool isReceivedLive = false;
+    // Position of its write.
+    StorePosition position;
 };
 
 class EntryState
@@ -141,12 +144,12 @@
         return result;
     }
 
-    // Records an announcement of load orders by the rollout leader with the fencing token `fencingToken`. `at` is a time of
-    // `Clock::nowWithSuspend`, which also advances while the machine is suspended.
-    void recordRollout(int64_t fencingToken, Time at, bool isReceivedLive)
+    // Records an announcement of load orders by the rollout leader. `latest.at` is a time of `Clock::nowWithSuspend`, which also advances while
+    // the machine is suspended.
+    void recordRollout(const LatestRollout &latest)
     {
         const std::lock_guard lock(this->mutex);
-        this->lastRollout = {fencingToken, at, isReceivedLive};
+        this->lastRollout = latest;
     }
 
     LatestRollout rollout() const
--- a/pimentosail/entry/rolloutduty.cpp
+++ b/pimentosail/entry/rolloutduty.cpp
@@ -418,13 +418,15 @@
 void RolloutDuty::run()
 {
     while (!this->stopping.load()) {
+        const int64_t former = this->leadership.token();
         this->leadership.maintain();
-        if (this->mayOrder()) {
-            this->advance();
-        } else if (this->leadership.token() == 0) {
+        if (this->leadership.token() != former || former == 0) {
             this->pendingLoads.clear();
             this->finished.clear();
         }
+        if (this->mayOrder()) {
+            this->advance();
+        }
         this->context.clock.sleepFor(IdleStep);
     }
 }
--- a/pimentosail/entry/rolloutleadership.h
+++ b/pimentosail/entry/rolloutleadership.h
@@ -5,7 +5,8 @@
 //     if (leadership.mayOrder() && leadership.announce(announcement)) { ... }
 //
 // The leader is the host that has written the leadership key under its lease. A leader relies on the key only for the
-// lease time after the start of its last renewal, on a clock that includes time in suspension. `mayOrder` and `isAnnounced` are
+// lease time after the start of its last renewal, on a clock that includes time in suspension, and only in the era of the store in which it wrote
+// the key. `mayOrder` and `isAnnounced` are
 // to be called right before each load order. These and `token` are safe to call from any thread while the others are not called; the others are
 // called by one thread.
 #pragma once
@@ -32,7 +33,7 @@
     // Returns the fencing token of this host's leadership, or 0 if it is not the leader.
     int64_t token() const
     {
-        return this->fencingToken;
+        return this->ownToken;
     }
 
     // Returns true if this host may send load orders now.
@@ -49,16 +50,20 @@
     void tryAcquire();
     void renew(Time now);
     void lose(const char *reason);
+    // Returns true if the store began another era after this host became the leader.
+    bool isOfEarlierEra() const;
     // Sets from when a new leader may send load orders.
     void finishTakeover();
 
     EntryContext &context;
     PrefixStore store;
     const StoreMirror &mirror;
-    std::string nonce;
+    // Value of the leadership key while this host is the leader. No other process writes it.
+    std::string keyValue;
     StoreLease lease;
-    // Store revision at which this host became the leader; 0 if it is not the leader.
-    int64_t fencingToken = 0;
+    // Position of the write by which this host became the leader, and the fencing token made of it; 0 if it is not the leader.
+    StorePosition leaderSince;
+    int64_t ownToken = 0;
     // The leadership is certain until this time. This and the next three times are on the clock that includes suspension.
     Time trustedUntil{};
     // Load orders are sent only from this time on, and within a short time after their announcement.
--- a/pimentosail/entry/stateupdater.cpp
+++ b/pimentosail/entry/stateupdater.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 
 #include "pimentosail/base/json.h"
-#include "pimentosail/rollout/announcement.h"
+#include "pimentosail/entry/ownwrites.h"
 #include "pimentosail/rollout/versionage.h"
 
 namespace pimentosail
@@ -281,26 +281,37 @@
 
 void StateUpdater::updateRollout(const StoreMirror &mirror)
 {
-    for (const StoredItem &item : mirror.items(RolloutStateKey)) {
-        try {
-            const RolloutAnnouncement announcement = decodeAnnouncement(item.value);
-            const bool isReceivedLive = this->context.clock.now() > this->createdAt + StartupWindow;
-            this->context.state.recordRollout(announcement.fencingToken, this->context.clock.nowWithSuspend(), isReceivedLive);
-            for (const std::string &id : announcement.loading) {
-                if (const TargetPointer target = this->context.directory.find(id)) {
-                    target->avoidUntil.store((this->context.clock.now() + MaxLoadAvoidance).count());
-                }
-            }
-            for (const FinishedLoad &load : announcement.finished) {
-                this->context.directory.recordVersion(load.target, load.model, load.version);
-            }
-            for (const std::string &id : announcement.released) {
-                if (const TargetPointer target = this->context.directory.find(id)) {
-                    target->avoidUntil.store(0);
-                }
-            }
-        } catch (const std::exception &exception) {
-            this->reportUnreadable(item, exception.what());
+    const std::optional<StoredItem> item = itemAt(mirror, RolloutStateKey);
+    if (!item) {
+        return;
+    }
+    const LatestRollout former = this->context.state.rollout();
+    const bool isReceivedLive = this->context.clock.now() > this->createdAt + StartupWindow;
+    LatestRollout latest{former.fencingToken, this->context.clock.nowWithSuspend(), isReceivedLive, item->position()};
+    try {
+        const RolloutAnnouncement announcement = decodeAnnouncement(item->value);
+        latest.fencingToken = announcement.fencingToken;
+        this->applyAnnouncement(announcement);
+    } catch (const std::exception &exception) {
+        this->reportUnreadable(*item, exception.what());
+    }
+    // Also if it tells nothing: a new rollout leader then waits.
+    this->context.state.recordRollout(latest);
+}
+
+void StateUpdater::applyAnnouncement(const RolloutAnnouncement &announcement)
+{
+    for (const std::string &id : announcement.loading) {
+        if (const TargetPointer target = this->context.directory.find(id)) {
+            target->avoidUntil.store((this->context.clock.now() + MaxLoadAvoidance).count());
+        }
+    }
+    for (const FinishedLoad &load : announcement.finished) {
+        this->context.directory.recordVersion(load.target, load.model, load.version);
+    }
+    for (const std::string &id : announcement.released) {
+        if (const TargetPointer target = this->context.directory.find(id)) {
+            target->avoidUntil.store(0);
         }
     }
 }
--- a/pimentosail/entry/stateupdater.h
+++ b/pimentosail/entry/stateupdater.h
@@ -17,6 +17,7 @@
 #include "pimentosail/entry/context.h"
 #include "pimentosail/entry/decodeditems.h"
 #include "pimentosail/mirror/storemirror.h"
+#include "pimentosail/rollout/announcement.h"
 
 namespace pimentosail
 {
@@ -60,6 +61,7 @@
     void updateHosts(const StoreMirror &mirror);
     void updateObservations(const StoreMirror &mirror, const std::set<std::string> &changedKeys);
     void updateRollout(const StoreMirror &mirror);
+    void applyAnnouncement(const RolloutAnnouncement &announcement);
     void updateVersionTimes(const StoreMirror &mirror);
     // Logs a value that cannot be decoded, once for each revision.
     void reportUnreadable(const StoredItem &item, const std::string &reason);
--- a/pimentosail/rollout/rollouttest.cpp
+++ b/pimentosail/rollout/rollouttest.cpp
@@ -1,6 +1,7 @@
 #include <criterion/criterion.h>
 
 #include "pimentosail/rollout/announcement.h"
+#include "pimentosail/rollout/fencingtoken.h"
 #include "pimentosail/rollout/rollout.h"
 
 using namespace pimentosail;
@@ -102,3 +103,18 @@
     cr_assert_eq(decoded.loading[0], "b");
     cr_assert_eq(decoded.released[0], "a");
 }
+
+// Guards against a new leader whose orders targets refuse, or take for a lost leader's, because revisions are given out again after a restore.
+Test(rollout, fencing_tokens_rise_with_era_and_revision_and_are_exact_in_json)
+{
+    cr_assert_eq(fencingToken({0, 41}).value(), 41);
+    cr_assert_lt(fencingToken({0, (int64_t(1) << 40) - 1}).value(), fencingToken({1, 1}).value());
+    cr_assert_lt(fencingToken({1, 900}).value(), fencingToken({2, 3}).value());
+    cr_assert_lt(fencingToken({2, 3}).value(), fencingToken({2, 4}).value());
+    cr_assert_eq(eraOfToken(fencingToken({7, 12}).value()), 7);
+    const int64_t highest = fencingToken({8191, (int64_t(1) << 40) - 1}).value();
+    cr_assert_eq(static_cast<int64_t>(static_cast<double>(highest)), highest);
+    cr_assert_not(fencingToken({8192, 1}).has_value());
+    cr_assert_not(fencingToken({1, int64_t(1) << 40}).has_value());
+    cr_assert_not(fencingToken({-1, 1}).has_value());
+}
