entry: an announcement of the lost history is no news after a restore

After a restore, hosts sent nothing for six seconds to targets whose loads had ended, and released targets that had begun one since, because the copy has an older announcement, which looks changed. An announcement that was written in an earlier era than it was read in, and whose revision is not above that of the last one, now only delays a new rollout leader. The era of its write is that of its fencing token, since its revision alone does not tell: announcements of the new era begin below the lost revisions and must be applied.

Seen to fail before: restored_leases/an_announcement_in_the_copy_is_no_news_and_one_of_the_new_era_is.

--- a/pimentosail/entry/stateupdater.cpp
+++ b/pimentosail/entry/stateupdater.cpp
@@ -4,6 +4,7 @@
 
 #include "pimentosail/base/json.h"
 #include "pimentosail/entry/ownwrites.h"
+#include "pimentosail/rollout/fencingtoken.h"
 #include "pimentosail/rollout/versionage.h"
 
 namespace pimentosail
@@ -291,7 +292,11 @@
     try {
         const RolloutAnnouncement announcement = decodeAnnouncement(item->value);
         latest.fencingToken = announcement.fencingToken;
-        this->applyAnnouncement(announcement);
+        // The store came back from an older copy, and this host has applied this announcement or a later one.
+        const bool isOutdated = eraOfToken(announcement.fencingToken) < item->era && item->revision <= former.position.revision;
+        if (!isOutdated) {
+            this->applyAnnouncement(announcement);
+        }
     } catch (const std::exception &exception) {
         this->reportUnreadable(*item, exception.what());
     }
