--- a/pimentosail/entry/hostduty.cpp
+++ b/pimentosail/entry/hostduty.cpp
@@ -4,6 +4,7 @@
 #include "pimentosail/base/hash.h"
 #include "pimentosail/base/json.h"
 #include "pimentosail/entry/loadmessages.h"
+#include "pimentosail/entry/ownwrites.h"
 #include "pimentosail/entry/stateupdater.h"
 #include "pimentosail/entry/storeduties.h"
 #include "pimentosail/rollout/versionage.h"
@@ -57,23 +58,50 @@
 {
     this->stopping.store(true);
     this->thread.join();
-    if (this->lease.isGranted()) {
-        try {
-            this->store.revokeLease(std::exchange(this->lease, {}));
-        } catch (const Failure &failure) {
-            // The lease expires by itself.
-            this->context.log.write(LogLevel::Warning, "lease_not_ended", {{"lease", this->lease.id}, {"reason", failure.what()}});
-        }
+    endLease(this->context.log, this->mirror, this->store, this->lease);
+}
+
+bool HostDuty::checkEntry()
+{
+    // Read before the item, which is then at least as recent.
+    const StorePosition seen = this->mirror.status().position();
+    if (!this->isWritten) {
+        this->lease = seen.era > this->lease.era ? StoreLease{} : this->lease;
+        return true;
+    }
+    if (seen < this->entryPosition) {
+        return true;
     }
+    const std::optional<StoredItem> item = itemAt(this->mirror, HostsPrefix + this->context.settings.name);
+    if (!item || item->revision != this->entryPosition.revision || item->value != this->entryValue) {
+        this->context.log.write(LogLevel::Warning, "host_entry_lost",
+            {{"era", seen.era}, {"revision", seen.revision}, {"written_era", this->entryPosition.era}, {"written_revision", this->entryPosition.revision},
+                {"found_revision", item ? item->revision : 0}});
+        this->lease = {};
+        this->isWritten = false;
+        return false;
+    }
+    if (seen.era > this->lease.era) {
+        // The store came back from a copy that has this write, and so its lease.
+        this->lease.era = seen.era;
+        this->entryPosition.era = seen.era;
+        this->isLeaseRefused = false;
+    }
+    return true;
 }
 
 void HostDuty::renew()
 {
     try {
         if (this->lease.isGranted() && !this->store.keepAlive(this->lease)) {
-            this->context.log.write(LogLevel::Warning, "host_lease_ended", {{"lease", this->lease.id}});
+            if (this->isWritten && !std::exchange(this->isLeaseRefused, true)) {
+                // If the store has begun a new era, the lease may go on in it. The mirror is about to show whether the store has the entry.
+                return;
+            }
+            this->context.log.write(LogLevel::Warning, "host_lease_ended", {{"lease", this->lease.id}, {"era", this->lease.era}});
             this->lease = {};
         }
+        this->isLeaseRefused = false;
         if (!this->lease.isGranted()) {
             this->lease = this->store.grantLease(HostLease);
             this->isWritten = false;
@@ -85,8 +113,12 @@
             value["gossip"] = this->context.settings.gossipListen;
             value["cores"] = this->context.settings.cores;
             value["load_format"] = LoadFormat;
-            const CommitOutcome outcome = this->store.commit({{}, {{HostsPrefix + this->context.settings.name, printJson(value), this->lease}}, {}});
+            // So that a write under another lease has another value.
+            value["lease"] = Json::Int64(this->lease.id);
+            this->entryValue = printJson(value);
+            const CommitOutcome outcome = this->store.commit({{}, {{HostsPrefix + this->context.settings.name, this->entryValue, this->lease}}, {}});
             this->isWritten = outcome.status == CommitStatus::Committed;
+            this->entryPosition = outcome.position();
             this->lease = outcome.status == CommitStatus::LeaseEnded ? StoreLease{} : this->lease;
         }
     } catch (const Failure &) {
@@ -95,14 +127,8 @@
     }
 }
 
-// Publishes what this host observed if it has changed. Returns false if the store did not accept it.
-bool HostDuty::publishObservations()
+Json::Value HostDuty::observations() const
 {
-    // Read before the observations: one that is recorded in between is published again.
-    const uint64_t changes = this->observationChanges();
-    if (changes == this->publishedChanges) {
-        return true;
-    }
     Json::Value value;
     for (const auto &[fingerprint, incarnation] : this->context.quarantine.ownLosses()) {
         Json::Value loss;
@@ -114,8 +140,36 @@
         value["sound_requests"].append(std::to_string(fingerprint));
     }
     encodeBlockFindings(this->context.blockQuarantine.ownFindings(), value);
+    return value;
+}
+
+// Returns true if the store has begun an era since the last call or publication, and does not have this host's observations.
+bool HostDuty::hasLostObservations()
+{
+    const int64_t era = this->mirror.status().era;
+    if (era <= this->observationsEra) {
+        return false;
+    }
+    this->observationsEra = era;
+    const Json::Value value = this->observations();
+    const std::optional<StoredItem> item = itemAt(this->mirror, ObservationsPrefix + this->context.settings.name);
+    // An item that another process of this host wrote may have more than this one knows, until this one has news.
+    return item ? this->publishedChanges != 0 && item->value != printJson(value) : !value.isNull();
+}
+
+// Publishes what this host observed if it has changed, or if the store has lost it. Returns false if the store did not accept it.
+bool HostDuty::publishObservations()
+{
+    // Read before the observations: one that is recorded in between is published again.
+    const uint64_t changes = this->observationChanges();
+    this->areObservationsLost = this->areObservationsLost || this->hasLostObservations();
+    if (changes == this->publishedChanges && !this->areObservationsLost) {
+        return true;
+    }
     try {
-        this->store.commit({{}, {{ObservationsPrefix + this->context.settings.name, printJson(value), 0}}, {}});
+        const CommitOutcome outcome = this->store.commit({{}, {{ObservationsPrefix + this->context.settings.name, printJson(this->observations()), {}}}, {}});
+        this->observationsEra = outcome.era;
+        this->areObservationsLost = false;
         this->publishedChanges = changes;
         return true;
     } catch (const Failure &) {
@@ -133,6 +187,8 @@
 void HostDuty::publishVersionTimes()
 {
     const Time now = this->context.clock.nowWithSuspend();
+    // If a store that came back from an older copy has lost a record, the calls of the hosts are spread as well.
+    const Time eraSince = this->mirror.status().eraSince;
     std::vector<std::string> hosts;
     for (const HostEntry &host : this->context.state.hosts()) {
         hosts.push_back(host.name);
@@ -144,7 +200,8 @@
         Duration delay = isSelected ? Duration(0) : (1 + rank) * FallbackPublishDelay;
         // A host that started after the version was set does not know its age, so it leaves time to all others.
         delay = wanted.setTime.earliest == UnknownPast ? std::max<Duration>(2 * FallbackPublishDelay, delay) : delay;
-        if (now >= wanted.setTime.latest + delay && now >= this->nextVersionRecord && this->mirror.items(VersionTimesPrefix + name).empty()) {
+        if (now >= std::max(wanted.setTime.latest, eraSince) + delay && now >= this->nextVersionRecord
+            && this->mirror.items(VersionTimesPrefix + name).empty()) {
             this->publishVersionTime(name, wanted.setTime);
         }
     }
@@ -186,7 +243,8 @@
 {
     Time nextRenewal{};
     while (!this->stopping.load()) {
-        if (this->context.clock.now() >= nextRenewal) {
+        const bool isInPlace = this->checkEntry();
+        if (!isInPlace || this->context.clock.now() >= nextRenewal) {
             this->renew();
             nextRenewal = this->context.clock.now() + RenewInterval;
         }
