Calls to targets and cache stores whose answer decides something have a connection of their own

What callers saw: nothing yet. A load order that a target carried out could count as refused, and the reverse, so that more or fewer targets loaded than the rollout knew of; a former report could pass for the present one; blocks of a replaced version could count as freed. HttpClient keeps connections by address, and these answers bear no id. A peer that writes one answer too many shifts all later answers on the connection by one. What was opened for one call was kept for others of any kind. Change: load orders, weights reports, lists of cache stores and orders to free blocks use ConnectionUse::Fresh, whose connection is not kept any more. These calls are rare. On a connection that carried one request, an answer belongs to it.

--- a/pimentosail/net/httpclient.cpp
+++ b/pimentosail/net/httpclient.cpp
@@ -156,7 +156,7 @@
         }
         throwLost(address, reply.error().reason, anySent);
     }
-    if (connection->isReusable()) {
+    if (use != ConnectionUse::Fresh && connection->isReusable()) {
         this->put(address, std::move(connection));
     }
     return std::move(*reply);
--- a/pimentosail/net/httpclient.h
+++ b/pimentosail/net/httpclient.h
@@ -49,14 +49,17 @@
     std::string body;
 };
 
-// Whether a call may reuse a connection that an earlier call left open. A reused connection can fail after the peer has
-// read the request.
+// Which connection a call uses. An answer on a kept connection may be a copy of an earlier one: a peer that writes one answer too many shifts
+// all later answers on that connection by one.
 enum class ConnectionUse {
-    // If a reused connection fails, the request is sent again on a new one, so that it may be executed twice.
+    // A connection that an earlier call left open, or a new one that is kept for later calls. If a kept connection fails, the request is sent
+    // again on a new one, so that it may be executed twice. For calls that may run twice, and that can tell by the content of an answer
+    // whether it is theirs, or for which the answer to an earlier call does no harm but delay.
     Pooled,
-    // A connection may be reused, but the request is never sent again.
+    // The same, but the request is never sent again.
     PooledNoResend,
-    // The call opens a new connection.
+    // A new connection that serves this call only. For calls that change something, and for those whose answer decides something and does not
+    // tell which call it belongs to.
     Fresh,
 };
 
--- a/pimentosail/net/nettest.cpp
+++ b/pimentosail/net/nettest.cpp
@@ -1,5 +1,8 @@
 #include <atomic>
+#include <mutex>
+#include <set>
 #include <thread>
+#include <vector>
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -111,3 +114,26 @@
     server.join();
     cr_assert_eq(taken.front(), head.size(), "an answer was taken that was cut after %zu bytes", taken.front());
 }
+
+// Guards against an order that is given the answer to another call: a connection of its own must neither have served one nor serve one later.
+Test(net, a_fresh_connection_serves_one_call_only)
+{
+    std::mutex mutex;
+    std::vector<int> callerPorts;
+    HttpServer server("127.0.0.1:18935", 8, [&](HttpExchange &exchange) {
+        sockaddr_in caller{};
+        socklen_t size = sizeof(caller);
+        ::getpeername(exchange.callerSocket(), reinterpret_cast<sockaddr *>(&caller), &size);
+        const std::lock_guard lock(mutex);
+        callerPorts.push_back(caller.sin_port);
+        exchange.send(200, "text/plain", "ok");
+    });
+    server.start();
+    HttpClient client;
+    for (const ConnectionUse use : {ConnectionUse::Fresh, ConnectionUse::Pooled, ConnectionUse::Pooled, ConnectionUse::Fresh, ConnectionUse::Fresh}) {
+        cr_assert_eq(client.call("127.0.0.1:18935", {"GET", "/", {}, ""}, Milliseconds(1000), use).status, 200);
+    }
+    server.stop();
+    cr_assert_eq(callerPorts[2], callerPorts[1], "a call that may share a connection used the kept one");
+    cr_assert_eq(std::set<int>(callerPorts.begin(), callerPorts.end()).size(), 4, "a connection of its own served another call");
+}
