--- a/pimentosail/net/httpclient.cpp
+++ b/pimentosail/net/httpclient.cpp
@@ -151,7 +151,7 @@
     bool anySent = false;
     tl::expected<HttpReply, ExchangeFailure> reply = exchange(*connection, this->clock, address, request, timeout, anySent);
     if (!reply) {
-        if (isReused && use == ConnectionUse::Pooled && !reply.error().isTimeout) {
+        if (isReused && !reply.error().isTimeout) {
             return this->call(address, request, timeout, ConnectionUse::Fresh);
         }
         throwLost(address, reply.error().reason, anySent);
--- a/pimentosail/net/httpclient.h
+++ b/pimentosail/net/httpclient.h
@@ -56,8 +56,6 @@
     // again on a new one, so that it may be executed twice. For calls that may run twice, and that can tell by the content of an answer
     // whether it is theirs, or for which the answer to an earlier call does no harm but delay.
     Pooled,
-    // The same, but the request is never sent again.
-    PooledNoResend,
     // A new connection that serves this call only. For calls that change something, and for those whose answer decides something and does not
     // tell which call it belongs to.
     Fresh,
