--- a/pimentosail/entry/wire.h
+++ b/pimentosail/entry/wire.h
@@ -175,8 +175,8 @@
     // answer is received, TargetLost if the answer is not a success (`freeBlocks` returns false instead) or, from
     // `fetchWeightsReport`, is not JSON, and BadRequest if the answer's content is malformed.
 
-    // Returns the changes of a cache store after `since`; waits up to `wait` for the next one.
-    std::function<CacheEvents(const std::string &storeAddress, int64_t since, Duration wait)> pollCacheStore;
+    // Returns the changes of a cache store after event `since` of `epoch`; waits up to `wait` for the next one.
+    std::function<CacheEvents(const std::string &storeAddress, int64_t epoch, int64_t since, Duration wait)> pollCacheStore;
     // Returns all blocks that a cache store holds, as additions.
     std::function<CacheEvents(const std::string &storeAddress)> listCacheStore;
     // Frees blocks of the cache namespace `salt` in a cache store. Returns false if the store refuses, which it does if it
--- a/pimentosail/kvcache/kvcachetest.cpp
+++ b/pimentosail/kvcache/kvcachetest.cpp
@@ -81,6 +81,25 @@
     cr_assert_eq(fixture.stores.heldTokens("fast"), 0);
 }
 
+// Guards against an earlier answer that is taken for the answer to a poll, and against a restarted store whose answer is not taken.
+Test(kvcache, events_follow_a_poll_if_they_are_newer_or_the_store_has_restarted)
+{
+    const auto answer = [](int64_t epoch, int64_t first, int64_t next) {
+        CacheEvents events{epoch, next, false, {}};
+        if (first > 0) {
+            events.events.push_back({"s", "b", 100, false});
+            events.first = first;
+        }
+        return events;
+    };
+    cr_assert(answer(7, 6, 8).mayFollow(7, 5));
+    cr_assert(answer(7, 0, 5).mayFollow(7, 5));
+    cr_assert_not(answer(7, 5, 8).mayFollow(7, 5), "an event that is known");
+    cr_assert_not(answer(7, 0, 4).mayFollow(7, 5), "a former position");
+    cr_assert(answer(8, 1, 2).mayFollow(7, 5), "the store has restarted");
+    cr_assert(answer(7, 1, 2).mayFollow(0, 0), "the first poll");
+}
+
 // Guards against a target that reads a block while it is written again: hosts that do not know of a restart yet have the former blocks
 // fetched, so the others save nothing there for a while.
 Test(kvcache, nothing_is_saved_to_a_store_that_has_just_restarted)
--- a/pimentosail/kvcache/storecontents.h
+++ b/pimentosail/kvcache/storecontents.h
@@ -55,6 +55,14 @@
     // True if some events before these were lost.
     bool hasGap = false;
     std::vector<CacheEvent> events;
+    // The lowest number of an event; 0 if there are none.
+    int64_t first = 0;
+
+    // Returns false if these are no answer to a poll after event `since` of `pollEpoch`. A restarted cache store numbers its events anew.
+    bool mayFollow(int64_t pollEpoch, int64_t since) const
+    {
+        return this->epoch != pollEpoch || (this->next >= since && (this->events.empty() || this->first > since));
+    }
 };
 
 // The addresses of the cache stores from which a target fetches each block of a prompt and to which it saves it. An empty
--- a/pimentosail/net/httpclient.cpp
+++ b/pimentosail/net/httpclient.cpp
@@ -150,8 +150,12 @@
     }
     bool anySent = false;
     tl::expected<HttpReply, ExchangeFailure> reply = exchange(*connection, this->clock, address, request, timeout, anySent);
+    if (reply && isReused && request.accepts && !request.accepts(*reply)) {
+        reply = tl::unexpected<ExchangeFailure>({"the answer belongs to another call", false});
+    }
     if (!reply) {
         if (isReused && !reply.error().isTimeout) {
+            connection.reset();
             return this->call(address, request, timeout, ConnectionUse::Fresh);
         }
         throwLost(address, reply.error().reason, anySent);
--- a/pimentosail/net/httpclient.h
+++ b/pimentosail/net/httpclient.h
@@ -9,6 +9,7 @@
 // `HttpClient` is thread-safe; an `HttpStream` belongs to one thread.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -30,6 +31,14 @@
 // Maximum size of the body of an answer, where a call sets none.
 constexpr size_t DefaultMaxReplyBytes = 4 * 1024 * 1024;
 
+// A complete answer.
+struct HttpReply
+{
+    int status = 0;
+    std::string contentType;
+    std::string body;
+};
+
 // One request to send. `body` is sent with a Content-Length.
 struct HttpRequest
 {
@@ -39,14 +48,9 @@
     std::string body;
     // An answer with a longer body is given up.
     size_t maxReplyBytes = DefaultMaxReplyBytes;
-};
-
-// A complete answer.
-struct HttpReply
-{
-    int status = 0;
-    std::string contentType;
-    std::string body;
+    // Tells by its content whether an answer on a kept connection may belong to this request; null takes each. A connection whose answer
+    // doesn't counts as failed. Used by `HttpClient` only.
+    std::function<bool(const HttpReply &reply)> accepts = nullptr;
 };
 
 // Which connection a call uses. An answer on a kept connection may be a copy of an earlier one: a peer that writes one answer too many shifts
--- a/pimentosail/net/nettest.cpp
+++ b/pimentosail/net/nettest.cpp
@@ -137,3 +137,34 @@
     cr_assert_eq(callerPorts[2], callerPorts[1], "a call that may share a connection used the kept one");
     cr_assert_eq(std::set<int>(callerPorts.begin(), callerPorts.end()).size(), 4, "a connection of its own served another call");
 }
+
+// Guards against answers that all belong to the call before, once a peer has written one too many on a kept connection.
+Test(net, an_answer_to_another_call_ends_its_connection)
+{
+    Poco::Net::ServerSocket listener(Poco::Net::SocketAddress("127.0.0.1:18936"));
+    const auto answer = [](const std::string &body) {
+        return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    };
+    std::thread server([&] {
+        char request[4096];
+        for (const std::vector<std::string> &bodies : std::vector<std::vector<std::string>>{{"1", "1"}, {"2"}, {"1"}}) {
+            Poco::Net::StreamSocket socket = listener.acceptConnection();
+            for (const std::string &body : bodies) {
+                socket.receiveBytes(request, sizeof(request));
+                socket.sendBytes(answer(body).data(), static_cast<int>(answer(body).size()));
+            }
+        }
+    });
+    HttpClient client;
+    const auto call = [&client](const std::string &wanted) {
+        HttpRequest request;
+        request.accepts = [&wanted](const HttpReply &reply) {
+            return reply.body == wanted;
+        };
+        return client.call("127.0.0.1:18936", request, Milliseconds(1000)).body;
+    };
+    cr_expect_eq(call("1"), "1");
+    cr_expect_eq(call("2"), "2", "the request was not sent again on another connection");
+    cr_expect_eq(call("3"), "1", "on a connection of its own, an answer belongs to its request");
+    server.join();
+}
