Calls between hosts bear ids of their own, and take only the answer with their id

What callers saw: nothing yet. A host could take the answer to an earlier call of another host for the present one. Cause: libjsonrpccpp gives each request the id 1 and does not compare the id of the answer (0.7.0: BuildRequest is called with 1, and HandleResponse only returns the id). So the protocol's ids told nothing of an answer on a kept connection. Change: the connector, which has the text of each message, gives it a number that no other call of the process bears, and refuses an answer with another id. PeerClient checks kept connections by it, so that such a connection is closed and the call is made on a new one.

--- a/pimentosail/peer/peerclient.cpp
+++ b/pimentosail/peer/peerclient.cpp
@@ -10,7 +10,11 @@
 Json::Value PeerClient::call(const std::string &address, const std::string &method, const Json::Value &arguments, Duration timeout)
 {
     const RpcTransport transport = [&](const std::string &message) {
-        const HttpReply reply = this->http.call(address, {"POST", "/rpc", {}, message}, timeout);
+        HttpRequest request{"POST", "/rpc", {}, message};
+        request.accepts = [&message](const HttpReply &answer) {
+            return answer.status != 200 || isRpcAnswer(message, answer.body);
+        };
+        const HttpReply reply = this->http.call(address, request, timeout);
         this->countBytes(method, message.size() + reply.body.size());
         if (reply.status != 200) {
             throw Failure(ErrorKind::PeerLost, address + " answered " + std::to_string(reply.status));
--- a/pimentosail/peer/peertest.cpp
+++ b/pimentosail/peer/peertest.cpp
@@ -1,9 +1,15 @@
 #include <random>
+#include <thread>
 
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
 #include <criterion/criterion.h>
 
 #include "pimentosail/base/error.h"
+#include "pimentosail/net/httpclient.h"
 #include "pimentosail/peer/heartbeat.h"
+#include "pimentosail/peer/peerclient.h"
 #include "pimentosail/peer/rpcserver.h"
 #include "pimentosail/rpcclient/rpcclient.h"
 
@@ -90,3 +96,53 @@
     }
     cr_assert_throw(callRpc(transport, "unknown", parameters), RpcError);
 }
+
+// Guards against the answer to an earlier call that is taken for the present one: the library gives each call the id 1.
+Test(rpc, a_call_takes_only_the_answer_with_its_id)
+{
+    RpcServer server({{"echo", [](const Json::Value &arguments) {
+                           return arguments;
+                       }}});
+    std::string first;
+    const RpcTransport transport = [&server, &first](const std::string &message) {
+        const std::string answer = server.handle(message);
+        first = first.empty() ? answer : first;
+        return first;
+    };
+    Json::Value parameters;
+    parameters["arguments"]["a"] = 1;
+    cr_assert_eq(callRpc(transport, "echo", parameters)["a"].asInt(), 1);
+    parameters["arguments"]["a"] = 2;
+    cr_assert_throw(callRpc(transport, "echo", parameters), RpcError);
+}
+
+// Guards against hosts whose calls to another host all get the answer to the call before, once one answer too many came on their connection.
+Test(rpc, an_answer_to_an_earlier_call_ends_the_connection_between_hosts)
+{
+    RpcServer server({{"echo", [](const Json::Value &arguments) {
+                           return arguments;
+                       }}});
+    Poco::Net::ServerSocket listener(Poco::Net::SocketAddress("127.0.0.1:18951"));
+    std::thread peer([&] {
+        std::string last;
+        for (const int requests : {2, 1}) {
+            Poco::Net::StreamSocket socket = listener.acceptConnection();
+            char buffer[4096];
+            for (int request = 0; request < requests; ++request) {
+                const std::string text(buffer, static_cast<size_t>(socket.receiveBytes(buffer, sizeof(buffer))));
+                const std::string body = server.handle(text.substr(text.find("\r\n\r\n") + 4));
+                last = request == 0 ? "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body : last;
+                socket.sendBytes(last.data(), static_cast<int>(last.size()));
+            }
+            socket.receiveBytes(buffer, sizeof(buffer));
+        }
+    });
+    HttpClient http;
+    PeerClient client(http, [](const std::string &, size_t) {});
+    for (int call = 1; call <= 2; ++call) {
+        Json::Value arguments;
+        arguments["a"] = call;
+        cr_expect_eq(client.call("127.0.0.1:18951", "echo", arguments, Milliseconds(1000))["a"].asInt(), call);
+    }
+    peer.join();
+}
--- a/pimentosail/rpcclient/rpcclient.h
+++ b/pimentosail/rpcclient/rpcclient.h
@@ -15,7 +15,8 @@
 namespace pimentosail
 {
 
-// Sends the text of a request and returns the text of the answer. `callRpc` rethrows its exceptions.
+// Sends the text of a request and returns the text of the answer. `callRpc` rethrows its exceptions. On a kept connection, `isRpcAnswer` tells
+// whether an answer is one to an earlier request.
 using RpcTransport = std::function<std::string(const std::string &message)>;
 
 // Reports that the peer answered with a JSON-RPC error; `code` and `data` are those of the error.
@@ -33,7 +34,11 @@
     Json::Value data;
 };
 
-// Calls `method` and returns its result. Throws `RpcError` if the peer reports an error, or what `transport` throws.
+// Returns true if `answer` is JSON and bears the id of the request `message`.
+bool isRpcAnswer(const std::string &message, const std::string &answer);
+
+// Calls `method` with an id that no other call of this process bears, and returns its result. Throws `RpcError` if the peer reports an error or the
+// answer does not bear the id, or what `transport` throws.
 Json::Value callRpc(const RpcTransport &transport, const std::string &method, const Json::Value &parameters);
 
 } // namespace pimentosail
