--- a/pimentosail/net/httpclient.cpp
+++ b/pimentosail/net/httpclient.cpp
@@ -150,13 +150,17 @@
     }
     bool anySent = false;
     tl::expected<HttpReply, ExchangeFailure> reply = exchange(*connection, this->clock, address, request, timeout, anySent);
+    if (reply && isReused && request.accepts && !request.accepts(*reply)) {
+        reply = tl::unexpected<ExchangeFailure>({"the answer belongs to another call", false});
+    }
     if (!reply) {
-        if (isReused && use == ConnectionUse::Pooled && !reply.error().isTimeout) {
+        if (isReused && !reply.error().isTimeout) {
+            connection.reset();
             return this->call(address, request, timeout, ConnectionUse::Fresh);
         }
         throwLost(address, reply.error().reason, anySent);
     }
-    if (connection->isReusable()) {
+    if (use != ConnectionUse::Fresh && connection->isReusable()) {
         this->put(address, std::move(connection));
     }
     return std::move(*reply);
