--- a/pimentosail/net/httpclient.h
+++ b/pimentosail/net/httpclient.h
@@ -9,6 +9,7 @@
 // `HttpClient` is thread-safe; an `HttpStream` belongs to one thread.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -30,6 +31,14 @@
 // Maximum size of the body of an answer, where a call sets none.
 constexpr size_t DefaultMaxReplyBytes = 4 * 1024 * 1024;
 
+// A complete answer.
+struct HttpReply
+{
+    int status = 0;
+    std::string contentType;
+    std::string body;
+};
+
 // One request to send. `body` is sent with a Content-Length.
 struct HttpRequest
 {
@@ -39,24 +48,20 @@
     std::string body;
     // An answer with a longer body is given up.
     size_t maxReplyBytes = DefaultMaxReplyBytes;
+    // Tells by its content whether an answer on a kept connection may belong to this request; null takes each. A connection whose answer
+    // doesn't counts as failed. Used by `HttpClient` only.
+    std::function<bool(const HttpReply &reply)> accepts = nullptr;
 };
 
-// A complete answer.
-struct HttpReply
-{
-    int status = 0;
-    std::string contentType;
-    std::string body;
-};
-
-// Whether a call may reuse a connection that an earlier call left open. A reused connection can fail after the peer has
-// read the request.
+// Which connection a call uses. An answer on a kept connection may be a copy of an earlier one: a peer that writes one answer too many shifts
+// all later answers on that connection by one.
 enum class ConnectionUse {
-    // If a reused connection fails, the request is sent again on a new one, so that it may be executed twice.
+    // A connection that an earlier call left open, or a new one that is kept for later calls. If a kept connection fails, the request is sent
+    // again on a new one, so that it may be executed twice. For calls that may run twice, and that can tell by the content of an answer
+    // whether it is theirs, or for which the answer to an earlier call does no harm but delay.
     Pooled,
-    // A connection may be reused, but the request is never sent again.
-    PooledNoResend,
-    // The call opens a new connection.
+    // A new connection that serves this call only. For calls that change something, and for those whose answer decides something and does not
+    // tell which call it belongs to.
     Fresh,
 };
 
