--- a/pimentosail/kv/memoryprefixstore.cpp
+++ b/pimentosail/kv/memoryprefixstore.cpp
@@ -107,9 +107,10 @@
     this->answersLeftToLose = count;
 }
 
-MemoryPrefixStore::Copy MemoryPrefixStore::copy() const
+MemoryPrefixStore::Copy MemoryPrefixStore::copy()
 {
     const std::lock_guard lock(this->mutex);
+    this->endExpiredLeases();
     return this->state;
 }
 
--- a/pimentosail/kv/memoryprefixstore.h
+++ b/pimentosail/kv/memoryprefixstore.h
@@ -74,7 +74,7 @@
     };
 
     // Returns a copy of the present contents.
-    Copy copy() const;
+    Copy copy();
 
     // Returns the era of the store, which begins with 0.
     int64_t currentEra() const;
