kv: a listing is completed with changes of its own era only (CONFIG)

A host that lists the store while it comes back from an older copy could complete the pages of one history with the changes of the other, where both have the revision: the contents then belong to neither. listAtOneRevision lists again now if the changes are of another era, as for a lost history, and gives up after three times.

Evidence: prefixstore/a_listing_at_one_revision_takes_changes_of_its_own_era_only failed on the code before (one listing, with the changes of the other era).

--- a/pimentosail/kv/prefixstore.cpp
+++ b/pimentosail/kv/prefixstore.cpp
@@ -10,7 +10,7 @@
 namespace
 {
 
-// A listing is read again if the store has lost the history since its first page.
+// A listing is read again if the store has lost the history since its first page, or has begun another era.
 constexpr int MaxListings = 3;
 
 // Applies the changes after the revision of `listing`.
@@ -49,7 +49,7 @@
             return listing;
         }
         const StoreChanges changes = store.watch("", listing.revision, Duration(0));
-        if (!changes.isCompacted) {
+        if (!changes.isCompacted && changes.era == listing.era) {
             applyChanges(listing, changes);
             return listing;
         }
--- a/pimentosail/kv/prefixstoretest.cpp
+++ b/pimentosail/kv/prefixstoretest.cpp
@@ -1,8 +1,9 @@
-// Tests of the store in memory that comes back from an older copy.
+// Tests of the store in memory that comes back from an older copy, and of listings at one revision.
 #include <future>
 
 #include <criterion/criterion.h>
 
+#include "pimentosail/base/error.h"
 #include "pimentosail/kv/memoryprefixstore.h"
 
 using namespace pimentosail;
@@ -24,6 +25,21 @@
     PrefixStore store = memory.asPrefixStore();
 };
 
+// Returns a store whose listing of several pages of era 1 was followed by a change. Its watches are answered by the given eras, one after the other.
+PrefixStore makeStoreWithWatchEras(std::vector<int64_t> eras, int &listings)
+{
+    PrefixStore store;
+    store.list = [&listings](const std::string &) {
+        ++listings;
+        return StoreListing{{{"k", "listed", 4, 1}}, 5, 6, 1};
+    };
+    store.watch = [eras = std::move(eras), next = size_t(0)](const std::string &, int64_t, Duration) mutable {
+        const int64_t era = eras.at(next++);
+        return StoreChanges{{{{"k", "watched", 6, era}, false}}, 6, false, era};
+    };
+    return store;
+}
+
 } // namespace
 
 // Guards against a test store that keeps what was written after the copy, or counts on where it was.
@@ -104,3 +120,18 @@
     cr_assert_eq(other.changes.size(), 1);
     cr_assert_eq(other.changes[0].item.era, other.era);
 }
+
+// Guards against a listing of one history that is completed with the changes of another.
+Test(prefixstore, a_listing_at_one_revision_takes_changes_of_its_own_era_only)
+{
+    int listings = 0;
+    const StoreListing listing = listAtOneRevision(makeStoreWithWatchEras({2, 1}, listings));
+    cr_assert_eq(listings, 2, "after changes of another era the store is listed again");
+    cr_assert_eq(listing.era, 1);
+    cr_assert_eq(listing.revision, 6);
+    cr_assert_eq(listing.items.size(), 1);
+    cr_assert_eq(listing.items[0].value, "watched");
+    cr_assert_eq(listing.items[0].era, 1);
+    listings = 0;
+    cr_assert_throw(listAtOneRevision(makeStoreWithWatchEras({2, 2, 2, 2, 2, 2, 2, 2}, listings)), Failure);
+}
