--- a/pimentosail/net/httpclient.cpp
+++ b/pimentosail/net/httpclient.cpp
@@ -4,6 +4,7 @@
 #include <sstream>
 
 #include <Poco/Net/HTTPRequest.h>
+#include <Poco/String.h>
 
 namespace pimentosail
 {
@@ -81,6 +82,7 @@
     HttpReply reply;
     reply.status = response.getStatus();
     reply.contentType = response.getContentType();
+    reply.headers.assign(response.begin(), response.end());
     const Time bodyEnd = clock.now() + MaxBodyTime;
     ReadStatus status = ReadStatus::Data;
     while (status == ReadStatus::Data) {
@@ -116,6 +118,16 @@
 
 } // namespace
 
+std::optional<std::string> HttpReply::header(const std::string &name) const
+{
+    for (const auto &[known, value] : this->headers) {
+        if (Poco::icompare(known, name) == 0) {
+            return value;
+        }
+    }
+    return std::nullopt;
+}
+
 std::unique_ptr<HttpConnection> HttpClient::take(const std::string &address)
 {
     const std::lock_guard lock(this->mutex);
--- a/pimentosail/net/httpclient.h
+++ b/pimentosail/net/httpclient.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -47,6 +48,10 @@
     int status = 0;
     std::string contentType;
     std::string body;
+    Headers headers;
+
+    // Returns the first header called `name`, in upper or lower case, or nothing if the answer has none.
+    std::optional<std::string> header(const std::string &name) const;
 };
 
 // Whether a call may reuse a connection that an earlier call left open. A reused connection can fail after the peer has
--- a/pimentosail/net/nettest.cpp
+++ b/pimentosail/net/nettest.cpp
@@ -111,3 +111,18 @@
     server.join();
     cr_assert_eq(taken.front(), head.size(), "an answer was taken that was cut after %zu bytes", taken.front());
 }
+
+// Guards against a header of an answer that is not found because its sender writes it in lower case.
+Test(net, a_header_of_an_answer_is_found_in_upper_and_lower_case)
+{
+    HttpServer server("127.0.0.1:25990", 8, [](HttpExchange &exchange) {
+        exchange.setHeader("some-NAME", "7");
+        exchange.send(503, "text/plain", "no");
+    });
+    server.start();
+    HttpClient client;
+    const HttpReply reply = client.call("127.0.0.1:25990", {"GET", "/", {}, ""}, Milliseconds(1000));
+    cr_assert_eq(reply.header("Some-Name").value_or("missing"), "7");
+    cr_assert_not(reply.header("Other").has_value());
+    server.stop();
+}
