--- a/pimentosail/net/httpclient.h
+++ b/pimentosail/net/httpclient.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -37,6 +38,10 @@
     int status = 0;
     std::string contentType;
     std::string body;
+    Headers headers;
+
+    // Returns the first header called `name`, in upper or lower case, or nothing if the answer has none.
+    std::optional<std::string> header(const std::string &name) const;
 };
 
 // One request to send. `body` is sent with a Content-Length.
--- a/pimentosail/net/nettest.cpp
+++ b/pimentosail/net/nettest.cpp
@@ -168,3 +168,18 @@
     cr_expect_eq(call("3"), "1", "on a connection of its own, an answer belongs to its request");
     server.join();
 }
+
+// Guards against a header of an answer that is not found because its sender writes it in lower case.
+Test(net, a_header_of_an_answer_is_found_in_upper_and_lower_case)
+{
+    HttpServer server("127.0.0.1:25990", 8, [](HttpExchange &exchange) {
+        exchange.setHeader("some-NAME", "7");
+        exchange.send(503, "text/plain", "no");
+    });
+    server.start();
+    HttpClient client;
+    const HttpReply reply = client.call("127.0.0.1:25990", {"GET", "/", {}, ""}, Milliseconds(1000));
+    cr_assert_eq(reply.header("Some-Name").value_or("missing"), "7");
+    cr_assert_not(reply.header("Other").has_value());
+    server.stop();
+}
