upstream: repeated ids do not fill the pool with connections

Cause: connections that have carried the id are passed over and stay, while the new one is kept too. Change: if all have carried the id, one of them is closed in place of the new one.

--- a/pimentosail/upstream/pool.cpp
+++ b/pimentosail/upstream/pool.cpp
@@ -36,6 +36,7 @@
         }
         std::deque<std::unique_ptr<HttpConnection>> &connections = found->second;
         const Time now = this->clock.now();
+        size_t passedOver = connections.size();
         for (size_t position = connections.size(); position > 0 && !result; --position) {
             const auto entry = connections.begin() + static_cast<std::ptrdiff_t>(position - 1);
             HttpConnection &connection = **entry;
@@ -50,12 +51,18 @@
                 break;
             }
             if (connection.hasCarried(requestId)) {
-                this->repeatedIdCount.fetch_add(1);
+                passedOver = position - 1;
                 continue;
             }
             result = std::move(*entry);
             connections.erase(entry);
         }
+        if (!result && passedOver < connections.size()) {
+            // The caller opens a connection in place of this one, so that repeated ids do not fill the pool.
+            this->repeatedIdCount.fetch_add(1);
+            rejected.push_back(std::move(connections[passedOver]));
+            connections.erase(connections.begin() + static_cast<std::ptrdiff_t>(passedOver));
+        }
     }
     return result;
 }
--- a/pimentosail/upstream/pool.h
+++ b/pimentosail/upstream/pool.h
@@ -30,7 +30,8 @@
     }
 
     // Returns the connection to `address` that was used last among those that have not carried a request with the id `requestId`, or
-    // nullptr if there is none or it has been idle for longer than `maxIdle`. A request without an id gets none.
+    // nullptr if there is none or it has been idle for longer than `maxIdle`. A request without an id gets none. If all have carried the id,
+    // one of them is closed.
     std::unique_ptr<HttpConnection> take(const std::string &address, const std::string &requestId, Duration maxIdle);
 
     // Keeps `connection` if it is reusable; closes it otherwise.
@@ -45,7 +46,7 @@
     // Returns the number of idle connections.
     size_t size() const;
 
-    // Returns how often a connection was passed over because it had carried the id of the request.
+    // Returns how often all connections to an address had carried the id of a request, or the request had none.
     int64_t repeatedIds() const
     {
         return this->repeatedIdCount.load();
--- a/pimentosail/upstream/upstreamtest.cpp
+++ b/pimentosail/upstream/upstreamtest.cpp
@@ -476,13 +476,26 @@
     cr_assert(connection->sendNamed("GET / HTTP/1.1\r\n\r\n", "", waitFor(TestWait), anySent) == SendStatus::IdRepeated, "without an id, on a used connection");
     cr_assert_not(anySent);
     pool.put(peer.address(), std::move(connection));
-    cr_assert_null(pool.take(peer.address(), "first", std::chrono::seconds(10)).get());
-    cr_assert_null(pool.take(peer.address(), "", std::chrono::seconds(10)).get());
-    cr_assert_eq(pool.repeatedIds(), 2);
     connection = pool.take(peer.address(), "second", std::chrono::seconds(10));
     cr_assert_not_null(connection.get(), "a request with another id uses the connection");
     exchangeNamed(*connection, "second");
     cr_assert(connection->hasCarried("first"));
+    pool.put(peer.address(), std::move(connection));
+    cr_assert_null(pool.take(peer.address(), "first", std::chrono::seconds(10)).get());
+    cr_assert_eq(pool.size(), 0, "the caller opens a connection in its place");
+    cr_assert_eq(pool.repeatedIds(), 1);
+}
+
+// Guards against a request without an id that is given a connection with answers to others.
+Test(upstream, a_request_without_an_id_gets_no_used_connection)
+{
+    ScriptedPeer peer(answering(1));
+    Clock clock;
+    ConnectionPool pool(clock);
+    std::unique_ptr<HttpConnection> connection = std::move(*HttpConnection::connect(peer.address(), waitFor(TestWait)));
+    exchangeNamed(*connection, "first");
+    pool.put(peer.address(), std::move(connection));
+    cr_assert_null(pool.take(peer.address(), "", std::chrono::seconds(10)).get());
 }
 
 // Guards against ids of requests that take more and more memory.
