--- a/pimentosail/entry/attempt.cpp
+++ b/pimentosail/entry/attempt.cpp
@@ -448,7 +448,7 @@
     if (isPeerClosed(limits.callerSocket)) {
         result.end = AttemptEnd::CallerDisconnected;
         result.reason = "before sending";
-        this->context.connections.put(this->plan.target->address, std::move(opened));
+        this->context.connections.putUnused(this->plan.target->address, std::move(opened));
         return result;
     }
     result.memory = std::make_unique<MessageMemory::Share>(this->context.answerMemory);
@@ -470,7 +470,7 @@
     }
     if (result.end == AttemptEnd::Answered || result.end == AttemptEnd::NotRun) {
         opened->targetIdleTimeout = result.header.keepAlive;
-        this->context.connections.put(this->plan.target->address, std::move(opened));
+        this->context.connections.putUnused(this->plan.target->address, std::move(opened));
     }
     return result;
 }
--- a/pimentosail/upstream/pool.cpp
+++ b/pimentosail/upstream/pool.cpp
@@ -67,16 +67,28 @@
     return result;
 }
 
+void ConnectionPool::putUnused(const std::string &address, std::unique_ptr<HttpConnection> connection)
+{
+    this->keep(address, std::move(connection));
+}
+
 void ConnectionPool::put(const std::string &address, std::unique_ptr<HttpConnection> connection)
+{
+    connection->lastUsed = this->clock.now();
+    this->keep(address, std::move(connection));
+}
+
+void ConnectionPool::keep(const std::string &address, std::unique_ptr<HttpConnection> connection)
 {
     if (!connection->isReusable()) {
         return;
     }
-    connection->lastUsed = this->clock.now();
     const std::lock_guard lock(this->mutex);
     std::deque<std::unique_ptr<HttpConnection>> &connections = this->idle[address];
     if (connections.size() < MaxIdlePerTarget) {
-        connections.push_back(std::move(connection));
+        const auto later
+            = std::find_if(connections.begin(), connections.end(), [&connection](const auto &other) { return other->lastUsed > connection->lastUsed; });
+        connections.insert(later, std::move(connection));
     }
 }
 
--- a/pimentosail/upstream/pool.h
+++ b/pimentosail/upstream/pool.h
@@ -37,6 +37,9 @@
     // Keeps `connection` if it is reusable; closes it otherwise.
     void put(const std::string &address, std::unique_ptr<HttpConnection> connection);
 
+    // The same for a connection on which nothing was sent since it was taken: it has been idle since its last use.
+    void putUnused(const std::string &address, std::unique_ptr<HttpConnection> connection);
+
     // Closes the idle connections to `address`.
     void closeIdle(const std::string &address);
 
@@ -53,6 +56,8 @@
     }
 
 private:
+    void keep(const std::string &address, std::unique_ptr<HttpConnection> connection);
+
     const Clock &clock;
     mutable std::mutex mutex;
     // Idle connections by address, the one used last at the back.
