entry: a request of method HEAD has a connection of its own (REFUSED)

Whether an answer has a body depends on the method of its request, and a stray answer was read with the method of the present one: the body of an earlier answer was read as the answer to HEAD (a request was refused as not run and had run), and a copy of an answer to HEAD swallowed the next one (502 for a success).

--- a/pimentosail/entry/attempt.cpp
+++ b/pimentosail/entry/attempt.cpp
@@ -233,9 +233,17 @@
     }
 }
 
+// Whether an answer has a body depends on the method of its request, so that the answers to HEAD and to other methods cannot be told apart
+// on one connection.
+bool Attempt::mayShareConnection() const
+{
+    return this->request.method != "HEAD";
+}
+
 std::unique_ptr<HttpConnection> Attempt::openConnection(const AttemptLimits &limits, AttemptResult &result)
 {
-    std::unique_ptr<HttpConnection> pooled = this->context.connections.take(this->plan.target->address, this->request.id, limits.maxConnectionIdle);
+    std::unique_ptr<HttpConnection> pooled
+        = this->mayShareConnection() ? this->context.connections.take(this->plan.target->address, this->request.id, limits.maxConnectionIdle) : nullptr;
     if (pooled) {
         result.usedPooledConnection = true;
         return pooled;
@@ -468,7 +476,7 @@
     } else {
         this->readBody(*opened, limits, result);
     }
-    if (result.end == AttemptEnd::Answered || result.end == AttemptEnd::NotRun) {
+    if (this->mayShareConnection() && (result.end == AttemptEnd::Answered || result.end == AttemptEnd::NotRun)) {
         opened->targetIdleTimeout = result.header.keepAlive;
         this->context.connections.putUnused(this->plan.target->address, std::move(opened));
     }
--- a/pimentosail/entry/attempt.h
+++ b/pimentosail/entry/attempt.h
@@ -91,6 +91,7 @@
     AttemptResult run(const AttemptLimits &limits, const EventSink &sink);
 
 private:
+    bool mayShareConnection() const;
     std::unique_ptr<HttpConnection> openConnection(const AttemptLimits &limits, AttemptResult &result);
     bool sendRequest(HttpConnection &connection, const AttemptLimits &limits, AttemptResult &result);
     bool readMatchingHeader(HttpConnection &connection, const AttemptLimits &limits, AttemptResult &result);
