entry: only the answer to the present request tells of its target, and stands in the log

An answer to an earlier request, which may have gone to another instance at the address, marked the present target as leaving for good; and after a stray answer and a reset, attempt_failed showed the stray's status and statement, by which hypotheses of an incident are told apart.

--- a/pimentosail/entry/attempt.cpp
+++ b/pimentosail/entry/attempt.cpp
@@ -310,21 +310,25 @@
         if (status != ReadStatus::Data) {
             return this->fail(status, "head", result);
         }
+        ReplyHeader decoded;
         try {
-            result.header = this->context.wire.decodeReplyHeader(header);
+            decoded = this->context.wire.decodeReplyHeader(header);
         } catch (const Failure &failure) {
             return this->fail(ReadStatus::Broken, failure.what(), result);
         }
-        this->recordRateLimit(result.header);
-        this->recordLeaving(result.header);
-        const bool isSuccess = result.header.status < 300;
-        const bool isUnnamed = result.header.requestId.empty();
+        const bool isSuccess = decoded.status < 300;
+        const bool isUnnamed = decoded.requestId.empty();
         if (isUnnamed && !this->request.id.empty() && result.usedPooledConnection) {
             // It may repeat the answer to an earlier request on this connection, so it says nothing of this one.
             this->context.metrics.count("pimentosail_unnamed_answers_total", {});
             return this->fail(ReadStatus::Broken, "an answer on a kept connection that names no request", result);
         }
-        const bool isMatching = isUnnamed ? !isSuccess : result.header.requestId == this->request.id;
+        const bool isMatching = isUnnamed ? !isSuccess : decoded.requestId == this->request.id;
+        if (isMatching) {
+            result.header = std::move(decoded);
+            this->recordRateLimit(result.header);
+            this->recordLeaving(result.header);
+        }
         if (isMatching && isSuccess && !result.header.isSigned) {
             return this->fail(ReadStatus::Broken, "a success without the target's signature", result);
         }
@@ -449,7 +453,7 @@
     if (!decision.isAllowed()) {
         result.end = AttemptEnd::NotSent;
         result.reason = "the target may get no requests: " + std::string(sendObstacleName(decision.obstacle));
-        this->context.connections.put(this->plan.target->address, std::move(opened));
+        this->context.connections.putUnused(this->plan.target->address, std::move(opened));
         return result;
     }
     // The caller may have left before this host came to read its request.
@@ -478,7 +482,7 @@
     }
     if (this->mayShareConnection() && (result.end == AttemptEnd::Answered || result.end == AttemptEnd::NotRun)) {
         opened->targetIdleTimeout = result.header.keepAlive;
-        this->context.connections.putUnused(this->plan.target->address, std::move(opened));
+        this->context.connections.put(this->plan.target->address, std::move(opened));
     }
     return result;
 }
