HttpServer: a stream whose handler fails does not end as complete

What callers saw: an answer that ended as complete in its middle. Streams of the product's own interface (pimentosail/serve) could be cut so; the entry service catches exceptions itself before. After an exception of a handler, POCO destroyed the stream, which writes the last chunk; only the keeping of the connection was switched off. Evidence: net/a_stream_whose_handler_fails_* failed on the code before (the call returned a complete answer), and passes. Change: an exception of a handler shuts the connection down, as RequestRunner does, so that the last chunk can't be written.

--- a/pimentosail/net/httpserver.cpp
+++ b/pimentosail/net/httpserver.cpp
@@ -96,15 +96,15 @@
     void handleRequest(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response) override
     {
         this->active.fetch_add(1);
+        HttpExchange exchange(request, response);
         try {
-            HttpExchange exchange(request, response);
             this->handler(exchange);
         } catch (const Poco::Exception &) {
             // The connection failed, so that no error can be sent.
-            response.setKeepAlive(false);
+            exchange.abort();
         } catch (const std::exception &exception) {
             logStateChange("handler_failed", {{"reason", exception.what()}});
-            response.setKeepAlive(false);
+            exchange.abort();
         }
         this->active.fetch_sub(1);
     }
--- a/pimentosail/net/nettest.cpp
+++ b/pimentosail/net/nettest.cpp
@@ -168,3 +168,17 @@
     cr_expect_eq(call("3"), "1", "on a connection of its own, an answer belongs to its request");
     server.join();
 }
+
+// Guards against an answer that its caller takes for complete, because the handler failed in the middle of it.
+Test(net, a_stream_whose_handler_fails_does_not_end_as_complete)
+{
+    HttpServer server("127.0.0.1:18937", 8, [](HttpExchange &exchange) {
+        exchange.startStream("text/plain");
+        exchange.write("part");
+        throw std::runtime_error("no memory");
+    });
+    server.start();
+    HttpClient client;
+    cr_assert_throw(client.call("127.0.0.1:18937", {"GET", "/", {}, ""}, Milliseconds(1000)), Failure);
+    server.stop();
+}
