HttpServer: a request that was not answered ends the connection

What callers saw: nothing yet. The answer to the second request on a connection would have been taken for that to the first. A handler that returns without an answer left the connection open. RequestRunner does so if its own failure answer can't be built (it catches the exception, such as no memory, and logs it). Evidence: net/a_request_that_was_not_answered_* failed on the code before (the first request got the second one's answer), and passes. Change: the connection ends if the handler has sent no header.

--- a/pimentosail/net/httpserver.cpp
+++ b/pimentosail/net/httpserver.cpp
@@ -106,6 +106,10 @@
             logStateChange("handler_failed", {{"reason", exception.what()}});
             exchange.abort();
         }
+        if (!exchange.isHeaderSent()) {
+            // The next answer would be taken for the one that is missing.
+            exchange.closeAfterAnswer();
+        }
         this->active.fetch_sub(1);
     }
 
--- a/pimentosail/net/httpserver.h
+++ b/pimentosail/net/httpserver.h
@@ -3,7 +3,8 @@
 //     HttpServer server("127.0.0.1:8080", 600, [](HttpExchange &exchange) { exchange.sendJson(200, value); });
 //     server.start();
 //
-// The handler runs on a thread of the pool, for several requests at once. Exceptions of a handler end the connection.
+// The handler runs on a thread of the pool, for several requests at once. Exceptions of a handler end the connection, and so does a handler that
+// sends no answer.
 // An `HttpExchange` belongs to the thread of its handler; `running` may be called by any thread.
 #pragma once
 
--- a/pimentosail/net/nettest.cpp
+++ b/pimentosail/net/nettest.cpp
@@ -17,6 +17,33 @@
 
 using namespace pimentosail;
 
+namespace
+{
+
+// Sends `requests` to a server, begins to read after `pause`, and returns what the server sends until it closes the connection or is silent.
+std::string answersTo(int port, const std::string &requests, Duration pause = Duration(0))
+{
+    Poco::Net::StreamSocket socket(Poco::Net::SocketAddress("127.0.0.1:" + std::to_string(port)));
+    socket.sendBytes(requests.data(), static_cast<int>(requests.size()));
+    Clock().sleepFor(pause);
+    std::string text;
+    char block[65536];
+    try {
+        while (socket.poll(Poco::Timespan(500'000), Poco::Net::Socket::SELECT_READ)) {
+            const int count = socket.receiveBytes(block, sizeof(block));
+            if (count <= 0) {
+                break;
+            }
+            text.append(block, static_cast<size_t>(count));
+        }
+    } catch (const Poco::Exception &) {
+        // A reset connection ends the answers too.
+    }
+    return text;
+}
+
+} // namespace
+
 // Guards against a reused connection that keeps the receive timeout of the call that opened it: a later call with a
 // longer timeout, such as a watch, would end early.
 Test(net, a_reused_connection_has_the_timeout_of_each_call)
@@ -182,3 +209,17 @@
     cr_assert_throw(client.call("127.0.0.1:18937", {"GET", "/", {}, ""}, Milliseconds(1000)), Failure);
     server.stop();
 }
+
+// Guards against an answer that its caller takes for that to the request before: a handler sent none, and the connection went on.
+Test(net, a_request_that_was_not_answered_ends_the_connection)
+{
+    HttpServer server("127.0.0.1:18938", 8, [](HttpExchange &exchange) {
+        if (exchange.path() != "/silent") {
+            exchange.send(200, "text/plain", "ok");
+        }
+    });
+    server.start();
+    const std::string answers = answersTo(18938, "GET /silent HTTP/1.1\r\nHost: h\r\n\r\nGET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    cr_assert_eq(answers, "", "%s", answers.c_str());
+    server.stop();
+}
