--- a/pimentosail/net/httpserver.h
+++ b/pimentosail/net/httpserver.h
@@ -3,7 +3,8 @@
 //     HttpServer server("127.0.0.1:8080", 600, [](HttpExchange &exchange) { exchange.sendJson(200, value); });
 //     server.start();
 //
-// The handler runs on a thread of the pool, for several requests at once. Exceptions of a handler end the connection.
+// The handler runs on a thread of the pool, for several requests at once. Exceptions of a handler end the connection, and so does a handler that
+// sends no answer.
 // An `HttpExchange` belongs to the thread of its handler; `running` may be called by any thread.
 #pragma once
 
@@ -11,6 +12,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -135,6 +137,8 @@
     std::string receive(uint64_t size, Clock &clock, Time end);
     // To be called before the header of an answer is sent.
     void closeIfBodyIsUnread();
+    // Sends the header and `body`. Ends the connection if they can't be written whole, because the next answer would be taken for the rest.
+    void sendAnswer(std::string_view body);
 
     Poco::Net::HTTPServerRequest &request;
     Poco::Net::HTTPServerResponse &response;
--- a/pimentosail/net/nettest.cpp
+++ b/pimentosail/net/nettest.cpp
@@ -17,6 +17,33 @@
 
 using namespace pimentosail;
 
+namespace
+{
+
+// Sends `requests` to a server, begins to read after `pause`, and returns what the server sends until it closes the connection or is silent.
+std::string answersTo(int port, const std::string &requests, Duration pause = Duration(0))
+{
+    Poco::Net::StreamSocket socket(Poco::Net::SocketAddress("127.0.0.1:" + std::to_string(port)));
+    socket.sendBytes(requests.data(), static_cast<int>(requests.size()));
+    Clock().sleepFor(pause);
+    std::string text;
+    char block[65536];
+    try {
+        while (socket.poll(Poco::Timespan(500'000), Poco::Net::Socket::SELECT_READ)) {
+            const int count = socket.receiveBytes(block, sizeof(block));
+            if (count <= 0) {
+                break;
+            }
+            text.append(block, static_cast<size_t>(count));
+        }
+    } catch (const Poco::Exception &) {
+        // A reset connection ends the answers too.
+    }
+    return text;
+}
+
+} // namespace
+
 // Guards against a reused connection that keeps the receive timeout of the call that opened it: a later call with a
 // longer timeout, such as a watch, would end early.
 Test(net, a_reused_connection_has_the_timeout_of_each_call)
@@ -168,3 +195,47 @@
     cr_expect_eq(call("3"), "1", "on a connection of its own, an answer belongs to its request");
     server.join();
 }
+
+// Guards against an answer that its caller takes for complete, because the handler failed in the middle of it.
+Test(net, a_stream_whose_handler_fails_does_not_end_as_complete)
+{
+    HttpServer server("127.0.0.1:18937", 8, [](HttpExchange &exchange) {
+        exchange.startStream("text/plain");
+        exchange.write("part");
+        throw std::runtime_error("no memory");
+    });
+    server.start();
+    HttpClient client;
+    cr_assert_throw(client.call("127.0.0.1:18937", {"GET", "/", {}, ""}, Milliseconds(1000)), Failure);
+    server.stop();
+}
+
+// Guards against an answer that its caller takes for that to the request before: a handler sent none, and the connection went on.
+Test(net, a_request_that_was_not_answered_ends_the_connection)
+{
+    HttpServer server("127.0.0.1:18938", 8, [](HttpExchange &exchange) {
+        if (exchange.path() != "/silent") {
+            exchange.send(200, "text/plain", "ok");
+        }
+    });
+    server.start();
+    const std::string answers = answersTo(18938, "GET /silent HTTP/1.1\r\nHost: h\r\n\r\nGET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    cr_assert_eq(answers, "", "%s", answers.c_str());
+    server.stop();
+}
+
+// Guards against the next answer within the body of one that could not be written whole, because its caller read it too slowly.
+Test(net, an_answer_that_is_not_written_whole_is_the_last_on_its_connection)
+{
+    constexpr size_t BodyBytes = 32 * 1024 * 1024;
+    HttpServer server("127.0.0.1:18939", 8, [](HttpExchange &exchange) {
+        const timeval sendTimeout{0, 100'000};
+        ::setsockopt(exchange.callerSocket(), SOL_SOCKET, SO_SNDTIMEO, &sendTimeout, sizeof(sendTimeout));
+        exchange.send(200, "text/plain", std::string(exchange.path() == "/large" ? BodyBytes : 1, 'x'));
+    });
+    server.start();
+    const std::string answers = answersTo(18939, "GET /large HTTP/1.1\r\nHost: h\r\n\r\nGET / HTTP/1.1\r\nHost: h\r\n\r\n", Milliseconds(600));
+    cr_assert(answers.starts_with("HTTP/1.1 200"));
+    cr_assert_eq(answers.find("HTTP/1.1", 1), std::string::npos, "a second answer after %zu bytes", answers.size());
+    server.stop();
+}
