--- a/pimentosail/upstream/pool.h
+++ b/pimentosail/upstream/pool.h
@@ -30,12 +30,16 @@
     }
 
     // Returns the connection to `address` that was used last among those that have not carried a request with the id `requestId`, or
-    // nullptr if there is none or it has been idle for longer than `maxIdle`. A request without an id gets none.
+    // nullptr if there is none or it has been idle for longer than `maxIdle`. A request without an id gets none. If all have carried the id,
+    // one of them is closed.
     std::unique_ptr<HttpConnection> take(const std::string &address, const std::string &requestId, Duration maxIdle);
 
     // Keeps `connection` if it is reusable; closes it otherwise.
     void put(const std::string &address, std::unique_ptr<HttpConnection> connection);
 
+    // The same for a connection on which nothing was sent since it was taken: it has been idle since its last use.
+    void putUnused(const std::string &address, std::unique_ptr<HttpConnection> connection);
+
     // Closes the idle connections to `address`.
     void closeIdle(const std::string &address);
 
@@ -45,13 +49,15 @@
     // Returns the number of idle connections.
     size_t size() const;
 
-    // Returns how often a connection was passed over because it had carried the id of the request.
+    // Returns how often all connections to an address had carried the id of a request, or the request had none.
     int64_t repeatedIds() const
     {
         return this->repeatedIdCount.load();
     }
 
 private:
+    void keep(const std::string &address, std::unique_ptr<HttpConnection> connection);
+
     const Clock &clock;
     mutable std::mutex mutex;
     // Idle connections by address, the one used last at the back.
