--- a/pimentosail/kv/storeposition.h
+++ b/pimentosail/kv/storeposition.h
@@ -10,6 +10,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <tuple>
 
 #include "pimentosail/base/clock.h"
 
@@ -23,7 +24,11 @@
     // 0: before the first write.
     int64_t revision = 0;
 
-    friend auto operator<=>(const StorePosition &, const StorePosition &) = default;
+    friend bool operator==(const StorePosition &, const StorePosition &) = default;
+    friend auto operator<=>(const StorePosition &left, const StorePosition &right)
+    {
+        return std::tie(left.era, left.revision) <=> std::tie(right.era, right.revision);
+    }
 };
 
 // Time in which operators and targets have written again what a restored store had lost, and the entries of targets that have left are gone.
