entry: a request counts once in the retry budget (BUDGET)

Cause: a request counted as a first send again for each attempt that sent nothing, so that the budget grew with connections that fail. Evidence: retry_budget/targets_that_cannot_be_reached_* failed before (23 and 20 arrivals of 12 requests where 18 are allowed) and passes (3 runs).

--- a/pimentosail/entry/requestrunner.cpp
+++ b/pimentosail/entry/requestrunner.cpp
@@ -1,6 +1,7 @@
 #include "pimentosail/entry/requestrunner.h"
 
 #include <algorithm>
+#include <utility>
 
 #include <Poco/NumberParser.h>
 
@@ -408,6 +409,8 @@
         if (this->arrivals == 0) {
             // Only before the first send: a request that was sent must not be refused as not run.
             this->evaluateLoad(choice);
+        }
+        if (!std::exchange(this->isCounted, true)) {
             this->context.retryBudget.recordFirstSend(this->service);
         }
         const AttemptPlan plan = this->planFor(choice);
--- a/pimentosail/entry/requestrunner.h
+++ b/pimentosail/entry/requestrunner.h
@@ -134,6 +134,8 @@
     int possibleRuns = 0;
     int arrivals = 0;
     int unsent = 0;
+    // The request is counted in the retry budget.
+    bool isCounted = false;
     bool callerDisconnected = false;
     std::set<std::string> triedTargets;
     std::string cacheSalt;
