HttpServer: an answer that is not written whole is the last on its connection

What callers saw: nothing known. A caller that reads a large answer slowly and has sent its next request already could find the header of the second answer within the body of the first. A write ends after 10 s without progress (the timeout of the socket). HttpExchange::send and sendWithHeaders did not look at the stream's state then, and POCO kept the connection. Evidence: net/an_answer_that_is_not_written_whole_* failed on the code before (a second answer began after 3,911,806 bytes of a body of 33,554,432; the test shortens the time of a write to 100 ms), and passes. Change: an answer that could not be written whole shuts the connection down. The body of an answer to HEAD, which POCO dropped, is not written any more.

--- a/pimentosail/net/httpserver.cpp
+++ b/pimentosail/net/httpserver.cpp
@@ -336,9 +336,7 @@
     this->response.setReason(Poco::Net::HTTPResponse::getReasonForStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status)));
     this->response.setContentType(contentType);
     this->response.setContentLength64(static_cast<Poco::Int64>(body.size()));
-    std::ostream &out = this->response.send();
-    out.write(body.data(), static_cast<std::streamsize>(body.size()));
-    out.flush();
+    this->sendAnswer(this->method() == Poco::Net::HTTPRequest::HTTP_HEAD ? std::string_view() : body);
 }
 
 void HttpExchange::sendWithHeaders(int status, const std::vector<std::pair<std::string, std::string>> &headers, const std::string &body, bool hasBody)
@@ -352,11 +350,17 @@
     if (hasBody && code != Poco::Net::HTTPResponse::HTTP_NO_CONTENT && code != Poco::Net::HTTPResponse::HTTP_NOT_MODIFIED) {
         this->response.setContentLength64(static_cast<Poco::Int64>(body.size()));
     }
+    this->sendAnswer(hasBody ? body : std::string_view());
+}
+
+void HttpExchange::sendAnswer(std::string_view body)
+{
     std::ostream &out = this->response.send();
-    if (hasBody) {
-        out.write(body.data(), static_cast<std::streamsize>(body.size()));
-    }
+    out.write(body.data(), static_cast<std::streamsize>(body.size()));
     out.flush();
+    if (!out.good()) {
+        this->abort();
+    }
 }
 
 void HttpExchange::startStreamWithHeaders(int status, const std::vector<std::pair<std::string, std::string>> &headers)
--- a/pimentosail/net/httpserver.h
+++ b/pimentosail/net/httpserver.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -136,6 +137,8 @@
     std::string receive(uint64_t size, Clock &clock, Time end);
     // To be called before the header of an answer is sent.
     void closeIfBodyIsUnread();
+    // Sends the header and `body`. Ends the connection if they can't be written whole, because the next answer would be taken for the rest.
+    void sendAnswer(std::string_view body);
 
     Poco::Net::HTTPServerRequest &request;
     Poco::Net::HTTPServerResponse &response;
--- a/pimentosail/net/nettest.cpp
+++ b/pimentosail/net/nettest.cpp
@@ -223,3 +223,19 @@
     cr_assert_eq(answers, "", "%s", answers.c_str());
     server.stop();
 }
+
+// Guards against the next answer within the body of one that could not be written whole, because its caller read it too slowly.
+Test(net, an_answer_that_is_not_written_whole_is_the_last_on_its_connection)
+{
+    constexpr size_t BodyBytes = 32 * 1024 * 1024;
+    HttpServer server("127.0.0.1:18939", 8, [](HttpExchange &exchange) {
+        const timeval sendTimeout{0, 100'000};
+        ::setsockopt(exchange.callerSocket(), SOL_SOCKET, SO_SNDTIMEO, &sendTimeout, sizeof(sendTimeout));
+        exchange.send(200, "text/plain", std::string(exchange.path() == "/large" ? BodyBytes : 1, 'x'));
+    });
+    server.start();
+    const std::string answers = answersTo(18939, "GET /large HTTP/1.1\r\nHost: h\r\n\r\nGET / HTTP/1.1\r\nHost: h\r\n\r\n", Milliseconds(600));
+    cr_assert(answers.starts_with("HTTP/1.1 200"));
+    cr_assert_eq(answers.find("HTTP/1.1", 1), std::string::npos, "a second answer after %zu bytes", answers.size());
+    server.stop();
+}
