--- a/pimentosail/directory/directory.cpp
+++ b/pimentosail/directory/directory.cpp
@@ -62,22 +62,28 @@
     this->departures[{state.id, state.startedAt}] = {state.address, era, now, std::nullopt, Time(0)};
 }
 
+void TargetDirectory::enterEra(const std::vector<Registration> &registrations, Time now, int64_t storeEra)
+{
+    this->era = storeEra;
+    for (auto &[incarnation, departure] : this->departures) {
+        departure.listedAt.reset();
+    }
+    for (const Registration &registration : registrations) {
+        const auto found = this->departures.find({registration.id, registration.startedAt});
+        if (found != this->departures.end() && registration.era > found->second.era && registration.address == found->second.address) {
+            found->second.listedAt = registration.position();
+            found->second.doubtUntil = now + RewriteTime;
+        }
+    }
+}
+
 bool TargetDirectory::isListedByCopy(const Registration &registration, Time now)
 {
     const auto found = this->departures.find({registration.id, registration.startedAt});
     if (found == this->departures.end()) {
         return false;
     }
-    Departure &departure = found->second;
-    if (registration.era <= departure.era || registration.address != departure.address) {
-        this->departures.erase(found);
-        return false;
-    }
-    if (!departure.listedAt) {
-        departure.listedAt = registration.position();
-        departure.doubtUntil = now + RewriteTime;
-    }
-    if (departure.listedAt == registration.position() && now < departure.doubtUntil) {
+    if (found->second.listedAt == registration.position() && now < found->second.doubtUntil) {
         return true;
     }
     this->departures.erase(found);
@@ -88,6 +94,9 @@
 {
     const std::lock_guard lock(this->mutex);
     const Time now = this->clock.now();
+    if (storeEra != this->era) {
+        this->enterEra(registrations, now, storeEra);
+    }
     std::set<std::string> present;
     for (const Registration &registration : registrations) {
         if (this->isListedByCopy(registration, now)) {
--- a/pimentosail/directory/directory.h
+++ b/pimentosail/directory/directory.h
@@ -168,13 +168,15 @@
         // Era of the store when its entry was gone.
         int64_t era = 0;
         Time at{};
-        // Position of its entry that a restored store lists, and until when that entry is not believed.
+        // Position of its entry that the first listing of a restored store has, and until when that entry is not believed.
         std::optional<StorePosition> listedAt;
         Time doubtUntil{};
     };
 
     void update(TargetState &state, const Registration &registration, Time now);
     void recordDeparture(const TargetState &state, Time now, int64_t era);
+    // Finds out which of the targets that have left a restored store lists, from its first listing.
+    void enterEra(const std::vector<Registration> &registrations, Time now, int64_t storeEra);
     // Returns true if the entry is one that a restored store still has of a target that had left.
     bool isListedByCopy(const Registration &registration, Time now);
 
@@ -185,6 +187,8 @@
     std::map<std::string, Time> missingSince;
     // Incarnations that left lately, by target id and start.
     std::map<std::pair<std::string, int64_t>, Departure> departures;
+    // Era of the last registrations.
+    int64_t era = 0;
     std::set<std::string> evacuated;
     std::map<std::string, Duration> coldDurations;
     // A registration has been applied. Targets of the first set were there before this host and are not taken as cold.
--- a/pimentosail/directory/directorytest.cpp
+++ b/pimentosail/directory/directorytest.cpp
@@ -278,3 +278,44 @@
     fixture.directory.apply({draining}, true, Time(0), 1);
     cr_assert(usable(fixture).empty());
 }
+
+// Guards against a target that left and is used again because a second restore lists it at another position.
+Test(directory, a_target_that_left_stays_gone_when_a_second_restore_lists_it_again)
+{
+    Fixture fixture;
+    fixture.directory.apply({makeRegistration("a", 10)}, true, Time(0));
+    fixture.directory.apply({}, true, Time(0));
+    Registration copied = makeRegistration("a", 8);
+    copied.era = 1;
+    fixture.directory.apply({copied}, true, fixture.clock.now(), 1);
+    cr_assert_eq(fixture.directory.size(), 0);
+    fixture.clock.advance(std::chrono::seconds(3));
+    Registration older = makeRegistration("a", 6);
+    older.era = 2;
+    fixture.directory.apply({older}, true, fixture.clock.now(), 2);
+    cr_assert_eq(fixture.directory.size(), 0);
+}
+
+// Guards against a live target that gets no requests because its entry had expired before the restore, and the copy does not list it.
+Test(directory, a_live_target_that_the_copy_does_not_list_is_used_as_soon_as_it_registers_again)
+{
+    Fixture fixture;
+    fixture.directory.apply({makeRegistration("a", 10)}, true, Time(0));
+    fixture.directory.apply({}, true, Time(0));
+    fixture.directory.apply({}, true, fixture.clock.now(), 1);
+    fixture.clock.advance(std::chrono::seconds(1));
+    Registration again = makeRegistration("a", 8);
+    again.era = 1;
+    fixture.directory.apply({again}, true, Time(0), 1);
+    cr_assert_eq(fixture.directory.size(), 1);
+}
+
+// Guards against a live target that gets no requests although no store was restored.
+Test(directory, a_target_that_registers_again_in_the_same_era_is_used_at_once)
+{
+    Fixture fixture;
+    fixture.directory.apply({makeRegistration("a", 10)}, true, Time(0));
+    fixture.directory.apply({}, true, Time(0));
+    fixture.directory.apply({makeRegistration("a", 12)}, true, Time(0));
+    cr_assert_eq(fixture.directory.size(), 1);
+}
