mirror: no listing without a pause when the store's era is below that of the contents, and none that another host has made needless

Found by the review: a mirror whose contents name a later era than the store listed it a million times in half a second (reached by an odd era of another host or a store begun anew; eras that rise do not reach it). It is an error with a pause now. And a host to which another one had sent the new contents while its watch was under way listed the store all the same: up to all hosts at its return. Both tests failed before.

--- a/pimentosail/mirror/mirrortest.cpp
+++ b/pimentosail/mirror/mirrortest.cpp
@@ -552,3 +552,71 @@
         cr_assert_geq(fixture.skipped.load(), 1);
     }
 }
+
+// Guards against a host that lists the store again and again without a pause, because its contents name a later era than the store.
+Test(mirror, a_host_whose_contents_name_a_later_era_than_the_store_pauses_between_listings)
+{
+    Fixture fixture;
+    fixture.memory.put("op/a", "1");
+    PrefixStore store = fixture.memory.asPrefixStore();
+    std::atomic<int> listings{0};
+    const auto list = store.list;
+    store.list = [&listings, list](const std::string &prefix) {
+        ++listings;
+        return list(prefix);
+    };
+    StoreMirror mirror(fixture.clock, fixture.log, store,
+        MirrorPeers{[](const StorePosition &, Duration) -> MirrorChanges { throw Failure(ErrorKind::PeerLost, "no"); },
+            [](const StorePosition &, Duration) -> MirrorChanges { throw Failure(ErrorKind::PeerLost, "no"); }, [] {}, [] { return true; },
+            [] {
+                return false;
+            }},
+        [](const std::set<std::string> &) {});
+    MirrorChanges later{{{{"op/a", "x", 9}, false}}, 9, true, 4};
+    mirror.merge(later);
+    mirror.start();
+    fixture.clock.sleepFor(Milliseconds(500));
+    mirror.stop();
+    cr_assert_lt(listings.load(), 10, "%d listings in 500 ms", listings.load());
+}
+
+// Guards against needless listings by all hosts at the return of the store: another host has sent the new contents already.
+Test(mirror, a_host_that_has_the_new_era_from_another_host_does_not_list_the_store)
+{
+    Fixture fixture;
+    fixture.memory.put("op/a", "1");
+    const MemoryPrefixStore::Copy copy = fixture.memory.copy();
+    fixture.memory.put("op/a", "2");
+    PrefixStore store = fixture.memory.asPrefixStore();
+    std::atomic<int> listings{0};
+    const auto list = store.list;
+    store.list = [&listings, list](const std::string &prefix) {
+        ++listings;
+        return list(prefix);
+    };
+    const auto watch = store.watch;
+    std::atomic<StoreMirror *> own{nullptr};
+    store.watch = [&](const std::string &prefix, int64_t after, Duration wait) {
+        const StoreChanges result = watch(prefix, after, wait);
+        if (result.era == 1 && own.load()->status().era == 0) {
+            // The peer thread merges while the answer is under way.
+            own.load()->merge({{{{"op/a", "1", 1}, false}}, result.revision, true, 1});
+        }
+        return result;
+    };
+    StoreMirror mirror(fixture.clock, fixture.log, store,
+        MirrorPeers{[](const StorePosition &, Duration) -> MirrorChanges { throw Failure(ErrorKind::PeerLost, "no"); },
+            [](const StorePosition &, Duration) -> MirrorChanges { throw Failure(ErrorKind::PeerLost, "no"); }, [] {}, [] { return true; },
+            [] {
+                return false;
+            }},
+        [](const std::set<std::string> &) {});
+    own = &mirror;
+    mirror.start();
+    cr_assert(fixture.waitForValue(mirror, "op/a", "2"));
+    fixture.memory.restore(copy);
+    cr_assert(fixture.waitForValue(mirror, "op/a", "1"));
+    fixture.clock.sleepFor(Milliseconds(200));
+    mirror.stop();
+    cr_assert_eq(listings.load(), 1, "%d", listings.load());
+}
--- a/pimentosail/mirror/storemirror.cpp
+++ b/pimentosail/mirror/storemirror.cpp
@@ -334,6 +334,15 @@
             const Time calledAt = this->clock.nowWithSuspend();
             const StoreChanges changes = this->store.watch("", before.revision, callWait);
             this->setReachable(true, "watch answered");
+            const int64_t presentEra = this->status().era;
+            if (changes.era < presentEra) {
+                throw Failure(ErrorKind::KeyValueUnavailable,
+                    "the store is in era " + std::to_string(changes.era) + ", the contents are of era " + std::to_string(presentEra));
+            }
+            if (presentEra != before.era) {
+                // Another host has sent the new contents meanwhile.
+                continue;
+            }
             if (changes.isCompacted || changes.era != before.era) {
                 this->log.write(LogLevel::Info, "store_history_lost", {{"era", before.era}, {"revision", before.revision}, {"new_era", changes.era}});
                 this->listAll();
