--- a/pimentosail/entry/entrystate.h
+++ b/pimentosail/entry/entrystate.h
@@ -163,13 +163,25 @@
         const std::lock_guard lock(this->mutex);
         // A host that is no longer listed may still send requests for a while. The number of sharing hosts therefore
         // increases at once and decreases only after `ShareHoldTime`, so that the shares together stay within the limit.
-        if (entries.size() >= this->sharingHosts || now >= this->mayShrinkAt) {
+        if (entries.size() >= this->sharingHosts) {
             this->sharingHosts = entries.size();
-            this->mayShrinkAt = now + ShareHoldTime;
+            this->fewerHostsSince.reset();
+        } else if (!this->fewerHostsSince) {
+            this->fewerHostsSince = now;
         }
         this->hostEntries = std::move(entries);
     }
 
+    // Decreases the number of sharing hosts if fewer have been listed for `ShareHoldTime`. Called about twice a second.
+    void updateSharingHosts(Time now)
+    {
+        const std::lock_guard lock(this->mutex);
+        if (this->fewerHostsSince && now >= *this->fewerHostsSince + ShareHoldTime) {
+            this->sharingHosts = this->hostEntries.size();
+            this->fewerHostsSince.reset();
+        }
+    }
+
     std::vector<HostEntry> hosts() const
     {
         const std::lock_guard lock(this->mutex);
@@ -305,7 +317,8 @@
     size_t relayIndex = 0;
     size_t storeSourceIndex = 0;
     size_t sharingHosts = 0;
-    Time mayShrinkAt{};
+    // Since when fewer hosts are listed than share the limits.
+    std::optional<Time> fewerHostsSince;
 };
 
 } // namespace pimentosail
--- a/pimentosail/entry/entrystatetest.cpp
+++ b/pimentosail/entry/entrystatetest.cpp
@@ -52,3 +52,21 @@
     cr_assert_eq(decoded.update({{"a", "lost", 5, 0}}, decode).front(), "lost");
     cr_assert_eq(decoded.update({{"a", "new", 5, 1}}, decode).front(), "new");
 }
+
+// Guards against shares of common limits that grow at once when a restored store has lost the entries of hosts, which go on sending.
+Test(entrystate, shares_do_not_grow_at_once_when_a_restored_store_has_lost_the_entries_of_hosts)
+{
+    EntryState state;
+    std::vector<HostEntry> hosts(20);
+    state.setHosts(hosts, std::chrono::seconds(1));
+    hosts.resize(4);
+    state.setHosts(hosts, std::chrono::seconds(60));
+    cr_assert_eq(state.sharingHostCount(), 20, "%zu", state.sharingHostCount());
+    state.updateSharingHosts(std::chrono::seconds(64));
+    cr_assert_eq(state.sharingHostCount(), 20);
+    state.updateSharingHosts(std::chrono::seconds(65));
+    cr_assert_eq(state.sharingHostCount(), 4);
+    hosts.resize(20);
+    state.setHosts(hosts, std::chrono::seconds(66));
+    cr_assert_eq(state.sharingHostCount(), 20, "an increase holds at once");
+}
--- a/pimentosail/entry/stateupdater.cpp
+++ b/pimentosail/entry/stateupdater.cpp
@@ -132,6 +132,7 @@
 {
     this->updateTargets(mirror);
     this->updateEvacuations(mirror);
+    this->context.state.updateSharingHosts(this->context.clock.now());
 }
 
 void StateUpdater::updateTargets(const StoreMirror &mirror)
--- a/pimentosail/entry/stateupdater.h
+++ b/pimentosail/entry/stateupdater.h
@@ -51,8 +51,8 @@
     // Applies the present contents of `mirror`. `changedKeys` are the keys that have changed since the last call.
     void update(const StoreMirror &mirror, const std::set<std::string> &changedKeys);
 
-    // Applies again what changes with time although no key has changed: a missing registration is removed, and an evacuation that a restored
-    // store has lost ends, after some time.
+    // Applies again what changes with time although no key has changed: a missing registration is removed, an evacuation that a restored
+    // store has lost ends, and the limits are shared among fewer hosts, after some time.
     void refresh(const StoreMirror &mirror);
 
 private:
