entry: an evacuation that a second restore loses is held anew; unreadable values are told apart by era

Found by the review, by reading: the time of the first restore was kept, so that a zone was free 8 s after it although a second one had lost the evacuation again.

--- a/pimentosail/entry/stateupdater.cpp
+++ b/pimentosail/entry/stateupdater.cpp
@@ -62,11 +62,11 @@
 
 void StateUpdater::reportUnreadable(const StoredItem &item, const std::string &reason)
 {
-    int64_t &revision = this->reportedRevisions[item.key];
-    if (revision != item.revision) {
-        revision = item.revision;
+    StorePosition &reported = this->reportedPositions[item.key];
+    if (reported != item.position()) {
+        reported = item.position();
         this->context.metrics.count("pimentosail_unreadable_values_total", {});
-        this->context.log.write(LogLevel::Error, "value_unreadable", {{"key", item.key}, {"revision", item.revision}, {"reason", reason}});
+        this->context.log.write(LogLevel::Error, "value_unreadable", {{"key", item.key}, {"era", item.era}, {"revision", item.revision}, {"reason", reason}});
     }
 }
 
@@ -171,7 +171,7 @@
     if (listed.era != this->evacuationEra) {
         // The store may have come back from a copy that is older than an evacuation. Operators write it again.
         for (const std::string &zone : this->evacuatedZones) {
-            this->lostEvacuations.emplace(zone, now + RewriteTime);
+            this->lostEvacuations[zone] = now + RewriteTime;
         }
         this->evacuationEra = listed.era;
     }
--- a/pimentosail/entry/stateupdater.h
+++ b/pimentosail/entry/stateupdater.h
@@ -65,15 +65,15 @@
     void updateRollout(const StoreMirror &mirror);
     void applyAnnouncement(const RolloutAnnouncement &announcement);
     void updateVersionTimes(const StoreMirror &mirror);
-    // Logs a value that cannot be decoded, once for each revision.
+    // Logs a value that cannot be decoded, once for each write.
     void reportUnreadable(const StoredItem &item, const std::string &reason);
 
     EntryContext &context;
     Time createdAt;
     // Versions whose record of the age has been applied, as MODEL/VERSION.
     std::set<std::string> timedVersions;
-    // Last logged revision of an unreadable value, by key.
-    std::map<std::string, int64_t> reportedRevisions;
+    // Position of the last logged unreadable value, by key.
+    std::map<std::string, StorePosition> reportedPositions;
     DecodedItems<Registration> decodedRegistrations;
     DecodedItems<HostEntry> decodedHosts;
     std::set<std::string> evacuatedZones;
