--- a/pimentosail/entry/stateupdater.h
+++ b/pimentosail/entry/stateupdater.h
@@ -51,8 +51,8 @@
     // Applies the present contents of `mirror`. `changedKeys` are the keys that have changed since the last call.
     void update(const StoreMirror &mirror, const std::set<std::string> &changedKeys);
 
-    // Applies again what changes with time although no key has changed: a missing registration is removed, and an evacuation that a restored
-    // store has lost ends, after some time.
+    // Applies again what changes with time although no key has changed: a missing registration is removed, an evacuation that a restored
+    // store has lost ends, and the limits are shared among fewer hosts, after some time.
     void refresh(const StoreMirror &mirror);
 
 private:
@@ -65,15 +65,15 @@
     void updateRollout(const StoreMirror &mirror);
     void applyAnnouncement(const RolloutAnnouncement &announcement);
     void updateVersionTimes(const StoreMirror &mirror);
-    // Logs a value that cannot be decoded, once for each revision.
+    // Logs a value that cannot be decoded, once for each write.
     void reportUnreadable(const StoredItem &item, const std::string &reason);
 
     EntryContext &context;
     Time createdAt;
     // Versions whose record of the age has been applied, as MODEL/VERSION.
     std::set<std::string> timedVersions;
-    // Last logged revision of an unreadable value, by key.
-    std::map<std::string, int64_t> reportedRevisions;
+    // Position of the last logged unreadable value, by key.
+    std::map<std::string, StorePosition> reportedPositions;
     DecodedItems<Registration> decodedRegistrations;
     DecodedItems<HostEntry> decodedHosts;
     std::set<std::string> evacuatedZones;
