--- a/pimentosail/directory/directorytest.cpp
+++ b/pimentosail/directory/directorytest.cpp
@@ -319,3 +319,21 @@
     fixture.directory.apply({makeRegistration("a", 12)}, true, Time(0));
     cr_assert_eq(fixture.directory.size(), 1);
 }
+
+// Guards against requests to a target whose removal was seen within the time for which a missing entry is kept after an outage, when a restored store
+// lists it.
+Test(directory, a_target_removed_shortly_after_an_outage_stays_gone_when_a_restored_store_lists_it_again)
+{
+    Fixture fixture;
+    fixture.directory.apply({makeRegistration("a", 10)}, true, Time(0));
+    const Time recovered = fixture.clock.now();
+    fixture.clock.advance(std::chrono::seconds(1));
+    fixture.directory.apply({}, true, recovered);
+    fixture.clock.advance(std::chrono::seconds(1));
+    Registration copied = makeRegistration("a", 8);
+    copied.era = 1;
+    fixture.directory.apply({copied}, true, fixture.clock.now(), 1);
+    fixture.clock.advance(std::chrono::seconds(2));
+    fixture.directory.apply({copied}, true, Time(0), 1);
+    cr_assert_eq(fixture.directory.size(), 0);
+}
