--- a/pimentosail/mirror/mirrortest.cpp
+++ b/pimentosail/mirror/mirrortest.cpp
@@ -3,68 +3,13 @@
 
 #include <criterion/criterion.h>
 
-#include "pimentosail/base/error.h"
-#include "pimentosail/kv/memoryprefixstore.h"
-#include "pimentosail/mirror/storemirror.h"
+#include "pimentosail/mirror/mirrorfixture.h"
 
 using namespace pimentosail;
 
-namespace
-{
-
-struct Fixture
-{
-    Clock clock;
-    MemoryPrefixStore memory{this->clock};
-    EventLog log{this->clock, "front-1", [](const std::string &) {
-                 }};
-    std::mutex mutex;
-    std::set<std::string> changedKeys;
-    PeerSource peers = [](const StorePosition &, Duration) -> MirrorChanges {
-        throw Failure(ErrorKind::PeerLost, "no peer");
-    };
-    PeerSource relay = [](const StorePosition &, Duration) -> MirrorChanges {
-        throw Failure(ErrorKind::PeerLost, "no relay");
-    };
-    std::atomic<bool> watchesStore{true};
-    std::atomic<int> skipped{0};
-
-    std::unique_ptr<StoreMirror> make()
-    {
-        return std::make_unique<StoreMirror>(this->clock, this->log, this->memory.asPrefixStore(),
-            MirrorPeers{[this](const StorePosition &position, Duration wait) { return this->peers(position, wait); },
-                [this](const StorePosition &position, Duration wait) { return this->relay(position, wait); }, [this] { ++this->skipped; },
-                [this] { return this->watchesStore.load(); },
-                [] {
-                    return false;
-                }},
-            [this](const std::set<std::string> &keys) {
-                const std::lock_guard lock(this->mutex);
-                this->changedKeys.insert(keys.begin(), keys.end());
-            });
-    }
-
-    // Waits until `key` has `value` in `mirror`; an empty value means that the key is absent. Returns false after
-    // `limit`.
-    bool waitForValue(const StoreMirror &mirror, const std::string &key, const std::string &value, Duration limit = Milliseconds(4000))
-    {
-        const Time end = this->clock.now() + limit;
-        while (this->clock.now() < end) {
-            const std::vector<StoredItem> items = mirror.items(key);
-            if ((items.empty() && value.empty()) || (!items.empty() && items.front().value == value)) {
-                return true;
-            }
-            this->clock.sleepFor(Milliseconds(5));
-        }
-        return false;
-    }
-};
-
-} // namespace
-
 Test(mirror, changes_and_removals_arrive)
 {
-    Fixture fixture;
+    MirrorFixture fixture;
     fixture.memory.put("op/a", "1");
     const auto mirror = fixture.make();
     mirror->start();
@@ -77,7 +22,7 @@
 
 Test(mirror, a_lost_history_is_replaced_by_a_listing_that_also_removes_keys)
 {
-    Fixture fixture;
+    MirrorFixture fixture;
     fixture.memory.put("op/a", "1");
     fixture.memory.put("op/b", "1");
     const auto mirror = fixture.make();
@@ -95,7 +40,7 @@
 
 Test(mirror, a_host_that_the_store_refuses_receives_changes_from_peers)
 {
-    Fixture fixture;
+    MirrorFixture fixture;
     fixture.memory.put("op/a", "1");
     const auto mirror = fixture.make();
     mirror->start();
@@ -111,7 +56,7 @@
 
 Test(mirror, a_key_never_returns_to_an_older_revision)
 {
-    Fixture fixture;
+    MirrorFixture fixture;
     const auto mirror = fixture.make();
     mirror->merge({{{{"op/a", "new", 20}, false}}, 20, false});
     mirror->merge({{{{"op/a", "old", 10}, false}}, 10, false});
@@ -127,7 +72,7 @@
 
 Test(mirror, other_hosts_receive_changes_or_a_snapshot)
 {
-    Fixture fixture;
+    MirrorFixture fixture;
     const auto mirror = fixture.make();
     mirror->merge({{{{"op/a", "1", 10}, false}, {{"op/b", "1", 11}, false}}, 11, true});
     mirror->merge({{{{"op/c", "1", 12}, false}}, 12, false});
@@ -147,7 +92,7 @@
 Test(mirror, the_older_contents_of_another_host_restore_no_removed_key)
 {
     for (const bool isSnapshot : {true, false}) {
-        Fixture fixture;
+        MirrorFixture fixture;
         const auto mirror = fixture.make();
         mirror->merge({{{{"servers/stays", "1", 10}, false}}, 1000, true});
         mirror->merge({{{{"servers/stays", "1", 10}, false}, {{"servers/left", "1", 11}, false}}, 900, isSnapshot});
@@ -160,7 +105,7 @@
 // the store after them, and sent it no removals.
 Test(mirror, a_host_behind_the_first_listing_of_another_one_receives_the_removals_before_it)
 {
-    Fixture fixture;
+    MirrorFixture fixture;
     const auto restarted = fixture.make();
     restarted->merge({{{{"servers/stays", "1", 10}, false}}, 1000, true});
     const auto cutOff = fixture.make();
@@ -375,7 +320,7 @@
 
     std::mt19937 random;
     const bool restoresStore;
-    Fixture fixture;
+    MirrorFixture fixture;
     std::vector<Era> eras{1};
     int writes = 0;
     std::vector<std::unique_ptr<StoreMirror>> mirrors;
@@ -411,105 +356,15 @@
     }
 }
 
-// Guards against a configuration that is not in force because the store came back from an older copy: its listings had lower revisions than the
-// contents of the lost history, and were ignored.
-Test(mirror, the_contents_of_a_restored_store_replace_the_lost_history)
-{
-    Fixture fixture;
-    fixture.memory.put("op/kept", "1");
-    const MemoryPrefixStore::Copy copy = fixture.memory.copy();
-    for (int write = 0; write < 20; ++write) {
-        fixture.memory.put("op/lost", std::to_string(write));
-    }
-    const auto mirror = fixture.make();
-    mirror->start();
-    cr_assert(fixture.waitForValue(*mirror, "op/lost", "19"));
-    fixture.memory.setDown(true);
-    fixture.clock.sleepFor(Milliseconds(300));
-    fixture.memory.restore(copy);
-    fixture.memory.put("op/new", "1");
-    fixture.memory.setDown(false);
-    cr_assert(fixture.waitForValue(*mirror, "op/new", "1", Milliseconds(2000)));
-    cr_assert(mirror->items("op/lost").empty());
-    cr_assert_eq(mirror->items("op/kept").size(), 1);
-    cr_assert_eq(mirror->status().era, 1);
-    fixture.memory.put("op/new", "2");
-    cr_assert(fixture.waitForValue(*mirror, "op/new", "2", Milliseconds(500)));
-}
-
-// The same if the new history has passed the old revisions before the next watch, so that no answer says that the history is lost.
-Test(mirror, a_restored_store_is_noticed_also_when_its_revisions_have_passed_the_lost_ones)
-{
-    Fixture fixture;
-    fixture.memory.put("op/kept", "1");
-    const MemoryPrefixStore::Copy copy = fixture.memory.copy();
-    fixture.memory.put("op/a", "lost");
-    const auto mirror = fixture.make();
-    mirror->start();
-    cr_assert(fixture.waitForValue(*mirror, "op/a", "lost"));
-    fixture.memory.setDown(true);
-    fixture.clock.sleepFor(Milliseconds(300));
-    fixture.memory.restore(copy);
-    fixture.memory.put("op/b", "new");
-    fixture.memory.put("op/kept", "2");
-    fixture.memory.put("op/kept", "3");
-    fixture.memory.setDown(false);
-    cr_assert(fixture.waitForValue(*mirror, "op/b", "new", Milliseconds(2000)));
-    cr_assert(mirror->items("op/a").empty(), "a key of the lost history");
-}
-
-// Guards against a relay with the lost history that holds the new one off, and against a host that lags and brings the lost history back.
-Test(mirror, a_follower_in_the_new_era_leaves_a_relay_with_the_lost_history)
-{
-    Fixture relayFixture;
-    const auto lagging = relayFixture.make();
-    lagging->merge({{{{"op/a", "lost", 50}, false}}, 50, true});
-    Fixture fixture;
-    fixture.watchesStore = false;
-    fixture.relay = [&lagging](const StorePosition &position, Duration) {
-        MirrorChanges changes = lagging->changesAfter(position, Milliseconds(20));
-        changes.isReachable = true;
-        changes.answerAge = Duration(0);
-        return changes;
-    };
-    fixture.memory.restore(fixture.memory.copy());
-    fixture.memory.put("op/a", "new");
-    const auto follower = fixture.make();
-    follower->merge({{{{"op/a", "new", 2}, false}}, 2, true, 1});
-    follower->start();
-    fixture.memory.put("op/b", "new");
-    cr_assert(fixture.waitForValue(*follower, "op/b", "new", Milliseconds(2000)));
-    cr_assert_eq(follower->items("op/a").front().value, "new");
-    cr_assert_geq(fixture.skipped.load(), 1);
-}
-
-// Guards against changes that are merged into contents of another era, because both have the same revisions.
-Test(mirror, changes_of_another_era_are_not_merged)
-{
-    Fixture fixture;
-    const auto mirror = fixture.make();
-    mirror->merge({{{{"op/a", "1", 10}, false}}, 10, true, 1});
-    mirror->merge({{{{"op/a", "lost", 20}, false}}, 20, false, 0});
-    mirror->merge({{{{"op/a", "lost", 20}, false}}, 20, true, 0});
-    mirror->merge({{{{"op/a", "later", 11}, false}}, 11, false, 2});
-    cr_assert_eq(mirror->items("op/a").front().value, "1");
-    mirror->merge({{{{"op/a", "2", 9}, false}}, 9, true, 2});
-    cr_assert_eq(mirror->items("op/a").front().value, "2");
-    cr_assert(mirror->items("op/a").front().position() == (StorePosition{2, 9}));
-    cr_assert(mirror->changesAfter({1, 10}, Duration(0)).isSnapshot, "a host of the former era gets all contents");
-    const MirrorChanges none = mirror->changesAfter({3, 1}, Duration(0));
-    cr_assert(none.changes.empty() && !none.isSnapshot, "a host of a later era gets nothing");
-}
-
 // Guards against a follower that still calls the store: when each of many hosts watched the store itself, the watches
 // made most of the calls to it.
 Test(mirror, a_follower_receives_changes_from_its_relay_without_calling_the_store)
 {
-    Fixture fixture;
+    MirrorFixture fixture;
     const auto relay = fixture.make();
     relay->start();
     cr_assert(fixture.waitForValue(*relay, "op/none", ""));
-    Fixture other;
+    MirrorFixture other;
     other.watchesStore = false;
     other.memory.setDown(true);
     other.relay = [&relay](const StorePosition &position, Duration wait) {
@@ -529,7 +384,7 @@
 Test(mirror, a_follower_reads_the_store_itself_when_its_relay_fails_or_has_lost_the_store)
 {
     for (const bool relayLostStore : {true, false}) {
-        Fixture fixture;
+        MirrorFixture fixture;
         fixture.watchesStore = false;
         const Clock clock;
         const Time begin = clock.now();
@@ -552,71 +407,3 @@
         cr_assert_geq(fixture.skipped.load(), 1);
     }
 }
-
-// Guards against a host that lists the store again and again without a pause, because its contents name a later era than the store.
-Test(mirror, a_host_whose_contents_name_a_later_era_than_the_store_pauses_between_listings)
-{
-    Fixture fixture;
-    fixture.memory.put("op/a", "1");
-    PrefixStore store = fixture.memory.asPrefixStore();
-    std::atomic<int> listings{0};
-    const auto list = store.list;
-    store.list = [&listings, list](const std::string &prefix) {
-        ++listings;
-        return list(prefix);
-    };
-    StoreMirror mirror(fixture.clock, fixture.log, store,
-        MirrorPeers{[](const StorePosition &, Duration) -> MirrorChanges { throw Failure(ErrorKind::PeerLost, "no"); },
-            [](const StorePosition &, Duration) -> MirrorChanges { throw Failure(ErrorKind::PeerLost, "no"); }, [] {}, [] { return true; },
-            [] {
-                return false;
-            }},
-        [](const std::set<std::string> &) {});
-    MirrorChanges later{{{{"op/a", "x", 9}, false}}, 9, true, 4};
-    mirror.merge(later);
-    mirror.start();
-    fixture.clock.sleepFor(Milliseconds(500));
-    mirror.stop();
-    cr_assert_lt(listings.load(), 10, "%d listings in 500 ms", listings.load());
-}
-
-// Guards against needless listings by all hosts at the return of the store: another host has sent the new contents already.
-Test(mirror, a_host_that_has_the_new_era_from_another_host_does_not_list_the_store)
-{
-    Fixture fixture;
-    fixture.memory.put("op/a", "1");
-    const MemoryPrefixStore::Copy copy = fixture.memory.copy();
-    fixture.memory.put("op/a", "2");
-    PrefixStore store = fixture.memory.asPrefixStore();
-    std::atomic<int> listings{0};
-    const auto list = store.list;
-    store.list = [&listings, list](const std::string &prefix) {
-        ++listings;
-        return list(prefix);
-    };
-    const auto watch = store.watch;
-    std::atomic<StoreMirror *> own{nullptr};
-    store.watch = [&](const std::string &prefix, int64_t after, Duration wait) {
-        const StoreChanges result = watch(prefix, after, wait);
-        if (result.era == 1 && own.load()->status().era == 0) {
-            // The peer thread merges while the answer is under way.
-            own.load()->merge({{{{"op/a", "1", 1}, false}}, result.revision, true, 1});
-        }
-        return result;
-    };
-    StoreMirror mirror(fixture.clock, fixture.log, store,
-        MirrorPeers{[](const StorePosition &, Duration) -> MirrorChanges { throw Failure(ErrorKind::PeerLost, "no"); },
-            [](const StorePosition &, Duration) -> MirrorChanges { throw Failure(ErrorKind::PeerLost, "no"); }, [] {}, [] { return true; },
-            [] {
-                return false;
-            }},
-        [](const std::set<std::string> &) {});
-    own = &mirror;
-    mirror.start();
-    cr_assert(fixture.waitForValue(mirror, "op/a", "2"));
-    fixture.memory.restore(copy);
-    cr_assert(fixture.waitForValue(mirror, "op/a", "1"));
-    fixture.clock.sleepFor(Milliseconds(200));
-    mirror.stop();
-    cr_assert_eq(listings.load(), 1, "%d", listings.load());
-}
