--- a/pimentosail/entry/rolloutleadership.h
+++ b/pimentosail/entry/rolloutleadership.h
@@ -5,10 +5,9 @@
 //     if (leadership.mayOrder() && leadership.announce(announcement)) { ... }
 //
 // The leader is the host that has written the leadership key under its lease. A leader relies on the key only for the
-// lease time after the start of its last renewal, on a clock that includes time in suspension, and only in the era of the store in which it wrote
-// the key. `mayOrder` and `isAnnounced` are
-// to be called right before each load order. These and `token` are safe to call from any thread while the others are not called; the others are
-// called by one thread.
+// lease time after the start of its last renewal, on a clock that includes time in suspension, and only in the era of the store in
+// which it wrote the key. `mayOrder` and `isAnnounced` are to be called right before each load order. These and `token` may be called by any
+// thread while the others are not called; the others are called by one thread.
 #pragma once
 
 #include <string>
