dispatch, entry: under mixed load, choose targets by time and delays, without lanes; engine priorities

Lanes divide the targets by a fixed cost of 30,000 tokens, so in a wave one lane is full while targets of the other are idle. Under mixed load the cost of a target is now the time until the prompt's first token there and the time by which it delays others, in tokens that the target could read meanwhile.

It now has the saving only up to one and a half times the mean load, a block with a large share of the tokens has several preferred targets, and three targets are compared instead of twice their number per host.

Engine priorities 0 to 8 follow the configured priority, then the share of the target latency that is left. 9 remains for late prompts.

--- a/pimentosail/dispatch/mixedload.h
+++ b/pimentosail/dispatch/mixedload.h
@@ -41,9 +41,8 @@
 struct MixedPrompt
 {
     std::string route;
-    // Of the route, by the configuration.
+    // Of the route, by the configuration. Priority 0 is the most urgent.
     Duration targetLatency{};
-    // Configured priority of the route, or of the team if it has one; 0 is the most urgent.
     int priority = 0;
     double promptTokens = 0;
     // Tokens that the target is expected to read, and cache memory of the run.
--- a/pimentosail/dispatch/picker.cpp
+++ b/pimentosail/dispatch/picker.cpp
@@ -7,6 +7,8 @@
 #include <numeric>
 
 #include "pimentosail/base/hash.h"
+#include "pimentosail/dispatch/costs.h"
+#include "pimentosail/dispatch/mixedcost.h"
 
 namespace pimentosail
 {
@@ -17,21 +19,9 @@
 // Cost, in prompt tokens, of a run on older weights when all other targets have the newest. An answer from older weights
 // has less value, but more than a late answer.
 constexpr double OlderWeightsTokens = 12000;
-// Cost, in prompt tokens, of each request in flight: it slows down the engine steps of all others.
-constexpr double RequestTokens = 250;
-// Fraction of the block's tokens that the preferred target is expected to have in its cache.
-constexpr double PreferredTargetSaving = 0.5;
-// Cost, per token, of fetching the block from a cache store in another zone: the transfer occupies the store's link for
-// twice as long and delays other transfers.
-constexpr double OtherZoneFetchCost = 0.8;
 // Cost, in prompt tokens, of a prompt on a target of the other lane: about seven steps of an engine that processes
 // prompts.
 constexpr double OtherLaneTokens = 30000;
-// Cost of each token that exceeds a target's cache memory: the prompt waits for memory, or the engine preempts another
-// run and has to process its prompt again.
-constexpr double OverflowCost = 2;
-// Cost, in prompt tokens, of each request that waits until another run ends.
-constexpr double WaitingRequestTokens = 3000;
 // Lanes are used only from this number of targets on.
 constexpr size_t MinTargetsForLanes = 4;
 // A target that fails more than this share of its runs (in thousandths) gets requests only if all targets do, and
@@ -41,19 +31,18 @@
 constexpr uint64_t ProbeOneIn = 50;
 // Cost of a target outside the local zone for a plain request, in requests in flight per slot.
 constexpr double OtherZoneCost = 0.1;
+// Under mixed load, the preferred target loses its advantage while it has more than this multiple of the mean load, apart from one
+// prompt. Other hosts' reports are late, so it would otherwise get far more than its share.
+constexpr double PreferredLoadFactor = 1.5;
+// The upper bits of the random number choose among several preferred targets, the others the sample.
+constexpr unsigned PreferredDrawShift = 40;
 
 double promptCost(const PickQuery &query, const Candidate &candidate, bool isPreferred)
 {
     double cost = candidate.pendingTokens + candidate.requests * RequestTokens;
     cost -= isPreferred ? PreferredTargetSaving * static_cast<double>(query.affinityTokens) : 0;
     cost += query.cacheZones.empty() || query.cacheZones.contains(candidate.target->zone) ? 0 : OtherZoneFetchCost * static_cast<double>(query.affinityTokens);
-    if (candidate.capacityTokens > 0) {
-        cost += OverflowCost * std::max(0.0, candidate.heldTokens + query.heldTokens - candidate.capacityTokens);
-    }
-    if (candidate.maxRuns > 0) {
-        cost += WaitingRequestTokens * std::max(0.0, candidate.requests + 1 - candidate.maxRuns);
-    }
-    return cost;
+    return cost + capacityCost(query, candidate);
 }
 
 // Returns the part of a candidate's cost that does not depend on its load.
@@ -63,6 +52,9 @@
     if (!longAnswerSet.empty() && longAnswerSet.contains(&candidate) != (query.lane == Lane::LongAnswers)) {
         cost += OtherLaneTokens;
     }
+    if (query.mixed && candidate.target->zone != query.localZone) {
+        cost += mixedZoneCost(query);
+    }
     if (!isProbe && candidate.target->failurePermille.load() > FailingPermille) {
         cost += FailingCost;
     }
@@ -84,7 +76,7 @@
 std::set<const Candidate *> longAnswerTargets(const PickQuery &query, const std::vector<const Candidate *> &allowed)
 {
     std::set<const Candidate *> longAnswerSet;
-    if (query.lane == Lane::Any || query.longAnswerShare <= 0 || allowed.size() < MinTargetsForLanes) {
+    if (query.mixed || query.lane == Lane::Any || query.longAnswerShare <= 0 || allowed.size() < MinTargetsForLanes) {
         return longAnswerSet;
     }
     std::map<int64_t, std::vector<std::pair<uint64_t, const Candidate *>>> byVersion;
@@ -110,12 +102,14 @@
     return OlderWeightsTokens * static_cast<double>(newest) / static_cast<double>(allowed.size());
 }
 
-// Returns the target that rendezvous hashing ranks first for the prompt, among the targets of its lane.
+// Returns the target that rendezvous hashing ranks first for the prompt, among the targets of its lane. A prompt with several
+// preferred targets gets one of them at random.
 const Candidate *preferredTarget(const PickQuery &query, const std::vector<const Candidate *> &allowed, const std::set<const Candidate *> &longAnswerSet)
 {
     const Candidate *preferred = nullptr;
     uint64_t bestWeight = 0;
-    const uint64_t key = stableHash(query.affinity);
+    const uint64_t blockKey = stableHash(query.affinity);
+    const uint64_t key = query.preferredTargets > 1 ? combineHashes(blockKey, (query.draw >> PreferredDrawShift) % query.preferredTargets) : blockKey;
     for (const Candidate *candidate : allowed) {
         if (!longAnswerSet.empty() && longAnswerSet.contains(candidate) != (query.lane == Lane::LongAnswers)) {
             continue;
@@ -129,6 +123,33 @@
     return preferred;
 }
 
+// The load up to which the preferred target has an advantage.
+struct PreferredLimit
+{
+    double requests = std::numeric_limits<double>::infinity();
+    double pendingTokens = std::numeric_limits<double>::infinity();
+
+    bool allows(const Candidate &candidate) const
+    {
+        return candidate.requests <= this->requests && candidate.pendingTokens <= this->pendingTokens;
+    }
+};
+
+PreferredLimit preferredLimit(const PickQuery &query, const std::vector<const Candidate *> &allowed)
+{
+    if (!query.mixed) {
+        return {};
+    }
+    double requests = 0;
+    double pendingTokens = 0;
+    for (const Candidate *candidate : allowed) {
+        requests += candidate->requests;
+        pendingTokens += candidate->pendingTokens;
+    }
+    const double factor = PreferredLoadFactor / static_cast<double>(allowed.size());
+    return {factor * requests + 1, factor * pendingTokens + query.prefillTokens};
+}
+
 double plainCost(const PickQuery &query, const Candidate &candidate)
 {
     const double slots = std::max(1, candidate.target->slots);
@@ -151,6 +172,7 @@
     const std::set<const Candidate *> longAnswerSet = longAnswerTargets(query, allowed);
     const Candidate *preferred = query.affinity.empty() ? nullptr : preferredTarget(query, allowed, longAnswerSet);
     const double olderCost = olderWeightsCost(query, allowed);
+    const PreferredLimit limit = preferredLimit(query, allowed);
     const bool isProbe = query.draw % ProbeOneIn == 0;
     const size_t offset = static_cast<size_t>(query.draw / ProbeOneIn) % allowed.size();
     const size_t step = permutationStep(query.draw / ProbeOneIn / allowed.size(), allowed.size());
@@ -165,11 +187,22 @@
         if (query.sampleSize > 0 && !isPreferred && ++compared[cost] > query.sampleSize) {
             continue;
         }
-        cost += query.affinity.empty() ? plainCost(query, candidate) : promptCost(query, candidate, isPreferred);
+        double aheadTokens = candidate.pendingTokens;
+        if (query.affinity.empty()) {
+            cost += plainCost(query, candidate);
+        } else if (query.mixed) {
+            const MixedCost mixed = mixedCost(query, candidate, isPreferred && limit.allows(candidate));
+            cost += mixed.total;
+            aheadTokens = mixed.aheadTokens;
+        } else {
+            cost += promptCost(query, candidate, isPreferred);
+        }
         if (cost < bestCost) {
             bestCost = cost;
             const double heldShare = candidate.capacityTokens > 0 ? candidate.heldTokens / candidate.capacityTokens : 0;
-            best = TargetChoice{candidate.target, candidate.version, candidate.pendingTokens, candidate.lateTokens, heldShare, isPreferred};
+            // A late prompt is read after those that this prompt would overtake.
+            const double lateTokens = candidate.lateTokens + candidate.pendingTokens - aheadTokens;
+            best = TargetChoice{candidate.target, candidate.version, aheadTokens, lateTokens, heldShare, isPreferred, candidate.speed};
         }
     }
     return best;
--- a/pimentosail/dispatch/picker.h
+++ b/pimentosail/dispatch/picker.h
@@ -5,7 +5,8 @@
 // in its cache. The preferred target of a prompt is the one that rendezvous hashing ranks first for its last shared
 // block; any other target has to fetch the prompt's blocks or compute them again.
 // Some targets mostly serve prompts with long answers, because long prompts slow down the answers that an engine
-// generates at the same time (see `WorkMix`).
+// generates at the same time (see `WorkMix`). Under mixed load (see `MixedLoad`) there are no such targets; the cost then
+// includes the order in which the target reads prompts, and how much this prompt delays the others there.
 // A plain request (one without a prompt) goes to the target with the fewest requests per slot, preferably in the local
 // zone.
 //
@@ -22,11 +23,16 @@
 
 #include "pimentosail/base/clock.h"
 #include "pimentosail/directory/directory.h"
+#include "pimentosail/dispatch/mixedload.h"
 #include "pimentosail/dispatch/workmix.h"
 
 namespace pimentosail
 {
 
+// `PickQuery::sampleSize` under mixed load. In the time between two reports, all hosts together send about as many requests as there
+// are targets, so those that compare many targets choose the same ones.
+constexpr size_t MixedSampleSize = 3;
+
 // A target and its load as far as this host knows it.
 struct Candidate
 {
@@ -43,6 +49,8 @@
     double heldTokens = 0;
     double capacityTokens = 0;
     int maxRuns = 0;
+    // Time that the target takes for its work, as a multiple of what is usual. Used under mixed load only.
+    double speed = 1;
     // The target may get no request until `nextSend`.
     bool isAtLimit = false;
     Time nextSend{};
@@ -62,6 +70,12 @@
     // Lane of the prompt's route, and the fraction of the targets that the lane of long answers should have.
     Lane lane = Lane::Any;
     double longAnswerShare = 0;
+    // Set under mixed load, and then: tokens that a target has to read, target latency of the route, and number of preferred
+    // targets, of which the prompt gets one at random.
+    std::optional<MixedProfile> mixed;
+    double prefillTokens = 0;
+    Duration targetLatency{};
+    size_t preferredTargets = 1;
     // Weight version that new work should use, and the oldest one on which work may begin.
     int64_t newestVersion = 0;
     int64_t oldestVersion = 0;
@@ -80,13 +94,15 @@
 {
     TargetPointer target;
     int64_t version = 0;
-    // Prompt tokens that the target has to process before this prompt, and those of late requests, which run after it.
+    // Prompt tokens that the target has to process before this prompt, and those that it processes after it but before a late
+    // prompt, late requests included.
     double pendingTokens = 0;
     double lateTokens = 0;
     // Share of the target's cache memory that its present runs hold; 0 if unknown.
     double heldShare = 0;
     // The target is the preferred target of the prompt.
     bool isPreferred = false;
+    double speed = 1;
 };
 
 // Returns the candidate with the lowest cost, or nothing if no candidate may be used.
--- a/pimentosail/entry/context.h
+++ b/pimentosail/entry/context.h
@@ -6,7 +6,9 @@
 #include "pimentosail/directory/ratelimits.h"
 #include "pimentosail/directory/targetnotices.h"
 #include "pimentosail/dispatch/blockquarantine.h"
+#include "pimentosail/dispatch/blockshares.h"
 #include "pimentosail/dispatch/forecast.h"
+#include "pimentosail/dispatch/mixedload.h"
 #include "pimentosail/dispatch/quarantine.h"
 #include "pimentosail/dispatch/workmix.h"
 #include "pimentosail/entry/entrysettings.h"
@@ -44,6 +46,8 @@
     BlockReuse &blockReuse;
     FirstTokenForecast &forecast;
     WorkMix &workMix;
+    MixedLoad &mixedLoad;
+    BlockShares &blockShares;
     MessageMemory &answerMemory;
     MessageMemory &requestMemory;
     const StoreMirror &mirror;
--- a/pimentosail/entry/entryprocess.cpp
+++ b/pimentosail/entry/entryprocess.cpp
@@ -84,6 +84,8 @@
 private:
     void serveReady(HttpExchange &exchange);
     void servePeer(HttpExchange &exchange);
+    // Logs changes of mixed load and sets its metric.
+    void reportMixedLoad();
     void serveMetrics(HttpExchange &exchange);
     void updateGauges();
     MirrorPeers mirrorPeers();
@@ -118,6 +120,8 @@
     BlockReuse blockReuse;
     FirstTokenForecast forecast;
     WorkMix workMix;
+    MixedLoad mixedLoad;
+    BlockShares blockShares;
     MessageMemory answerMemory;
     MessageMemory requestMemory;
     EntryContext context;
@@ -138,6 +142,8 @@
     std::atomic<bool> stopping{false};
     // Groups of blocked blocks that were logged. Used by the refresh thread only.
     std::set<std::vector<std::string>> loggedBlocked;
+    // Services whose mixed load was logged. Used by the refresh thread only.
+    std::set<std::string> loggedMixed;
     DutyThread refreshThread;
     HttpServer callerServer;
     HttpServer readyServer;
@@ -158,10 +164,11 @@
     , quarantine(clock)
     , cacheStores(clock)
     , cacheJournal(cacheStores)
+    , mixedLoad(clock)
     , answerMemory(settings.memoryBytes)
     , requestMemory(settings.memoryBytes)
     , context{clock, log, metrics, settings, wire, state, directory, loads, connections, rateLimits, notices, retryBudget, gate, quarantine, blockQuarantine,
-          cacheStores, blockReuse, forecast, workMix, answerMemory, requestMemory, mirror}
+          cacheStores, blockReuse, forecast, workMix, mixedLoad, blockShares, answerMemory, requestMemory, mirror}
     , updater(context)
     , peers(peerHttp,
           [this](const std::string &method, size_t bytes) {
@@ -294,11 +301,31 @@
         this->metrics.set("pimentosail_target_notices", {{"kind", std::string(noticeKindName(kind))}},
             static_cast<double>(std::count_if(targetNotices.begin(), targetNotices.end(), [kind](const TargetNotice &notice) { return notice.kind == kind; })));
     }
+    this->reportMixedLoad();
     for (const CacheStore &store : this->cacheStores.stores()) {
         this->metrics.set("pimentosail_cache_store_held_tokens", {{"store", store.name}}, static_cast<double>(this->cacheStores.heldTokens(store.name)));
     }
 }
 
+void EntryProcess::Impl::reportMixedLoad()
+{
+    const std::map<std::string, double> readTimes = this->mixedLoad.mixedServices();
+    for (const auto &[service, readTime] : readTimes) {
+        if (this->loggedMixed.insert(service).second) {
+            this->log.write(LogLevel::Info, "mixed_load_begins", {{"service", service}, {"read_us_per_token", 1000 * readTime}});
+        }
+        this->metrics.set("pimentosail_mixed_load_read_us_per_token", {{"service", service}}, 1000 * readTime);
+    }
+    std::erase_if(this->loggedMixed, [this, &readTimes](const std::string &service) {
+        if (readTimes.contains(service)) {
+            return false;
+        }
+        this->log.write(LogLevel::Info, "mixed_load_ends", {{"service", service}});
+        this->metrics.set("pimentosail_mixed_load_read_us_per_token", {{"service", service}}, 0);
+        return true;
+    });
+}
+
 MirrorPeers EntryProcess::Impl::mirrorPeers()
 {
     MirrorPeers result;
--- a/pimentosail/entry/requestplanning.cpp
+++ b/pimentosail/entry/requestplanning.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "pimentosail/admission/memoryadmission.h"
+#include "pimentosail/dispatch/enginepriority.h"
 
 namespace pimentosail
 {
@@ -156,6 +157,8 @@
         query.heldTokens = static_cast<double>(prompt.promptTokens + prompt.maxOutputTokens);
         query.lane = this->context.workMix.laneOf(this->route->name);
         query.longAnswerShare = this->context.workMix.longAnswerShare();
+        query.mixed = this->context.mixedLoad.profile(this->service, this->route->name, this->configuredPriority());
+        query.targetLatency = this->route->targetLatency;
         const WantedVersion wanted = this->context.state.wantedVersion(prompt.model);
         query.newestVersion = wanted.version;
         this->wantedVersion = wanted.version;
@@ -166,14 +169,20 @@
     const std::vector<GatedCandidate> gated = this->candidates();
     if (!query.affinity.empty()) {
         const size_t hosts = std::max<size_t>(1, this->context.state.hostCount());
-        query.sampleSize = std::max(MinSample, SampleFactor * gated.size() / hosts);
+        query.sampleSize = query.mixed ? MixedSampleSize : std::max(MinSample, SampleFactor * gated.size() / hosts);
         int64_t version = query.newestVersion;
         for (const GatedCandidate &entry : gated) {
             version = std::max(version, entry.candidate.version);
         }
         query.cacheZones = this->context.cacheStores.zonesOf(this->saltFor(version), query.affinity);
         this->isCached = !query.cacheZones.empty();
+        query.prefillTokens = static_cast<double>(this->expectedPrefillTokens());
+        if (this->preferredTargets == 0) {
+            this->preferredTargets = this->context.blockShares.recordAndCount(this->service, query.affinity, query.prefillTokens, gated.size());
+        }
+        query.preferredTargets = query.mixed ? this->preferredTargets : 1;
     }
+    this->isMixed = query.mixed.has_value();
     // Targets that have asked other hosts to rest are used if no other target may get the request.
     std::optional<TargetChoice> choice = this->pickAndAcquire(query, gated, false);
     const bool hasAvoided = std::any_of(gated.begin(), gated.end(), [](const GatedCandidate &entry) { return entry.isAvoided; });
@@ -227,6 +236,9 @@
     }
     const double prefillTokens = static_cast<double>(this->expectedPrefillTokens());
     this->context.workMix.record(this->route->name, prefillTokens, static_cast<double>(this->request.prompt->maxOutputTokens));
+    this->context.mixedLoad.recordPrompt(this->service,
+        {this->route->name, this->route->targetLatency, this->route->priority, static_cast<double>(this->request.prompt->promptTokens), prefillTokens,
+            static_cast<double>(this->request.prompt->promptTokens + this->request.prompt->maxOutputTokens)});
     this->pendingAtSend = choice.pendingTokens + prefillTokens;
     const Duration waited = this->elapsedBefore + (this->context.clock.now() - this->received);
     const Duration expected = this->context.forecast.predict(this->route->name, this->pendingAtSend);
@@ -302,6 +314,27 @@
     return CacheSalt{this->request.prompt->model, version, isIsolated ? this->team->name : ""}.text();
 }
 
+int RequestRunner::configuredPriority() const
+{
+    return this->team != nullptr && this->team->priority ? *this->team->priority : this->route->priority;
+}
+
+int RequestRunner::mixedPriority() const
+{
+    ConfiguredPriorities priorities;
+    for (const Route &other : this->serving->all().routes) {
+        priorities.add(other.priority);
+    }
+    for (const TeamSettings &other : this->serving->all().teams) {
+        if (other.priority) {
+            priorities.add(*other.priority);
+        }
+    }
+    const Duration waited = this->elapsedBefore + (this->context.clock.now() - this->received);
+    const double left = 1 - toSeconds(waited) / std::max(toSeconds(this->route->targetLatency), toSeconds(Milliseconds(1)));
+    return priorities.enginePriority(this->configuredPriority(), left);
+}
+
 AttemptPlan RequestRunner::planFor(const TargetChoice &choice)
 {
     AttemptPlan plan;
@@ -310,7 +343,8 @@
     plan.team = this->team == nullptr ? "" : this->team->name;
     plan.resumeAfter = this->lastEventId.empty() ? this->request.resumeAfter : this->lastEventId;
     if (this->request.prompt) {
-        plan.priority = this->team != nullptr && this->team->priority ? *this->team->priority : this->route->priority;
+        plan.priority = this->isMixed ? this->mixedPriority() : this->configuredPriority();
+        this->enginePriority = *plan.priority;
         plan.isLate = this->isLate;
         plan.prefillTokens = this->expectedPrefillTokens();
         plan.heldTokens = this->request.prompt->promptTokens + this->request.prompt->maxOutputTokens;
--- a/pimentosail/entry/requestrunner.cpp
+++ b/pimentosail/entry/requestrunner.cpp
@@ -256,6 +256,7 @@
         this->context.cacheStores.recordFirstTokenTime(this->cacheSource, result.timeToFirstEvent);
         if (!this->isLate) {
             this->context.forecast.record(this->route->name, this->pendingAtSend, result.timeToFirstEvent);
+            this->context.mixedLoad.recordFirstToken(this->service, this->route->name, this->pendingAtSend, result.timeToFirstEvent);
         }
     }
     if (result.end == AttemptEnd::NotRun) {
@@ -494,7 +495,8 @@
             {"config", this->serving ? this->serving->all().version : 0}, {"config_age_ms", toMilliseconds(now - this->context.state.servingSince())},
             {"weights", this->weightVersion}, {"expected_version", this->expectedVersion}, {"wanted_version", this->wantedVersion},
             {"wanted_age_ms", this->wantedVersionAge < Duration(0) ? -1 : toMilliseconds(this->wantedVersionAge)}, {"late", this->isLate},
-            {"pending_tokens", this->pendingAtSend}, {"held_share", this->heldShare}, {"cache_source", this->cacheSource},
+            {"pending_tokens", this->pendingAtSend}, {"held_share", this->heldShare}, {"mixed", this->isMixed}, {"engine_priority", this->enginePriority},
+            {"preferred_targets", static_cast<int64_t>(this->preferredTargets)}, {"cache_source", this->cacheSource},
             {"fetch_expected_ms", milliseconds(this->expectedTransfer)}, {"fetch_tokens", this->fetchTokens}, {"save_tokens", this->saveTokens}});
 }
 
--- a/pimentosail/entry/requestrunner.h
+++ b/pimentosail/entry/requestrunner.h
@@ -75,6 +75,9 @@
     // (Overloaded) in the last case.
     void evaluateLoad(const TargetChoice &choice);
     int64_t expectedPrefillTokens() const;
+    // Return the priority of the team or else of the route, and the engine's priority for the prompt under mixed load.
+    int configuredPriority() const;
+    int mixedPriority() const;
     bool forwardEvent(const ReplyHeader &header, const std::string &event, const std::string &id);
     // Processes the result of an attempt. Returns true if the request was answered or the caller disconnected, and false
     // if another attempt is to be made. Throws `Failure` if the request ends without an answer of a target.
@@ -126,6 +129,12 @@
     std::vector<Time> limitEnds;
     // Retry-After of a refusal; zero if there is no estimate.
     Duration retryAfter{};
+    // The last choice of a target was made for mixed load.
+    bool isMixed = false;
+    // Number of preferred targets of the prompt; 0 before the first choice.
+    size_t preferredTargets = 0;
+    // The priority that the last target got.
+    int enginePriority = 0;
     // A cache store holds the last shared block of the prompt.
     bool isCached = false;
 
