dispatch: learn the speed of targets from first-token times under mixed load

Targets differ in speed and slow down for moments. TargetSpeeds compares the time until a first token with the forecast; the cost of a target is multiplied by its factor. Observations lose their weight within some seconds. Hosts learn alone.

--- a/pimentosail/dispatch/mixedcosttest.cpp
+++ b/pimentosail/dispatch/mixedcosttest.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cmath>
 #include <map>
+#include <memory>
 #include <numbers>
 #include <numeric>
 #include <random>
@@ -13,12 +14,21 @@
 #include "pimentosail/dispatch/blockshares.h"
 #include "pimentosail/dispatch/enginepriority.h"
 #include "pimentosail/dispatch/picker.h"
+#include "pimentosail/dispatch/targetspeeds.h"
 
 using namespace pimentosail;
 
 namespace
 {
 
+struct PausedClock : Clock
+{
+    PausedClock()
+    {
+        this->pause();
+    }
+};
+
 struct Kind
 {
     double tokens;
@@ -37,6 +47,8 @@
     size_t host;
     double sentAt;
     double left;
+    // When the host expects the first token, in ms after the send.
+    double expected;
     int answerLeft;
 };
 
@@ -69,6 +81,7 @@
     bool isOneZone = false;
     // Share of the long prompts that belong to one session.
     double sessionShare = 0;
+    bool learnsSpeeds = true;
 };
 
 struct Outcome
@@ -96,6 +109,9 @@
             candidate.maxRuns = 64;
             this->candidates.push_back(std::move(candidate));
         }
+        for (size_t host = 0; host < this->options.hosts; ++host) {
+            this->speeds.push_back(std::make_unique<TargetSpeeds>(this->clock));
+        }
     }
 
     // Runs `milliseconds` with `longRate` and `shortRate` requests per second.
@@ -103,6 +119,7 @@
     {
         std::uniform_real_distribution<double> uniform(0, 1000);
         for (int end = static_cast<int>(this->now) + milliseconds; this->now < end; this->now += 1) {
+            this->clock.advance(Milliseconds(1));
             if (static_cast<int>(this->now) % static_cast<int>(ReportInterval) == 0) {
                 this->report();
             }
@@ -147,6 +164,7 @@
             this->candidates[index].requests = load.requests;
             this->candidates[index].pendingTokens = load.pending;
             this->candidates[index].heldTokens = load.held;
+            this->candidates[index].speed = this->options.learnsSpeeds ? this->speeds[host]->factor(this->candidates[index].target->id) : 1;
         }
         const std::optional<TargetChoice> choice = pickTarget(query, this->candidates);
         const auto chosen
@@ -155,7 +173,9 @@
         ++engine.arrivals;
         ++this->outcomes[&kind].sent;
         this->otherZoneSends += choice->target->zone == query.localZone ? 0 : 1;
-        engine.waiting.push_back({&kind, host, this->now, kind.tokens, kind.answer});
+        const double expected
+            = this->options.step + (choice->pendingTokens + kind.tokens) * (1 / this->options.rate + this->options.step / this->options.chunk);
+        engine.waiting.push_back({&kind, host, this->now, kind.tokens, expected, kind.answer});
     }
 
     // Returns the busiest target's arrivals, as a multiple of the mean.
@@ -176,9 +196,11 @@
     }
     double otherZoneShare() const
     {
-        return this->otherZoneSends / std::max(1.0, std::accumulate(this->engines.begin(), this->engines.end(), 0.0, [](double sum, const Engine &engine) {
-            return sum + engine.arrivals;
-        }));
+        return this->otherZoneSends / std::max(1.0, this->arrivals());
+    }
+    double arrivals() const
+    {
+        return std::accumulate(this->engines.begin(), this->engines.end(), 0.0, [](double sum, const Engine &engine) { return sum + engine.arrivals; });
     }
     // Returns how many targets have no work, and the largest number of tokens that wait at a target.
     std::pair<size_t, double> idleAndFullest() const
@@ -255,7 +277,10 @@
             }
             std::erase_if(engine.running, [](const Request &request) { return request.answerLeft <= 0; });
             for (const Request &request : begun) {
-                this->outcomes[request.kind].late += start + time - request.sentAt > request.kind->latency ? 1 : 0;
+                const double taken = start + time - request.sentAt;
+                this->outcomes[request.kind].late += taken > request.kind->latency ? 1 : 0;
+                const auto index = static_cast<size_t>(&engine - this->engines.data());
+                this->speeds[request.host]->record(this->candidates[index].target->id, fromSeconds(request.expected / 1000), fromSeconds(taken / 1000));
                 engine.running.push_back(request);
             }
             engine.freeAt = start + time;
@@ -263,6 +288,8 @@
     }
 
     double now = 0;
+    PausedClock clock;
+    std::vector<std::unique_ptr<TargetSpeeds>> speeds;
     // By host and target: the requests of all other hosts at the last report.
     std::vector<std::vector<Load>> reported;
     std::map<const Kind *, Outcome> outcomes;
@@ -351,6 +378,52 @@
     }
 }
 
+// Guards against a slow target that gets as many prompts as others, and against one that is avoided after it has recovered.
+Test(mixedcost, a_target_at_half_speed_gets_less_until_it_recovers)
+{
+    std::map<bool, double> shares;
+    for (const uint64_t seed : {1U, 2U, 3U, 4U, 5U}) {
+        for (const bool learnsSpeeds : {false, true}) {
+            Model model({.learnsSpeeds = learnsSpeeds}, seed);
+            const auto shareOfFirst = [&model](int milliseconds) {
+                const int before = model.engines.front().arrivals;
+                const double sumBefore = model.arrivals();
+                model.run(milliseconds, 110, 468);
+                return (model.engines.front().arrivals - before) * static_cast<double>(model.engines.size()) / (model.arrivals() - sumBefore);
+            };
+            model.run(2000, 110, 468);
+            model.engines.front().slowness = 2;
+            const double whileSlow = shareOfFirst(6000);
+            shares[learnsSpeeds] += whileSlow;
+            model.engines.front().slowness = 1;
+            model.run(4000, 110, 468);
+            const double afterwards = shareOfFirst(6000);
+            cr_assert(!learnsSpeeds || (whileSlow > 0.3 && whileSlow < 0.75), "%f", whileSlow);
+            cr_assert(afterwards > 0.75 && afterwards < 1.25, "%f", afterwards);
+        }
+    }
+    cr_assert_lt(shares[true], 0.9 * shares[false], "the learnt speed counts");
+}
+
+Test(targetspeeds, an_observation_loses_its_weight)
+{
+    PausedClock clock;
+    TargetSpeeds speeds(clock);
+    cr_assert_eq(speeds.factor("a"), 1);
+    speeds.record("a", Milliseconds(100), Milliseconds(200));
+    cr_assert_float_eq(speeds.factor("a"), std::sqrt(2), 1e-6);
+    for (int index = 0; index < 50; ++index) {
+        speeds.record("a", Milliseconds(100), Milliseconds(200));
+        speeds.record("b", Milliseconds(100), Milliseconds(9000));
+    }
+    cr_assert(speeds.factor("a") > 1.6 && speeds.factor("a") < 2, "%f", speeds.factor("a"));
+    cr_assert_leq(speeds.factor("b"), 4);
+    clock.advance(std::chrono::seconds(10));
+    cr_assert_lt(speeds.factor("a"), 1.25);
+    clock.advance(std::chrono::seconds(20));
+    cr_assert_float_eq(speeds.factor("a"), 1, 0.01);
+}
+
 // Guards against a prompt whose team or route is less urgent and that is read first, and against urgent ones read as late ones.
 Test(mixedcost, the_configured_priority_decides_before_the_time_that_is_left)
 {
--- a/pimentosail/entry/context.h
+++ b/pimentosail/entry/context.h
@@ -10,6 +10,7 @@
 #include "pimentosail/dispatch/forecast.h"
 #include "pimentosail/dispatch/mixedload.h"
 #include "pimentosail/dispatch/quarantine.h"
+#include "pimentosail/dispatch/targetspeeds.h"
 #include "pimentosail/dispatch/workmix.h"
 #include "pimentosail/entry/entrysettings.h"
 #include "pimentosail/entry/entrystate.h"
@@ -48,6 +49,7 @@
     WorkMix &workMix;
     MixedLoad &mixedLoad;
     BlockShares &blockShares;
+    TargetSpeeds &targetSpeeds;
     MessageMemory &answerMemory;
     MessageMemory &requestMemory;
     const StoreMirror &mirror;
--- a/pimentosail/entry/entryprocess.cpp
+++ b/pimentosail/entry/entryprocess.cpp
@@ -122,6 +122,7 @@
     WorkMix workMix;
     MixedLoad mixedLoad;
     BlockShares blockShares;
+    TargetSpeeds targetSpeeds;
     MessageMemory answerMemory;
     MessageMemory requestMemory;
     EntryContext context;
@@ -165,10 +166,11 @@
     , cacheStores(clock)
     , cacheJournal(cacheStores)
     , mixedLoad(clock)
+    , targetSpeeds(clock)
     , answerMemory(settings.memoryBytes)
     , requestMemory(settings.memoryBytes)
     , context{clock, log, metrics, settings, wire, state, directory, loads, connections, rateLimits, notices, retryBudget, gate, quarantine, blockQuarantine,
-          cacheStores, blockReuse, forecast, workMix, mixedLoad, blockShares, answerMemory, requestMemory, mirror}
+          cacheStores, blockReuse, forecast, workMix, mixedLoad, blockShares, targetSpeeds, answerMemory, requestMemory, mirror}
     , updater(context)
     , peers(peerHttp,
           [this](const std::string &method, size_t bytes) {
--- a/pimentosail/entry/requestplanning.cpp
+++ b/pimentosail/entry/requestplanning.cpp
@@ -134,6 +134,7 @@
             candidate.maxRuns = serviceSettings->engine->slots;
         }
         candidate.lateTokens = static_cast<double>(view.target->lateTokens.load() + otherLoad.lateTokens);
+        candidate.speed = this->isMixed ? this->context.targetSpeeds.factor(view.target->id) : 1;
         candidate.isAtLimit = !decision.isAllowed();
         candidate.nextSend = decision.until;
         gated.isAvoided = decision.isAllowed() && this->context.gate.othersRestUntil(*view.target) > now;
@@ -159,6 +160,7 @@
         query.longAnswerShare = this->context.workMix.longAnswerShare();
         query.mixed = this->context.mixedLoad.profile(this->service, this->route->name, this->configuredPriority());
         query.targetLatency = this->route->targetLatency;
+        this->isMixed = query.mixed.has_value();
         const WantedVersion wanted = this->context.state.wantedVersion(prompt.model);
         query.newestVersion = wanted.version;
         this->wantedVersion = wanted.version;
@@ -182,7 +184,6 @@
         }
         query.preferredTargets = query.mixed ? this->preferredTargets : 1;
     }
-    this->isMixed = query.mixed.has_value();
     // Targets that have asked other hosts to rest are used if no other target may get the request.
     std::optional<TargetChoice> choice = this->pickAndAcquire(query, gated, false);
     const bool hasAvoided = std::any_of(gated.begin(), gated.end(), [](const GatedCandidate &entry) { return entry.isAvoided; });
@@ -261,6 +262,7 @@
 bool RequestRunner::admitToMemory(const TargetChoice &choice)
 {
     this->heldShare = choice.heldShare;
+    this->targetSpeed = choice.speed;
     // What has reached a target before must not be refused as not run.
     if (!this->request.prompt || this->streaming || this->arrivals > 0) {
         return true;
--- a/pimentosail/entry/requestrunner.cpp
+++ b/pimentosail/entry/requestrunner.cpp
@@ -255,6 +255,9 @@
     if (this->request.prompt && result.timeToFirstEvent > Duration(0) && result.header.isEventStream) {
         this->context.cacheStores.recordFirstTokenTime(this->cacheSource, result.timeToFirstEvent);
         if (!this->isLate) {
+            if (this->isMixed) {
+                this->context.targetSpeeds.record(target.id, this->context.forecast.predict(this->route->name, this->pendingAtSend), result.timeToFirstEvent);
+            }
             this->context.forecast.record(this->route->name, this->pendingAtSend, result.timeToFirstEvent);
             this->context.mixedLoad.recordFirstToken(this->service, this->route->name, this->pendingAtSend, result.timeToFirstEvent);
         }
@@ -495,8 +498,8 @@
             {"config", this->serving ? this->serving->all().version : 0}, {"config_age_ms", toMilliseconds(now - this->context.state.servingSince())},
             {"weights", this->weightVersion}, {"expected_version", this->expectedVersion}, {"wanted_version", this->wantedVersion},
             {"wanted_age_ms", this->wantedVersionAge < Duration(0) ? -1 : toMilliseconds(this->wantedVersionAge)}, {"late", this->isLate},
-            {"pending_tokens", this->pendingAtSend}, {"held_share", this->heldShare}, {"mixed", this->isMixed}, {"engine_priority", this->enginePriority},
-            {"preferred_targets", static_cast<int64_t>(this->preferredTargets)}, {"cache_source", this->cacheSource},
+            {"pending_tokens", this->pendingAtSend}, {"held_share", this->heldShare}, {"mixed", this->isMixed}, {"target_speed", this->targetSpeed},
+            {"engine_priority", this->enginePriority}, {"preferred_targets", static_cast<int64_t>(this->preferredTargets)}, {"cache_source", this->cacheSource},
             {"fetch_expected_ms", milliseconds(this->expectedTransfer)}, {"fetch_tokens", this->fetchTokens}, {"save_tokens", this->saveTokens}});
 }
 
--- a/pimentosail/entry/requestrunner.h
+++ b/pimentosail/entry/requestrunner.h
@@ -131,6 +131,8 @@
     Duration retryAfter{};
     // The last choice of a target was made for mixed load.
     bool isMixed = false;
+    // Time that the last target takes for its work, as a multiple of what is usual; 1 if the load is not mixed.
+    double targetSpeed = 1;
     // Number of preferred targets of the prompt; 0 before the first choice.
     size_t preferredTargets = 0;
     // The priority that the last target got.
