--- a/bench/slopes.cpp
+++ b/bench/slopes.cpp
@@ -19,6 +19,9 @@
 #include "pimentosail/base/hash.h"
 #include "pimentosail/config/configuration.h"
 #include "pimentosail/decision/scheduler.h"
+#include "pimentosail/dispatch/blockshares.h"
+#include "pimentosail/dispatch/picker.h"
+#include "pimentosail/dispatch/targetspeeds.h"
 #include "pimentosail/idempotency/idempotencyrecords.h"
 #include "pimentosail/kv/memorykeyvalue.h"
 #include "pimentosail/membership/membership.h"
@@ -291,12 +294,77 @@
     printSlope("record with a 300-byte answer, memory (with the stand-in store)", "call", "bytes", memory);
 }
 
+// Returns the mean time of one choice of a target, in microseconds, with what it needs besides the load of the targets.
+double choiceCost(size_t targets, size_t hosts, bool isMixed)
+{
+    const Clock clock;
+    MixedLoad mixedLoad(clock);
+    TargetSpeeds speeds(clock);
+    BlockShares shares;
+    std::vector<Candidate> candidates(targets);
+    for (size_t index = 0; index < targets; ++index) {
+        Candidate &candidate = candidates[index];
+        candidate.target = std::make_shared<TargetState>();
+        candidate.target->id = "i-" + sha256Hex(std::to_string(index)).substr(0, 8);
+        candidate.target->zone = "zone-" + std::to_string(index % 3);
+        candidate.version = 1;
+        candidate.requests = static_cast<double>(index % 9);
+        candidate.pendingTokens = static_cast<double>(index * 7919 % 20'000);
+        candidate.heldTokens = static_cast<double>(index * 6113 % 40'000);
+        candidate.capacityTokens = 47'352;
+        candidate.maxRuns = 64;
+        speeds.record(candidate.target->id, Milliseconds(100), Milliseconds(90 + static_cast<int64_t>(index) % 30));
+    }
+    for (int index = 0; index < 100; ++index) {
+        mixedLoad.recordPrompt("s", {"long", Milliseconds(1200), 2, 9190, 9190, 9199});
+        mixedLoad.recordPrompt("s", {"short", Milliseconds(250), 0, 827, 827, 876});
+        const int pending = 9190 * (1 + index % 3);
+        mixedLoad.recordFirstToken("s", "long", pending, Milliseconds(20 + pending / 41));
+    }
+    constexpr int Choices = 5000;
+    return microseconds(Choices, [&](int index) {
+        PickQuery query;
+        query.affinity = "block-" + std::to_string(index % 300);
+        query.affinityTokens = 7520;
+        query.heldTokens = 9199;
+        query.localZone = "zone-1";
+        query.newestVersion = 1;
+        query.prefillTokens = 9190;
+        query.targetLatency = Milliseconds(1200);
+        query.draw = combineHashes(static_cast<uint64_t>(index), 1);
+        query.sampleSize = std::max<size_t>(3, 2 * targets / hosts);
+        query.lane = Lane::LongPrompts;
+        query.longAnswerShare = 0.4;
+        if (isMixed) {
+            query.mixed = mixedLoad.profile("s", "long", 2);
+            query.sampleSize = MixedSampleSize;
+            query.preferredTargets = shares.recordAndCount("s", query.affinity, query.prefillTokens, targets);
+            for (Candidate &candidate : candidates) {
+                candidate.speed = speeds.factor(candidate.target->id);
+            }
+        }
+        pickTarget(query, candidates);
+    });
+}
+
+void measureChoices()
+{
+    for (const bool isMixed : {false, true}) {
+        std::vector<Point> time;
+        for (const auto &[targets, hosts] : {std::pair<size_t, size_t>(60, 76), std::pair<size_t, size_t>(140, 35)}) {
+            time.push_back({static_cast<double>(targets), choiceCost(targets, hosts, isMixed)});
+        }
+        printSlope(isMixed ? "choice of a target under mixed load" : "choice of a target with lanes", "target", "us/request", time);
+    }
+}
+
 } // namespace
 
 int main()
 {
     FLAGS_minloglevel = google::GLOG_ERROR;
     std::printf("| measured | at sizes | slope | intercept | largest deviation |\n|---|---|---|---|---|\n");
+    measureChoices();
     measureDecisions();
     measureHeartbeats();
     measureMembership();
