--- a/pimentosail/entry/cacheeventduty.cpp
+++ b/pimentosail/entry/cacheeventduty.cpp
@@ -189,6 +189,9 @@
         try {
             // The first poll returns at once, because no blocks are saved in a store before its epoch is known.
             const CacheEvents events = this->context.wire.pollCacheStore(store->address, epoch, next, epoch == 0 ? Duration(0) : PollWait);
+            if (events.clockTime) {
+                this->context.cacheStores.targetClock().record(*events.clockTime, this->context.clock.nowWithSuspend());
+            }
             if (epoch != 0 && events.epoch != epoch) {
                 this->context.log.write(LogLevel::Warning, "cache_store_restarted", {{"store", name}, {"epoch", events.epoch}});
                 this->applyEvents(name, {events.epoch, 0, false, {}});
--- a/pimentosail/entry/entryprocess.cpp
+++ b/pimentosail/entry/entryprocess.cpp
@@ -54,6 +54,8 @@
 // How long a snapshot of the cache stores' contents is given out. Changes since then follow by the journal.
 constexpr Duration SnapshotLifetime = Milliseconds(500);
 constexpr const char *CacheChangesPath = "/cache/changes";
+// Time (Unix ms) on the targets' clock, as a relay knows it when it answers.
+constexpr const char *TargetClockHeader = "Target-Clock";
 
 int64_t parseQueryNumber(const HttpExchange &exchange, const char *name)
 {
@@ -245,7 +247,12 @@
         exchange.send(200, "application/json", this->rpc.handle(exchange.readBody(1024 * 1024, this->clock, PeerCallMargin)));
     } else if (path == CacheChangesPath) {
         try {
-            exchange.send(200, "application/octet-stream", this->answerCacheChanges(exchange));
+            const std::string changes = this->answerCacheChanges(exchange);
+            HeaderList headers{{"Content-Type", "application/octet-stream"}};
+            if (const std::optional<int64_t> time = this->cacheStores.targetClock().at(this->clock.nowWithSuspend())) {
+                headers.emplace_back(TargetClockHeader, std::to_string(*time));
+            }
+            exchange.sendWithHeaders(200, headers, changes, true);
         } catch (const Failure &failure) {
             exchange.sendError(failure.error, "");
         }
@@ -376,6 +383,10 @@
         if (reply.status != 200) {
             throw Failure(ErrorKind::PeerLost, relay.address + " answered " + std::to_string(reply.status));
         }
+        Poco::Int64 targetTime = 0;
+        if (Poco::NumberParser::tryParse64(reply.header(TargetClockHeader).value_or(""), targetTime)) {
+            this->cacheStores.targetClock().record(targetTime, this->clock.nowWithSuspend());
+        }
         return readCacheChanges(reply.body);
     }
     // A relay of an earlier version.
--- a/pimentosail/entry/requestplanning.cpp
+++ b/pimentosail/entry/requestplanning.cpp
@@ -40,6 +40,11 @@
 // `MinStallTimeout`.
 constexpr int StallFactor = 8;
 constexpr Duration MinStallTimeout = Milliseconds(900);
+// A bounded fetch may take at least this long: the estimate of the targets' clock is some ms behind, and the fetch begins only
+// when the target comes to the prompt.
+constexpr Duration MinFetchTime = Milliseconds(100);
+// A fetch may take this multiple of its expected time.
+constexpr int FetchTimeFactor = 2;
 // Work on older weights stops this long before their limit, because a request may wait at the target for about as long
 // as its deadline allows before it starts.
 constexpr Duration VersionMargin = Milliseconds(4200);
@@ -161,6 +166,7 @@
         query.mixed = this->context.mixedLoad.profile(this->service, this->route->name, this->configuredPriority());
         query.targetLatency = this->route->targetLatency;
         this->isMixed = query.mixed.has_value();
+        this->readTime = query.mixed ? query.mixed->readTime : 0;
         const WantedVersion wanted = this->context.state.wantedVersion(prompt.model);
         query.newestVersion = wanted.version;
         this->wantedVersion = wanted.version;
@@ -337,6 +343,20 @@
     return priorities.enginePriority(this->configuredPriority(), left);
 }
 
+// Under mixed load, a fetch ends by the time at which the target would have read the tokens instead: a slow link then costs at most
+// the time of reading them.
+std::optional<int64_t> RequestRunner::fetchEnd(const TargetChoice &choice, const CachePlan &cache) const
+{
+    if (!this->isMixed || !cache.hasFetch()) {
+        return std::nullopt;
+    }
+    const double tokens = choice.pendingTokens + static_cast<double>(cache.fetchTokens);
+    const Duration limit = std::max({MinFetchTime, FetchTimeFactor * cache.expectedTime, fromSeconds(tokens * this->readTime / 1000)});
+    const Duration latest = this->deadline - this->context.clock.now();
+    const std::optional<int64_t> now = this->context.cacheStores.targetClock().at(this->context.clock.nowWithSuspend());
+    return now ? std::optional<int64_t>(*now + toMilliseconds(std::min(limit, latest))) : std::nullopt;
+}
+
 AttemptPlan RequestRunner::planFor(const TargetChoice &choice)
 {
     AttemptPlan plan;
@@ -354,8 +374,12 @@
         this->expectedVersion = choice.version;
         plan.cacheSalt = this->saltFor(choice.version);
         if (choice.version > 0) {
+            const ServiceSettings *settings = this->serving->findService(this->service);
+            const bool hasSize = settings != nullptr && settings->engine && settings->engine->bytesPerToken > 0;
             plan.cache = this->context.cacheStores.plan(plan.cacheSalt, this->request.prompt->blocks, this->sharedBlocks, choice.target->zone,
-                this->route->targetLatency / TransferTimeDivisor, this->random());
+                this->route->targetLatency / TransferTimeDivisor, this->random(),
+                hasSize ? static_cast<double>(settings->engine->bytesPerToken) : CacheStores::DefaultBytesPerToken);
+            plan.cache.fetchEnd = this->fetchEnd(choice, plan.cache);
         }
         this->cacheSource = plan.cache.mainSource;
         this->expectedTransfer = plan.cache.expectedTime;
--- a/pimentosail/entry/requestrunner.h
+++ b/pimentosail/entry/requestrunner.h
@@ -68,6 +68,7 @@
     TargetShares sharesOf(const TargetState &target, ShareContext &shareContext) const;
     std::optional<TargetChoice> pickAndAcquire(const PickQuery &query, const std::vector<GatedCandidate> &gated, bool usesAvoided);
     std::string saltFor(int64_t version) const;
+    std::optional<int64_t> fetchEnd(const TargetChoice &choice, const CachePlan &cache) const;
     AttemptPlan planFor(const TargetChoice &choice);
     AttemptLimits limitsFor(const TargetChoice &choice) const;
     // Decides by the predicted time to first token whether a prompt is sent normally, is sent as late (it then runs after
@@ -131,6 +132,8 @@
     Duration retryAfter{};
     // The last choice of a target was made for mixed load.
     bool isMixed = false;
+    // Time, in ms, in which a target reads a token; 0 unless the load is mixed.
+    double readTime = 0;
     // Time that the last target takes for its work, as a multiple of what is usual; 1 if the load is not mixed.
     double targetSpeed = 1;
     // Number of preferred targets of the prompt; 0 before the first choice.
--- a/pimentosail/kvcache/storecontents.cpp
+++ b/pimentosail/kvcache/storecontents.cpp
@@ -23,8 +23,6 @@
 // A block that this host uses again within this time is hot. Only hot blocks justify a second cached copy.
 constexpr Duration HotTime = std::chrono::seconds(2);
 constexpr size_t MaxRecentUses = 4096;
-// KV-cache bytes per token, used only to estimate transfer times.
-constexpr double BytesPerToken = 18432;
 constexpr double OtherZoneFactor = 2;
 // Without new observations, the estimated wait for a link halves in this time.
 constexpr Duration WaitHalfLife = std::chrono::seconds(1);
@@ -209,10 +207,10 @@
     return result;
 }
 
-Duration CacheStores::transferTime(const StoreState &entry, int64_t tokens, const std::string &zone) const
+Duration CacheStores::transferTime(const StoreState &entry, double bytes, const std::string &zone)
 {
-    const double bits = static_cast<double>(tokens) * BytesPerToken * 8;
-    const double seconds = bits / (std::max(1.0, entry.store.linkMbps) * 1e6) * (entry.store.zone == zone ? 1 : OtherZoneFactor);
+    constexpr double BitsPerByte = 8;
+    const double seconds = bytes * BitsPerByte / (std::max(1.0, entry.store.linkMbps) * 1e6) * (entry.store.zone == zone ? 1 : OtherZoneFactor);
     return fromSeconds(seconds);
 }
 
@@ -307,7 +305,8 @@
     return best;
 }
 
-std::pair<CacheStores::StoreState *, Duration> CacheStores::findSource(const BlockKey &key, int64_t tokens, const std::string &zone, Time now)
+std::pair<CacheStores::StoreState *, Duration> CacheStores::findSource(
+    const BlockKey &key, double bytes, int64_t tokens, const std::string &zone, Time now)
 {
     std::pair<StoreState *, Duration> best{nullptr, Duration(0)};
     for (auto &[name, entry] : this->entries) {
@@ -315,7 +314,7 @@
         if (!entry.isReachable || known == entry.blocks.end() || known->second < tokens) {
             continue;
         }
-        const Duration time = this->transferTime(entry, tokens, zone) + entry.store.firstByteDelay + this->linkWait(entry, now);
+        const Duration time = transferTime(entry, bytes, zone) + entry.store.firstByteDelay + this->linkWait(entry, now);
         if (best.first == nullptr || time < best.second) {
             best = {&entry, time};
         }
@@ -335,7 +334,7 @@
 }
 
 CachePlan CacheStores::plan(const std::string &salt, const std::vector<PromptBlock> &blocks, size_t sharedCount, const std::string &zone,
-    Duration acceptableTransferTime, uint64_t draw)
+    Duration acceptableTransferTime, uint64_t draw, double bytesPerToken)
 {
     const std::lock_guard lock(this->mutex);
     CachePlan result;
@@ -348,7 +347,7 @@
         const PromptBlock &block = blocks[index];
         const BlockKey key{salt, block.id};
         const bool isHot = this->recordUse(key, now);
-        const auto [source, sourceTime] = this->findSource(key, block.tokens, zone, now);
+        const auto [source, sourceTime] = this->findSource(key, static_cast<double>(block.tokens) * bytesPerToken, block.tokens, zone, now);
         if (source != nullptr) {
             const double ratio = static_cast<double>(acceptableTransferTime.count()) / static_cast<double>(std::max<int64_t>(1, sourceTime.count()));
             if (uniform < ratio * ratio) {
--- a/pimentosail/kvcache/storecontents.h
+++ b/pimentosail/kvcache/storecontents.h
@@ -24,6 +24,7 @@
 #include <vector>
 
 #include "pimentosail/base/clock.h"
+#include "pimentosail/kvcache/targetclock.h"
 #include "pimentosail/routing/servingconfiguration.h"
 
 namespace pimentosail
@@ -57,6 +58,8 @@
     std::vector<CacheEvent> events;
     // The lowest number of an event; 0 if there are none.
     int64_t first = 0;
+    // Time (Unix ms on the targets' clock) at which the cache store answered; nothing if it does not state it.
+    std::optional<int64_t> clockTime;
 
     // Returns false if these are no answer to a poll after event `since` of `pollEpoch`. A restarted cache store numbers its events anew.
     bool mayFollow(int64_t pollEpoch, int64_t since) const
@@ -77,6 +80,9 @@
     std::string mainSource;
     // Expected transfer time of that block, including the wait for the cache store's link.
     Duration expectedTime{};
+    // Time (Unix ms on the targets' clock) by which the fetches must have ended; the target reads the prompt then. Nothing if they
+    // are not bounded.
+    std::optional<int64_t> fetchEnd;
 
     bool hasFetch() const
     {
@@ -131,6 +137,9 @@
 class CacheStores
 {
 public:
+    // KV-cache bytes per token of a model whose configuration does not state them.
+    static constexpr double DefaultBytesPerToken = 18432;
+
     explicit CacheStores(const Clock &runtimeClock)
         : clock(runtimeClock)
     {
@@ -162,9 +171,16 @@
     // Plans the fetches and saves of the first `sharedCount` blocks of a prompt for a target in `zone`; the other blocks
     // belong to this prompt alone. A block whose expected transfer time exceeds `acceptableTransferTime` is fetched only with a
     // probability that falls with the square of the ratio. Otherwise the target recomputes it, and may save it to another
-    // cache store. `draw` is a uniform random number that decides this for the request.
+    // cache store. `draw` is a uniform random number that decides this for the request. A token of a block takes `bytesPerToken`
+    // bytes.
     CachePlan plan(const std::string &salt, const std::vector<PromptBlock> &blocks, size_t sharedCount, const std::string &zone,
-        Duration acceptableTransferTime, uint64_t draw);
+        Duration acceptableTransferTime, uint64_t draw, double bytesPerToken = DefaultBytesPerToken);
+
+    // The clock of the targets and cache stores.
+    TargetClock &targetClock()
+    {
+        return this->clockOfTargets;
+    }
 
     // Counts planned saves that were not reported in time as used space. Called about twice a second.
     void expireSaves();
@@ -211,13 +227,14 @@
     static double usedTokens(const StoreState &entry);
     StoreState *chooseSaveStore(const std::string &salt, const PromptBlock &block, const std::string &zone, const StoreState *excluded);
     // Returns the cache store with the shortest expected transfer time of a stored block, and that time.
-    std::pair<StoreState *, Duration> findSource(const BlockKey &key, int64_t tokens, const std::string &zone, Time now);
+    std::pair<StoreState *, Duration> findSource(const BlockKey &key, double bytes, int64_t tokens, const std::string &zone, Time now);
     // Records the use of a block. Returns true if the block is hot, that is, was used a short time before.
     bool recordUse(const BlockKey &key, Time now);
-    Duration transferTime(const StoreState &entry, int64_t tokens, const std::string &zone) const;
+    static Duration transferTime(const StoreState &entry, double bytes, const std::string &zone);
     Duration linkWait(const StoreState &entry, Time now) const;
 
     const Clock &clock;
+    TargetClock clockOfTargets;
     mutable std::mutex mutex;
     std::map<std::string, StoreState> entries;
     // Saves that were planned and not yet reported. They keep concurrent requests from saving the same block.
