--- a/pimentosail/dispatch/picker.cpp
+++ b/pimentosail/dispatch/picker.cpp
@@ -9,6 +9,7 @@
 #include "pimentosail/base/hash.h"
 #include "pimentosail/dispatch/costs.h"
 #include "pimentosail/dispatch/mixedcost.h"
+#include "pimentosail/dispatch/sendwindow.h"
 
 namespace pimentosail
 {
@@ -150,6 +151,22 @@
     return {factor * requests + 1, factor * pendingTokens + query.prefillTokens};
 }
 
+// Returns the candidates that are open to this host now, or an empty set if windows are not used.
+std::set<const Candidate *> openTargets(const PickQuery &query, const std::vector<const Candidate *> &allowed)
+{
+    std::set<const Candidate *> open;
+    if (!query.mixed || query.window == 0) {
+        return open;
+    }
+    for (const Candidate *candidate : allowed) {
+        const double places = promptPlaces(query, *candidate, mixedCost(query, *candidate, false).aheadTokens);
+        if (isOpenTo(query.window, candidate->target->id, places, query.hosts)) {
+            open.insert(candidate);
+        }
+    }
+    return open;
+}
+
 double plainCost(const PickQuery &query, const Candidate &candidate)
 {
     const double slots = std::max(1, candidate.target->slots);
@@ -173,6 +190,7 @@
     const Candidate *preferred = query.affinity.empty() ? nullptr : preferredTarget(query, allowed, longAnswerSet);
     const double olderCost = olderWeightsCost(query, allowed);
     const PreferredLimit limit = preferredLimit(query, allowed);
+    const std::set<const Candidate *> open = openTargets(query, allowed);
     const bool isProbe = query.draw % ProbeOneIn == 0;
     const size_t offset = static_cast<size_t>(query.draw / ProbeOneIn) % allowed.size();
     const size_t step = permutationStep(query.draw / ProbeOneIn / allowed.size(), allowed.size());
@@ -184,14 +202,21 @@
         const Candidate &candidate = *allowed[(index * step + offset) % allowed.size()];
         const bool isPreferred = &candidate == preferred;
         double cost = staticCost(query, candidate, longAnswerSet, olderCost, isProbe);
-        if (query.sampleSize > 0 && !isPreferred && ++compared[cost] > query.sampleSize) {
+        const bool hasBlocks = isPreferred && limit.allows(candidate);
+        if (!open.empty() && !hasBlocks && !open.contains(&candidate)) {
+            continue;
+        }
+        // Under mixed load, all weight versions share one sample: the few targets that have the newest weights first would
+        // otherwise be among those that every host compares.
+        const double sampleClass = query.mixed && candidate.version < query.newestVersion ? cost - olderCost : cost;
+        if (query.sampleSize > 0 && !isPreferred && ++compared[sampleClass] > query.sampleSize) {
             continue;
         }
         double aheadTokens = candidate.pendingTokens;
         if (query.affinity.empty()) {
             cost += plainCost(query, candidate);
         } else if (query.mixed) {
-            const MixedCost mixed = mixedCost(query, candidate, isPreferred && limit.allows(candidate));
+            const MixedCost mixed = mixedCost(query, candidate, hasBlocks);
             cost += mixed.total;
             aheadTokens = mixed.aheadTokens;
         } else {
--- a/pimentosail/dispatch/picker.h
+++ b/pimentosail/dispatch/picker.h
@@ -76,6 +76,9 @@
     double prefillTokens = 0;
     Duration targetLatency{};
     size_t preferredTargets = 1;
+    // Under mixed load: the host's key in this interval (see `windowKey`), and the number of hosts. No windows are used if it is 0.
+    uint64_t window = 0;
+    size_t hosts = 0;
     // Weight version that new work should use, and the oldest one on which work may begin.
     int64_t newestVersion = 0;
     int64_t oldestVersion = 0;
--- /dev/null
+++ b/pimentosail/dispatch/sendwindow.cpp
@@ -0,0 +1,46 @@
+#include "pimentosail/dispatch/sendwindow.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "pimentosail/base/hash.h"
+
+namespace pimentosail
+{
+
+namespace
+{
+
+// About the age of the load of other hosts: a report interval and the way through a relay.
+constexpr Duration WindowInterval = Milliseconds(150);
+// A prompt is on time if what the target reads before it takes at most this share of its target latency; the rest is for the
+// prompt itself.
+constexpr double QueueLatencyShare = 0.5;
+
+} // namespace
+
+uint64_t windowKey(std::string_view host, Time now)
+{
+    // The intervals of the hosts begin at different times, so that a target does not open to others for all of them at once.
+    const uint64_t hostHash = stableHash(host);
+    const Duration phase = Duration(static_cast<int64_t>(hostHash % static_cast<uint64_t>(WindowInterval.count())));
+    return combineHashes(hostHash, static_cast<uint64_t>((now + phase) / WindowInterval));
+}
+
+double promptPlaces(const PickQuery &query, const Candidate &candidate, double aheadTokens)
+{
+    const double readTokens = QueueLatencyShare * toSeconds(query.targetLatency) * 1000 / std::max(query.mixed->readTime * candidate.speed, 1e-6);
+    double places = (readTokens - aheadTokens) / std::max(1.0, query.prefillTokens);
+    if (candidate.capacityTokens > 0) {
+        places = std::min(places, (candidate.capacityTokens - candidate.heldTokens) / std::max(1.0, query.heldTokens));
+    }
+    return std::max(0.0, places);
+}
+
+bool isOpenTo(uint64_t key, std::string_view id, double places, size_t hosts)
+{
+    const double uniform = std::ldexp(static_cast<double>(combineHashes(key, stableHash(id)) >> 11U), -53);
+    return uniform * static_cast<double>(std::max<size_t>(1, hosts)) < places;
+}
+
+} // namespace pimentosail
--- a/pimentosail/entry/requestplanning.cpp
+++ b/pimentosail/entry/requestplanning.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "pimentosail/admission/memoryadmission.h"
+#include "pimentosail/dispatch/sendwindow.h"
 #include "pimentosail/dispatch/enginepriority.h"
 
 namespace pimentosail
@@ -165,6 +166,8 @@
         query.longAnswerShare = this->context.workMix.longAnswerShare();
         query.mixed = this->context.mixedLoad.profile(this->service, this->route->name, this->configuredPriority());
         query.targetLatency = this->route->targetLatency;
+        query.window = windowKey(this->context.settings.name, this->context.clock.now());
+        query.hosts = this->context.state.hostCount();
         this->isMixed = query.mixed.has_value();
         this->readTime = query.mixed ? query.mixed->readTime : 0;
         const WantedVersion wanted = this->context.state.wantedVersion(prompt.model);
@@ -351,7 +354,7 @@
         return std::nullopt;
     }
     const double tokens = choice.pendingTokens + static_cast<double>(cache.fetchTokens);
-    const Duration limit = std::max({MinFetchTime, FetchTimeFactor * cache.expectedTime, fromSeconds(tokens * this->readTime / 1000)});
+    const Duration limit = std::max<Duration>(MinFetchTime, FetchTimeFactor * cache.expectedTime) + fromSeconds(tokens * this->readTime / 1000);
     const Duration latest = this->deadline - this->context.clock.now();
     const std::optional<int64_t> now = this->context.cacheStores.targetClock().at(this->context.clock.nowWithSuspend());
     return now ? std::optional<int64_t>(*now + toMilliseconds(std::min(limit, latest))) : std::nullopt;
