--- a/pimentosail/dispatch/picker.cpp
+++ b/pimentosail/dispatch/picker.cpp
@@ -151,6 +151,11 @@
     return {factor * requests + 1, factor * pendingTokens + query.prefillTokens};
 }
 
+bool hasRoom(const PickQuery &query, const Candidate &candidate)
+{
+    return promptPlaces(query, candidate, mixedCost(query, candidate, false).aheadTokens) >= 1;
+}
+
 // Returns the candidates that are open to this host now, or an empty set if windows are not used.
 std::set<const Candidate *> openTargets(const PickQuery &query, const std::vector<const Candidate *> &allowed)
 {
@@ -191,6 +196,7 @@
     const double olderCost = olderWeightsCost(query, allowed);
     const PreferredLimit limit = preferredLimit(query, allowed);
     const std::set<const Candidate *> open = openTargets(query, allowed);
+    const bool usesWindows = query.mixed && query.window != 0;
     const bool isProbe = query.draw % ProbeOneIn == 0;
     const size_t offset = static_cast<size_t>(query.draw / ProbeOneIn) % allowed.size();
     const size_t step = permutationStep(query.draw / ProbeOneIn / allowed.size(), allowed.size());
@@ -203,7 +209,7 @@
         const bool isPreferred = &candidate == preferred;
         double cost = staticCost(query, candidate, longAnswerSet, olderCost, isProbe);
         const bool hasBlocks = isPreferred && limit.allows(candidate);
-        if (!open.empty() && !hasBlocks && !open.contains(&candidate)) {
+        if (usesWindows && !open.contains(&candidate) && !(hasBlocks && hasRoom(query, candidate))) {
             continue;
         }
         // Under mixed load, all weight versions share one sample: the few targets that have the newest weights first would
--- a/pimentosail/dispatch/picker.h
+++ b/pimentosail/dispatch/picker.h
@@ -79,6 +79,9 @@
     // Under mixed load: the host's key in this interval (see `windowKey`), and the number of hosts. No windows are used if it is 0.
     uint64_t window = 0;
     size_t hosts = 0;
+    // With windows: the prompt cannot be on time any more, and the time until its caller's deadline.
+    bool isLate = false;
+    Duration timeLeft{};
     // Weight version that new work should use, and the oldest one on which work may begin.
     int64_t newestVersion = 0;
     int64_t oldestVersion = 0;
@@ -108,7 +111,7 @@
     double speed = 1;
 };
 
-// Returns the candidate with the lowest cost, or nothing if no candidate may be used.
+// Returns the candidate with the lowest cost, or nothing if no candidate may be used, or with windows none is open to this host now.
 std::optional<TargetChoice> pickTarget(const PickQuery &query, const std::vector<Candidate> &candidates);
 
 } // namespace pimentosail
--- a/pimentosail/dispatch/sendwindow.cpp
+++ b/pimentosail/dispatch/sendwindow.cpp
@@ -16,6 +16,10 @@
 // A prompt is on time if what the target reads before it takes at most this share of its target latency; the rest is for the
 // prompt itself.
 constexpr double QueueLatencyShare = 0.5;
+// A late prompt waits at a target for at most this share of its caller's time, and this multiple of the target latency: callers of
+// streams give up soon after.
+constexpr double LateTimeShare = 0.25;
+constexpr double LateLatencyFactor = 2;
 
 } // namespace
 
@@ -29,8 +33,12 @@
 
 double promptPlaces(const PickQuery &query, const Candidate &candidate, double aheadTokens)
 {
-    const double readTokens = QueueLatencyShare * toSeconds(query.targetLatency) * 1000 / std::max(query.mixed->readTime * candidate.speed, 1e-6);
-    double places = (readTokens - aheadTokens) / std::max(1.0, query.prefillTokens);
+    const double latency = toSeconds(query.targetLatency);
+    const double queueTime
+        = query.isLate ? std::min(LateTimeShare * toSeconds(query.timeLeft), LateLatencyFactor * latency) : QueueLatencyShare * latency;
+    const double readTokens = queueTime * 1000 / std::max(query.mixed->readTime * candidate.speed, 1e-6);
+    const double queuedTokens = aheadTokens + (query.isLate ? candidate.lateTokens : 0);
+    double places = (readTokens - queuedTokens) / std::max(1.0, query.prefillTokens);
     if (candidate.capacityTokens > 0) {
         places = std::min(places, (candidate.capacityTokens - candidate.heldTokens) / std::max(1.0, query.heldTokens));
     }
--- a/pimentosail/entry/requestplanning.cpp
+++ b/pimentosail/entry/requestplanning.cpp
@@ -46,6 +46,10 @@
 constexpr Duration MinFetchTime = Milliseconds(100);
 // A fetch may take this multiple of its expected time.
 constexpr int FetchTimeFactor = 2;
+// Under mixed load, a prompt that has waited for its target latency divided by this counts as late.
+constexpr int WindowWaitDivisor = 2;
+// The share of its memory that a target without room has in use, for the decision whether to wait.
+constexpr double TakenShare = 10;
 // Work on older weights stops this long before their limit, because a request may wait at the target for about as long
 // as its deadline allows before it starts.
 constexpr Duration VersionMargin = Milliseconds(4200);
@@ -166,8 +170,15 @@
         query.longAnswerShare = this->context.workMix.longAnswerShare();
         query.mixed = this->context.mixedLoad.profile(this->service, this->route->name, this->configuredPriority());
         query.targetLatency = this->route->targetLatency;
-        query.window = windowKey(this->context.settings.name, this->context.clock.now());
-        query.hosts = this->context.state.hostCount();
+        // What has reached a target before must not be refused, so it does not wait for a window either.
+        if (this->isMixed && !this->streaming && this->arrivals == 0) {
+            const Duration waited = this->elapsedBefore + (this->context.clock.now() - this->received);
+            query.window = windowKey(this->context.settings.name, this->context.clock.now());
+            query.hosts = this->context.state.hostCount();
+            query.isLate = waited >= this->route->targetLatency / WindowWaitDivisor;
+            query.timeLeft = this->deadline - this->context.clock.now();
+        }
+        this->usesWindow = query.window != 0;
         this->isMixed = query.mixed.has_value();
         this->readTime = query.mixed ? query.mixed->readTime : 0;
         const WantedVersion wanted = this->context.state.wantedVersion(prompt.model);
@@ -287,6 +298,20 @@
     return decision.verdict == AdmissionVerdict::Send;
 }
 
+// Waits until other targets may be open to this host. A prompt waits for one at which it is on time for half of its target latency,
+// then for any, and is refused after the target latency.
+void RequestRunner::waitForWindow()
+{
+    const Time now = this->context.clock.now();
+    const AdmissionDecision decision = admitPrompt({TakenShare, this->route->priority, WindowWaitDivisor * this->route->targetLatency,
+        this->elapsedBefore + (now - this->received), this->deadline - now, this->random()});
+    if (decision.verdict == AdmissionVerdict::Refuse) {
+        this->retryAfter = decision.retryAfter;
+        throw Failure(ErrorKind::Overloaded, "no target of " + this->service + " has room for the prompt");
+    }
+    this->context.clock.sleepFor(MemoryWaitInterval);
+}
+
 // Waits for a target to become free, for at most a fraction of the target latency and only while the caller is connected.
 TargetChoice RequestRunner::chooseTarget()
 {
@@ -310,6 +335,10 @@
             this->retryAfter = back == Time::max() ? Duration(0) : back - now;
             throw Failure(ErrorKind::NoTarget, "the targets of " + this->service + " take no more requests now");
         }
+        if (this->usesWindow && this->limitEnds.empty()) {
+            this->waitForWindow();
+            continue;
+        }
         if (this->context.clock.now() >= end) {
             throw Failure(ErrorKind::NoTarget, "no target of " + this->service + " may get work now");
         }
--- a/pimentosail/entry/requestrunner.h
+++ b/pimentosail/entry/requestrunner.h
@@ -68,6 +68,7 @@
     TargetShares sharesOf(const TargetState &target, ShareContext &shareContext) const;
     std::optional<TargetChoice> pickAndAcquire(const PickQuery &query, const std::vector<GatedCandidate> &gated, bool usesAvoided);
     std::string saltFor(int64_t version) const;
+    void waitForWindow();
     std::optional<int64_t> fetchEnd(const TargetChoice &choice, const CachePlan &cache) const;
     AttemptPlan planFor(const TargetChoice &choice);
     AttemptLimits limitsFor(const TargetChoice &choice) const;
@@ -132,6 +133,8 @@
     Duration retryAfter{};
     // The last choice of a target was made for mixed load.
     bool isMixed = false;
+    // The last choice was among targets that are open to this host for a short time.
+    bool usesWindow = false;
     // Time, in ms, in which a target reads a token; 0 unless the load is mixed.
     double readTime = 0;
     // Time that the last target takes for its work, as a multiple of what is usual; 1 if the load is not mixed.
