dispatch: overload alone does not start mixed load; count choices under mixed load

Waits for memory or runs grow with the tokens that wait, so an overloaded target looks as if it read slowly. Load becomes mixed only if the smallest upper bound of the reading time of the last few hundred observations says so too.

--- a/pimentosail/dispatch/mixedload.cpp
+++ b/pimentosail/dispatch/mixedload.cpp
@@ -22,6 +22,9 @@
 constexpr double MinWeight = 15;
 // An observed time is capped at this multiple of the predicted time, so that one stalled target does not spoil the rate.
 constexpr double MaxObservationFactor = 4;
+// Share of the difference by which the smallest reading time is forgotten with each observation: overload that makes targets look
+// slower for a hundred observations does not start mixed load.
+constexpr double ForgottenShare = 1.0 / 300;
 // Bounds of the time, in ms, in which a token is read: 300 and 5 tokens per ms.
 constexpr double MinReadTime = 1.0 / 300;
 constexpr double MaxReadTime = 1.0 / 5;
@@ -98,7 +101,14 @@
     }
     const auto found = foundService->second.routes.find(route);
     if (found != foundService->second.routes.end()) {
-        found->second.regression.record(pendingTokens, static_cast<double>(time.count()) / 1000);
+        RouteState &state = found->second;
+        state.regression.record(pendingTokens, static_cast<double>(time.count()) / 1000);
+        const double upperBound = state.regression.slope() + CertainErrors * state.regression.error();
+        if (std::isfinite(upperBound)) {
+            const double kept
+                = std::isfinite(state.fastestReadTime) ? state.fastestReadTime + ForgottenShare * (upperBound - state.fastestReadTime) : upperBound;
+            state.fastestReadTime = std::min(upperBound, kept);
+        }
         this->decide(foundService->second);
     }
 }
@@ -123,7 +133,7 @@
         if (!std::isfinite(tightest)) {
             route.isLong = false;
         } else if (std::isfinite(error)) {
-            const bool isCertainlyLong = (slope - error) * route.promptTokens > MixedShare * tightest;
+            const bool isCertainlyLong = std::min(slope - error, route.fastestReadTime) * route.promptTokens > MixedShare * tightest;
             const bool isCertainlyNot = (slope + error) * route.promptTokens < UnmixedShare * tightest;
             route.isLong = isCertainlyLong || (route.isLong && !isCertainlyNot);
         }
--- a/pimentosail/dispatch/mixedload.h
+++ b/pimentosail/dispatch/mixedload.h
@@ -3,7 +3,8 @@
 //
 // The time that targets take to read a token is learnt from this host's first-token times. Load is mixed once the reading
 // time of a route's mean prompt certainly exceeds a quarter of the target latency of another route, and until it is
-// certainly less than a fifth. Each host decides alone; all see samples of the same traffic.
+// certainly less than a fifth. Waits for memory or for runs make targets look slower for some time, so load becomes mixed only if
+// they did not read faster before. Each host decides alone; all see samples of the same traffic.
 //
 //     mixed.recordPrompt("desk", {"letters", Milliseconds(250), 0, 827, 827, 876});
 //     mixed.recordFirstToken("desk", "letters", 1700, Milliseconds(50));
@@ -12,6 +13,7 @@
 // Thread-safe.
 #pragma once
 
+#include <limits>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -98,6 +100,8 @@
         Time lastPrompt{};
         bool isLong = false;
         Regression regression;
+        // Lately smallest upper bound of the time, in ms, in which targets read a token; infinite before the first.
+        double fastestReadTime = std::numeric_limits<double>::infinity();
     };
     struct ServiceState
     {
--- a/pimentosail/dispatch/mixedloadtest.cpp
+++ b/pimentosail/dispatch/mixedloadtest.cpp
@@ -94,6 +94,20 @@
     }
 }
 
+// Guards against overload that counts as slow reading: prompts that wait for memory or runs take longer the more tokens wait.
+Test(mixedload, overload_of_targets_that_read_quickly_is_not_mixed_load)
+{
+    for (const uint64_t seed : {1U, 2U, 3U}) {
+        PausedClock clock;
+        MixedLoad mixed(clock);
+        recordTraffic(clock, mixed, {9190, Milliseconds(1000), Milliseconds(600), 112}, 100, seed);
+        for (int step = 0; step < 100; ++step) {
+            recordTraffic(clock, mixed, {9190, Milliseconds(1000), Milliseconds(600), 35}, 1, seed + 100 + static_cast<uint64_t>(step));
+            cr_assert_not(mixed.profile("desk", "letters", 0), "after %d observations", step);
+        }
+    }
+}
+
 // Guards against hosts that change between the two ways of choosing targets while the reading time is near the limit.
 Test(mixedload, the_decision_does_not_change_back_and_forth)
 {
--- a/pimentosail/entry/requestplanning.cpp
+++ b/pimentosail/entry/requestplanning.cpp
@@ -347,6 +347,11 @@
     if (this->request.prompt) {
         plan.priority = this->isMixed ? this->mixedPriority() : this->configuredPriority();
         this->enginePriority = *plan.priority;
+        if (this->isMixed) {
+            this->context.metrics.count("pimentosail_mixed_choices_total",
+                {{"service", this->service}, {"zone", choice.target->zone == this->context.settings.zone ? "local" : "other"},
+                    {"preferred", choice.isPreferred ? "1" : "0"}});
+        }
         plan.isLate = this->isLate;
         plan.prefillTokens = this->expectedPrefillTokens();
         plan.heldTokens = this->request.prompt->promptTokens + this->request.prompt->maxOutputTokens;
