--- a/pimentosail/dispatch/mixedcosttest.cpp
+++ b/pimentosail/dispatch/mixedcosttest.cpp
@@ -38,6 +38,9 @@
 };
 constexpr Kind Long{9190, 9, 1200, 2};
 constexpr Kind Short{827, 49, 250, 0};
+// The same of another deployment.
+constexpr Kind OtherLong{9190, 10, 600, 1};
+constexpr Kind OtherShort{827, 58, 500, 0};
 constexpr double ReportInterval = 100;
 constexpr int WaveSteps = 60;
 
@@ -82,6 +85,10 @@
     // Share of the long prompts that belong to one session.
     double sessionShare = 0;
     bool learnsSpeeds = true;
+    Kind longKind = Long;
+    Kind shortKind = Short;
+    double capacity = 47352;
+    int maxRuns = 64;
 };
 
 struct Outcome
@@ -105,8 +112,8 @@
             candidate.target->id = "engine-" + std::to_string(index);
             candidate.target->zone = "z" + std::to_string(index % this->options.zones);
             candidate.version = 1;
-            candidate.capacityTokens = 47352;
-            candidate.maxRuns = 64;
+            candidate.capacityTokens = this->options.capacity;
+            candidate.maxRuns = this->options.maxRuns;
             this->candidates.push_back(std::move(candidate));
         }
         for (size_t host = 0; host < this->options.hosts; ++host) {
@@ -123,7 +130,7 @@
             if (static_cast<int>(this->now) % static_cast<int>(ReportInterval) == 0) {
                 this->report();
             }
-            for (const auto &[kind, rate] : {std::pair(&Long, longRate), std::pair(&Short, shortRate)}) {
+            for (const auto &[kind, rate] : {std::pair(&this->options.longKind, longRate), std::pair(&this->options.shortKind, shortRate)}) {
                 std::poisson_distribution<int> arrivals(rate / 1000);
                 for (int count = arrivals(this->random); count > 0; --count) {
                     this->send(*kind);
@@ -137,13 +144,16 @@
 
     void send(const Kind &kind)
     {
+        const Kind &longKind = this->options.longKind;
+        const Kind &shortKind = this->options.shortKind;
+        const bool isLong = kind.tokens == longKind.tokens;
         size_t host = this->random() % this->options.hosts;
         host -= this->options.isOneZone ? host % this->options.zones : 0;
         PickQuery query;
         query.draw = this->random();
-        const bool isSession = &kind == &Long && static_cast<double>(this->random() % 1000) < 1000 * this->options.sessionShare;
+        const bool isSession = isLong && static_cast<double>(this->random() % 1000) < 1000 * this->options.sessionShare;
         query.affinity = isSession ? "session" : "block-" + std::to_string(this->random() % 400);
-        query.affinityTokens = &kind == &Long ? 7520 : 500;
+        query.affinityTokens = isLong ? 7520 : 500;
         query.heldTokens = kind.tokens + kind.answer;
         query.localZone = "z" + std::to_string(host % this->options.zones);
         query.newestVersion = 1;
@@ -151,11 +161,11 @@
         query.targetLatency = fromSeconds(kind.latency / 1000);
         query.sampleSize = this->options.isMixed ? MixedSampleSize : std::max<size_t>(3, 2 * this->options.targets / this->options.hosts);
         if (this->options.isMixed) {
-            query.mixed
-                = MixedProfile{1 / this->options.rate, &kind == &Long, &kind == &Short, Long.tokens, Long.tokens + Long.answer, Short.tokens + Short.answer};
+            query.mixed = MixedProfile{
+                1 / this->options.rate, isLong, !isLong, longKind.tokens, longKind.tokens + longKind.answer, shortKind.tokens + shortKind.answer};
             query.preferredTargets = this->shares.recordAndCount("desk", query.affinity, kind.tokens, this->options.targets);
         } else {
-            query.lane = &kind == &Long ? Lane::LongPrompts : Lane::LongAnswers;
+            query.lane = isLong ? Lane::LongPrompts : Lane::LongAnswers;
             query.longAnswerShare = 0.5;
         }
         for (size_t index = 0; index < this->engines.size(); ++index) {
@@ -171,7 +181,7 @@
             = std::find_if(this->candidates.begin(), this->candidates.end(), [&](const Candidate &other) { return other.target == choice->target; });
         Engine &engine = this->engines[static_cast<size_t>(chosen - this->candidates.begin())];
         ++engine.arrivals;
-        ++this->outcomes[&kind].sent;
+        ++this->outcomes[kind.tokens].sent;
         this->otherZoneSends += choice->target->zone == query.localZone ? 0 : 1;
         const double expected
             = this->options.step + (choice->pendingTokens + kind.tokens) * (1 / this->options.rate + this->options.step / this->options.chunk);
@@ -191,7 +201,7 @@
     }
     double lateShare(const Kind &kind)
     {
-        const Outcome &outcome = this->outcomes[&kind];
+        const Outcome &outcome = this->outcomes[kind.tokens];
         return outcome.late / std::max(1.0, static_cast<double>(outcome.sent));
     }
     double otherZoneShare() const
@@ -278,7 +288,7 @@
             std::erase_if(engine.running, [](const Request &request) { return request.answerLeft <= 0; });
             for (const Request &request : begun) {
                 const double taken = start + time - request.sentAt;
-                this->outcomes[request.kind].late += taken > request.kind->latency ? 1 : 0;
+                this->outcomes[request.kind->tokens].late += taken > request.kind->latency ? 1 : 0;
                 const auto index = static_cast<size_t>(&engine - this->engines.data());
                 this->speeds[request.host]->record(this->candidates[index].target->id, fromSeconds(request.expected / 1000), fromSeconds(taken / 1000));
                 engine.running.push_back(request);
@@ -292,7 +302,8 @@
     std::vector<std::unique_ptr<TargetSpeeds>> speeds;
     // By host and target: the requests of all other hosts at the last report.
     std::vector<std::vector<Load>> reported;
-    std::map<const Kind *, Outcome> outcomes;
+    // By the tokens of the kind.
+    std::map<double, Outcome> outcomes;
     BlockShares shares;
 };
 
@@ -347,6 +358,20 @@
         model.run(6000, 125, 531);
         cr_assert_lt(model.lateShare(Long), 0.02, "%f", model.lateShare(Long));
         cr_assert_lt(model.lateShare(Short), 0.02, "%f", model.lateShare(Short));
+        const Options options{.targets = 140,
+            .hosts = 35,
+            .rate = 50.7,
+            .chunk = 4096,
+            .step = 5.95,
+            .longKind = OtherLong,
+            .shortKind = OtherShort,
+            .capacity = 45816,
+            .maxRuns = 24};
+        Model other(options, seed);
+        other.run(6000, 470, 236);
+        cr_assert_lt(other.lateShare(OtherLong), 0.05, "%f", other.lateShare(OtherLong));
+        cr_assert_lt(other.lateShare(OtherShort), 0.01, "%f", other.lateShare(OtherShort));
+        cr_assert_lt(other.busiest(), 1.5, "%f", other.busiest());
     }
 }
 
