--- a/pimentosail/directory/directory.h
+++ b/pimentosail/directory/directory.h
@@ -84,6 +84,9 @@
     std::atomic<int64_t> avoidUntil{0};
     // The target counts as cold until this time (us).
     std::atomic<int64_t> coldUntil{0};
+    // The last interval in which this host sent prompts to the target under mixed load (see `windowKey`), and their number.
+    std::atomic<uint64_t> window{0};
+    std::atomic<int> windowSends{0};
     // Consecutive connection failures.
     std::atomic<int> connectFailures{0};
     // Moving average of the share of failed attempts, in thousandths.
--- a/pimentosail/dispatch/picker.cpp
+++ b/pimentosail/dispatch/picker.cpp
@@ -165,7 +165,7 @@
     }
     for (const Candidate *candidate : allowed) {
         const double places = promptPlaces(query, *candidate, mixedCost(query, *candidate, false).aheadTokens);
-        if (isOpenTo(query.window, candidate->target->id, places, query.hosts)) {
+        if (isOpenTo(query.window, *candidate->target, places, query.hosts)) {
             open.insert(candidate);
         }
     }
--- a/pimentosail/dispatch/sendwindow.cpp
+++ b/pimentosail/dispatch/sendwindow.cpp
@@ -45,10 +45,21 @@
     return std::max(0.0, places);
 }
 
-bool isOpenTo(uint64_t key, std::string_view id, double places, size_t hosts)
+bool isOpenTo(uint64_t key, const TargetState &target, double places, size_t hosts)
 {
-    const double uniform = std::ldexp(static_cast<double>(combineHashes(key, stableHash(id)) >> 11U), -53);
-    return uniform * static_cast<double>(std::max<size_t>(1, hosts)) < places;
+    const double share = places / static_cast<double>(std::max<size_t>(1, hosts));
+    const double uniform = std::ldexp(static_cast<double>(combineHashes(key, stableHash(target.id)) >> 11U), -53);
+    const int sent = target.window.load() == key ? target.windowSends.load() : 0;
+    return sent < std::floor(share) + (uniform < share - std::floor(share) ? 1 : 0);
+}
+
+void recordWindowSend(uint64_t key, TargetState &target)
+{
+    // Two threads that begin an interval at once may count one prompt too few.
+    if (target.window.exchange(key) != key) {
+        target.windowSends.store(0);
+    }
+    target.windowSends.fetch_add(1);
 }
 
 } // namespace pimentosail
--- a/pimentosail/dispatch/sendwindow.h
+++ b/pimentosail/dispatch/sendwindow.h
@@ -5,7 +5,7 @@
 // the reports a target is open to as many hosts, on average, as it has room for prompts: in its cache memory, and in the
 // time in which a prompt is still on time. A hash of host, target and interval decides, so that no messages are needed; a
 // host that restarts, or that the store refuses, counts like any other. A target that is open to no host in an interval is
-// still used by hosts to which no target is open.
+// XX
 //
 //     const double places = promptPlaces(query, candidate, aheadTokens);
 //     const bool isOpen = isOpenTo(windowKey("front-1", now), candidate.target->id, places, hosts);
@@ -29,7 +29,11 @@
 // `aheadTokens` are the tokens that it reads before the prompt. `query.mixed` must be set.
 double promptPlaces(const PickQuery &query, const Candidate &candidate, double aheadTokens);
 
-// Returns true if the target `id`, which has room for `places` prompts of all `hosts` hosts, is open to the host of `key`.
-bool isOpenTo(uint64_t key, std::string_view id, double places, size_t hosts);
+// Returns true if `target`, which has room for `places` prompts of all `hosts` hosts, is open to the host of `key`: it may send its
+// share of them in each interval, and one more with the probability of the fraction.
+bool isOpenTo(uint64_t key, const TargetState &target, double places, size_t hosts);
+
+// Records that the host of `key` sends a prompt to `target`.
+void recordWindowSend(uint64_t key, TargetState &target);
 
 } // namespace pimentosail
--- a/pimentosail/entry/requestplanning.cpp
+++ b/pimentosail/entry/requestplanning.cpp
@@ -223,6 +223,9 @@
     while (std::optional<TargetChoice> choice = pickTarget(query, targets)) {
         const SendDecision decision = this->context.gate.acquire(*choice->target, *sharesById.at(choice->target->id));
         if (decision.isAllowed()) {
+            if (query.window != 0) {
+                recordWindowSend(query.window, *choice->target);
+            }
             return choice;
         }
         const auto chosen = std::find_if(targets.begin(), targets.end(), [&choice](const Candidate &candidate) { return candidate.target == choice->target; });
