--- a/pimentosail/dispatch/mixedload.cpp
+++ b/pimentosail/dispatch/mixedload.cpp
@@ -119,22 +119,31 @@
 {
     const Time now = this->clock.now();
     std::erase_if(service.routes, [now](const auto &entry) { return entry.second.lastPrompt + RouteMemory < now; });
+    // The tightest target latency, in ms, its route, and the tightest of the other routes.
+    double tightest = std::numeric_limits<double>::infinity();
+    double secondTightest = tightest;
+    const RouteState *tightestRoute = nullptr;
+    for (const auto &[name, route] : service.routes) {
+        const double latency = toSeconds(route.targetLatency) * 1000;
+        if (route.prompts >= MinWeight && latency < tightest) {
+            secondTightest = tightest;
+            tightest = latency;
+            tightestRoute = &route;
+        } else if (route.prompts >= MinWeight) {
+            secondTightest = std::min(secondTightest, latency);
+        }
+    }
     service.isMixed = false;
     double longest = 0;
     for (auto &[name, route] : service.routes) {
-        double tightest = std::numeric_limits<double>::infinity();
-        for (const auto &[otherName, other] : service.routes) {
-            if (otherName != name && other.prompts >= MinWeight) {
-                tightest = std::min(tightest, toSeconds(other.targetLatency) * 1000);
-            }
-        }
+        const double tightestOther = &route == tightestRoute ? secondTightest : tightest;
         const double error = CertainErrors * route.regression.error();
         const double slope = route.regression.slope();
-        if (!std::isfinite(tightest)) {
+        if (!std::isfinite(tightestOther)) {
             route.isLong = false;
         } else if (std::isfinite(error)) {
-            const bool isCertainlyLong = std::min(slope - error, route.fastestReadTime) * route.promptTokens > MixedShare * tightest;
-            const bool isCertainlyNot = (slope + error) * route.promptTokens < UnmixedShare * tightest;
+            const bool isCertainlyLong = std::min(slope - error, route.fastestReadTime) * route.promptTokens > MixedShare * tightestOther;
+            const bool isCertainlyNot = (slope + error) * route.promptTokens < UnmixedShare * tightestOther;
             route.isLong = isCertainlyLong || (route.isLong && !isCertainlyNot);
         }
         service.isMixed = service.isMixed || route.isLong;
