Rollout: learn the load time; a target that does not answer delays no other

The first status query came 1.9 s after each load order, although some engines load in 0.4 to 0.6 s. The load time is now learnt from finished loads, beginning at 1.9 s: one load at a time is queried earlier as a probe, until the bounds are within a seventh. Calls to targets were joined, so one target that did not answer (0.7 s per call) delayed the evaluation of all others; they now run on their own and are collected as they end. What ends within 100 ms is announced together. The leadership has a lock for that, and a load order gets its token together with the check.

Tests: load_time/* 5 passed, fleet/{a_rollout,targets_that_carry,a_new_leader}* 3 passed, restored_leases/* 12 passed.

--- a/pimentosail/entry/rolloutduty.cpp
+++ b/pimentosail/entry/rolloutduty.cpp
@@ -12,9 +12,6 @@
 // Time between announcement and load order in which the other hosts receive the announcement and stop sending to the
 // target.
 constexpr Duration NoticeTime = Milliseconds(120);
-// Delay of the first status query after a load order. A load takes about two seconds after the last request of the target
-// has ended, and the status lags by a few hundred ms.
-constexpr Duration FirstReportDelay = Milliseconds(1900);
 constexpr Duration ReportInterval = Milliseconds(200);
 // The same for an order that was not answered. Many targets may have one, and each query has a price.
 constexpr Duration OutstandingReportInterval = Milliseconds(400);
@@ -29,12 +26,11 @@
 constexpr Duration MaxLoadTime = std::chrono::seconds(10);
 // Number of finished loads that an announcement repeats for hosts that missed an earlier one.
 constexpr size_t MaxFinished = 64;
-// Outdated blocks are freed this long after the last request that may use them could start. No transfer can then still
-// read them: one that would have to wait for more than two seconds is not started, and a fetch ends well before.
-constexpr Duration FreeDelay = std::chrono::seconds(2);
-constexpr Duration FreeingInterval = std::chrono::seconds(1);
-constexpr size_t BlocksPerCall = 200;
 constexpr Duration IdleStep = Milliseconds(50);
+// What ends within this time is announced together, since each announcement costs two calls to the store.
+constexpr Duration PlanningInterval = Milliseconds(100);
+// The same while calls to targets run, so that their answers are evaluated soon.
+constexpr Duration CallStep = Milliseconds(10);
 
 } // namespace
 
@@ -80,11 +76,17 @@
     }
     announcement.finished.assign(this->finished.begin(), this->finished.end());
     announcement.released = this->released;
-    return this->leadership.announce(encodeAnnouncement(announcement));
+    if (!this->leadership.announce(encodeAnnouncement(announcement))) {
+        return false;
+    }
+    this->hasNews = false;
+    this->released.clear();
+    return true;
 }
 
 void RolloutDuty::sendOrder(PendingLoad &load)
 {
+    load.sentOrder = false;
     try {
         const TargetWeightsReport report = this->context.wire.fetchWeightsReport(*load.target);
         load.orderCount = report.orderCount;
@@ -92,15 +94,13 @@
         if (report.isBusy || (found != report.modelVersions.end() && found->second >= load.version)) {
             // An earlier order is being carried out or is complete; the next report ends the load.
             load.nextReport = this->context.clock.now();
-            return;
-        }
-        if (!this->mayOrder() || !this->leadership.isAnnounced()) {
-            // Without an order, the load is not unanswered: it is ordered after the next announcement.
-            load.isOrdered = load.ordersSent > 0;
+            load.isOrdered = true;
             return;
         }
         const SendDecision decision = this->context.gate.check(*load.target, SendKind::Order);
-        if (decision.obstacle == SendObstacle::Resting) {
+        const std::optional<int64_t> token = this->stopping.load() ? std::nullopt : this->leadership.orderToken();
+        if (!token || decision.obstacle == SendObstacle::Resting) {
+            // Without an order, the load is not unanswered: it is ordered after the next announcement.
             load.isOrdered = load.ordersSent > 0;
             return;
         }
@@ -109,14 +109,14 @@
         }
         const Time sentAt = this->context.clock.now();
         ++load.ordersSent;
-        load.outcome = this->context.wire.sendLoadOrder(
-            *load.target, {load.model, load.version, this->context.settings.name, this->leadership.token(), load.orderCount});
+        load.outcome = this->context.wire.sendLoadOrder(*load.target, {load.model, load.version, this->context.settings.name, *token, load.orderCount});
+        load.sentOrder = true;
+        load.isOrdered = true;
         load.orderedAt = this->context.clock.now();
-        load.nextReport = load.orderedAt + (load.outcome == OrderOutcome::Accepted ? FirstReportDelay : ReportInterval);
+        load.nextReport = load.orderedAt + ReportInterval;
         this->context.log.write(LogLevel::Info, "load_ordered",
-            {{"target", load.target->id}, {"model", load.model}, {"version", load.version}, {"fence", this->leadership.token()},
-                {"order_count", load.orderCount}, {"outcome", static_cast<int>(load.outcome)}, {"orders_sent", load.ordersSent},
-                {"took_ms", toMilliseconds(load.orderedAt - sentAt)}});
+            {{"target", load.target->id}, {"model", load.model}, {"version", load.version}, {"fence", *token}, {"order_count", load.orderCount},
+                {"outcome", static_cast<int>(load.outcome)}, {"orders_sent", load.ordersSent}, {"took_ms", toMilliseconds(load.orderedAt - sentAt)}});
         if (load.outcome == OrderOutcome::Refused) {
             // Lets the next check give up this load.
             load.orderedAt -= MaxLoadTime;
@@ -124,6 +124,7 @@
     } catch (const Failure &failure) {
         this->context.log.write(LogLevel::Warning, "load_not_ordered", {{"target", load.target->id}, {"version", load.version}, {"reason", failure.what()}});
         load.outcome = OrderOutcome::Refused;
+        load.isOrdered = true;
         load.orderedAt = this->context.clock.now() - MaxLoadTime;
     }
 }
@@ -185,20 +186,25 @@
     }
 }
 
-void RolloutDuty::callTargets(const std::vector<PendingLoad *> &loads, const std::function<void(PendingLoad &)> &call)
+void RolloutDuty::startCall(PendingLoad &load, TargetCallKind kind)
 {
-    if (loads.empty()) {
-        return;
-    }
-    std::vector<std::unique_ptr<DutyThread>> threads;
-    for (size_t index = 1; index < loads.size(); ++index) {
-        threads.push_back(std::make_unique<DutyThread>("targetcall", [&call, load = loads[index]] { call(*load); }));
-        threads.back()->start();
-    }
-    call(*loads.front());
-    for (const auto &thread : threads) {
-        thread->join();
-    }
+    load.call = std::make_unique<TargetCall>(kind);
+    load.call->thread = std::make_unique<DutyThread>("targetcall", [this, &load, &call = *load.call] {
+        if (call.kind == TargetCallKind::Order) {
+            this->sendOrder(load);
+        } else {
+            this->fetchReport(load);
+        }
+        call.hasEnded.store(true);
+    });
+    load.call->thread->start();
+}
+
+// Returns how many more calls to targets may be started now.
+size_t RolloutDuty::freeCalls() const
+{
+    const auto running = std::count_if(this->pendingLoads.begin(), this->pendingLoads.end(), [](const auto &other) { return other.second.isInCall(); });
+    return MaxParallelCalls - std::min(MaxParallelCalls, static_cast<size_t>(running));
 }
 
 // `occupied` is the number of targets that load in time or were just ordered to.
@@ -207,7 +213,7 @@
     if (occupied >= maxLoads) {
         return false;
     }
-    return load.isOutstanding ? now > load.orderedAt + OrderRetry : !load.isOrdered && now >= load.preparedAt + NoticeTime;
+    return load.isOutstanding ? now > load.orderedAt + OrderRetry : !load.isOrdered && now >= load.preparedAt + NoticeTime && now >= load.nextReport;
 }
 
 // Sends load orders to prepared targets, and again to targets that have not carried out theirs, as long as fewer than the
@@ -215,14 +221,14 @@
 void RolloutDuty::sendDueOrders()
 {
     const Time now = this->context.clock.now();
+    const size_t mostCalls = this->freeCalls();
     std::vector<PendingLoad *> due;
-    int64_t occupied
-        = std::count_if(this->pendingLoads.begin(), this->pendingLoads.end(), [](const auto &other) { return other.second.isOrdered && !other.second.isLate; });
+    int64_t occupied = std::count_if(this->pendingLoads.begin(), this->pendingLoads.end(), [](const auto &other) { return other.second.occupiesPlace(); });
     // First orders go before repeated ones. A target that accepts a repeated order loads in time, as the others do.
     for (const bool isRepeated : {false, true}) {
         for (auto &[id, load] : this->pendingLoads) {
             const int64_t maxLoads = maxConcurrentLoads(this->context.directory.all(load.target->service, load.model).size(), RolloutLimits{});
-            if (load.isOutstanding == isRepeated && due.size() < MaxParallelCalls && this->isOrderDue(load, now, occupied, maxLoads)) {
+            if (!load.isInCall() && load.isOutstanding == isRepeated && due.size() < mostCalls && this->isOrderDue(load, now, occupied, maxLoads)) {
                 due.push_back(&load);
                 ++occupied;
             }
@@ -235,22 +241,51 @@
         return;
     }
     for (PendingLoad *load : due) {
-        load->isOrdered = true;
+        this->startCall(*load, TargetCallKind::Order);
     }
-    callTargets(due, [this](PendingLoad &load) { this->sendOrder(load); });
-    bool isChanged = false;
-    for (PendingLoad *load : due) {
-        if (load->outcome == OrderOutcome::Refused) {
-            this->excludedUntil[load->target->id] = this->context.clock.now() + ExclusionTime;
-        }
-        if (load->outcome == OrderOutcome::Accepted && load->isOutstanding) {
-            load->isOutstanding = false;
-            load->isLate = false;
-            isChanged = true;
-        }
+}
+
+void RolloutDuty::evaluateOrder(PendingLoad &load)
+{
+    if (load.outcome == OrderOutcome::Refused) {
+        this->excludedUntil[load.target->id] = this->context.clock.now() + ExclusionTime;
+    }
+    if (!load.isOrdered) {
+        load.nextReport = this->context.clock.now() + IdleStep;
+    }
+    if (!load.sentOrder || load.outcome != OrderOutcome::Accepted) {
+        return;
     }
-    if (isChanged) {
-        this->publishAnnouncement();
+    LoadTime &loadTime = this->loadTimes[load.model];
+    // Only a load whose first order was accepted shows how long loads take.
+    load.isTimed = load.ordersSent == 1;
+    load.isProbe = load.isTimed && loadTime.beginLoad();
+    load.nextReport = load.orderedAt + loadTime.firstQueryDelay(load.isProbe);
+    if (load.isOutstanding) {
+        load.isOutstanding = false;
+        load.isLate = false;
+        this->hasNews = true;
+    }
+}
+
+// Evaluates the calls to targets that have ended since the last step. Those that a target leaves unanswered go on meanwhile.
+void RolloutDuty::collectCalls()
+{
+    const Time now = this->context.clock.now();
+    for (auto entry = this->pendingLoads.begin(); entry != this->pendingLoads.end();) {
+        PendingLoad &load = entry->second;
+        bool isPending = true;
+        if (load.call && load.call->hasEnded.load()) {
+            const TargetCallKind kind = load.call->kind;
+            load.call.reset();
+            if (kind == TargetCallKind::Order) {
+                this->evaluateOrder(load);
+            } else {
+                isPending = this->evaluateReport(load, now);
+            }
+        }
+        this->hasNews = this->hasNews || !isPending;
+        entry = isPending ? std::next(entry) : this->pendingLoads.erase(entry);
     }
 }
 
@@ -258,6 +293,7 @@
 {
     load.report.reset();
     load.reportError.clear();
+    load.queriedAt = this->context.clock.now();
     try {
         load.report = this->context.wire.fetchWeightsReport(*load.target);
     } catch (const Failure &failure) {
@@ -266,12 +302,14 @@
     }
 }
 
-void RolloutDuty::finishLoad(const PendingLoad &load, Time now, const char *reasonGivenUp)
+void RolloutDuty::finishLoad(PendingLoad &load, Time now, const char *reasonGivenUp)
 {
     const bool isDone = reasonGivenUp == nullptr;
+    this->endTiming(load);
     this->context.log.write(isDone ? LogLevel::Info : LogLevel::Warning, isDone ? "load_done" : "load_given_up",
         {{"target", load.target->id}, {"version", load.version}, {"orders_sent", load.ordersSent}, {"prepared_ms", toMilliseconds(now - load.preparedAt)},
-            {"took_ms", toMilliseconds(now - load.orderedAt)}, {"reason", isDone ? "" : reasonGivenUp}});
+            {"took_ms", toMilliseconds(now - load.orderedAt)}, {"queries", load.queries},
+            {"expected_ms", toMilliseconds(this->loadTimes[load.model].expected())}, {"reason", isDone ? "" : reasonGivenUp}});
     this->released.push_back(load.target->id);
     if (isDone) {
         this->finished.push_back({load.target->id, load.model, load.version});
@@ -282,10 +320,11 @@
     load.target->avoidUntil.store(0);
 }
 
-bool RolloutDuty::evaluateReport(PendingLoad &load, Time now, bool &isChanged)
+bool RolloutDuty::evaluateReport(PendingLoad &load, Time now)
 {
     if (!load.report) {
         load.nextReport = now + ReportInterval;
+        this->endTiming(load);
         this->excludedUntil[load.target->id] = now + ExclusionTime;
         if (now > load.orderedAt + OrderRetry) {
             this->finishLoad(load, now, "no report");
@@ -296,7 +335,9 @@
     const auto found = load.report->modelVersions.find(load.model);
     const int64_t present = found == load.report->modelVersions.end() ? 0 : found->second;
     this->context.directory.recordVersion(load.target->id, load.model, present);
-    if (present >= load.version && !load.report->isBusy) {
+    const bool isDone = present >= load.version && !load.report->isBusy;
+    this->recordQuery(load, isDone);
+    if (isDone) {
         this->finishLoad(load, now, nullptr);
         return false;
     }
@@ -310,7 +351,7 @@
         load.isOutstanding = !isShown;
         load.isLate = true;
         load.orderedAt = isShown ? now : load.orderedAt;
-        isChanged = true;
+        this->hasNews = true;
         this->context.log.write(LogLevel::Info, load.isOutstanding ? "load_outstanding" : "load_started_late",
             {{"target", load.target->id}, {"version", load.version}, {"orders_sent", load.ordersSent}, {"prepared_ms", toMilliseconds(now - load.preparedAt)}});
         if (load.isOutstanding) {
@@ -319,23 +360,60 @@
         }
     }
     load.nextReport = now + (load.isOutstanding ? OutstandingReportInterval : ReportInterval);
+    if (load.isProbe && load.queries == 1) {
+        load.nextReport = std::max(load.nextReport, load.orderedAt + this->loadTimes[load.model].expected());
+    }
     return true;
 }
 
-void RolloutDuty::checkPendingLoads()
+// Learns from an answered status query of a load whose first order was accepted.
+void RolloutDuty::recordQuery(PendingLoad &load, bool isDone)
 {
-    std::vector<PendingLoad *> due;
-    for (auto &[id, load] : this->pendingLoads) {
-        if (due.size() < MaxParallelCalls && load.isOrdered && this->context.clock.now() >= load.nextReport && !load.target->removed) {
-            due.push_back(&load);
-        }
+    ++load.queries;
+    if (!load.isTimed || load.isLate) {
+        return;
+    }
+    LoadTime &loadTime = this->loadTimes[load.model];
+    const Duration elapsed = load.queriedAt - load.orderedAt;
+    if (load.queries == 1) {
+        loadTime.recordFirstQuery(load.isProbe, elapsed, isDone);
+    } else if (isDone) {
+        loadTime.recordLaterQuery(elapsed);
+    }
+}
+
+void RolloutDuty::endTiming(PendingLoad &load)
+{
+    if (load.isProbe) {
+        this->loadTimes[load.model].endProbe();
+    }
+    load.isProbe = false;
+    load.isTimed = false;
+}
+
+// Returns true if the next status query of a load is due.
+bool RolloutDuty::isReportDue(const PendingLoad &load, Time now)
+{
+    if (load.isInCall() || !load.isOrdered || load.target->removed) {
+        return false;
     }
-    callTargets(due, [this](PendingLoad &load) { this->fetchReport(load); });
+    // The load time may have been learnt since the order.
+    const bool isFirst = load.isTimed && load.queries == 0 && !load.isLate;
+    return now >= (isFirst ? std::min(load.nextReport, load.orderedAt + this->loadTimes[load.model].firstQueryDelay(load.isProbe)) : load.nextReport);
+}
+
+void RolloutDuty::checkPendingLoads()
+{
+    this->collectCalls();
     const Time now = this->context.clock.now();
     const std::map<std::string, WantedVersion> wanted = this->context.state.allWantedVersions();
-    bool isChanged = false;
+    size_t mostCalls = this->freeCalls();
     for (auto entry = this->pendingLoads.begin(); entry != this->pendingLoads.end();) {
         PendingLoad &load = entry->second;
+        if (load.isInCall()) {
+            ++entry;
+            continue;
+        }
         bool isPending = true;
         const auto newest = wanted.find(load.model);
         if (load.target->removed || now >= load.orderedAt + MaxLoadTime) {
@@ -345,74 +423,30 @@
             // The next plan orders the newest version; at most one of the orders is carried out.
             this->finishLoad(load, now, "replaced");
             isPending = false;
-        } else if (std::find(due.begin(), due.end(), &load) != due.end()) {
-            isPending = this->evaluateReport(load, now, isChanged);
+        } else if (mostCalls > 0 && this->isReportDue(load, now)) {
+            this->startCall(load, TargetCallKind::Report);
+            --mostCalls;
         }
-        isChanged = isChanged || !isPending;
+        this->hasNews = this->hasNews || !isPending;
         entry = isPending ? std::next(entry) : this->pendingLoads.erase(entry);
     }
-    if (isChanged) {
-        this->publishAnnouncement();
-        this->released.clear();
-    }
 }
 
-// Returns the oldest version of `model` on which a request may still start on any host: one that a host may allow and that a
-// target has.
-int64_t RolloutDuty::oldestInUse(const std::string &model) const
-{
-    const int64_t allowed = this->context.state.oldestPossibleVersion(model, this->context.clock.nowWithSuspend(), this->context.settings.versionLimit);
-    int64_t present = 0;
-    for (const TargetView &view : this->targetsOf(model)) {
-        present = present == 0 ? view.version : std::min(present, view.version);
-    }
-    return std::max(allowed, present);
-}
-
-// Frees the cached blocks of weight versions on which no request may start any more. It does so some seconds later, when no
-// transfer can still read them.
-void RolloutDuty::freeOutdatedBlocks()
+void RolloutDuty::advance()
 {
+    this->checkPendingLoads();
     const Time now = this->context.clock.now();
-    if (now < this->nextFreeing) {
-        return;
-    }
-    this->nextFreeing = now + FreeingInterval;
-    for (const std::string &text : this->context.cacheStores.salts()) {
-        const std::optional<CacheSalt> salt = CacheSalt::parse(text);
-        if (!salt || salt->version >= this->oldestInUse(salt->model)) {
-            this->unusedSince.erase(text);
-            continue;
+    if (now >= this->nextPlanning) {
+        this->nextPlanning = now + PlanningInterval;
+        for (const auto &[model, wanted] : this->context.state.allWantedVersions()) {
+            this->prepareLoads(model, wanted.version);
         }
-        if (now < this->unusedSince.try_emplace(text, now).first->second + FreeDelay) {
-            continue;
-        }
-        this->unusedSince.erase(text);
-        for (const BlocksToFree &freed : this->context.cacheStores.removeSalt(text)) {
-            for (size_t first = 0; first < freed.blocks.size(); first += BlocksPerCall) {
-                const size_t last = std::min(freed.blocks.size(), first + BlocksPerCall);
-                bool isFreed = false;
-                try {
-                    isFreed = this->context.wire.freeBlocks(freed.storeAddress, freed.epoch, text,
-                        {freed.blocks.begin() + static_cast<long>(first), freed.blocks.begin() + static_cast<long>(last)});
-                } catch (const Failure &failure) {
-                    this->context.log.write(LogLevel::Warning, "parts_not_freed", {{"store", freed.storeAddress}, {"salt", text}, {"reason", failure.what()}});
-                }
-                this->context.log.write(
-                    LogLevel::Info, "parts_freed", {{"store", freed.storeAddress}, {"salt", text}, {"parts", last - first}, {"freed", isFreed}});
-            }
+        if (this->hasNews) {
+            this->publishAnnouncement();
         }
-    }
-}
-
-void RolloutDuty::advance()
-{
-    this->checkPendingLoads();
-    for (const auto &[model, wanted] : this->context.state.allWantedVersions()) {
-        this->prepareLoads(model, wanted.version);
+        this->freeOutdatedBlocks();
     }
     this->sendDueOrders();
-    this->freeOutdatedBlocks();
 }
 
 void RolloutDuty::run()
@@ -423,12 +457,17 @@
         if (this->leadership.token() != former || former == 0) {
             this->pendingLoads.clear();
             this->finished.clear();
+            this->released.clear();
+            this->hasNews = false;
         }
         if (this->mayOrder()) {
             this->advance();
         }
-        this->context.clock.sleepFor(IdleStep);
+        const bool isCalling = std::any_of(this->pendingLoads.begin(), this->pendingLoads.end(), [](const auto &entry) { return entry.second.isInCall(); });
+        this->context.clock.sleepFor(isCalling ? CallStep : IdleStep);
     }
+    // A load order in progress ends before the leadership is given up.
+    this->pendingLoads.clear();
 }
 
 } // namespace pimentosail
--- a/pimentosail/entry/rolloutleadership.cpp
+++ b/pimentosail/entry/rolloutleadership.cpp
@@ -46,6 +46,24 @@
 }
 
 bool RolloutLeadership::mayOrder() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->mayOrderLocked();
+}
+
+bool RolloutLeadership::isAnnounced(Duration later) const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->isAnnouncedLocked(later);
+}
+
+std::optional<int64_t> RolloutLeadership::orderToken() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->mayOrderLocked() && this->isAnnouncedLocked(Duration(0)) ? std::optional(this->ownToken) : std::nullopt;
+}
+
+bool RolloutLeadership::mayOrderLocked() const
 {
     const Time now = this->context.clock.nowWithSuspend();
     return this->ownToken != 0 && !this->isOfEarlierEra() && now < this->trustedUntil - LeadershipMargin && now >= this->mayOrderFrom;
@@ -56,7 +74,7 @@
     return this->leaderSince.era < this->mirror.status().era;
 }
 
-bool RolloutLeadership::isAnnounced(Duration later) const
+bool RolloutLeadership::isAnnouncedLocked(Duration later) const
 {
     return this->context.clock.nowWithSuspend() + later < this->announcedAt + OrderWindow;
 }
@@ -160,6 +178,7 @@
 
 void RolloutLeadership::maintain()
 {
+    const std::lock_guard lock(this->mutex);
     if (this->ownToken != 0 && this->isOfEarlierEra()) {
         this->lose("the store came back from an older copy");
     }
@@ -175,6 +194,7 @@
 
 bool RolloutLeadership::announce(const std::string &announcement)
 {
+    const std::lock_guard lock(this->mutex);
     if (this->isOfEarlierEra()) {
         this->lose("the store came back from an older copy");
         return false;
--- a/pimentosail/entry/rolloutleadership.h
+++ b/pimentosail/entry/rolloutleadership.h
@@ -6,10 +6,12 @@
 //
 // The leader is the host that has written the leadership key under its lease. A leader relies on the key only for the
 // lease time after the start of its last renewal, on a clock that includes time in suspension, and only in the era of the store in
-// which it wrote the key. `mayOrder` and `isAnnounced` are to be called right before each load order. These and `token` may be called by any
-// thread while the others are not called; the others are called by one thread.
+// which it wrote the key. `orderToken` is to be called right before each load order. All functions but `stop` may be called by any thread; they
+// wait for each other, also for the calls to the store that `maintain` and `announce` make.
 #pragma once
 
+#include <mutex>
+#include <optional>
 #include <string>
 
 #include "pimentosail/entry/context.h"
@@ -32,9 +34,13 @@
     // Returns the fencing token of this host's leadership, or 0 if it is not the leader.
     int64_t token() const
     {
+        const std::lock_guard lock(this->mutex);
         return this->ownToken;
     }
 
+    // Returns the fencing token for a load order that is sent now, or nothing if this host may send none or has not announced it.
+    std::optional<int64_t> orderToken() const;
+
     // Returns true if this host may send load orders now.
     bool mayOrder() const;
 
@@ -46,6 +52,8 @@
     bool isAnnounced(Duration later = Duration(0)) const;
 
 private:
+    bool mayOrderLocked() const;
+    bool isAnnouncedLocked(Duration later) const;
     void tryAcquire();
     void renew(Time now);
     void lose(const char *reason);
@@ -57,6 +65,7 @@
     EntryContext &context;
     PrefixStore store;
     const StoreMirror &mirror;
+    mutable std::mutex mutex;
     // Value of the leadership key while this host is the leader. No other process writes it.
     std::string keyValue;
     StoreLease lease;
--- a/pimentosail/entry/storeduties.h
+++ b/pimentosail/entry/storeduties.h
@@ -25,6 +25,7 @@
 #include "pimentosail/kvcache/cachejournal.h"
 #include "pimentosail/mirror/storemirror.h"
 #include "pimentosail/rollout/announcement.h"
+#include "pimentosail/rollout/loadtime.h"
 #include "pimentosail/rollout/rollout.h"
 
 namespace pimentosail
@@ -89,10 +90,41 @@
     void stop();
 
 private:
-    // A load that is prepared (announced to the other hosts) or ordered, and whose end is not known yet. During calls to
-    // targets, a thread of its own may use each object.
+    enum class TargetCallKind {
+        // Fetches the target's report and sends a load order if the target needs it.
+        Order,
+        // Fetches the target's report.
+        Report
+    };
+
+    // A call to a target, in a thread of its own so that a target that does not answer delays no other.
+    struct TargetCall
+    {
+        explicit TargetCall(TargetCallKind callKind)
+            : kind(callKind)
+        {
+        }
+
+        const TargetCallKind kind;
+        std::atomic<bool> hasEnded{false};
+        std::unique_ptr<DutyThread> thread;
+    };
+
+    // A load that is prepared (announced to the other hosts) or ordered, and whose end is not known yet. While `call` is set, only its thread
+    // uses the members up to `report`, apart from those that the call does not change.
     struct PendingLoad
     {
+        bool isInCall() const
+        {
+            return this->call != nullptr;
+        }
+
+        // Returns true if the load counts among those that load in time.
+        bool occupiesPlace() const
+        {
+            return this->isInCall() || (this->isOrdered && !this->isLate);
+        }
+
         TargetPointer target;
         std::string model;
         int64_t version = 0;
@@ -103,6 +135,14 @@
         bool isOrdered = false;
         OrderOutcome outcome = OrderOutcome::Unknown;
         int64_t ordersSent = 0;
+        // The last call sent an order.
+        bool sentOrder = false;
+        // Time of the last status query, and the number of answered ones.
+        Time queriedAt{};
+        int64_t queries = 0;
+        // The load's first order was accepted, so the time until its end shows how long a load takes; its first query may be a probe.
+        bool isTimed = false;
+        bool isProbe = false;
         // The order was not answered, and the target's report does not show it: it may be carried out later. Until then the
         // target serves requests and is not announced as loading.
         bool isOutstanding = false;
@@ -111,6 +151,8 @@
         // The last report, or empty with the reason in `reportError`.
         std::optional<TargetWeightsReport> report;
         std::string reportError;
+        // Set from the start of a call until its result is evaluated. Destroyed first, which waits for the end of the call.
+        std::unique_ptr<TargetCall> call;
     };
 
     void run();
@@ -125,11 +167,17 @@
     bool isOrderDue(const PendingLoad &load, Time now, int64_t occupied, int64_t maxLoads) const;
     void sendOrder(PendingLoad &load);
     void fetchReport(PendingLoad &load);
-    // Calls `call` for each load, in several threads so that a target that does not answer delays no other.
-    static void callTargets(const std::vector<PendingLoad *> &loads, const std::function<void(PendingLoad &)> &call);
-    // Evaluates the last report of a load. Returns false if the load has ended. Sets `isChanged` if the announcement changes.
-    bool evaluateReport(PendingLoad &load, Time now, bool &isChanged);
-    void finishLoad(const PendingLoad &load, Time now, const char *reasonGivenUp);
+    void startCall(PendingLoad &load, TargetCallKind kind);
+    size_t freeCalls() const;
+    void collectCalls();
+    // Evaluates an ended call that was to send a load order.
+    void evaluateOrder(PendingLoad &load);
+    bool isReportDue(const PendingLoad &load, Time now);
+    void recordQuery(PendingLoad &load, bool isDone);
+    // Evaluates the last report of a load. Returns false if the load has ended.
+    bool evaluateReport(PendingLoad &load, Time now);
+    void endTiming(PendingLoad &load);
+    void finishLoad(PendingLoad &load, Time now, const char *reasonGivenUp);
     // Announces the pending and finished loads to the other hosts. Returns false if it is not certain that the store has
     // the announcement; then no load order that depends on it may be sent.
     bool publishAnnouncement();
@@ -141,6 +189,11 @@
     std::deque<FinishedLoad> finished;
     std::vector<std::string> released;
     std::map<std::string, Time> excludedUntil;
+    // By model.
+    std::map<std::string, LoadTime> loadTimes;
+    // The announcement is to change.
+    bool hasNews = false;
+    Time nextPlanning{};
     Time nextFreeing{};
     // Time since which no request may start on the weights that a cache salt belongs to, by salt.
     std::map<std::string, Time> unusedSince;
