Rollout: a new leader waits only for targets that its predecessor may have ordered

After each change of the leader no target got a load order until 4 s after the last announcement. The announcement now names all targets that may have got an order in that time, so the others are ordered at once; targets that still load for the predecessor count among those that load at a time. A planned stop hands the leadership over with one transaction, and the hosts take it as soon as they hear of that. Each announcement is conditional on the one before, so that one whose write seemed to fail cannot replace a later one.

--- a/pimentosail/entry/entrystate.h
+++ b/pimentosail/entry/entrystate.h
@@ -53,6 +53,11 @@
     bool isReceivedLive = false;
     // Position of its write.
     StorePosition position;
+    // The targets that it names; empty if it is unreadable or of a former version of the program.
+    std::optional<std::vector<std::string>> ordered;
+    std::vector<std::string> loading;
+    // The leader gave up the leadership with it.
+    bool isHandOver = false;
 };
 
 class EntryState
--- a/pimentosail/entry/rolloutduty.cpp
+++ b/pimentosail/entry/rolloutduty.cpp
@@ -56,7 +56,7 @@
 {
     this->stopping.store(true);
     this->thread.join();
-    this->leadership.stop();
+    this->leadership.stop(this->announcement(), this->pendingTargets());
 }
 
 // Returns true if load orders may be sent now.
@@ -65,10 +65,9 @@
     return this->leadership.mayOrder() && !this->stopping.load();
 }
 
-bool RolloutDuty::publishAnnouncement()
+RolloutAnnouncement RolloutDuty::announcement() const
 {
     RolloutAnnouncement announcement;
-    announcement.fencingToken = this->leadership.token();
     for (const auto &[id, load] : this->pendingLoads) {
         if (!load.isOutstanding) {
             announcement.loading.push_back(id);
@@ -76,7 +75,21 @@
     }
     announcement.finished.assign(this->finished.begin(), this->finished.end());
     announcement.released = this->released;
-    if (!this->leadership.announce(encodeAnnouncement(announcement))) {
+    return announcement;
+}
+
+std::vector<std::string> RolloutDuty::pendingTargets() const
+{
+    std::vector<std::string> result;
+    for (const auto &[id, load] : this->pendingLoads) {
+        result.push_back(id);
+    }
+    return result;
+}
+
+bool RolloutDuty::publishAnnouncement()
+{
+    if (!this->leadership.announce(this->announcement(), this->pendingTargets())) {
         return false;
     }
     this->hasNews = false;
@@ -98,7 +111,7 @@
             return;
         }
         const SendDecision decision = this->context.gate.check(*load.target, SendKind::Order);
-        const std::optional<int64_t> token = this->stopping.load() ? std::nullopt : this->leadership.orderToken();
+        const std::optional<int64_t> token = this->stopping.load() ? std::nullopt : this->leadership.orderToken(load.target->id);
         if (!token || decision.obstacle == SendObstacle::Resting) {
             // Without an order, the load is not unanswered: it is ordered after the next announcement.
             load.isOrdered = load.ordersSent > 0;
@@ -152,6 +165,8 @@
     std::vector<RolloutTarget> targets;
     std::map<std::string, TargetPointer> byId;
     const Time now = this->context.clock.now();
+    const HandOver handOver = this->leadership.handOver();
+    const Time orderTime = this->context.clock.nowWithSuspend();
     for (const TargetView &view : this->targetsOf(model)) {
         RolloutTarget target;
         target.id = view.target->id;
@@ -162,6 +177,10 @@
         const auto excluded = this->excludedUntil.find(target.id);
         target.isExcluded = !this->context.gate.check(*view.target, SendKind::Order).isAllowed() || view.target->connectFailures.load() > 0
             || (excluded != this->excludedUntil.end() && now < excluded->second);
+        if (!handOver.mayOrder(target.id, orderTime)) {
+            target.isExcluded = true;
+            target.isLoading = target.isLoading || (target.version < version && handOver.isLoading(target.id, orderTime));
+        }
         target.requestsInFlight = view.target->inFlight.load();
         byId[target.id] = view.target;
         targets.push_back(std::move(target));
@@ -306,6 +325,7 @@
 {
     const bool isDone = reasonGivenUp == nullptr;
     this->endTiming(load);
+    this->leadership.recordOrder(load.target->id);
     this->context.log.write(isDone ? LogLevel::Info : LogLevel::Warning, isDone ? "load_done" : "load_given_up",
         {{"target", load.target->id}, {"version", load.version}, {"orders_sent", load.ordersSent}, {"prepared_ms", toMilliseconds(now - load.preparedAt)},
             {"took_ms", toMilliseconds(now - load.orderedAt)}, {"queries", load.queries},
@@ -459,6 +479,9 @@
             this->finished.clear();
             this->released.clear();
             this->hasNews = false;
+            for (auto &[model, loadTime] : this->loadTimes) {
+                loadTime.endProbe();
+            }
         }
         if (this->mayOrder()) {
             this->advance();
@@ -467,7 +490,9 @@
         this->context.clock.sleepFor(isCalling ? CallStep : IdleStep);
     }
     // A load order in progress ends before the leadership is given up.
-    this->pendingLoads.clear();
+    for (auto &[id, load] : this->pendingLoads) {
+        load.call.reset();
+    }
 }
 
 } // namespace pimentosail
--- a/pimentosail/entry/rolloutleadership.h
+++ b/pimentosail/entry/rolloutleadership.h
@@ -2,7 +2,7 @@
 //
 //     RolloutLeadership leadership(context, store, mirror);
 //     leadership.maintain();   // again and again; acquires the leadership if no other host has it
-//     if (leadership.mayOrder() && leadership.announce(announcement)) { ... }
+//     if (leadership.mayOrder() && leadership.announce(announcement, targetsWithPendingLoads)) { ... }
 //
 // The leader is the host that has written the leadership key under its lease. A leader relies on the key only for the
 // lease time after the start of its last renewal, on a clock that includes time in suspension, and only in the era of the store in
@@ -13,9 +13,12 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "pimentosail/entry/context.h"
 #include "pimentosail/mirror/storemirror.h"
+#include "pimentosail/rollout/announcement.h"
+#include "pimentosail/rollout/handover.h"
 
 namespace pimentosail
 {
@@ -28,8 +31,8 @@
     // Acquires or renews the leadership when it is time to.
     void maintain();
 
-    // Gives up the leadership for good.
-    void stop();
+    // Gives up the leadership for good. The announcement tells the other hosts that they may take it at once.
+    void stop(RolloutAnnouncement announcement, const std::vector<std::string> &pending);
 
     // Returns the fencing token of this host's leadership, or 0 if it is not the leader.
     int64_t token() const
@@ -39,14 +42,21 @@
     }
 
     // Returns the fencing token for a load order that is sent now, or nothing if this host may send none or has not announced it.
-    std::optional<int64_t> orderToken() const;
+    std::optional<int64_t> orderToken(const std::string &target) const;
+
+    // Returns which targets may get no load order yet because of orders of the former leader.
+    HandOver handOver() const;
+
+    // Records that this host may have sent the target a load order until now.
+    void recordOrder(const std::string &target);
 
     // Returns true if this host may send load orders now.
     bool mayOrder() const;
 
-    // Publishes an encoded announcement, which permits load orders for a short time. Returns false if it is not certain that the store has it; then
-    // no load order that depends on it may be sent.
-    bool announce(const std::string &announcement);
+    // Publishes an announcement, which permits load orders to the targets `pending` for a short time; this completes it with the fencing token and
+    // the targets that may have got an order. Returns false if it is not certain that the store has it; then no load order that depends on it may
+    // be sent.
+    bool announce(RolloutAnnouncement announcement, const std::vector<std::string> &pending);
 
     // Returns true if the last announcement permits load orders until `later` from now.
     bool isAnnounced(Duration later = Duration(0)) const;
@@ -54,6 +64,10 @@
 private:
     bool mayOrderLocked() const;
     bool isAnnouncedLocked(Duration later) const;
+    // Returns true if the last leader has given up the leadership as planned, and this host has not tried to take it since.
+    bool isHandedOver() const;
+    std::string complete(RolloutAnnouncement &announcement, const std::vector<std::string> &pending);
+    std::vector<StoreCondition> announcementConditions() const;
     void tryAcquire();
     void renew(Time now);
     void lose(const char *reason);
@@ -72,10 +86,17 @@
     // Position of the write by which this host became the leader, and the fencing token made of it; 0 if it is not the leader.
     StorePosition leaderSince;
     int64_t ownToken = 0;
-    // The leadership is certain until this time. This and the next three times are on the clock that includes suspension.
+    // The targets that may have got a load order of this host or of its predecessor.
+    RecentOrders recentOrders;
+    // Which targets may get load orders; empty until that is known.
+    std::optional<HandOver> takenOver;
+    // Revision of the last announcement; empty while the outcome of a write is not known.
+    std::optional<int64_t> announcementRevision;
+    // Position of the announcement with which a leader gave up the leadership that this host has tried to take.
+    StorePosition triedHandOver;
+    // The leadership is certain until this time. This and the next two times are on the clock that includes suspension. Load orders are sent only
+    // within a short time after their announcement.
     Time trustedUntil{};
-    // Load orders are sent only from this time on, and within a short time after their announcement.
-    Time mayOrderFrom{};
     Time announcedAt{};
     Time nextRenewal{};
     // Time at which no host was first found to be the leader; zero if there is one.
--- a/pimentosail/entry/stateupdater.cpp
+++ b/pimentosail/entry/stateupdater.cpp
@@ -309,10 +309,13 @@
     }
     const LatestRollout former = this->context.state.rollout();
     const bool isReceivedLive = this->context.clock.now() > this->createdAt + StartupWindow;
-    LatestRollout latest{former.fencingToken, this->context.clock.nowWithSuspend(), isReceivedLive, item->position()};
+    LatestRollout latest{former.fencingToken, this->context.clock.nowWithSuspend(), isReceivedLive, item->position(), std::nullopt, {}, false};
     try {
         const RolloutAnnouncement announcement = decodeAnnouncement(item->value);
         latest.fencingToken = announcement.fencingToken;
+        latest.ordered = announcement.ordered;
+        latest.loading = announcement.loading;
+        latest.isHandOver = announcement.isHandOver;
         // The store came back from an older copy, and this host has applied this announcement or a later one.
         const bool isOutdated = eraOfToken(announcement.fencingToken) < item->era && item->revision <= former.position.revision;
         if (!isOutdated) {
--- a/pimentosail/entry/storeduties.h
+++ b/pimentosail/entry/storeduties.h
@@ -181,6 +181,8 @@
     // Announces the pending and finished loads to the other hosts. Returns false if it is not certain that the store has
     // the announcement; then no load order that depends on it may be sent.
     bool publishAnnouncement();
+    RolloutAnnouncement announcement() const;
+    std::vector<std::string> pendingTargets() const;
 
     EntryContext &context;
     RolloutLeadership leadership;
--- a/pimentosail/rollout/announcement.cpp
+++ b/pimentosail/rollout/announcement.cpp
@@ -46,6 +46,12 @@
         row["version"] = Json::Int64(load.version);
         value["finished"].append(row);
     }
+    if (announcement.ordered) {
+        value["ordered"] = toJsonArray(*announcement.ordered);
+    }
+    if (announcement.isHandOver) {
+        value["hand_over"] = true;
+    }
     return printJson(value);
 }
 
@@ -59,6 +65,13 @@
     for (const Json::Value &row : document["finished"]) {
         announcement.finished.push_back({jsonString(row, "target"), jsonString(row, "model"), jsonInteger(row, "version")});
     }
+    if (document.isMember("ordered")) {
+        if (!document["ordered"].isArray()) {
+            throw Failure(ErrorKind::BadRequest, "the ordered targets must be an array");
+        }
+        announcement.ordered = fromJsonArray(document["ordered"]);
+    }
+    announcement.isHandOver = document["hand_over"].isBool() && document["hand_over"].asBool();
     return announcement;
 }
 
--- a/pimentosail/rollout/announcement.h
+++ b/pimentosail/rollout/announcement.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -30,6 +31,10 @@
     std::vector<FinishedLoad> finished;
     // Targets that may receive requests again.
     std::vector<std::string> released;
+    // Targets that may have got a load order lately or may get one now (see handover.h); empty in announcements of program versions before this list.
+    std::optional<std::vector<std::string>> ordered;
+    // The leader gives up the leadership with this announcement, because it stops as planned.
+    bool isHandOver = false;
 };
 
 // Returns `announcement` as JSON.
