Weights: old weights are used up to 0.6 s before their limit where newer ones have no room

Within these 4.2 s a prompt now goes to older weights if the targets with the newest cannot take it and the limit is further away than twice the wait that is forecast at the target; the withdrawal 0.3 s before the limit keeps the rule.

--- a/pimentosail/entry/requestplanning.cpp
+++ b/pimentosail/entry/requestplanning.cpp
@@ -39,12 +39,8 @@
 // `MinStallTimeout`.
 constexpr int StallFactor = 8;
 constexpr Duration MinStallTimeout = Milliseconds(900);
-// Work on older weights stops this long before their limit, because a request may wait at the target for about as long
-// as its deadline allows before it starts.
-constexpr Duration VersionMargin = Milliseconds(4200);
-// A prompt that still waits at a target with older weights this long before their limit is taken back, so that the target has
-// noticed it by then.
-constexpr Duration VersionCutoff = Milliseconds(300);
+// A target whose runs hold more than this share of its cache memory counts as full where older weights could be used instead.
+constexpr double FullMemoryShare = 0.9;
 
 std::vector<std::string> hostNames(const std::vector<HostEntry> &hosts)
 {
@@ -161,7 +157,7 @@
         this->wantedVersion = wanted.version;
         const Time now = this->context.clock.nowWithSuspend();
         this->wantedVersionAge = wanted.setTime.earliest == UnknownPast ? Duration(-1) : now - wanted.setTime.earliest;
-        query.oldestVersion = this->context.state.oldestAllowedVersion(prompt.model, now, this->context.settings.versionLimit - VersionMargin);
+        query.oldestVersion = this->context.state.oldestAllowedVersion(prompt.model, now, this->context.settings.versionLimit - MaxVersionMargin);
     }
     const std::vector<GatedCandidate> gated = this->candidates();
     if (!query.affinity.empty()) {
@@ -174,12 +170,56 @@
         query.cacheZones = this->context.cacheStores.zonesOf(this->saltFor(version), query.affinity);
         this->isCached = !query.cacheZones.empty();
     }
+    query.oldestVersion = this->oldestUsableVersion(query, gated);
     // Targets that have asked other hosts to rest are used if no other target may get the request.
     std::optional<TargetChoice> choice = this->pickAndAcquire(query, gated, false);
     const bool hasAvoided = std::any_of(gated.begin(), gated.end(), [](const GatedCandidate &entry) { return entry.isAvoided; });
     return choice || !hasAvoided ? choice : this->pickAndAcquire(query, gated, true);
 }
 
+// Returns the oldest weight version that the prompt may be sent to: `query.oldestVersion`, or an older one if the targets that `query` allows cannot
+// take the prompt and the limit for older weights is far enough away.
+int64_t RequestRunner::oldestUsableVersion(const PickQuery &query, const std::vector<GatedCandidate> &gated) const
+{
+    // A stream that is resumed is not taken back at the limit.
+    if (!this->request.prompt || this->streaming) {
+        return query.oldestVersion;
+    }
+    const std::string &model = this->request.prompt->model;
+    const Time now = this->context.clock.nowWithSuspend();
+    PickQuery olderQuery = query;
+    olderQuery.oldestVersion = this->context.state.oldestAllowedVersion(model, now, this->context.settings.versionLimit - MinVersionMargin);
+    if (olderQuery.oldestVersion >= query.oldestVersion) {
+        return query.oldestVersion;
+    }
+    std::vector<Candidate> newTargets;
+    std::vector<Candidate> oldTargets;
+    for (const GatedCandidate &entry : gated) {
+        if (entry.candidate.version >= query.oldestVersion) {
+            newTargets.push_back(entry.candidate);
+        } else if (entry.candidate.version > 0) {
+            // A prompt for unknown weights is not taken back at the limit.
+            oldTargets.push_back(entry.candidate);
+        }
+    }
+    const std::optional<TargetChoice> older = pickTarget(olderQuery, oldTargets);
+    if (!older) {
+        return query.oldestVersion;
+    }
+    const std::optional<TargetChoice> newest = pickTarget(query, newTargets);
+    const TimeBounds replaced = this->context.state.setTimeAfter(model, older->version);
+    const Duration left = replaced.earliest + this->context.settings.versionLimit - now;
+    const bool isNeeded = needsOlderWeights(newest ? std::optional(this->offerOf(*newest)) : std::nullopt, this->offerOf(*older), left);
+    return isNeeded ? older->version : query.oldestVersion;
+}
+
+WeightsOffer RequestRunner::offerOf(const TargetChoice &choice) const
+{
+    const Duration expected = this->context.forecast.predict(this->route->name, choice.pendingTokens + static_cast<double>(this->expectedPrefillTokens()));
+    const Duration waited = this->elapsedBefore + (this->context.clock.now() - this->received);
+    return {expected, waited + expected > this->route->targetLatency || choice.heldShare > FullMemoryShare};
+}
+
 std::optional<TargetChoice> RequestRunner::pickAndAcquire(const PickQuery &query, const std::vector<GatedCandidate> &gated, bool usesAvoided)
 {
     std::vector<Candidate> targets;
--- a/pimentosail/entry/requestrunner.h
+++ b/pimentosail/entry/requestrunner.h
@@ -20,6 +20,7 @@
 #include "pimentosail/entry/attempt.h"
 #include "pimentosail/entry/context.h"
 #include "pimentosail/net/httpserver.h"
+#include "pimentosail/rollout/versionmargin.h"
 
 namespace pimentosail
 {
@@ -75,6 +76,8 @@
     // (Overloaded) in the last case.
     void evaluateLoad(const TargetChoice &choice);
     int64_t expectedPrefillTokens() const;
+    int64_t oldestUsableVersion(const PickQuery &query, const std::vector<GatedCandidate> &gated) const;
+    WeightsOffer offerOf(const TargetChoice &choice) const;
     bool forwardEvent(const ReplyHeader &header, const std::string &event, const std::string &id);
     // Processes the result of an attempt. Returns true if the request was answered or the caller disconnected, and false
     // if another attempt is to be made. Throws `Failure` if the request ends without an answer of a target.
