--- a/pimentosail/entry/rolloutleadership.cpp
+++ b/pimentosail/entry/rolloutleadership.cpp
@@ -290,8 +290,9 @@
         // load order that the announcement permits.
         const StoreLease recent = this->store.grantLease(2 * OrderWindow + this->context.settings.leaderGap);
         this->announcementRevision.reset();
+        // The announcement is written last: a store that counts each write of a transaction reports the revision of the last one.
         const CommitOutcome outcome
-            = this->store.commit({conditions, {{RolloutStateKey, value, 0}, {RecentLoadOrderKey, std::to_string(this->ownToken), recent}}, {}});
+            = this->store.commit({conditions, {{RecentLoadOrderKey, std::to_string(this->ownToken), recent}, {RolloutStateKey, value, 0}}, {}});
         if (outcome.status == CommitStatus::Committed) {
             this->announcementRevision = outcome.revision;
             this->announcedAt = requestedAt;
