--- a/pimentosail/entry/requestrunner.h
+++ b/pimentosail/entry/requestrunner.h
@@ -20,6 +20,7 @@
 #include "pimentosail/entry/attempt.h"
 #include "pimentosail/entry/context.h"
 #include "pimentosail/net/httpserver.h"
+#include "pimentosail/rollout/versionmargin.h"
 
 namespace pimentosail
 {
@@ -80,6 +81,8 @@
     // Return the priority of the team or else of the route, and the engine's priority for the prompt under mixed load.
     int configuredPriority() const;
     int mixedPriority() const;
+    int64_t oldestUsableVersion(const PickQuery &query, const std::vector<GatedCandidate> &gated) const;
+    WeightsOffer offerOf(const TargetChoice &choice) const;
     bool forwardEvent(const ReplyHeader &header, const std::string &event, const std::string &id);
     // Processes the result of an attempt. Returns true if the request was answered or the caller disconnected, and false
     // if another attempt is to be made. Throws `Failure` if the request ends without an answer of a target.
