--- a/pimentosail/dispatch/sendwindow.cpp
+++ b/pimentosail/dispatch/sendwindow.cpp
@@ -34,8 +34,7 @@
 double promptPlaces(const PickQuery &query, const Candidate &candidate, double aheadTokens)
 {
     const double latency = toSeconds(query.targetLatency);
-    const double queueTime
-        = query.isLate ? std::min(LateTimeShare * toSeconds(query.timeLeft), LateLatencyFactor * latency) : QueueLatencyShare * latency;
+    const double queueTime = query.isLate ? std::min(LateTimeShare * toSeconds(query.timeLeft), LateLatencyFactor * latency) : QueueLatencyShare * latency;
     const double readTokens = queueTime * 1000 / std::max(query.mixed->readTime * candidate.speed, 1e-6);
     const double queuedTokens = aheadTokens + (query.isLate ? candidate.lateTokens : 0);
     double places = (readTokens - queuedTokens) / std::max(1.0, query.prefillTokens);
--- a/pimentosail/entry/requestplanning.cpp
+++ b/pimentosail/entry/requestplanning.cpp
@@ -3,8 +3,8 @@
 #include <algorithm>
 
 #include "pimentosail/admission/memoryadmission.h"
-#include "pimentosail/dispatch/sendwindow.h"
 #include "pimentosail/dispatch/enginepriority.h"
+#include "pimentosail/dispatch/sendwindow.h"
 
 namespace pimentosail
 {
--- a/pimentosail/kvcache/kvcachetest.cpp
+++ b/pimentosail/kvcache/kvcachetest.cpp
@@ -57,6 +57,17 @@
     cr_assert(third.fetchFrom[0].empty());
 }
 
+// Regression: transfer times were those of 18 KB a token, whatever the model: a 14th to an 18th of the time for two others.
+Test(kvcache, the_expected_transfer_time_grows_with_the_bytes_of_a_token)
+{
+    Fixture fixture;
+    fixture.stores.apply("slow", {1, 1, false, {{"w1", "session", 5000, false}}});
+    const Duration usual = fixture.stores.plan("w1", SamplePrompt, 2, "z1", AcceptableTransferTime, 0).expectedTime;
+    const Duration large = fixture.stores.plan("w1", SamplePrompt, 2, "z1", AcceptableTransferTime, 0, 327680).expectedTime;
+    cr_assert_float_eq(toSeconds(usual) * 1000, 12.7, 0.1);
+    cr_assert_float_eq(toSeconds(large) * 1000, 226, 1);
+}
+
 Test(kvcache, blocks_of_another_salt_are_never_fetched)
 {
     Fixture fixture;
--- a/pimentosail/kvcache/storecontents.cpp
+++ b/pimentosail/kvcache/storecontents.cpp
@@ -305,8 +305,7 @@
     return best;
 }
 
-std::pair<CacheStores::StoreState *, Duration> CacheStores::findSource(
-    const BlockKey &key, double bytes, int64_t tokens, const std::string &zone, Time now)
+std::pair<CacheStores::StoreState *, Duration> CacheStores::findSource(const BlockKey &key, double bytes, int64_t tokens, const std::string &zone, Time now)
 {
     std::pair<StoreState *, Duration> best{nullptr, Duration(0)};
     for (auto &[name, entry] : this->entries) {
