--- a/pimentosail/entry/context.h
+++ b/pimentosail/entry/context.h
@@ -6,8 +6,11 @@
 #include "pimentosail/directory/ratelimits.h"
 #include "pimentosail/directory/targetnotices.h"
 #include "pimentosail/dispatch/blockquarantine.h"
+#include "pimentosail/dispatch/blockshares.h"
 #include "pimentosail/dispatch/forecast.h"
+#include "pimentosail/dispatch/mixedload.h"
 #include "pimentosail/dispatch/quarantine.h"
+#include "pimentosail/dispatch/targetspeeds.h"
 #include "pimentosail/dispatch/workmix.h"
 #include "pimentosail/entry/entrysettings.h"
 #include "pimentosail/entry/entrystate.h"
@@ -44,6 +47,9 @@
     BlockReuse &blockReuse;
     FirstTokenForecast &forecast;
     WorkMix &workMix;
+    MixedLoad &mixedLoad;
+    BlockShares &blockShares;
+    TargetSpeeds &targetSpeeds;
     MessageMemory &answerMemory;
     MessageMemory &requestMemory;
     const StoreMirror &mirror;
--- a/pimentosail/entry/entryprocess.cpp
+++ b/pimentosail/entry/entryprocess.cpp
@@ -54,6 +54,8 @@
 // How long a snapshot of the cache stores' contents is given out. Changes since then follow by the journal.
 constexpr Duration SnapshotLifetime = Milliseconds(500);
 constexpr const char *CacheChangesPath = "/cache/changes";
+// Time (Unix ms) on the targets' clock, as a relay knows it when it answers.
+constexpr const char *TargetClockHeader = "Target-Clock";
 
 int64_t parseQueryNumber(const HttpExchange &exchange, const char *name)
 {
@@ -84,6 +86,8 @@
 private:
     void serveReady(HttpExchange &exchange);
     void servePeer(HttpExchange &exchange);
+    // Logs changes of mixed load and sets its metric.
+    void reportMixedLoad();
     void serveMetrics(HttpExchange &exchange);
     void updateGauges();
     MirrorPeers mirrorPeers();
@@ -118,6 +122,9 @@
     BlockReuse blockReuse;
     FirstTokenForecast forecast;
     WorkMix workMix;
+    MixedLoad mixedLoad;
+    BlockShares blockShares;
+    TargetSpeeds targetSpeeds;
     MessageMemory answerMemory;
     MessageMemory requestMemory;
     EntryContext context;
@@ -138,6 +145,8 @@
     std::atomic<bool> stopping{false};
     // Groups of blocked blocks that were logged. Used by the refresh thread only.
     std::set<std::vector<std::string>> loggedBlocked;
+    // Services whose mixed load was logged. Used by the refresh thread only.
+    std::set<std::string> loggedMixed;
     DutyThread refreshThread;
     HttpServer callerServer;
     HttpServer readyServer;
@@ -158,10 +167,12 @@
     , quarantine(clock)
     , cacheStores(clock)
     , cacheJournal(cacheStores)
+    , mixedLoad(clock)
+    , targetSpeeds(clock)
     , answerMemory(settings.memoryBytes)
     , requestMemory(settings.memoryBytes)
     , context{clock, log, metrics, settings, wire, state, directory, loads, connections, rateLimits, notices, retryBudget, gate, quarantine, blockQuarantine,
-          cacheStores, blockReuse, forecast, workMix, answerMemory, requestMemory, mirror}
+          cacheStores, blockReuse, forecast, workMix, mixedLoad, blockShares, targetSpeeds, answerMemory, requestMemory, mirror}
     , updater(context)
     , peers(peerHttp,
           [this](const std::string &method, size_t bytes) {
@@ -236,7 +247,12 @@
         exchange.send(200, "application/json", this->rpc.handle(exchange.readBody(1024 * 1024, this->clock, PeerCallMargin)));
     } else if (path == CacheChangesPath) {
         try {
-            exchange.send(200, "application/octet-stream", this->answerCacheChanges(exchange));
+            const std::string changes = this->answerCacheChanges(exchange);
+            HeaderList headers{{"Content-Type", "application/octet-stream"}};
+            if (const std::optional<int64_t> time = this->cacheStores.targetClock().at(this->clock.nowWithSuspend())) {
+                headers.emplace_back(TargetClockHeader, std::to_string(*time));
+            }
+            exchange.sendWithHeaders(200, headers, changes, true);
         } catch (const Failure &failure) {
             exchange.sendError(failure.error, "");
         }
@@ -294,11 +310,31 @@
         this->metrics.set("pimentosail_target_notices", {{"kind", std::string(noticeKindName(kind))}},
             static_cast<double>(std::count_if(targetNotices.begin(), targetNotices.end(), [kind](const TargetNotice &notice) { return notice.kind == kind; })));
     }
+    this->reportMixedLoad();
     for (const CacheStore &store : this->cacheStores.stores()) {
         this->metrics.set("pimentosail_cache_store_held_tokens", {{"store", store.name}}, static_cast<double>(this->cacheStores.heldTokens(store.name)));
     }
 }
 
+void EntryProcess::Impl::reportMixedLoad()
+{
+    const std::map<std::string, double> readTimes = this->mixedLoad.mixedServices();
+    for (const auto &[service, readTime] : readTimes) {
+        if (this->loggedMixed.insert(service).second) {
+            this->log.write(LogLevel::Info, "mixed_load_begins", {{"service", service}, {"read_us_per_token", 1000 * readTime}});
+        }
+        this->metrics.set("pimentosail_mixed_load_read_us_per_token", {{"service", service}}, 1000 * readTime);
+    }
+    std::erase_if(this->loggedMixed, [this, &readTimes](const std::string &service) {
+        if (readTimes.contains(service)) {
+            return false;
+        }
+        this->log.write(LogLevel::Info, "mixed_load_ends", {{"service", service}});
+        this->metrics.set("pimentosail_mixed_load_read_us_per_token", {{"service", service}}, 0);
+        return true;
+    });
+}
+
 MirrorPeers EntryProcess::Impl::mirrorPeers()
 {
     MirrorPeers result;
@@ -347,6 +383,10 @@
         if (reply.status != 200) {
             throw Failure(ErrorKind::PeerLost, relay.address + " answered " + std::to_string(reply.status));
         }
+        Poco::Int64 targetTime = 0;
+        if (Poco::NumberParser::tryParse64(reply.header(TargetClockHeader).value_or(""), targetTime)) {
+            this->cacheStores.targetClock().record(targetTime, this->clock.nowWithSuspend());
+        }
         return readCacheChanges(reply.body);
     }
     // A relay of an earlier version.
--- a/pimentosail/entry/requestplanning.cpp
+++ b/pimentosail/entry/requestplanning.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 
 #include "pimentosail/admission/memoryadmission.h"
+#include "pimentosail/dispatch/enginepriority.h"
+#include "pimentosail/dispatch/sendwindow.h"
 
 namespace pimentosail
 {
@@ -39,12 +41,17 @@
 // `MinStallTimeout`.
 constexpr int StallFactor = 8;
 constexpr Duration MinStallTimeout = Milliseconds(900);
-// Work on older weights stops this long before their limit, because a request may wait at the target for about as long
-// as its deadline allows before it starts.
-constexpr Duration VersionMargin = Milliseconds(4200);
-// A prompt that still waits at a target with older weights this long before their limit is taken back, so that the target has
-// noticed it by then.
-constexpr Duration VersionCutoff = Milliseconds(300);
+// A bounded fetch may take at least this long: the estimate of the targets' clock is some ms behind, and the fetch begins only
+// when the target comes to the prompt.
+constexpr Duration MinFetchTime = Milliseconds(100);
+// A fetch may take this multiple of its expected time.
+constexpr int FetchTimeFactor = 2;
+// Under mixed load, a prompt that has waited for its target latency divided by this counts as late.
+constexpr int WindowWaitDivisor = 2;
+// The share of its memory that a target without room has in use, for the decision whether to wait.
+constexpr double TakenShare = 10;
+// A target whose runs hold more than this share of its cache memory counts as full where older weights could be used instead.
+constexpr double FullMemoryShare = 0.9;
 
 std::vector<std::string> hostNames(const std::vector<HostEntry> &hosts)
 {
@@ -133,6 +140,7 @@
             candidate.maxRuns = serviceSettings->engine->slots;
         }
         candidate.lateTokens = static_cast<double>(view.target->lateTokens.load() + otherLoad.lateTokens);
+        candidate.speed = this->isMixed ? this->context.targetSpeeds.factor(view.target->id) : 1;
         candidate.isAtLimit = !decision.isAllowed();
         candidate.nextSend = decision.until;
         gated.isAvoided = decision.isAllowed() && this->context.gate.othersRestUntil(*view.target) > now;
@@ -156,30 +164,92 @@
         query.heldTokens = static_cast<double>(prompt.promptTokens + prompt.maxOutputTokens);
         query.lane = this->context.workMix.laneOf(this->route->name);
         query.longAnswerShare = this->context.workMix.longAnswerShare();
+        query.mixed = this->context.mixedLoad.profile(this->service, this->route->name, this->configuredPriority());
+        query.targetLatency = this->route->targetLatency;
+        // What has reached a target before must not be refused, so it does not wait for a window either.
+        if (query.mixed && !this->streaming && this->arrivals == 0) {
+            const Duration waited = this->elapsedBefore + (this->context.clock.now() - this->received);
+            query.window = windowKey(this->context.settings.name, this->context.clock.now());
+            query.hosts = this->context.state.hostCount();
+            query.isLate = waited >= this->route->targetLatency / WindowWaitDivisor;
+            query.timeLeft = this->deadline - this->context.clock.now();
+        }
+        this->usesWindow = query.window != 0;
+        this->isMixed = query.mixed.has_value();
+        this->readTime = query.mixed ? query.mixed->readTime : 0;
         const WantedVersion wanted = this->context.state.wantedVersion(prompt.model);
         query.newestVersion = wanted.version;
         this->wantedVersion = wanted.version;
         const Time now = this->context.clock.nowWithSuspend();
         this->wantedVersionAge = wanted.setTime.earliest == UnknownPast ? Duration(-1) : now - wanted.setTime.earliest;
-        query.oldestVersion = this->context.state.oldestAllowedVersion(prompt.model, now, this->context.settings.versionLimit - VersionMargin);
+        query.oldestVersion = this->context.state.oldestAllowedVersion(prompt.model, now, this->context.settings.versionLimit - MaxVersionMargin);
     }
     const std::vector<GatedCandidate> gated = this->candidates();
     if (!query.affinity.empty()) {
         const size_t hosts = std::max<size_t>(1, this->context.state.hostCount());
-        query.sampleSize = std::max(MinSample, SampleFactor * gated.size() / hosts);
+        query.sampleSize = query.mixed ? MixedSampleSize : std::max(MinSample, SampleFactor * gated.size() / hosts);
         int64_t version = query.newestVersion;
         for (const GatedCandidate &entry : gated) {
             version = std::max(version, entry.candidate.version);
         }
         query.cacheZones = this->context.cacheStores.zonesOf(this->saltFor(version), query.affinity);
         this->isCached = !query.cacheZones.empty();
+        query.prefillTokens = static_cast<double>(this->expectedPrefillTokens());
+        if (this->preferredTargets == 0) {
+            this->preferredTargets = this->context.blockShares.recordAndCount(this->service, query.affinity, query.prefillTokens, gated.size());
+        }
+        query.preferredTargets = query.mixed ? this->preferredTargets : 1;
     }
+    query.oldestVersion = this->oldestUsableVersion(query, gated);
     // Targets that have asked other hosts to rest are used if no other target may get the request.
     std::optional<TargetChoice> choice = this->pickAndAcquire(query, gated, false);
     const bool hasAvoided = std::any_of(gated.begin(), gated.end(), [](const GatedCandidate &entry) { return entry.isAvoided; });
     return choice || !hasAvoided ? choice : this->pickAndAcquire(query, gated, true);
 }
 
+// Returns the oldest weight version that the prompt may be sent to: `query.oldestVersion`, or an older one if the targets that `query` allows cannot
+// take the prompt and the limit for older weights is far enough away.
+int64_t RequestRunner::oldestUsableVersion(const PickQuery &query, const std::vector<GatedCandidate> &gated) const
+{
+    // A stream that is resumed is not taken back at the limit.
+    if (!this->request.prompt || this->streaming) {
+        return query.oldestVersion;
+    }
+    const std::string &model = this->request.prompt->model;
+    const Time now = this->context.clock.nowWithSuspend();
+    PickQuery olderQuery = query;
+    olderQuery.oldestVersion = this->context.state.oldestAllowedVersion(model, now, this->context.settings.versionLimit - MinVersionMargin);
+    if (olderQuery.oldestVersion >= query.oldestVersion) {
+        return query.oldestVersion;
+    }
+    std::vector<Candidate> newTargets;
+    std::vector<Candidate> oldTargets;
+    for (const GatedCandidate &entry : gated) {
+        if (entry.candidate.version >= query.oldestVersion) {
+            newTargets.push_back(entry.candidate);
+        } else if (entry.candidate.version > 0) {
+            // A prompt for unknown weights is not taken back at the limit.
+            oldTargets.push_back(entry.candidate);
+        }
+    }
+    const std::optional<TargetChoice> older = pickTarget(olderQuery, oldTargets);
+    if (!older) {
+        return query.oldestVersion;
+    }
+    const std::optional<TargetChoice> newest = pickTarget(query, newTargets);
+    const TimeBounds replaced = this->context.state.setTimeAfter(model, older->version);
+    const Duration left = replaced.earliest + this->context.settings.versionLimit - now;
+    const bool isNeeded = needsOlderWeights(newest ? std::optional(this->offerOf(*newest)) : std::nullopt, this->offerOf(*older), left);
+    return isNeeded ? older->version : query.oldestVersion;
+}
+
+WeightsOffer RequestRunner::offerOf(const TargetChoice &choice) const
+{
+    const Duration expected = this->context.forecast.predict(this->route->name, choice.pendingTokens + static_cast<double>(this->expectedPrefillTokens()));
+    const Duration waited = this->elapsedBefore + (this->context.clock.now() - this->received);
+    return {expected, waited + expected > this->route->targetLatency || choice.heldShare > FullMemoryShare};
+}
+
 std::optional<TargetChoice> RequestRunner::pickAndAcquire(const PickQuery &query, const std::vector<GatedCandidate> &gated, bool usesAvoided)
 {
     std::vector<Candidate> targets;
@@ -193,6 +263,9 @@
     while (std::optional<TargetChoice> choice = pickTarget(query, targets)) {
         const SendDecision decision = this->context.gate.acquire(*choice->target, *sharesById.at(choice->target->id));
         if (decision.isAllowed()) {
+            if (query.window != 0) {
+                recordWindowSend(query.window, *choice->target);
+            }
             return choice;
         }
         const auto chosen = std::find_if(targets.begin(), targets.end(), [&choice](const Candidate &candidate) { return candidate.target == choice->target; });
@@ -227,6 +300,9 @@
     }
     const double prefillTokens = static_cast<double>(this->expectedPrefillTokens());
     this->context.workMix.record(this->route->name, prefillTokens, static_cast<double>(this->request.prompt->maxOutputTokens));
+    this->context.mixedLoad.recordPrompt(this->service,
+        {this->route->name, this->route->targetLatency, this->route->priority, static_cast<double>(this->request.prompt->promptTokens), prefillTokens,
+            static_cast<double>(this->request.prompt->promptTokens + this->request.prompt->maxOutputTokens)});
     this->pendingAtSend = choice.pendingTokens + prefillTokens;
     const Duration waited = this->elapsedBefore + (this->context.clock.now() - this->received);
     const Duration expected = this->context.forecast.predict(this->route->name, this->pendingAtSend);
@@ -249,6 +325,7 @@
 bool RequestRunner::admitToMemory(const TargetChoice &choice)
 {
     this->heldShare = choice.heldShare;
+    this->targetSpeed = choice.speed;
     // What has reached a target before must not be refused as not run.
     if (!this->request.prompt || this->streaming || this->arrivals > 0) {
         return true;
@@ -264,6 +341,20 @@
     return decision.verdict == AdmissionVerdict::Send;
 }
 
+// Waits until other targets may be open to this host. A prompt waits for one at which it is on time for half of its target latency,
+// then for any, and is refused after the target latency.
+void RequestRunner::waitForWindow()
+{
+    const Time now = this->context.clock.now();
+    const AdmissionDecision decision = admitPrompt({TakenShare, this->route->priority, WindowWaitDivisor * this->route->targetLatency,
+        this->elapsedBefore + (now - this->received), this->deadline - now, this->random()});
+    if (decision.verdict == AdmissionVerdict::Refuse) {
+        this->retryAfter = decision.retryAfter;
+        throw Failure(ErrorKind::Overloaded, "no target of " + this->service + " has room for the prompt");
+    }
+    this->context.clock.sleepFor(MemoryWaitInterval);
+}
+
 // Waits for a target to become free, for at most a fraction of the target latency and only while the caller is connected.
 TargetChoice RequestRunner::chooseTarget()
 {
@@ -287,6 +378,10 @@
             this->retryAfter = back == Time::max() ? Duration(0) : back - now;
             throw Failure(ErrorKind::NoTarget, "the targets of " + this->service + " take no more requests now");
         }
+        if (this->usesWindow && this->limitEnds.empty()) {
+            this->waitForWindow();
+            continue;
+        }
         if (this->context.clock.now() >= end) {
             throw Failure(ErrorKind::NoTarget, "no target of " + this->service + " may get work now");
         }
@@ -302,6 +397,41 @@
     return CacheSalt{this->request.prompt->model, version, isIsolated ? this->team->name : ""}.text();
 }
 
+int RequestRunner::configuredPriority() const
+{
+    return this->team != nullptr && this->team->priority ? *this->team->priority : this->route->priority;
+}
+
+int RequestRunner::mixedPriority() const
+{
+    ConfiguredPriorities priorities;
+    for (const Route &other : this->serving->all().routes) {
+        priorities.add(other.priority);
+    }
+    for (const TeamSettings &other : this->serving->all().teams) {
+        if (other.priority) {
+            priorities.add(*other.priority);
+        }
+    }
+    const Duration waited = this->elapsedBefore + (this->context.clock.now() - this->received);
+    const double left = 1 - toSeconds(waited) / std::max(toSeconds(this->route->targetLatency), toSeconds(Milliseconds(1)));
+    return priorities.enginePriority(this->configuredPriority(), left);
+}
+
+// Under mixed load, a fetch ends by the time at which the target would have read the tokens instead: a slow link then costs at most
+// the time of reading them.
+std::optional<int64_t> RequestRunner::fetchEnd(const TargetChoice &choice, const CachePlan &cache) const
+{
+    if (!this->isMixed || !cache.hasFetch()) {
+        return std::nullopt;
+    }
+    const double tokens = choice.pendingTokens + static_cast<double>(cache.fetchTokens);
+    const Duration limit = std::max<Duration>(MinFetchTime, FetchTimeFactor * cache.expectedTime) + fromSeconds(tokens * this->readTime / 1000);
+    const Duration latest = this->deadline - this->context.clock.now();
+    const std::optional<int64_t> now = this->context.cacheStores.targetClock().at(this->context.clock.nowWithSuspend());
+    return now ? std::optional<int64_t>(*now + toMilliseconds(std::min(limit, latest))) : std::nullopt;
+}
+
 AttemptPlan RequestRunner::planFor(const TargetChoice &choice)
 {
     AttemptPlan plan;
@@ -310,7 +440,13 @@
     plan.team = this->team == nullptr ? "" : this->team->name;
     plan.resumeAfter = this->lastEventId.empty() ? this->request.resumeAfter : this->lastEventId;
     if (this->request.prompt) {
-        plan.priority = this->team != nullptr && this->team->priority ? *this->team->priority : this->route->priority;
+        plan.priority = this->isMixed ? this->mixedPriority() : this->configuredPriority();
+        this->enginePriority = *plan.priority;
+        if (this->isMixed) {
+            this->context.metrics.count("pimentosail_mixed_choices_total",
+                {{"service", this->service}, {"zone", choice.target->zone == this->context.settings.zone ? "local" : "other"},
+                    {"preferred", choice.isPreferred ? "1" : "0"}});
+        }
         plan.isLate = this->isLate;
         plan.prefillTokens = this->expectedPrefillTokens();
         plan.heldTokens = this->request.prompt->promptTokens + this->request.prompt->maxOutputTokens;
@@ -318,8 +454,12 @@
         this->expectedVersion = choice.version;
         plan.cacheSalt = this->saltFor(choice.version);
         if (choice.version > 0) {
+            const ServiceSettings *settings = this->serving->findService(this->service);
+            const bool hasSize = settings != nullptr && settings->engine && settings->engine->bytesPerToken > 0;
             plan.cache = this->context.cacheStores.plan(plan.cacheSalt, this->request.prompt->blocks, this->sharedBlocks, choice.target->zone,
-                this->route->targetLatency / TransferTimeDivisor, this->random());
+                this->route->targetLatency / TransferTimeDivisor, this->random(),
+                hasSize ? static_cast<double>(settings->engine->bytesPerToken) : CacheStores::DefaultBytesPerToken);
+            plan.cache.fetchEnd = this->fetchEnd(choice, plan.cache);
         }
         this->cacheSource = plan.cache.mainSource;
         this->expectedTransfer = plan.cache.expectedTime;
--- a/pimentosail/entry/requestrunner.h
+++ b/pimentosail/entry/requestrunner.h
@@ -20,6 +20,7 @@
 #include "pimentosail/entry/attempt.h"
 #include "pimentosail/entry/context.h"
 #include "pimentosail/net/httpserver.h"
+#include "pimentosail/rollout/versionmargin.h"
 
 namespace pimentosail
 {
@@ -68,6 +69,8 @@
     TargetShares sharesOf(const TargetState &target, ShareContext &shareContext) const;
     std::optional<TargetChoice> pickAndAcquire(const PickQuery &query, const std::vector<GatedCandidate> &gated, bool usesAvoided);
     std::string saltFor(int64_t version) const;
+    void waitForWindow();
+    std::optional<int64_t> fetchEnd(const TargetChoice &choice, const CachePlan &cache) const;
     AttemptPlan planFor(const TargetChoice &choice);
     AttemptLimits limitsFor(const TargetChoice &choice) const;
     // Decides by the predicted time to first token whether a prompt is sent normally, is sent as late (it then runs after
@@ -75,6 +78,11 @@
     // (Overloaded) in the last case.
     void evaluateLoad(const TargetChoice &choice);
     int64_t expectedPrefillTokens() const;
+    // Return the priority of the team or else of the route, and the engine's priority for the prompt under mixed load.
+    int configuredPriority() const;
+    int mixedPriority() const;
+    int64_t oldestUsableVersion(const PickQuery &query, const std::vector<GatedCandidate> &gated) const;
+    WeightsOffer offerOf(const TargetChoice &choice) const;
     bool forwardEvent(const ReplyHeader &header, const std::string &event, const std::string &id);
     // Processes the result of an attempt. Returns true if the request was answered or the caller disconnected, and false
     // if another attempt is to be made. Throws `Failure` if the request ends without an answer of a target.
@@ -126,6 +134,18 @@
     std::vector<Time> limitEnds;
     // Retry-After of a refusal; zero if there is no estimate.
     Duration retryAfter{};
+    // The last choice of a target was made for mixed load.
+    bool isMixed = false;
+    // The last choice was among targets that are open to this host for a short time.
+    bool usesWindow = false;
+    // Time, in ms, in which a target reads a token; 0 unless the load is mixed.
+    double readTime = 0;
+    // Time that the last target takes for its work, as a multiple of what is usual; 1 if the load is not mixed.
+    double targetSpeed = 1;
+    // Number of preferred targets of the prompt; 0 before the first choice.
+    size_t preferredTargets = 0;
+    // The priority that the last target got.
+    int enginePriority = 0;
     // A cache store holds the last shared block of the prompt.
     bool isCached = false;
 
