--- a/pimentosail/entry/rolloutduty.cpp
+++ b/pimentosail/entry/rolloutduty.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "pimentosail/entry/storeduties.h"
@@ -59,7 +60,6 @@
     this->leadership.stop(this->announcement(), this->pendingTargets());
 }
 
-// Returns true if load orders may be sent now.
 bool RolloutDuty::mayOrder() const
 {
     return this->leadership.mayOrder() && !this->stopping.load();
@@ -81,9 +81,7 @@
 std::vector<std::string> RolloutDuty::pendingTargets() const
 {
     std::vector<std::string> result;
-    for (const auto &[id, load] : this->pendingLoads) {
-        result.push_back(id);
-    }
+    std::transform(this->pendingLoads.begin(), this->pendingLoads.end(), std::back_inserter(result), [](const auto &entry) { return entry.first; });
     return result;
 }
 
@@ -179,7 +177,9 @@
             || (excluded != this->excludedUntil.end() && now < excluded->second);
         if (!handOver.mayOrder(target.id, orderTime)) {
             target.isExcluded = true;
-            target.isLoading = target.isLoading || (target.version < version && handOver.isLoading(target.id, orderTime));
+            // The load of the former leader is done when the version changes; a newer one may be wanted by then.
+            const int64_t former = this->versionsAtTakeover.try_emplace(target.id, target.version).first->second;
+            target.isLoading = target.isLoading || (target.version < version && target.version == former && handOver.isLoading(target.id, orderTime));
         }
         target.requestsInFlight = view.target->inFlight.load();
         byId[target.id] = view.target;
@@ -478,6 +478,7 @@
             this->pendingLoads.clear();
             this->finished.clear();
             this->released.clear();
+            this->versionsAtTakeover.clear();
             this->hasNews = false;
             for (auto &[model, loadTime] : this->loadTimes) {
                 loadTime.endProbe();
