Answers that end before their upload, and odd statuses, are no complete answers

Cause: without a length and chunks, an orderly close counted as the end of an answer, also while its request was still being written; the rest of the upload and a reset that followed were not looked at. A status below 200 of any kind counted as interim, and one above 599 was passed on.

Change: net/answerrules decides for every answer that a host reads whether its status and its end are valid. At a close it needs every byte of the request acknowledged (SIOCOUTQ) and no reset. An answer with its own framing stays complete although the upload was not sent, also if the write failed with a reset; its connection is not used again. Interim answers that come while an upload is being written no longer end the upload, and a peer that closes meanwhile ends the attempt instead of a busy wait. Parts of httpserver.cpp, attempt.cpp and requestrunner.cpp move to files of their own.

--- a/pimentosail/entry/attempt.cpp
+++ b/pimentosail/entry/attempt.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "pimentosail/base/socketstate.h"
+#include "pimentosail/entry/eventtext.h"
 
 namespace pimentosail
 {
@@ -61,58 +62,6 @@
     int64_t held;
 };
 
-// Returns the length of the first complete event in `data`, its terminating empty line included, or 0 if there is none.
-// `searched` bytes at the start are known to contain no end of an event.
-size_t eventLength(std::string_view data, size_t searched)
-{
-    constexpr std::string_view LineFeedEnd = "\n\n";
-    constexpr std::string_view CarriageReturnEnd = "\r\n\r\n";
-    // An end may start in the bytes that were searched.
-    const size_t start = searched - std::min(searched, CarriageReturnEnd.size() - 1);
-    const size_t lineFeedEnd = data.find(LineFeedEnd, start);
-    const size_t carriageReturnEnd
-        = data.substr(0, lineFeedEnd == std::string_view::npos ? lineFeedEnd : lineFeedEnd + LineFeedEnd.size()).find(CarriageReturnEnd, start);
-    if (carriageReturnEnd != std::string_view::npos) {
-        return carriageReturnEnd + CarriageReturnEnd.size();
-    }
-    return lineFeedEnd == std::string_view::npos ? 0 : lineFeedEnd + LineFeedEnd.size();
-}
-
-// Returns true if the event contains comments only: each line is empty or begins with a colon.
-bool isComment(const std::string &event)
-{
-    bool isLineStart = true;
-    for (const char character : event) {
-        if (isLineStart && character != ':' && character != '\n' && character != '\r') {
-            return false;
-        }
-        isLineStart = character == '\n';
-    }
-    return true;
-}
-
-// Returns the value of the event's `id:` line, or an empty string.
-std::string eventId(const std::string &event)
-{
-    size_t start = 0;
-    while (start < event.size()) {
-        const size_t end = std::min(event.find('\n', start), event.size());
-        if (event.compare(start, 3, "id:") == 0) {
-            size_t first = start + 3;
-            while (first < end && event[first] == ' ') {
-                ++first;
-            }
-            size_t last = end;
-            while (last > first && (event[last - 1] == '\r' || event[last - 1] == ' ')) {
-                --last;
-            }
-            return event.substr(first, last - first);
-        }
-        start = end + 1;
-    }
-    return {};
-}
-
 } // namespace
 
 std::string_view attemptEndName(AttemptEnd end)
@@ -144,7 +93,8 @@
     for (int round = 1;; ++round) {
         const Time stallEnd = limits.stallTimeout > Duration(0) ? this->context.clock.now() + limits.stallTimeout : limits.deadline;
         const bool mustBegin = limits.answerBeginsBy != Time(0) && !this->hasBegun && limits.answerBeginsBy < std::min(stallEnd, limits.deadline);
-        const Wait wait{this->context.clock, mustBegin ? limits.answerBeginsBy : std::min(stallEnd, limits.deadline), limits.callerSocket, limits.interrupt};
+        const Wait wait{this->context.clock, mustBegin ? limits.answerBeginsBy : std::min(stallEnd, limits.deadline), limits.callerSocket, limits.interrupt,
+            limits.callerWriter};
         const ReadStatus status = read(wait);
         if (status != ReadStatus::Timeout || wait.end >= limits.deadline || limits.interrupt->isSet()) {
             return status;
@@ -175,6 +125,17 @@
     return false;
 }
 
+bool Attempt::failRead(const HttpConnection &connection, ReadStatus status, const char *reason, AttemptResult &result)
+{
+    this->fail(status, reason, result);
+    if (status == ReadStatus::Broken && connection.fault() != AnswerFault::None) {
+        result.reason += ": " + std::string(answerFaultText(connection.fault()));
+        this->context.metrics.count(
+            "pimentosail_faulty_answers_total", {{"service", this->plan.target->service}, {"fault", std::string(answerFaultText(connection.fault()))}});
+    }
+    return false;
+}
+
 void Attempt::recordFirstResponse(AttemptResult &result)
 {
     this->hasBegun = true;
@@ -253,7 +214,7 @@
         result.end = AttemptEnd::Deadline;
         return nullptr;
     }
-    const Wait wait{this->context.clock, std::min(limits.deadline, now + ConnectTimeout), limits.callerSocket, limits.interrupt};
+    const Wait wait{this->context.clock, std::min(limits.deadline, now + ConnectTimeout), limits.callerSocket, limits.interrupt, limits.callerWriter};
     Result<std::unique_ptr<HttpConnection>> connection = HttpConnection::connect(this->plan.target->address, wait);
     if (!connection && connection.error().kind == ErrorKind::Cancelled) {
         result.end = AttemptEnd::CallerDisconnected;
@@ -275,7 +236,7 @@
 {
     bool anySent = false;
     this->sentAt = this->context.clock.now();
-    const Wait wait{this->context.clock, limits.deadline, limits.callerSocket, limits.interrupt};
+    const Wait wait{this->context.clock, limits.deadline, limits.callerSocket, limits.interrupt, limits.callerWriter};
     const SendStatus status = connection.sendNamed(this->context.wire.encodeAttempt(this->request, this->plan), this->request.id, wait, anySent);
     result.sentAt = anySent ? this->sentAt : Time(0);
     switch (status) {
@@ -308,7 +269,7 @@
         const ReadStatus status
             = this->readWithStall(limits, [&](const Wait &wait) { return connection.readHeader(header, this->request.method != "HEAD", wait); });
         if (status != ReadStatus::Data) {
-            return this->fail(status, "head", result);
+            return this->failRead(connection, status, "head", result);
         }
         ReplyHeader decoded;
         try {
@@ -351,7 +312,7 @@
             }
         }
         if (body != ReadStatus::End) {
-            return this->fail(body, "answer to another request", result);
+            return this->failRead(connection, body, "answer to another request", result);
         }
     }
     return this->fail(ReadStatus::Broken, "too many answers to other requests", result);
@@ -377,7 +338,7 @@
             return;
         }
         if (status != ReadStatus::Data) {
-            this->fail(status, "body", result);
+            this->failRead(connection, status, "body", result);
             return;
         }
         if (!this->holdMemory(result.body, result)) {
@@ -435,7 +396,7 @@
             return;
         }
         // An incomplete event is dropped, even if the HTTP framing says that the body is complete.
-        this->fail(status == ReadStatus::End ? ReadStatus::Broken : status, "events", result);
+        this->failRead(connection, status == ReadStatus::End ? ReadStatus::Broken : status, "events", result);
         return;
     }
 }
--- a/pimentosail/entry/attempt.h
+++ b/pimentosail/entry/attempt.h
@@ -49,6 +49,8 @@
     Time answerBeginsBy{};
     // Socket of the caller's connection, which is watched for its end.
     int callerSocket = -1;
+    // Writes what waits for the caller while the attempt waits for the target; null for nothing.
+    CallerWriter *callerWriter = nullptr;
     // Ends the attempt as its deadline would.
     const Interrupt *interrupt = nullptr;
     // Maximum idle time of a connection that is reused.
@@ -99,6 +101,8 @@
     void readEvents(HttpConnection &connection, const AttemptLimits &limits, const EventSink &sink, AttemptResult &result);
     bool holdMemory(const std::string &received, AttemptResult &result);
     bool fail(ReadStatus status, const char *reason, AttemptResult &result);
+    // The same for a read of `connection`, which may know more of the reason.
+    bool failRead(const HttpConnection &connection, ReadStatus status, const char *reason, AttemptResult &result);
     ReadStatus readWithStall(const AttemptLimits &limits, const std::function<ReadStatus(const Wait &wait)> &read);
     void recordFirstResponse(AttemptResult &result);
     // Record what the target says of itself in its answers: in each, and in the one to this request.
--- a/pimentosail/entry/context.h
+++ b/pimentosail/entry/context.h
@@ -46,6 +46,8 @@
     WorkMix &workMix;
     MessageMemory &answerMemory;
     MessageMemory &requestMemory;
+    // What callers that read slowly have not taken yet.
+    CallerBuffers &callerBuffers;
     const StoreMirror &mirror;
 };
 
--- a/pimentosail/entry/entryprocess.cpp
+++ b/pimentosail/entry/entryprocess.cpp
@@ -31,6 +31,8 @@
 // Connections of other hosts. Each follower of a relay keeps two long polls open.
 constexpr int64_t PeerConnections = 160;
 constexpr int64_t ReadyConnections = 16;
+// What waits for slow readers may take one part in this of the memory of the process, as the answers and the bodies of requests may.
+constexpr int64_t HostMemoryPerCallerBuffers = 8;
 // Time from reporting not ready until the load balancer sends no new requests: it probes once a second and removes a host
 // after two failed probes. A request that is accepted more than three seconds after SIGTERM must be completed, which a
 // long stream could not be.
@@ -120,6 +122,7 @@
     WorkMix workMix;
     MessageMemory answerMemory;
     MessageMemory requestMemory;
+    CallerBuffers callerBuffers;
     EntryContext context;
     StateUpdater updater;
     std::mutex updaterMutex;
@@ -160,8 +163,9 @@
     , cacheJournal(cacheStores)
     , answerMemory(settings.memoryBytes)
     , requestMemory(settings.memoryBytes)
+    , callerBuffers(clock, settings.memoryBytes / HostMemoryPerCallerBuffers)
     , context{clock, log, metrics, settings, wire, state, directory, loads, connections, rateLimits, notices, retryBudget, gate, quarantine, blockQuarantine,
-          cacheStores, blockReuse, forecast, workMix, answerMemory, requestMemory, mirror}
+          cacheStores, blockReuse, forecast, workMix, answerMemory, requestMemory, callerBuffers, mirror}
     , updater(context)
     , peers(peerHttp,
           [this](const std::string &method, size_t bytes) {
@@ -279,6 +283,9 @@
     this->metrics.set("pimentosail_hosts", {}, static_cast<double>(this->state.hostCount()));
     this->metrics.set("pimentosail_idle_connections", {}, static_cast<double>(this->connections.size()));
     this->metrics.set("pimentosail_repeated_ids", {}, static_cast<double>(this->connections.repeatedIds()));
+    this->metrics.set("pimentosail_slow_reader_bytes", {}, static_cast<double>(this->callerBuffers.bytes()));
+    this->metrics.set("pimentosail_slow_readers", {}, static_cast<double>(this->callerBuffers.readers()));
+    this->metrics.set("pimentosail_slow_readers_ended", {}, static_cast<double>(this->callerBuffers.ended()));
     this->metrics.set("pimentosail_log_lines_dropped", {}, static_cast<double>(this->log.dropped()));
     this->metrics.set("pimentosail_log_lines_suppressed", {}, static_cast<double>(this->log.suppressed()));
     const std::vector<SuspectedBlocks> suspects = this->blockQuarantine.suspects();
--- a/pimentosail/entry/requestplanning.cpp
+++ b/pimentosail/entry/requestplanning.cpp
@@ -335,6 +335,7 @@
     AttemptLimits limits;
     limits.deadline = this->deadline;
     limits.callerSocket = this->exchange.callerSocket();
+    limits.callerWriter = this->exchange.callerWriter();
     limits.interrupt = &this->context.state.shutdownEnd;
     limits.maxConnectionIdle = this->route->isIdempotent() ? MaxIdleIdempotent : MaxIdleUnsafe;
     if (this->route->isIdempotent()) {
--- a/pimentosail/entry/requestrunner.cpp
+++ b/pimentosail/entry/requestrunner.cpp
@@ -23,14 +23,9 @@
 constexpr int MaxUnsent = 6;
 // Maximum number of attempts that reach a target.
 constexpr int MaxArrivals = 4;
-// A target gets no requests for this long after it refused one, or answered that another instance runs at its address.
-constexpr Duration RefusalPause = Milliseconds(120);
-constexpr Duration OtherInstancePause = Milliseconds(400);
 // Retry-After of a refusal without an estimate: a random time between this and twice this, so that callers do not return
 // all at once.
 constexpr Duration RetryAfterBase = Milliseconds(250);
-// Maximum wait for the connection by which a host checks whether a target has ended.
-constexpr Duration ReconnectProbe = Milliseconds(200);
 
 // Returns true if the event `id` does not come after `lastId`. IDs that are no numbers can't be compared.
 bool isRepeatedEvent(const std::string &id, const std::string &lastId)
@@ -47,11 +42,6 @@
 constexpr Duration MaxBodyMemoryWait = Milliseconds(800);
 constexpr Duration BodyMemoryInterval = Milliseconds(20);
 
-double milliseconds(Duration duration)
-{
-    return static_cast<double>(duration.count()) / 1000;
-}
-
 } // namespace
 
 RequestRunner::RequestRunner(EntryContext &entryContext, HttpExchange &httpExchange)
@@ -65,6 +55,7 @@
 
 void RequestRunner::run()
 {
+    this->exchange.useBuffers(this->context.callerBuffers);
     try {
         this->admit();
         this->admittedAt = this->context.clock.now();
@@ -74,6 +65,7 @@
     } catch (const std::exception &exception) {
         this->answerFailure(Failure(ErrorKind::Internal, exception.what()));
     }
+    this->finishAnswer();
     this->logDone();
 }
 
@@ -214,76 +206,6 @@
     return true;
 }
 
-// Records a loss against the request if the target is unreachable. A lost connection alone is no evidence that the target
-// has ended.
-void RequestRunner::recordLostTarget(const TargetState &target, const AttemptResult &result)
-{
-    const Wait wait{this->context.clock, this->context.clock.now() + ReconnectProbe, this->exchange.callerSocket()};
-    const Result<std::unique_ptr<HttpConnection>> connection = HttpConnection::connect(target.address, wait);
-    if (connection || connection.error().kind == ErrorKind::Cancelled) {
-        return;
-    }
-    const std::string incarnation = target.id + "/" + std::to_string(target.startedAt);
-    const bool hadEvent = result.timeToFirstEvent > Duration(0);
-    if (!hadEvent && !this->leadingBlocks.empty()) {
-        this->context.blockQuarantine.recordLoss(this->leadingBlocks, incarnation, this->fingerprint);
-    }
-    if (this->context.quarantine.recordLoss(this->fingerprint, incarnation)) {
-        std::string blocks;
-        if (this->request.prompt) {
-            for (const PromptBlock &block : this->request.prompt->blocks) {
-                blocks += (blocks.empty() ? "" : ",") + block.id;
-            }
-        }
-        this->context.log.write(LogLevel::Warning, "target_ended_under_request",
-            {{"id", this->request.id}, {"target", target.id}, {"incarnation", incarnation}, {"fingerprint", std::to_string(this->fingerprint)},
-                {"losses", this->context.quarantine.lossCount(this->fingerprint)}, {"blocks", blocks}, {"had_event", hadEvent},
-                {"suspected", this->context.blockQuarantine.isSuspected(this->leadingBlocks)},
-                {"blocked", this->context.blockQuarantine.isBlocked(this->leadingBlocks)}});
-    }
-}
-
-void RequestRunner::recordResult(const TargetChoice &choice, const AttemptResult &result)
-{
-    TargetState &target = *choice.target;
-    const Time now = this->context.clock.now();
-    const bool failedRun
-        = result.end == AttemptEnd::Lost || result.end == AttemptEnd::Stalled || (result.end == AttemptEnd::Answered && result.header.status >= 500);
-    if (failedRun || result.end == AttemptEnd::Answered) {
-        recordOutcome(target, failedRun);
-    }
-    if (this->request.prompt && result.timeToFirstEvent > Duration(0) && result.header.isEventStream) {
-        this->context.cacheStores.recordFirstTokenTime(this->cacheSource, result.timeToFirstEvent);
-        if (!this->isLate) {
-            this->context.forecast.record(this->route->name, this->pendingAtSend, result.timeToFirstEvent);
-        }
-    }
-    if (result.end == AttemptEnd::NotRun) {
-        const Duration pause = result.header.isOtherInstance ? OtherInstancePause : RefusalPause;
-        target.avoidUntil.store(std::max(target.avoidUntil.load(), (now + pause).count()));
-    }
-    if (result.header.coldRemaining && *result.header.coldRemaining > Duration(0)) {
-        target.coldUntil.store(std::max(target.coldUntil.load(), (now + *result.header.coldRemaining).count()));
-    }
-    if (result.end == AttemptEnd::Lost) {
-        this->context.connections.closeIdle(target.address);
-        this->recordLostTarget(target, result);
-    }
-    this->context.metrics.count("pimentosail_attempts_total", {{"end", std::string(attemptEndName(result.end))}, {"service", this->service}});
-    if (result.header.status >= 400) {
-        this->context.metrics.count("pimentosail_failure_answers_total",
-            {{"service", this->service}, {"status", std::to_string(result.header.status)}, {"stated", result.header.isNotRun ? "1" : "0"}});
-    }
-    if (result.end != AttemptEnd::Answered || result.header.status >= 400) {
-        this->context.log.write(LogLevel::Warning, "attempt_failed",
-            {{"id", this->request.id}, {"target", target.id}, {"zone", target.zone}, {"end", attemptEndName(result.end)}, {"status", result.header.status},
-                {"reason", result.reason}, {"kept_connection", result.usedPooledConnection}, {"sent", result.sentAt != Time(0)},
-                {"stated", result.header.isNotRun}, {"named", !result.header.requestId.empty()}, {"signed", result.header.isSigned},
-                {"arrivals", this->arrivals}, {"possible_runs", this->possibleRuns}, {"version", choice.version},
-                {"target_failures_permille", target.failurePermille.load()}, {"age_ms", milliseconds(now - this->received)}});
-    }
-}
-
 Failure RequestRunner::failureFor(const AttemptResult &result) const
 {
     const std::string text = std::string(attemptEndName(result.end)) + ": " + result.reason;
@@ -355,6 +277,7 @@
     // An error that answers the resumption of a stream is no end of it, whatever its content type.
     if (result.end == AttemptEnd::Answered && this->streaming && result.header.isEventStream && result.header.status == Poco::Net::HTTPResponse::HTTP_OK) {
         this->streamEnded = true;
+        this->exchange.endStream();
         return true;
     }
     // A target that refuses a request states so; then the attempt has not ended as answered.
@@ -439,6 +362,10 @@
         this->outcome = attemptEndName(AttemptEnd::CallerDisconnected);
     }
     if (this->callerDisconnected || this->streaming || this->exchange.isHeaderSent()) {
+        if (!this->callerDisconnected) {
+            // The caller may resume after the last event that it gets.
+            this->exchange.finish(this->context.clock, this->context.state.shutdownEnd);
+        }
         this->exchange.abort();
         return;
     }
@@ -465,37 +392,22 @@
     }
 }
 
-void RequestRunner::logDone()
+void RequestRunner::finishAnswer()
 {
-    const Time now = this->context.clock.now();
-    const std::string routeName = this->route == nullptr ? "" : this->route->name;
-    const std::string kind = this->route == nullptr ? "none" : std::string(requestKindName(this->route->kind));
-    const bool isGood = this->answeredStatus >= 200 && this->answeredStatus < 300 && !this->isAborted() && !this->callerDisconnected;
-    this->context.metrics.count("pimentosail_requests_total", {{"kind", kind}, {"status", std::to_string(this->answeredStatus)}, {"outcome", this->outcome}});
-    if (this->fetchTokens > 0) {
-        this->context.metrics.count("pimentosail_cache_fetch_tokens_total", {{"store", this->cacheSource}}, static_cast<double>(this->fetchTokens));
-    }
-    if (this->saveTokens > 0) {
-        this->context.metrics.count("pimentosail_cache_save_tokens_total", {}, static_cast<double>(this->saveTokens));
-    }
-    this->context.metrics.observeSeconds("pimentosail_request_seconds", {{"kind", kind}}, toSeconds(now - this->received));
-    if (this->firstEventAt > Time(0)) {
-        this->context.metrics.observeSeconds("pimentosail_first_event_seconds", {{"kind", kind}}, toSeconds(this->firstEventAt - this->received));
-    }
-    this->context.log.write(isGood ? LogLevel::Info : LogLevel::Warning, "request_done",
-        {{"id", this->request.id}, {"route", routeName}, {"kind", kind}, {"team", this->team == nullptr ? "" : this->team->name},
-            {"status", this->answeredStatus}, {"outcome", this->outcome}, {"reason", this->lastReason}, {"target", this->lastTarget},
-            {"arrivals", this->arrivals}, {"possible_runs", this->possibleRuns}, {"unsent", this->unsent},
-            {"first_ms", this->firstEventAt > Time(0) ? milliseconds(this->firstEventAt - this->received) : 0.0},
-            {"total_ms", milliseconds(now - this->received)}, {"queued_ms", milliseconds(this->queued)},
-            {"admitted_ms", this->admittedAt > Time(0) ? milliseconds(this->admittedAt - this->received) : 0.0},
-            {"sent_ms", this->lastSentAt > Time(0) ? milliseconds(this->lastSentAt - this->received) : 0.0},
-            {"caller_left", this->callerDisconnected || (!this->isAborted() && this->exchange.isCallerDisconnected())},
-            {"config", this->serving ? this->serving->all().version : 0}, {"config_age_ms", toMilliseconds(now - this->context.state.servingSince())},
-            {"weights", this->weightVersion}, {"expected_version", this->expectedVersion}, {"wanted_version", this->wantedVersion},
-            {"wanted_age_ms", this->wantedVersionAge < Duration(0) ? -1 : toMilliseconds(this->wantedVersionAge)}, {"late", this->isLate},
-            {"pending_tokens", this->pendingAtSend}, {"held_share", this->heldShare}, {"cache_source", this->cacheSource},
-            {"fetch_expected_ms", milliseconds(this->expectedTransfer)}, {"fetch_tokens", this->fetchTokens}, {"save_tokens", this->saveTokens}});
+    // A slow caller's answer is counted in the memory of its buffer only.
+    this->fallback.reset();
+    std::string().swap(this->request.body);
+    this->bodyMemory.reset();
+    const bool isWritten = this->exchange.finish(this->context.clock, this->context.state.shutdownEnd);
+    if (this->exchange.callerWriter()->wasEnded()) {
+        this->callerDisconnected = true;
+        this->outcome = "reader_too_slow";
+        this->lastReason = "callers that read slowly take too much memory, and this one is the slowest";
+    } else if (!isWritten && !this->callerDisconnected) {
+        this->callerDisconnected = true;
+        this->outcome = attemptEndName(AttemptEnd::CallerDisconnected);
+        this->lastReason = "write to the caller";
+    }
 }
 
 } // namespace pimentosail
--- a/pimentosail/entry/requestrunner.h
+++ b/pimentosail/entry/requestrunner.h
@@ -1,5 +1,5 @@
 // Serves one request of a caller: admission, attempts and the answer (requestrunner.cpp), and the choice of a target and
-// the plan of what is sent there (requestplanning.cpp).
+// the plan of what is sent there (requestplanning.cpp), and what is recorded of it (requestrecords.cpp).
 //
 // A request that cannot be served ends with a `Failure`, whose error kind determines the answer. An answer that states
 // that the request was not run is sent only if no attempt can have run it.
@@ -87,6 +87,8 @@
     bool mayTryAgain(const AttemptResult &result);
     void deliver(const AttemptResult &result);
     void answerFailure(const Failure &reported);
+    // Waits until a caller that reads slowly has taken the answer.
+    void finishAnswer();
     Failure failureFor(const AttemptResult &result) const;
     void logDone();
     bool isAborted() const
--- a/pimentosail/net/httpconnection.cpp
+++ b/pimentosail/net/httpconnection.cpp
@@ -4,11 +4,14 @@
 #include <array>
 #include <cerrno>
 #include <sstream>
+#include <string_view>
 #include <system_error>
 #include <vector>
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <Poco/Exception.h>
@@ -43,8 +46,10 @@
 // return Ready, so that the next call on the socket reports them.
 Readiness waitFor(int descriptor, short events, const Wait &wait)
 {
-    short callerEvents = POLLIN | POLLRDHUP;
+    short callerInput = POLLIN | POLLRDHUP;
     while (true) {
+        const bool hasOutput = wait.callerWriter != nullptr && wait.callerWriter->hasPending();
+        const short callerEvents = hasOutput ? static_cast<short>(callerInput | POLLOUT) : callerInput;
         const Duration left = wait.end - wait.clock.now();
         if (left <= Duration(0)) {
             return Readiness::Timeout;
@@ -57,12 +62,15 @@
         if (readyCount < 0 && errno != EINTR) {
             return Readiness::Ready;
         }
-        if (entries[1].revents != 0) {
+        if (hasOutput && (entries[1].revents & POLLOUT) != 0 && !wait.callerWriter->flush()) {
+            return Readiness::CallerDisconnected;
+        }
+        if ((entries[1].revents & ~POLLOUT) != 0) {
             if (isPeerClosed(wait.callerSocket)) {
                 return Readiness::CallerDisconnected;
             }
             // The caller has sent bytes of a further (pipelined) request, which would end every later poll at once.
-            callerEvents = POLLRDHUP;
+            callerInput = POLLRDHUP;
         }
         if (entries[0].revents != 0) {
             return Readiness::Ready;
@@ -126,6 +134,8 @@
     size_t sent = 0;
     this->requestSent = false;
     this->complete = false;
+    this->interimBytes = 0;
+    this->answerFault = AnswerFault::None;
     while (sent < bytes.size()) {
         const ssize_t count = ::send(descriptor, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL | MSG_DONTWAIT);
         if (count > 0) {
@@ -135,7 +145,9 @@
             continue;
         }
         if (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR) {
-            return SendStatus::Broken;
+            // The peer may have answered before it reset the connection.
+            this->resetByPeer = true;
+            return this->readEarlyInput() == EarlyInput::Answer ? SendStatus::AnsweredEarly : SendStatus::Broken;
         }
         const Readiness readiness = waitFor(descriptor, POLLIN | POLLOUT, wait);
         if (readiness == Readiness::Timeout) {
@@ -144,15 +156,66 @@
         if (readiness == Readiness::CallerDisconnected) {
             return SendStatus::CallerDisconnected;
         }
-        char byte = 0;
-        if (::recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0) {
+        switch (this->readEarlyInput()) {
+        case EarlyInput::Answer:
             return SendStatus::AnsweredEarly;
+        case EarlyInput::Closed:
+            // No answer can follow, and the end of the input would end every later wait at once.
+            return SendStatus::Broken;
+        case EarlyInput::None:
+            break;
         }
     }
     this->requestSent = true;
     return SendStatus::Sent;
 }
 
+HttpConnection::EarlyInput HttpConnection::readEarlyInput()
+{
+    std::array<char, MaxHeaderBytes> block;
+    const ssize_t count = ::recv(this->socket.impl()->sockfd(), block.data(), block.size(), MSG_DONTWAIT);
+    if (count > 0) {
+        this->buffer.append(block.data(), static_cast<size_t>(count));
+    } else if (count == 0) {
+        this->closedByPeer = true;
+    }
+    if (this->skipInterimAnswers() != StatusKind::Interim || this->interimBytes + this->buffer.size() > MaxHeaderBytes) {
+        return EarlyInput::Answer;
+    }
+    return this->closedByPeer ? EarlyInput::Closed : EarlyInput::None;
+}
+
+StatusKind HttpConnection::skipInterimAnswers()
+{
+    while (true) {
+        const size_t lineEnd = this->buffer.find('\n');
+        if (lineEnd == std::string::npos) {
+            return StatusKind::Interim;
+        }
+        std::string_view line(this->buffer.data(), lineEnd);
+        line = line.substr(0, line.size() - (line.ends_with('\r') ? 1 : 0));
+        const StatusKind kind = classifyStatusLine(line);
+        const size_t end = kind == StatusKind::Interim ? this->buffer.find("\r\n\r\n") : std::string::npos;
+        if (end == std::string::npos || this->interimBytes > MaxHeaderBytes) {
+            return kind;
+        }
+        this->buffer.erase(0, end + 4);
+        this->interimBytes += end + 4;
+    }
+}
+
+ReadStatus HttpConnection::breakOff(AnswerFault reason)
+{
+    this->answerFault = reason;
+    return ReadStatus::Broken;
+}
+
+bool HttpConnection::isRequestReceived() const
+{
+    int unacknowledged = 0;
+    return this->requestSent && (::ioctl(this->socket.impl()->sockfd(), SIOCOUTQ, &unacknowledged) != 0 || unacknowledged == 0);
+}
+
 SendStatus HttpConnection::sendNamed(const std::string &bytes, const std::string &requestId, const Wait &wait, bool &anySent)
 {
     if (this->hasCarried(requestId)) {
@@ -192,7 +255,7 @@
             return ReadStatus::End;
         }
         if (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR) {
-            return ReadStatus::Broken;
+            return this->breakOff(AnswerFault::Reset);
         }
         const Readiness readiness = waitFor(descriptor, POLLIN, wait);
         if (readiness == Readiness::Timeout) {
@@ -208,41 +271,40 @@
 {
     this->complete = false;
     this->awaitsAnswer = true;
-    size_t interimBytes = 0;
-    while (true) {
-        const size_t end = this->buffer.find("\r\n\r\n");
-        const size_t headerBytes = end == std::string::npos ? this->buffer.size() : end + 4;
-        if (interimBytes + headerBytes > MaxHeaderBytes) {
-            return ReadStatus::Broken;
-        }
-        if (end == std::string::npos) {
-            const ReadStatus status = this->fillBuffer(wait);
-            if (status != ReadStatus::Data) {
-                return status == ReadStatus::End ? ReadStatus::Broken : status;
-            }
-            continue;
+    this->answerFault = AnswerFault::None;
+    size_t headerBytes = 0;
+    while (headerBytes == 0) {
+        const StatusKind kind = this->skipInterimAnswers();
+        if (kind == StatusKind::Invalid) {
+            return this->breakOff(AnswerFault::InvalidStatus);
         }
-        if (this->buffer.compare(0, 5, "HTTP/") != 0) {
+        const size_t end = kind == StatusKind::Final ? this->buffer.find("\r\n\r\n") : std::string::npos;
+        if (this->interimBytes + (end == std::string::npos ? this->buffer.size() : end + 4) > MaxHeaderBytes) {
             return ReadStatus::Broken;
         }
-        try {
-            std::istringstream text(this->buffer.substr(0, headerBytes));
-            header.clear();
-            header.read(text);
-        } catch (const Poco::Exception &) {
-            return ReadStatus::Broken;
+        if (end != std::string::npos) {
+            headerBytes = end + 4;
+            continue;
         }
-        this->buffer.erase(0, headerBytes);
-        if (header.getStatus() >= 200) {
-            break;
+        const ReadStatus status = this->fillBuffer(wait);
+        if (status != ReadStatus::Data) {
+            return status == ReadStatus::End ? this->breakOff(AnswerFault::Truncated) : status;
         }
-        interimBytes += headerBytes;
     }
+    this->interimBytes = 0;
+    try {
+        std::istringstream text(this->buffer.substr(0, headerBytes));
+        header.clear();
+        header.read(text);
+    } catch (const Poco::Exception &) {
+        return ReadStatus::Broken;
+    }
+    this->buffer.erase(0, headerBytes);
     this->targetKeepsAlive = header.getKeepAlive() && header.getVersion() == Poco::Net::HTTPMessage::HTTP_1_1;
     const bool hasNoBody
         = !expectsBody || header.getStatus() == Poco::Net::HTTPResponse::HTTP_NO_CONTENT || header.getStatus() == Poco::Net::HTTPResponse::HTTP_NOT_MODIFIED;
     if (hasNoBody) {
-        this->framing = Framing::None;
+        this->framing = AnswerFraming::None;
         return ReadStatus::Data;
     }
     return this->readFraming(header) ? ReadStatus::Data : ReadStatus::Broken;
@@ -253,17 +315,17 @@
     const std::vector<std::string> lengths = valuesOf(header, Poco::Net::HTTPMessage::CONTENT_LENGTH);
     const std::vector<std::string> encodings = valuesOf(header, Poco::Net::HTTPMessage::TRANSFER_ENCODING);
     if (!encodings.empty()) {
-        this->framing = Framing::Chunked;
+        this->framing = AnswerFraming::Chunked;
         this->chunks = ChunkDecoder();
         return lengths.empty() && encodings.size() == 1 && Poco::icompare(encodings.front(), Poco::Net::HTTPMessage::CHUNKED_TRANSFER_ENCODING) == 0;
     }
     if (lengths.empty()) {
-        this->framing = Framing::UntilClose;
+        this->framing = AnswerFraming::UntilClose;
         return true;
     }
     const std::string &length = lengths.front();
     const bool isNumber = !length.empty() && length.find_first_not_of("0123456789") == std::string::npos;
-    this->framing = Framing::Length;
+    this->framing = AnswerFraming::Length;
     return isNumber && std::all_of(lengths.begin(), lengths.end(), [&length](const std::string &other) { return other == length; })
         && Poco::NumberParser::tryParseUnsigned64(length, this->remaining);
 }
@@ -278,7 +340,7 @@
     if (data.size() > before) {
         return ReadStatus::Data;
     }
-    return status == ChunkStatus::Done ? this->endAnswer() : ReadStatus::Timeout;
+    return status == ChunkStatus::Done ? this->endAnswer(true) : ReadStatus::Timeout;
 }
 
 ReadStatus HttpConnection::decodeFixedLength(std::string &data)
@@ -293,11 +355,20 @@
     if (this->remaining > 0) {
         return ReadStatus::Timeout;
     }
-    return this->endAnswer();
+    return this->endAnswer(true);
 }
 
-ReadStatus HttpConnection::endAnswer()
+ReadStatus HttpConnection::endAnswer(bool isFramingReached)
 {
+    AnswerEnd end{.framing = this->framing, .isFramingReached = isFramingReached};
+    if (this->framing == AnswerFraming::UntilClose) {
+        end.isRequestReceived = this->isRequestReceived();
+        // The kernel reports the end of the input before a reset that has arrived after it.
+        end.isReset = this->resetByPeer || this->socket.impl()->socketError() != 0;
+    }
+    if (const AnswerFault fault = faultAtEnd(end); fault != AnswerFault::None) {
+        return this->breakOff(fault);
+    }
     this->complete = true;
     this->awaitsAnswer = false;
     return ReadStatus::End;
@@ -308,15 +379,15 @@
     while (true) {
         ReadStatus status = ReadStatus::Timeout;
         switch (this->framing) {
-        case Framing::None:
-            return this->endAnswer();
-        case Framing::Chunked:
+        case AnswerFraming::None:
+            return this->endAnswer(true);
+        case AnswerFraming::Chunked:
             status = this->decodeChunked(data);
             break;
-        case Framing::Length:
+        case AnswerFraming::Length:
             status = this->decodeFixedLength(data);
             break;
-        case Framing::UntilClose:
+        case AnswerFraming::UntilClose:
             if (!this->buffer.empty()) {
                 data.append(this->buffer);
                 this->buffer.clear();
@@ -329,8 +400,7 @@
         }
         const ReadStatus filled = this->fillBuffer(wait);
         if (filled == ReadStatus::End) {
-            // Without a length, an orderly close marks the end of the body; with other framing, the body is truncated.
-            return this->framing == Framing::UntilClose ? this->endAnswer() : ReadStatus::Broken;
+            return this->endAnswer(false);
         }
         if (filled != ReadStatus::Data) {
             return filled;
@@ -347,7 +417,7 @@
 
 bool HttpConnection::isReusable() const
 {
-    return this->complete && this->requestSent && this->targetKeepsAlive && !this->closedByPeer && this->framing != Framing::UntilClose
+    return this->complete && this->targetKeepsAlive && !this->closedByPeer && this->framing != AnswerFraming::UntilClose && this->isRequestReceived()
         && this->carriedIds.size() < MaxCarriedIds && this->hasNoPendingInput();
 }
 
--- a/pimentosail/net/httpconnection.h
+++ b/pimentosail/net/httpconnection.h
@@ -23,6 +23,8 @@
 #include "pimentosail/base/clock.h"
 #include "pimentosail/base/error.h"
 #include "pimentosail/base/interrupt.h"
+#include "pimentosail/net/answerrules.h"
+#include "pimentosail/net/callerbuffers.h"
 #include "pimentosail/net/chunkdecoder.h"
 
 namespace pimentosail
@@ -37,6 +39,8 @@
     int callerSocket = -1;
     // Ends the wait as its time would; null watches none.
     const Interrupt *interrupt = nullptr;
+    // Writes to the caller what waits for it, while the wait lasts; null for nothing. Its socket is `callerSocket`.
+    CallerWriter *callerWriter = nullptr;
 };
 
 enum class ReadStatus {
@@ -52,8 +56,8 @@
 
 enum class SendStatus {
     Sent,
-    // The target answered before it had read the complete request. The rest was not sent, so that the connection cannot
-    // be reused.
+    // The target began its final answer before it had read the complete request. The rest was not sent, so that the connection cannot be
+    // reused.
     AnsweredEarly,
     // The connection has carried a request with the same id. Nothing was sent.
     IdRepeated,
@@ -90,8 +94,8 @@
     // Returns true if a request with this id has been sent on this connection; with an empty id, if any request has.
     bool hasCarried(const std::string &requestId) const;
 
-    // Reads the header of the final answer and skips interim answers (1xx), up to a total size. Returns Data on success.
-    // `expectsBody` is false for the answer to HEAD.
+    // Reads the header of the final answer and skips interim answers (100, 102, 103), up to a total size. Returns Data on success, and Broken
+    // for another status, as soon as its line has arrived. `expectsBody` is false for the answer to HEAD.
     ReadStatus readHeader(Poco::Net::HTTPResponse &header, bool expectsBody, const Wait &wait);
 
     // Appends the bytes of the body that have arrived to `data`, and waits if there are none. Returns Data if it has
@@ -101,14 +105,20 @@
     // Returns true if neither a byte nor the close of the connection is pending, so that another request may be sent.
     bool hasNoPendingInput() const;
 
-    // Returns true if the last request was sent completely, its answer is complete, the target keeps the connection open, and the
+    // Returns true if the last request was sent and received completely, its answer is complete, the target keeps the connection open, and the
     // connection has carried fewer than `MaxCarriedIds` requests with ids.
     bool isReusable() const;
 
     // Returns true if only the close of the connection marked the end of the last answer, so that the answer may lack its end.
     bool wasAnswerEndedByClose() const
     {
-        return this->complete && this->framing == Framing::UntilClose;
+        return this->complete && this->framing == AnswerFraming::UntilClose;
+    }
+
+    // Returns why the last read returned Broken, or None if nothing but the failure itself is known.
+    AnswerFault fault() const
+    {
+        return this->answerFault;
     }
 
     // When the connection was last used; set by the pool.
@@ -117,12 +127,11 @@
     Duration targetIdleTimeout{};
 
 private:
-    // How the end of the body is found.
-    enum class Framing {
+    // What a peer has sent while a request is being written to it.
+    enum class EarlyInput {
         None,
-        Length,
-        Chunked,
-        UntilClose,
+        Answer,
+        Closed,
     };
     explicit HttpConnection(Poco::Net::StreamSocket connectedSocket)
         : socket(std::move(connectedSocket))
@@ -131,20 +140,32 @@
 
     // Finds out where the body ends. Returns false if the header is ambiguous about it, so that the next answer could not be found.
     bool readFraming(const Poco::Net::HTTPResponse &header);
+    // Reads what has arrived while a request is being sent, and removes interim answers from it.
+    EarlyInput readEarlyInput();
+    // Removes complete interim answers from the start of `buffer`. Returns Interim if more bytes are needed to tell what follows, or more than
+    // `MaxHeaderBytes` of them have come; Final or Invalid if the line of such a status has arrived.
+    StatusKind skipInterimAnswers();
+    // Returns Broken and remembers why.
+    ReadStatus breakOff(AnswerFault reason);
+    // Returns true if the peer has acknowledged every byte that was sent.
+    bool isRequestReceived() const;
     // Reads once from the socket into `buffer`.
     ReadStatus fillBuffer(const Wait &wait);
     // Decode buffered bytes of a body and append them to `data`. Return Timeout if more bytes are needed.
     ReadStatus decodeChunked(std::string &data);
     ReadStatus decodeFixedLength(std::string &data);
-    // Marks the answer as complete. Returns End.
-    ReadStatus endAnswer();
+    // Decides whether the answer is complete where it ends. Returns End or Broken.
+    ReadStatus endAnswer(bool isFramingReached);
 
     Poco::Net::StreamSocket socket;
     // Hashes of the ids of the requests that were sent.
     std::vector<uint64_t> carriedIds;
     // Bytes received and not yet decoded.
     std::string buffer;
-    Framing framing = Framing::None;
+    AnswerFraming framing = AnswerFraming::None;
+    AnswerFault answerFault = AnswerFault::None;
+    // Bytes of interim answers before the current answer.
+    size_t interimBytes = 0;
     ChunkDecoder chunks;
     // Bytes left of a body with a length.
     Poco::UInt64 remaining = 0;
@@ -152,6 +173,8 @@
     bool complete = false;
     bool targetKeepsAlive = false;
     bool requestSent = true;
+    // A write has reported that the peer reset the connection; the socket reports it once.
+    bool resetByPeer = false;
     // Bytes of a request were sent, and the end of its answer has not been read.
     bool awaitsAnswer = false;
 };
--- a/pimentosail/net/httpserver.cpp
+++ b/pimentosail/net/httpserver.cpp
@@ -18,8 +18,6 @@
 #include <Poco/String.h>
 #include <Poco/URI.h>
 
-#include "pimentosail/base/json.h"
-#include "pimentosail/base/socketstate.h"
 #include "pimentosail/base/statelog.h"
 #include "pimentosail/net/chunkdecoder.h"
 
@@ -106,6 +104,9 @@
             logStateChange("handler_failed", {{"reason", exception.what()}});
             exchange.abort();
         }
+        if (exchange.isStreamOpen()) {
+            exchange.abort();
+        }
         if (!exchange.isHeaderSent()) {
             // The next answer would be taken for the one that is missing.
             exchange.closeAfterAnswer();
@@ -317,132 +318,6 @@
     }
 }
 
-void HttpExchange::closeIfBodyIsUnread()
-{
-    if (!this->isBodyRead && this->framing() != Framing::None) {
-        this->response.setKeepAlive(false);
-    }
-}
-
-void HttpExchange::setHeader(const std::string &name, const std::string &value)
-{
-    this->response.set(name, value);
-}
-
-void HttpExchange::send(int status, const std::string &contentType, const std::string &body)
-{
-    this->closeIfBodyIsUnread();
-    this->response.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
-    this->response.setReason(Poco::Net::HTTPResponse::getReasonForStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status)));
-    this->response.setContentType(contentType);
-    this->response.setContentLength64(static_cast<Poco::Int64>(body.size()));
-    this->sendAnswer(this->method() == Poco::Net::HTTPRequest::HTTP_HEAD ? std::string_view() : body);
-}
-
-void HttpExchange::sendWithHeaders(int status, const std::vector<std::pair<std::string, std::string>> &headers, const std::string &body, bool hasBody)
-{
-    this->closeIfBodyIsUnread();
-    const auto code = static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status);
-    this->response.setStatusAndReason(code);
-    for (const auto &[name, value] : headers) {
-        this->response.add(name, value);
-    }
-    if (hasBody && code != Poco::Net::HTTPResponse::HTTP_NO_CONTENT && code != Poco::Net::HTTPResponse::HTTP_NOT_MODIFIED) {
-        this->response.setContentLength64(static_cast<Poco::Int64>(body.size()));
-    }
-    this->sendAnswer(hasBody ? body : std::string_view());
-}
-
-void HttpExchange::sendAnswer(std::string_view body)
-{
-    std::ostream &out = this->response.send();
-    out.write(body.data(), static_cast<std::streamsize>(body.size()));
-    out.flush();
-    if (!out.good()) {
-        this->abort();
-    }
-}
-
-void HttpExchange::startStreamWithHeaders(int status, const std::vector<std::pair<std::string, std::string>> &headers)
-{
-    this->closeIfBodyIsUnread();
-    this->response.setStatusAndReason(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
-    for (const auto &[name, value] : headers) {
-        this->response.add(name, value);
-    }
-    this->response.setChunkedTransferEncoding(true);
-    this->stream = &this->response.send();
-}
-
-void HttpExchange::abort()
-{
-    this->response.setKeepAlive(false);
-    auto *implementation = dynamic_cast<Poco::Net::HTTPServerRequestImpl *>(&this->request);
-    if (implementation != nullptr) {
-        // POCO's chunked stream writes the last chunk when it is destroyed, which would mark the answer as complete;
-        // the shutdown makes this write fail.
-        ::shutdown(implementation->socket().impl()->sockfd(), SHUT_RDWR);
-    }
-}
-
-int HttpExchange::callerSocket() const
-{
-    auto *implementation = dynamic_cast<Poco::Net::HTTPServerRequestImpl *>(&this->request);
-    return implementation == nullptr ? -1 : implementation->socket().impl()->sockfd();
-}
-
-void HttpExchange::sendJson(int status, const Json::Value &value)
-{
-    this->send(status, "application/json", printJson(value) + "\n");
-}
-
-Json::Value errorBody(const Error &error, const std::string &requestId)
-{
-    Json::Value value;
-    value["error"]["kind"] = std::string(errorName(error.kind));
-    value["error"]["message"] = error.message;
-    value["error"]["not_run"] = error.notRun;
-    value["error"]["request_id"] = requestId;
-    return value;
-}
-
-void HttpExchange::sendError(const Error &error, const std::string &requestId)
-{
-    const ErrorAnswer &answer = answerFor(error.kind);
-    if (answer.retryAfterSeconds > 0) {
-        this->response.set("Retry-After", std::to_string(answer.retryAfterSeconds));
-    }
-    this->sendJson(answer.httpStatus, errorBody(error, requestId));
-}
-
-void HttpExchange::startStream(const std::string &contentType)
-{
-    this->closeIfBodyIsUnread();
-    this->response.setStatus(Poco::Net::HTTPResponse::HTTP_OK);
-    this->response.setContentType(contentType);
-    this->response.setChunkedTransferEncoding(true);
-    this->response.set("Cache-Control", "no-store");
-    this->stream = &this->response.send();
-}
-
-void HttpExchange::write(const std::string &data)
-{
-    try {
-        this->stream->write(data.data(), static_cast<std::streamsize>(data.size()));
-        this->stream->flush();
-    } catch (const Poco::Exception &) {
-        this->stream->setstate(std::ios::badbit);
-    }
-    if (!this->stream->good()) {
-        throw Failure(ErrorKind::Cancelled, "the caller has disconnected");
-    }
-}
-
-bool HttpExchange::isCallerDisconnected() const
-{
-    return isPeerClosed(this->callerSocket());
-}
-
 HttpServer::HttpServer(const std::string &address, int64_t maxConnections, Handler requestHandler)
     : pool(MinThreads, static_cast<int>(maxConnections) + MinThreads)
     , listener(Poco::Net::SocketAddress(address), Backlog)
--- a/pimentosail/net/httpserver.h
+++ b/pimentosail/net/httpserver.h
@@ -11,6 +11,7 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -25,6 +26,8 @@
 
 #include "pimentosail/base/clock.h"
 #include "pimentosail/base/error.h"
+#include "pimentosail/base/interrupt.h"
+#include "pimentosail/net/callerbuffers.h"
 
 namespace pimentosail
 {
@@ -91,6 +94,23 @@
     // Starts a streamed answer with the given headers; `write` adds to it.
     void startStreamWithHeaders(int status, const std::vector<std::pair<std::string, std::string>> &headers);
 
+    // From here on, answers are written through a `CallerWriter`: `sendWithHeaders`, `startStreamWithHeaders` and `write` don't wait for a
+    // slow caller, and `finish` has to be called at the end. To be called before the answer begins.
+    void useBuffers(CallerBuffers &buffers);
+
+    // Returns the writer of `useBuffers`; null without it.
+    CallerWriter *callerWriter()
+    {
+        return this->writer ? &*this->writer : nullptr;
+    }
+
+    // Marks a streamed answer as complete. `finish` writes the mark to a slow caller.
+    void endStream();
+
+    // Waits until a slow caller has taken all that was written through `useBuffers`, or `interrupt` is set. Returns false, after it has shut
+    // the connection down, if the answer could not be written whole. Returns at once, and true, if nothing is kept.
+    bool finish(const Clock &clock, const Interrupt &interrupt);
+
     // Shuts the connection down, so that the caller sees that a streamed answer is incomplete.
     void abort();
 
@@ -111,7 +131,13 @@
     // Returns true if the header of the answer was sent.
     bool isHeaderSent() const
     {
-        return this->response.sent();
+        return this->isHeaderWritten || this->response.sent();
+    }
+
+    // Returns true if a streamed answer was started through `useBuffers` and not ended.
+    bool isStreamOpen() const
+    {
+        return this->isChunked;
     }
 
     // Returns true if the caller has closed its connection, also behind a further request that was not read yet.
@@ -137,12 +163,19 @@
     std::string receive(uint64_t size, Clock &clock, Time end);
     // To be called before the header of an answer is sent.
     void closeIfBodyIsUnread();
+    // Returns the header of the answer as it is sent.
+    std::string headerText() const;
     // Sends the header and `body`. Ends the connection if they can't be written whole, because the next answer would be taken for the rest.
     void sendAnswer(std::string_view body);
 
     Poco::Net::HTTPServerRequest &request;
     Poco::Net::HTTPServerResponse &response;
     std::ostream *stream = nullptr;
+    std::optional<CallerWriter> writer;
+    // A header was written through `writer`.
+    bool isHeaderWritten = false;
+    // A streamed answer was started through `writer`, and its last chunk was not written.
+    bool isChunked = false;
     bool isBodyBegun = false;
     bool isBodyRead = false;
 };
