--- a/cli/main.cpp
+++ b/cli/main.cpp
@@ -1,7 +1,8 @@
 // pimentosail: the command line tool for operators.
 //
 // Exit codes: 0 done (diff: no difference), 1 diff found differences, 2 bad command line or invalid lists,
-// 3 the daemon cannot be reached, 4 conflict with another operator's change, 5 the daemon refused.
+// 3 the daemon cannot be reached, 4 conflict with another operator's change, 5 the daemon refused. check-configuration: 0 nothing found,
+// 1 findings, 2 could not be checked.
 
 #include <cstdlib>
 #include <fstream>
@@ -10,6 +11,7 @@
 
 #include <cxxopts.hpp>
 
+#include "cli/checkconfiguration.h"
 #include "cli/printing.h"
 #include "pimentosail/base/json.h"
 #include "pimentosail/config/configuration.h"
@@ -40,6 +42,8 @@
   status                 revision in force on each entry host, draining hosts, cold targets
   dump [HOST]            print the state of an entry host
   explain ID [FILE...]   print the timeline of a request from log files or standard input
+  check-configuration FILE
+                         check a configuration for entry hosts; --against FILE or --store IP:PORT prints what it changes
 
 Examples:
   pimentosail check examples/winery
@@ -47,9 +51,11 @@
   pimentosail --host 127.0.0.1:18022 apply examples/winery --revision 3 --summary "more slots"
   pimentosail --host 127.0.0.1:18022 zone out melnik
   pimentosail --host 127.0.0.1:18022 status --output json
+  pimentosail check-configuration next.json --against sent.json --json
 
 The daemon is named by --host or the environment variable PIMENTOSAIL_HOST (IP:PORT, the internal address).
-Exit codes: 0 done, 1 diff found differences, 2 usage or invalid lists, 3 unreachable, 4 conflict, 5 refused.)";
+Exit codes: 0 done, 1 diff found differences, 2 usage or invalid lists, 3 unreachable, 4 conflict, 5 refused.
+Exit codes of check-configuration: 0 nothing found, 1 findings, 2 could not be checked.)";
 
 class UsageError : public std::runtime_error
 {
@@ -66,6 +72,8 @@
     std::string author;
     std::string summary;
     std::string outputDirectory;
+    std::string otherFile;
+    std::string storeAddress;
     // The revision that was diffed; negative if none was given.
     int64_t revision = -1;
     bool isJson = false;
@@ -210,6 +218,9 @@
     if (command == "check") {
         return check(invocation);
     }
+    if (command == "check-configuration") {
+        return checkConfigurationFile({invocation.argument(1, "file"), invocation.otherFile, invocation.storeAddress, invocation.isJson}, std::cout, std::cerr);
+    }
     if (command == "diff") {
         return diff(invocation);
     }
@@ -238,7 +249,8 @@
     if (command == "explain") {
         return explain(invocation);
     }
-    const std::string nearest = nearestName(command, {"check", "diff", "apply", "get", "history", "zone", "host", "status", "dump", "explain"});
+    const std::string nearest
+        = nearestName(command, {"check", "check-configuration", "diff", "apply", "get", "history", "zone", "host", "status", "dump", "explain"});
     throw UsageError("unknown command '" + command + "'" + (nearest.empty() ? "" : "; did you mean '" + nearest + "'?"));
 }
 
@@ -300,8 +312,10 @@
         cxxopts::value<std::string>()->default_value("text"))("revision", "revision that was diffed", cxxopts::value<int64_t>()->default_value("-1"))(
         "author", "who makes the change", cxxopts::value<std::string>()->default_value(userVariable == nullptr ? "operator" : userVariable))(
         "summary", "why the change is made", cxxopts::value<std::string>()->default_value("lists applied"))(
-        "into", "directory that get writes the lists into", cxxopts::value<std::string>()->default_value(""))("h,help", "show this help")(
-        "words", "command and arguments", cxxopts::value<std::vector<std::string>>());
+        "against", "file with the configuration in force", cxxopts::value<std::string>()->default_value(""))(
+        "store", "address of the store with the configuration in force, IP:PORT", cxxopts::value<std::string>()->default_value(""))(
+        "json", "the same as --output json")("into", "directory that get writes the lists into", cxxopts::value<std::string>()->default_value(""))(
+        "h,help", "show this help")("words", "command and arguments", cxxopts::value<std::vector<std::string>>());
     options.parse_positional({"words"});
     const cxxopts::ParseResult arguments = options.parse(argc, argv);
     wantsHelp = arguments.count("help") != 0 || arguments.count("words") == 0;
@@ -314,7 +328,8 @@
         throw UsageError("--output: expected text or json, found '" + output + "'");
     }
     return {arguments["words"].as<std::vector<std::string>>(), arguments["host"].as<std::string>(), arguments["author"].as<std::string>(),
-        arguments["summary"].as<std::string>(), arguments["into"].as<std::string>(), arguments["revision"].as<int64_t>(), output == "json"};
+        arguments["summary"].as<std::string>(), arguments["into"].as<std::string>(), arguments["against"].as<std::string>(),
+        arguments["store"].as<std::string>(), arguments["revision"].as<int64_t>(), output == "json" || arguments.count("json") != 0};
 }
 
 } // namespace
