Slow readers: the kernel keeps 128 KB at most; a writer is not destroyed while another thread ends its answer

By reading: the destructor of CallerWriter did not wait for a thread that had dropped its bytes and was about to shut its socket down.

--- a/pimentosail/net/callerbuffers.cpp
+++ b/pimentosail/net/callerbuffers.cpp
@@ -65,7 +65,8 @@
 
 CallerWriter::~CallerWriter()
 {
-    if (this->hasPending()) {
+    if (this->wasKept) {
+        // Another thread that ends this answer uses the writer until it releases the lock.
         const std::lock_guard lock(this->buffers.mutex);
         this->drop();
     }
@@ -142,6 +143,7 @@
             return;
         }
         if (this->blocks.empty()) {
+            this->wasKept = true;
             this->progressAt = now;
             this->buffers.writers.push_back(this);
             this->buffers.readerCount.fetch_add(1);
--- a/pimentosail/net/callerbuffers.h
+++ b/pimentosail/net/callerbuffers.h
@@ -134,6 +134,8 @@
     std::atomic<int64_t> keptBytes{0};
     std::atomic<bool> isEnded{false};
     bool isFailed = false;
+    // Bytes have been kept, so that other threads may know the writer.
+    bool wasKept = false;
     Time progressAt{};
     unsigned initialUserTimeout = 0;
 };
--- a/pimentosail/net/callerbufferstest.cpp
+++ b/pimentosail/net/callerbufferstest.cpp
@@ -1,5 +1,8 @@
 #include <array>
+#include <atomic>
 #include <string>
+#include <thread>
+#include <vector>
 
 #include <sys/socket.h>
 #include <unistd.h>
@@ -137,6 +140,35 @@
     cr_assert_eq(buffers.bytes(), 0);
 }
 
+// Guards against a writer that is destroyed while another thread ends its answer.
+Test(caller_buffers, answers_of_many_threads_end_and_finish_at_the_same_time)
+{
+    constexpr int Threads = 8;
+    constexpr int Rounds = 300;
+    Clock clock;
+    CallerBuffers buffers(clock, Bound / 4);
+    std::vector<std::thread> threads;
+    threads.reserve(Threads);
+    std::atomic<int64_t> ended{0};
+    for (int number = 0; number < Threads; ++number) {
+        threads.emplace_back([&buffers, &ended] {
+            for (int round = 0; round < Rounds; ++round) {
+                Connection connection;
+                CallerWriter writer(buffers, connection.ends[0]);
+                while (writer.write(Part) && buffers.ended() < 1'000'000) { }
+                ended.fetch_add(writer.wasEnded() ? 1 : 0);
+            }
+        });
+    }
+    for (std::thread &thread : threads) {
+        thread.join();
+    }
+    cr_assert_eq(ended.load(), Threads * Rounds);
+    cr_assert_eq(buffers.ended(), ended.load());
+    cr_assert_eq(buffers.bytes(), 0);
+    cr_assert_eq(buffers.readers(), 0);
+}
+
 // Guards against memory that stays counted after a caller has left.
 Test(caller_buffers, a_caller_that_has_left_is_noticed_and_its_memory_released)
 {
--- a/pimentosail/net/httpserver.cpp
+++ b/pimentosail/net/httpserver.cpp
@@ -40,6 +40,9 @@
 // A connection on which nothing is sent is probed in this interval, and ends after this number of lost probes.
 constexpr int KeepAliveProbeSeconds = 1;
 constexpr int KeepAliveProbes = 3;
+// The kernel takes no more than this beyond what is under way to a caller. Without a limit it keeps some MB for each slow reader, which nobody
+// counts.
+constexpr int MaxUnsentBytes = 128 * 1024;
 
 // Digits of a Content-Length that fits 64 bits with a sign.
 constexpr size_t MaxLengthDigits = 18;
@@ -72,14 +75,15 @@
     using Poco::Net::HTTPSession::refill;
 };
 
-// A connection can go silent for good without an end. Accepted sockets inherit these options.
-void endSilentConnections(Poco::Net::ServerSocket &listener)
+// A connection can go silent for good without an end, and its peer may read slowly. Accepted sockets inherit these options.
+void limitConnections(Poco::Net::ServerSocket &listener)
 {
     listener.setOption(IPPROTO_TCP, TCP_USER_TIMEOUT, UserTimeoutMilliseconds);
     listener.setKeepAlive(true);
     listener.setOption(IPPROTO_TCP, TCP_KEEPIDLE, KeepAliveProbeSeconds);
     listener.setOption(IPPROTO_TCP, TCP_KEEPINTVL, KeepAliveProbeSeconds);
     listener.setOption(IPPROTO_TCP, TCP_KEEPCNT, KeepAliveProbes);
+    listener.setOption(IPPROTO_TCP, TCP_NOTSENT_LOWAT, MaxUnsentBytes);
 }
 
 class FunctionHandler : public Poco::Net::HTTPRequestHandler
@@ -322,7 +326,7 @@
     : pool(MinThreads, static_cast<int>(maxConnections) + MinThreads)
     , listener(Poco::Net::SocketAddress(address), Backlog)
 {
-    endSilentConnections(this->listener);
+    limitConnections(this->listener);
     auto *params = new Poco::Net::HTTPServerParams();
     params->setMaxThreads(static_cast<int>(maxConnections));
     params->setMaxQueued(static_cast<int>(maxConnections));
