--- a/pimentosail/entry/context.h
+++ b/pimentosail/entry/context.h
@@ -52,6 +52,8 @@
     TargetSpeeds &targetSpeeds;
     MessageMemory &answerMemory;
     MessageMemory &requestMemory;
+    // What callers that read slowly have not taken yet.
+    CallerBuffers &callerBuffers;
     const StoreMirror &mirror;
 };
 
