Settings of version delivery, software version of targets, condition of the rollout leadership

The delivery of software versions needs the exposure bounds, the version that each target states and writes that depend on the rollout leadership from another thread.

--- a/pimentosail/directory/directory.cpp
+++ b/pimentosail/directory/directory.cpp
@@ -104,7 +104,8 @@
         }
         present.insert(registration.id);
         TargetPointer &state = this->targets[registration.id];
-        const bool restarted = state && (state->startedAt != registration.startedAt || state->address != registration.address);
+        const bool restarted = state
+            && (state->startedAt != registration.startedAt || state->address != registration.address || state->softwareVersion != registration.softwareVersion);
         if (!state || restarted) {
             const bool isNew = restarted || this->hasAppliedRegistrations;
             if (state) {
@@ -116,6 +117,7 @@
             state->service = registration.service;
             state->address = registration.address;
             state->zone = registration.zone;
+            state->softwareVersion = registration.softwareVersion;
             state->startedAt = registration.startedAt;
             const auto cold = this->coldDurations.find(registration.service);
             if (isNew && cold != this->coldDurations.end()) {
--- a/pimentosail/directory/directory.h
+++ b/pimentosail/directory/directory.h
@@ -48,6 +48,8 @@
     bool isDraining = false;
     // Time for which the target was still cold when it wrote this entry.
     Duration coldRemaining{};
+    // Version of the target's software, which is not that of the weights; empty if it states none.
+    std::string softwareVersion;
     // Start of the target in Unix ms, which reveals a restart under the same id. 0 if unknown.
     int64_t startedAt = 0;
     // Weight version by model.
@@ -69,6 +71,8 @@
     std::string service;
     std::string address;
     std::string zone;
+    // Empty if the target states none.
+    std::string softwareVersion;
     int slots = 0;
     int64_t startedAt = 0;
 
--- a/pimentosail/entry/entrysettings.h
+++ b/pimentosail/entry/entrysettings.h
@@ -1,6 +1,7 @@
 // Settings of the entry service. An adapter reads them from the deployment.
 #pragma once
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -45,6 +46,13 @@
     Duration configurationLimit = std::chrono::seconds(2);
     // Time after a version is wanted from which no work may begin on older weights.
     Duration versionLimit = std::chrono::seconds(15);
+    // Largest share of a service's requests, between an order to deliver a new version and its deadline, that a bad version may get from all
+    // hosts together; nothing if the delivery of versions is off.
+    std::optional<double> exposureShare;
+    // Number of requests that a bad version may get beyond that share.
+    int64_t exposureSlack = 50;
+    // Time after its 50th bad response from which a bad version gets no request.
+    Duration rollbackLimit = std::chrono::seconds(5);
     // Bounds on retries of requests.
     SharedRetryBounds retryBounds;
 };
--- a/pimentosail/entry/rolloutleadership.cpp
+++ b/pimentosail/entry/rolloutleadership.cpp
@@ -42,9 +42,22 @@
 
 void RolloutLeadership::stop()
 {
+    this->setHolding(std::nullopt);
     endLease(this->context.log, this->mirror, this->store, this->lease);
 }
 
+std::optional<StoreCondition> RolloutLeadership::holding() const
+{
+    const std::lock_guard lock(this->holdingMutex);
+    return this->heldCondition;
+}
+
+void RolloutLeadership::setHolding(std::optional<StoreCondition> condition)
+{
+    const std::lock_guard lock(this->holdingMutex);
+    this->heldCondition = std::move(condition);
+}
+
 bool RolloutLeadership::mayOrder() const
 {
     const Time now = this->context.clock.nowWithSuspend();
@@ -65,6 +78,7 @@
 {
     this->context.log.write(LogLevel::Warning, "rollout_right_lost", {{"fence", this->ownToken}, {"reason", reason}});
     this->ownToken = 0;
+    this->setHolding(std::nullopt);
     this->lease = {};
     this->mayOrderFrom = Time::max();
     this->announcedAt = Time(0);
@@ -106,6 +120,7 @@
     this->ownToken = *token;
     this->trustedUntil = requestedAt + LeadershipLease;
     this->mayOrderFrom = Time::max();
+    this->setHolding(StoreCondition{RolloutLeaderKey, this->leaderSince.revision, this->leaderSince.era});
     this->context.log.write(LogLevel::Info, "rollout_right_taken", {{"fence", this->ownToken}, {"era", outcome.era}, {"revision", outcome.revision}});
 }
 
--- a/pimentosail/entry/rolloutleadership.h
+++ b/pimentosail/entry/rolloutleadership.h
@@ -7,9 +7,11 @@
 // The leader is the host that has written the leadership key under its lease. A leader relies on the key only for the
 // lease time after the start of its last renewal, on a clock that includes time in suspension, and only in the era of the store in
 // which it wrote the key. `mayOrder` and `isAnnounced` are to be called right before each load order. These and `token` may be called by any
-// thread while the others are not called; the others are called by one thread.
+// thread while the others are not called; the others are called by one thread. `holding` may be called by any thread at any time.
 #pragma once
 
+#include <mutex>
+#include <optional>
 #include <string>
 
 #include "pimentosail/entry/context.h"
@@ -35,6 +37,10 @@
         return this->ownToken;
     }
 
+    // Returns the condition that the leadership key is still the one that this host wrote, or nothing if this host is not the leader. A write
+    // under this condition needs no other protection from a host that has lost the leadership.
+    std::optional<StoreCondition> holding() const;
+
     // Returns true if this host may send load orders now.
     bool mayOrder() const;
 
@@ -49,6 +55,7 @@
     void tryAcquire();
     void renew(Time now);
     void lose(const char *reason);
+    void setHolding(std::optional<StoreCondition> condition);
     // Returns true if the store began another era after this host became the leader.
     bool isOfEarlierEra() const;
     // Sets from when a new leader may send load orders.
@@ -63,6 +70,9 @@
     // Position of the write by which this host became the leader, and the fencing token made of it; 0 if it is not the leader.
     StorePosition leaderSince;
     int64_t ownToken = 0;
+    mutable std::mutex holdingMutex;
+    // Guarded by `holdingMutex`.
+    std::optional<StoreCondition> heldCondition;
     // The leadership is certain until this time. This and the next three times are on the clock that includes suspension.
     Time trustedUntil{};
     // Load orders are sent only from this time on, and within a short time after their announcement.
--- a/pimentosail/entry/storeduties.h
+++ b/pimentosail/entry/storeduties.h
@@ -88,6 +88,11 @@
     // Ends the duty and gives up the leadership.
     void stop();
 
+    const RolloutLeadership &rolloutLeadership() const
+    {
+        return this->leadership;
+    }
+
 private:
     // A load that is prepared (announced to the other hosts) or ordered, and whose end is not known yet. During calls to
     // targets, a thread of its own may use each object.
