--- /dev/null
+++ b/pimentosail/delivery/deliveryplan.cpp
@@ -0,0 +1,1 @@
+#include "pimentosail/delivery/deliveryplan.h"
