Delivery: order, state, exposure limiter and the rule for targets

Reports carry the order since which they count, and a relay's group report is a stream of its own, so that hosts which learn of an order one after another and followers that change relays are not counted twice.

--- a/pimentosail/delivery/deliveryplan.h
+++ b/pimentosail/delivery/deliveryplan.h
@@ -76,4 +76,7 @@
 // Returns the next state.
 DeliveryStep planDelivery(const DeliveryInput &input, const DeliverySettings &settings);
 
+// Returns the state for an order that is not carried out because of `reason`, and ends a delivery that is in progress.
+DeliveryStep rejectDelivery(const DeliveryInput &input, const DeliveryOrder &order, const std::string &reason);
+
 } // namespace pimentosail
--- a/pimentosail/delivery/deliverystate.h
+++ b/pimentosail/delivery/deliverystate.h
@@ -74,9 +74,6 @@
     std::string reason;
     EvidenceSummary evidence;
 
-    // Returns the final state of an order that is not carried out, because of `reason`.
-    static DeliveryState rejected(DeliveryOrder order, std::string reason);
-
     friend bool operator==(const DeliveryState &, const DeliveryState &) = default;
 };
 
--- a/pimentosail/delivery/evidence.h
+++ b/pimentosail/delivery/evidence.h
@@ -16,6 +16,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -76,20 +77,34 @@
     // Takes the sums of all hosts at `now`; rows of other services are passed over.
     void record(const std::vector<OutcomeRow> &totals, Time now);
 
-    // Judges what was recorded. `phase` is the delivery's current phase.
+    // Judges what was recorded. `phase` is the delivery's current phase: in `Switching`, when hardly any answers of old versions arrive, the new one is
+    // compared with their answers before the switch.
     Evidence judge(DeliveryPhase phase);
 
 private:
+    using Routes = std::map<std::string, RouteOutcomes>;
     struct Snapshot
     {
         Time at{};
-        std::map<std::string, RouteOutcomes> routes;
+        Routes routes;
     };
 
+    // Returns the answers since `window` ago, or all if `window` is zero.
+    Routes since(Duration window) const;
+    Routes sinceWarmUp(Routes window) const;
+
     std::string service;
     std::string newVersion;
-    // The first snapshot and those of the last seconds.
+    Snapshot latest;
+    // Those of the last seconds.
     std::deque<Snapshot> snapshots;
+    // End of the warm-up of the new targets, and the counts at that time.
+    std::optional<Time> warmAt;
+    std::optional<Snapshot> warm;
+    // The answers of the last seconds before the switch.
+    std::optional<Routes> beforeSwitch;
+    // While it was watched, the new version was not slow.
+    bool wasFastWhileWatched = false;
     std::string badReason;
 };
 
--- a/pimentosail/delivery/exposurelimiter.h
+++ b/pimentosail/delivery/exposurelimiter.h
@@ -44,6 +44,9 @@
         double saved = 0;
     };
 
+    // Called with `mutex` locked.
+    static bool takeOne(Allowance &allowance);
+
     std::mutex mutex;
     std::map<std::string, Allowance> services;
 };
--- a/pimentosail/delivery/versionoutcomes.h
+++ b/pimentosail/delivery/versionoutcomes.h
@@ -6,13 +6,14 @@
 //     table.recordReport(OutcomeSource::Direct, "front-2", stream, sequence, rows);
 //     std::vector<OutcomeRow> rows = table.totals();
 //
-// Counts are cumulative since the order became known, so a later report repairs the loss of an earlier one. Reports of a host carry the number
-// of their stream; each stream counts from zero, and the streams of a sender add up. A host starts a stream when its process starts and when
-// it begins to report to another relay. The new stream holds what the former relay has not acknowledged; so of what one host counted, at most
-// what it reported within one round trip counts twice after a change of relays, and nothing is lost.
+// Counts are cumulative since the order became known, so a later report repairs the loss of an earlier one. Reports of a host carry the number of
+// their stream; each stream counts from zero, and the streams of a sender add up. A host starts a stream when its process starts and when it begins
+// to report to another relay. The new stream holds what the former relay has not acknowledged; so of what one host counted, at most what it reported
+// within one round trip counts twice after a change of relays, and nothing is lost.
 //
-// Without relays every host sends `ownReport("")` to all others (`Direct`). With relays, a host sends `ownReport(RELAY)` to its relay
-// (`Follower`), a relay sends `groupSums()` to the other relays (`Group`) and `totals()` to its followers, which pass them to `recordTotals`.
+// Without relays every host sends `ownReport("")` to all others (`Direct`). With relays, a host sends `ownReport(RELAY)` to its relay (`Follower`) and
+// calls `acknowledge` when totals of the relay name the included report; a relay sends `groupReport()` to the other relays (`Group`) and `totals()` to
+// its followers, which pass them to `recordTotals`.
 //
 // Thread-safe.
 #pragma once
@@ -60,6 +61,8 @@
 {
     OutcomeKey key;
     OutcomeCounts counts;
+    // The order since which the counts are. Rows of another order than the receiver's are left out, since hosts learn of an order one after another.
+    StorePosition order;
 
     friend bool operator==(const OutcomeRow &, const OutcomeRow &) = default;
 };
@@ -82,15 +85,14 @@
     Group,
 };
 
-// What a host reports of its own counts.
 struct OutcomeReport
 {
-    // Number of the stream, unlike those of other processes.
+    // Number of the stream; differs from those of other processes.
     uint64_t stream = 0;
     std::vector<OutcomeRow> rows;
 };
 
-// Bounds of the table. Rows and streams beyond them are dropped and counted in `droppedRows`.
+// Bounds of the table: different keys, and streams of all senders. What exceeds them is dropped and counted in `dropped`.
 constexpr size_t MaxOutcomeRows = 512;
 constexpr size_t MaxOutcomeStreams = 2048;
 
@@ -119,8 +121,7 @@
     // Returns the first-event time from which an answer counts as slow; nothing before the mean of the old versions (all but the order's) is known.
     std::optional<Duration> slowLimit(const std::string &service, const std::string &route) const;
 
-    // Replaces the last report of this stream of `sender`. Returns false and changes nothing if a later one was recorded already. Rows of services
-    // without an order in progress here are left out.
+    // Replaces the last report of this stream of `sender`. Returns false and changes nothing if a later one was recorded already.
     bool recordReport(OutcomeSource source, const std::string &sender, uint64_t stream, uint64_t sequence, const std::vector<OutcomeRow> &rows);
 
     // Records the totals of the relay that this host follows. They replace its own sums until `forgetTotals`.
@@ -136,32 +137,52 @@
     // Records that the totals of `receiver` include the report `sequence`.
     void acknowledge(const std::string &receiver, uint64_t sequence);
 
-    // Return sums ordered by key: of this host and its followers, and of all hosts.
-    OutcomeReport groupSums() const;
+    // Returns the sums of this host and its followers, ordered by key. Takes the place of `ownReport` on a relay.
+    OutcomeReport groupReport();
+
+    // Returns the sums of all hosts, ordered by key.
     std::vector<OutcomeRow> totals() const;
 
-    int64_t droppedRows() const;
+    // Returns how many rows and reports were dropped because of a bound.
+    int64_t dropped() const;
 
 private:
     using Sums = std::map<OutcomeKey, OutcomeCounts>;
     struct Stream
     {
-        OutcomeSource source = OutcomeSource::Direct;
         uint64_t sequence = 0;
-        // Number of the update, which orders streams by age.
-        uint64_t updated = 0;
         Sums sums;
     };
 
+    // Called with `mutex` locked.
+    void dropServiceLocked(const std::string &service);
+    bool hasRoomLocked(const OutcomeKey &key);
+    Sums takeRowsLocked(const std::vector<OutcomeRow> &rows);
+    std::vector<OutcomeRow> toRowsLocked(const Sums &sums) const;
+    void startStreamLocked(const std::string &receiver);
+    std::optional<Duration> slowLimitLocked(const std::string &service, const std::string &route) const;
+
     const uint64_t process;
     mutable std::mutex mutex;
     // By service.
     std::map<std::string, DeliveryOrder> orders;
     Sums own;
+
+    // The current stream of own reports: who gets it, what former receivers hold, what the receiver has acknowledged, and own counts by report that
+    // is not acknowledged yet.
+    std::string receiver;
+    uint64_t streamNumber = 0;
+    Sums base;
+    Sums acknowledged;
+    std::map<uint64_t, Sums> pending;
+
+    // By sender and stream.
     std::map<std::pair<std::string, uint64_t>, Stream> streams;
+    // Sum of all streams, and of what followers reported during the current stream.
+    Sums streamSums;
+    Sums followerSums;
     std::optional<Sums> relayTotals;
-    uint64_t updates = 0;
-    int64_t dropped = 0;
+    int64_t droppedCount = 0;
 };
 
 } // namespace pimentosail
