--- a/pimentosail/delivery/evidence.cpp
+++ b/pimentosail/delivery/evidence.cpp
@@ -1,1 +1,386 @@
 #include "pimentosail/delivery/evidence.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <utility>
+
+namespace pimentosail
+{
+
+namespace
+{
+
+// A version is bad if its count of failures or slow answers would arise from the old versions' share with this probability at most. Some hundred
+// hardly dependent looks are taken at a delivery, so this finds one good version in a thousand bad. With a fifth of its answers failing, a version is
+// found bad after about 12 failures; operators count 50.
+constexpr double BadProbability = 1e-5;
+// The same for one look at the moment of the switch or of completion.
+constexpr double SuspicionProbability = 2e-3;
+// The same for a version of which too little is known, where the old versions do have such answers.
+constexpr double ExplainedProbability = 5e-3;
+// A version is good if it would show as few failures and slow answers with this probability at most in case `NoticeableExcess` more than ordinary
+// were bad.
+constexpr double OverlookProbability = 0.05;
+constexpr double NoticeableExcess = 0.1;
+// A share that counts as ordinary for any version, and by how much the old versions' measured share is raised.
+constexpr double MinOrdinaryShare = 0.01;
+constexpr double OrdinaryFactor = 1.25;
+constexpr double MaxOrdinaryShare = 0.95;
+
+// Periods over which versions are compared beside the whole time since the order.
+constexpr std::array<Duration, 2> Windows = {std::chrono::seconds(2), std::chrono::seconds(5)};
+constexpr Duration LongestWindow = std::chrono::seconds(5);
+constexpr Duration SnapshotInterval = Milliseconds(100);
+// First answers of new targets may be slow because caches and connections are empty. Slow answers do not count in this time after the first answer.
+constexpr Duration WarmUp = Milliseconds(1500);
+// In the switch, all other new targets get their first requests. A version that was fast while it was watched must be slow in more answers.
+constexpr double SwitchSlowMargin = 0.25;
+constexpr double WarmSwitchSlowMargin = 0.5;
+
+// Answers of both versions on one route with the number of those that are bad in one respect.
+struct Comparison
+{
+    double newAnswers = 0;
+    double newBad = 0;
+    double oldAnswers = 0;
+    double oldBad = 0;
+};
+
+using Comparisons = std::map<std::string, Comparison>;
+using Routes = std::map<std::string, RouteOutcomes>;
+
+enum class Respect {
+    Failures,
+    Slow,
+};
+
+// What the comparison in one respect showed.
+struct Finding
+{
+    // The least probability of a route or of all routes together, where the margin is exceeded.
+    double probability = 1;
+    std::string reason;
+    bool isGood = false;
+    bool hasBadAnswers = false;
+
+    bool isAtMost(double limit) const
+    {
+        return this->probability <= limit;
+    }
+};
+
+// Returns an upper bound (Chernoff's) of the probability of `bad` or more bad answers among `answers`, if each is bad with the probability `share`.
+// At 9 of 40 and a share of 0.03 it is seven times the exact value. 1 if `bad` is not more than expected.
+double upperTail(double bad, double answers, double share)
+{
+    if (answers <= 0 || bad <= share * answers) {
+        return 1;
+    }
+    if (share <= 0) {
+        return 0;
+    }
+    const double actual = bad / answers;
+    double divergence = actual * std::log(actual / share);
+    if (actual < 1) {
+        divergence += (1 - actual) * std::log((1 - actual) / (1 - share));
+    }
+    return std::exp(-answers * divergence);
+}
+
+// The same for `bad` or fewer bad answers.
+double lowerTail(double bad, double answers, double share)
+{
+    return upperTail(answers - bad, answers, 1 - share);
+}
+
+// Returns the share of bad answers that is ordinary after what the old versions show: their share by the rule of succession, a standard deviation
+// more, and a quarter. With few answers of the old versions it is large, so that a version is not judged without a comparison.
+double ordinaryShare(const Comparison &comparison)
+{
+    const double samples = comparison.oldAnswers + 2;
+    const double share = (comparison.oldBad + 1) / samples;
+    const double upper = share + std::sqrt(share * (1 - share) / samples);
+    return std::clamp(upper * OrdinaryFactor, MinOrdinaryShare, MaxOrdinaryShare);
+}
+
+std::string percent(double share)
+{
+    return std::to_string(std::lround(share * 1000) / 10) + "." + std::to_string(std::lround(share * 1000) % 10) + " %";
+}
+
+std::string describe(const std::string &route, const Comparison &comparison, Respect respect)
+{
+    const std::string kind = respect == Respect::Failures ? "failures" : "slow answers";
+    const double oldShare = comparison.oldAnswers > 0 ? comparison.oldBad / comparison.oldAnswers : 0;
+    return (route.empty() ? std::string("all routes: ") : "route " + route + ": ") + std::to_string(std::lround(comparison.newBad)) + " " + kind + " in "
+        + std::to_string(std::lround(comparison.newAnswers)) + " answers, old versions " + percent(oldShare) + " of "
+        + std::to_string(std::lround(comparison.oldAnswers));
+}
+
+// Returns true if the old versions hardly have such answers. One slow answer alone may have an accidental cause.
+bool areUnexplained(const Comparison &comparison, Respect respect)
+{
+    const double least = respect == Respect::Failures ? 1 : 2;
+    if (comparison.newBad < least) {
+        return false;
+    }
+    const double oldShare = comparison.oldAnswers > 0 ? comparison.oldBad / comparison.oldAnswers : 0;
+    return upperTail(comparison.newBad, comparison.newAnswers, oldShare) <= ExplainedProbability;
+}
+
+void note(Finding &finding, const std::string &route, const Comparison &comparison, Respect respect, double ordinary, double margin)
+{
+    const double newShare = comparison.newAnswers > 0 ? comparison.newBad / comparison.newAnswers : 0;
+    const double oldShare = comparison.oldAnswers > 0 ? comparison.oldBad / comparison.oldAnswers : 0;
+    if (newShare - oldShare < margin) {
+        return;
+    }
+    const double probability = upperTail(comparison.newBad, comparison.newAnswers, ordinary);
+    if (probability < finding.probability) {
+        finding.probability = probability;
+        finding.reason = describe(route, comparison, respect);
+    }
+}
+
+Finding compare(const Comparisons &routes, Respect respect, double margin)
+{
+    Finding finding;
+    Comparison all;
+    // The shares of the routes by the new version's answers, since the versions may serve them in different proportions.
+    double ordinary = 0;
+    double oldBad = 0;
+    for (const auto &[route, comparison] : routes) {
+        const double routeOrdinary = ordinaryShare(comparison);
+        note(finding, route, comparison, respect, routeOrdinary, margin);
+        finding.hasBadAnswers = finding.hasBadAnswers || areUnexplained(comparison, respect);
+        all.newAnswers += comparison.newAnswers;
+        all.newBad += comparison.newBad;
+        all.oldAnswers += comparison.oldAnswers;
+        ordinary += comparison.newAnswers * routeOrdinary;
+        oldBad += comparison.oldAnswers > 0 ? comparison.newAnswers * comparison.oldBad / comparison.oldAnswers : 0;
+    }
+    if (all.newAnswers > 0) {
+        all.oldBad = oldBad / all.newAnswers * all.oldAnswers;
+        const double allOrdinary = ordinary / all.newAnswers;
+        note(finding, "", all, respect, allOrdinary, margin);
+        finding.isGood = lowerTail(all.newBad, all.newAnswers, std::min(allOrdinary + NoticeableExcess, MaxOrdinaryShare)) <= OverlookProbability;
+    }
+    return finding;
+}
+
+Comparisons toComparisons(const Routes &routes, Respect respect)
+{
+    const auto bad = [respect](const OutcomeCounts &counts) {
+        return static_cast<double>(respect == Respect::Failures ? counts.failures : counts.slow);
+    };
+    Comparisons comparisons;
+    for (const auto &[route, outcomes] : routes) {
+        comparisons[route] = {static_cast<double>(outcomes.newVersion.answers), bad(outcomes.newVersion), static_cast<double>(outcomes.oldVersions.answers),
+            bad(outcomes.oldVersions)};
+    }
+    return comparisons;
+}
+
+// Replaces the old versions' counts by those of `whole` or `recent`, of which their share of bad answers is larger.
+void useFormerBaseline(Comparisons &routes, const Comparisons &whole, const Comparisons &recent)
+{
+    const auto find = [](const Comparisons &from, const std::string &route) {
+        const auto found = from.find(route);
+        return found == from.end() ? Comparison() : found->second;
+    };
+    for (auto &[route, comparison] : routes) {
+        const Comparison all = find(whole, route);
+        const Comparison last = find(recent, route);
+        const Comparison &baseline = last.oldBad * all.oldAnswers > all.oldBad * last.oldAnswers ? last : all;
+        comparison.oldAnswers = baseline.oldAnswers;
+        comparison.oldBad = baseline.oldBad;
+    }
+}
+
+EvidenceSummary summarize(const Routes &routes)
+{
+    EvidenceSummary summary;
+    for (const auto &[route, outcomes] : routes) {
+        summary.newAnswers += outcomes.newVersion.answers;
+        summary.newFailures += outcomes.newVersion.failures;
+        summary.newSlow += outcomes.newVersion.slow;
+        summary.oldAnswers += outcomes.oldVersions.answers;
+        summary.oldFailures += outcomes.oldVersions.failures;
+        summary.oldSlow += outcomes.oldVersions.slow;
+    }
+    return summary;
+}
+
+// Returns `later` without what `earlier` had.
+Routes difference(const Routes &later, const Routes &earlier)
+{
+    Routes result = later;
+    for (const auto &[route, outcomes] : earlier) {
+        const auto found = result.find(route);
+        if (found != result.end()) {
+            found->second.newVersion -= outcomes.newVersion;
+            found->second.oldVersions -= outcomes.oldVersions;
+        }
+    }
+    return result;
+}
+
+bool isLess(const OutcomeCounts &left, const OutcomeCounts &right)
+{
+    return left.answers < right.answers || left.failures < right.failures || left.slow < right.slow;
+}
+
+// Returns true if some count of `later` is less than in `earlier`, as after a change to a relay that has heard less.
+bool hasDecreased(const Routes &later, const Routes &earlier)
+{
+    return std::any_of(earlier.begin(), earlier.end(), [&later](const auto &entry) {
+        const auto found = later.find(entry.first);
+        return found == later.end() || isLess(found->second.newVersion, entry.second.newVersion) || isLess(found->second.oldVersions, entry.second.oldVersions);
+    });
+}
+
+// Joins findings of several periods and respects into a verdict. The last failure and slow findings are those of the whole time.
+Evidence conclude(const std::vector<Finding> &findings, const Finding &failures, const Finding &slow, const EvidenceSummary &summary)
+{
+    Evidence evidence;
+    evidence.summary = summary;
+    const auto worst = std::min_element(findings.begin(), findings.end(), [](const Finding &a, const Finding &b) { return a.probability < b.probability; });
+    evidence.isSuspicious = worst != findings.end() && worst->isAtMost(SuspicionProbability);
+    evidence.hasBadAnswers = failures.hasBadAnswers || slow.hasBadAnswers;
+    evidence.reason = std::to_string(summary.newAnswers) + " answers with " + std::to_string(summary.newFailures) + " failures and "
+        + std::to_string(summary.newSlow) + " slow ones, old versions " + std::to_string(summary.oldAnswers) + " with " + std::to_string(summary.oldFailures)
+        + " and " + std::to_string(summary.oldSlow);
+    if (worst != findings.end() && worst->isAtMost(BadProbability)) {
+        evidence.verdict = EvidenceVerdict::Bad;
+        evidence.reason = worst->reason;
+    } else if (failures.isGood && slow.isGood) {
+        evidence.verdict = EvidenceVerdict::Good;
+    }
+    if (evidence.isSuspicious) {
+        evidence.reason = worst->reason;
+    }
+    return evidence;
+}
+
+} // namespace
+
+std::string_view evidenceVerdictName(EvidenceVerdict verdict)
+{
+    constexpr std::array<std::string_view, 3> Names = {"good", "bad", "too_few"};
+    return Names.at(static_cast<size_t>(verdict));
+}
+
+Evidence judgeOutcomes(const std::map<std::string, RouteOutcomes> &routes, const EvidenceMargins &margins)
+{
+    const Finding failures = compare(toComparisons(routes, Respect::Failures), Respect::Failures, margins.failures);
+    const Finding slow = compare(toComparisons(routes, Respect::Slow), Respect::Slow, margins.slow);
+    return conclude({failures, slow}, failures, slow, summarize(routes));
+}
+
+EvidenceWindows::EvidenceWindows(std::string serviceName, std::string newVersionName)
+    : service(std::move(serviceName))
+    , newVersion(std::move(newVersionName))
+{
+}
+
+void EvidenceWindows::record(const std::vector<OutcomeRow> &totals, Time now)
+{
+    Snapshot snapshot{.at = now};
+    int64_t newAnswers = 0;
+    for (const OutcomeRow &row : totals) {
+        if (row.key.service != this->service) {
+            continue;
+        }
+        RouteOutcomes &outcomes = snapshot.routes[row.key.route];
+        const bool isNew = row.key.version == this->newVersion;
+        (isNew ? outcomes.newVersion : outcomes.oldVersions) += row.counts;
+        newAnswers += isNew ? row.counts.answers : 0;
+    }
+    if (hasDecreased(snapshot.routes, this->latest.routes)) {
+        this->snapshots.clear();
+        if (this->warm) {
+            this->warm = snapshot;
+        }
+    }
+    this->latest = snapshot;
+    if (newAnswers > 0 && !this->warmAt) {
+        this->warmAt = now + WarmUp;
+    }
+    if (this->warmAt && now >= *this->warmAt && !this->warm) {
+        this->warm = snapshot;
+    }
+    if (this->snapshots.empty() || now >= this->snapshots.back().at + SnapshotInterval) {
+        this->snapshots.push_back(std::move(snapshot));
+    }
+    // The second is the start of the longest window then.
+    while (this->snapshots.size() > 1 && this->snapshots[1].at + LongestWindow <= now) {
+        this->snapshots.pop_front();
+    }
+}
+
+Evidence EvidenceWindows::judge(DeliveryPhase phase)
+{
+    const bool isSwitching = phase == DeliveryPhase::Switching;
+    if (isSwitching && !this->beforeSwitch) {
+        this->beforeSwitch = this->since(LongestWindow);
+    }
+    EvidenceMargins margins;
+    if (isSwitching) {
+        margins.slow = this->wasFastWhileWatched ? WarmSwitchSlowMargin : SwitchSlowMargin;
+    }
+    const Routes &whole = this->latest.routes;
+    const Routes warmWhole = this->sinceWarmUp(Duration(0));
+    const auto compareRoutes = [&](const Routes &routes, const Routes &all, Respect respect, double margin) {
+        Comparisons comparisons = toComparisons(routes, respect);
+        if (isSwitching) {
+            useFormerBaseline(comparisons, toComparisons(all, respect), toComparisons(*this->beforeSwitch, respect));
+        }
+        return compare(comparisons, respect, margin);
+    };
+    const Finding failures = compareRoutes(whole, whole, Respect::Failures, margins.failures);
+    const Finding slow = compareRoutes(warmWhole, warmWhole, Respect::Slow, margins.slow);
+    std::vector<Finding> findings = {failures, slow};
+    for (const Duration window : Windows) {
+        findings.push_back(compareRoutes(this->since(window), whole, Respect::Failures, margins.failures));
+        findings.push_back(compareRoutes(this->sinceWarmUp(window), warmWhole, Respect::Slow, margins.slow));
+    }
+    Evidence evidence = conclude(findings, failures, slow, summarize(whole));
+    if (phase == DeliveryPhase::Watching) {
+        this->wasFastWhileWatched = slow.isGood;
+    }
+    if (evidence.verdict == EvidenceVerdict::Bad && this->badReason.empty()) {
+        this->badReason = evidence.reason;
+    }
+    if (!this->badReason.empty()) {
+        evidence.verdict = EvidenceVerdict::Bad;
+        evidence.isSuspicious = true;
+        evidence.reason = this->badReason;
+    }
+    return evidence;
+}
+
+const EvidenceWindows::Snapshot *EvidenceWindows::startOf(Duration window) const
+{
+    // The latest one that is old enough; the first one if the window began before it.
+    const auto found
+        = std::find_if(this->snapshots.rbegin(), this->snapshots.rend(), [&](const Snapshot &snapshot) { return snapshot.at + window <= this->latest.at; });
+    return found != this->snapshots.rend() ? &*found : this->snapshots.empty() ? nullptr : &this->snapshots.front();
+}
+
+EvidenceWindows::Routes EvidenceWindows::since(Duration window) const
+{
+    const Snapshot *const start = this->startOf(window);
+    return start == nullptr ? this->latest.routes : difference(this->latest.routes, start->routes);
+}
+
+EvidenceWindows::Routes EvidenceWindows::sinceWarmUp(Duration window) const
+{
+    if (!this->warm) {
+        return {};
+    }
+    const Snapshot *const start = window > Duration(0) ? this->startOf(window) : nullptr;
+    return difference(this->latest.routes, (start != nullptr && start->at > this->warm->at ? *start : *this->warm).routes);
+}
+
+} // namespace pimentosail
--- a/pimentosail/delivery/evidence.h
+++ b/pimentosail/delivery/evidence.h
@@ -89,9 +89,12 @@
         Routes routes;
     };
 
-    // Returns the answers since `window` ago, or all if `window` is zero.
+    // Returns the counts at the start of the `window` before the last ones, or nullptr.
+    const Snapshot *startOf(Duration window) const;
+    // Returns the answers in the `window`.
     Routes since(Duration window) const;
-    Routes sinceWarmUp(Routes window) const;
+    // The same without those before the end of the warm-up; all after it if `window` is zero.
+    Routes sinceWarmUp(Duration window) const;
 
     std::string service;
     std::string newVersion;
