--- a/pimentosail/entry/binarymessage.h
+++ b/pimentosail/entry/binarymessage.h
@@ -32,6 +32,9 @@
     return static_cast<uint64_t>(std::max<int64_t>(0, value));
 }
 
+// Bytes of the longest name that is read.
+constexpr uint64_t MaxSentName = 200;
+
 class MessageWriter
 {
 public:
@@ -101,7 +104,7 @@
     std::string name()
     {
         const uint64_t size = this->number();
-        this->check(size <= MaxName);
+        this->check(size <= MaxSentName);
         std::string value;
         this->reader.readRaw(static_cast<std::streamsize>(size), value);
         this->check(this->reader.good() && value.size() == size);
@@ -128,8 +131,6 @@
 
 private:
     static constexpr Milliseconds MaxAge = std::chrono::hours(24);
-    // Bytes of a name.
-    static constexpr uint64_t MaxName = 200;
 
     void check(bool isValid)
     {
--- a/pimentosail/entry/context.h
+++ b/pimentosail/entry/context.h
@@ -9,6 +9,7 @@
 #include "pimentosail/dispatch/forecast.h"
 #include "pimentosail/dispatch/quarantine.h"
 #include "pimentosail/dispatch/workmix.h"
+#include "pimentosail/entry/deliveries.h"
 #include "pimentosail/entry/entrysettings.h"
 #include "pimentosail/entry/entrystate.h"
 #include "pimentosail/entry/messagememory.h"
@@ -46,6 +47,7 @@
     WorkMix &workMix;
     MessageMemory &answerMemory;
     MessageMemory &requestMemory;
+    Deliveries &deliveries;
     const StoreMirror &mirror;
 };
 
--- a/pimentosail/entry/deliveryduty.cpp
+++ b/pimentosail/entry/deliveryduty.cpp
@@ -186,9 +186,9 @@
         }
         // Another host is the leader, or the mirror does not have this host's last write yet, whose answer was lost.
         this->context.log.write(LogLevel::Info, "delivery_not_written", {{"service", service}, {"reason", "the leadership or the state has changed"}});
-    } catch (const Failure &failure) {
+    } catch (const Failure &) {
+        // The state may have been written; then the condition on it fails until the mirror has it.
         this->context.metrics.count("pimentosail_store_failures_total", {{"duty", "delivery"}});
-        this->context.log.write(LogLevel::Warning, "delivery_not_written", {{"service", service}, {"reason", failure.what()}});
     }
 }
 
--- a/pimentosail/entry/entryprocess.cpp
+++ b/pimentosail/entry/entryprocess.cpp
@@ -10,6 +10,7 @@
 #include <Poco/NumberParser.h>
 
 #include "pimentosail/base/json.h"
+#include "pimentosail/entry/deliveryduty.h"
 #include "pimentosail/entry/loadduty.h"
 #include "pimentosail/entry/peermessages.h"
 #include "pimentosail/entry/requestrunner.h"
@@ -120,6 +121,7 @@
     WorkMix workMix;
     MessageMemory answerMemory;
     MessageMemory requestMemory;
+    Deliveries deliveries;
     EntryContext context;
     StateUpdater updater;
     std::mutex updaterMutex;
@@ -129,6 +131,7 @@
     RpcServer rpc;
     HostDuty hostDuty;
     RolloutDuty rolloutDuty;
+    DeliveryDuty deliveryDuty;
     CacheEventDuty cacheDuty;
     LoadDuty loadDuty;
     std::mutex snapshotMutex;
@@ -160,8 +163,9 @@
     , cacheJournal(cacheStores)
     , answerMemory(settings.memoryBytes)
     , requestMemory(settings.memoryBytes)
+    , deliveries(clock, log, metrics, settings.exposureShare.has_value())
     , context{clock, log, metrics, settings, wire, state, directory, loads, connections, rateLimits, notices, retryBudget, gate, quarantine, blockQuarantine,
-          cacheStores, blockReuse, forecast, workMix, answerMemory, requestMemory, mirror}
+          cacheStores, blockReuse, forecast, workMix, answerMemory, requestMemory, deliveries, mirror}
     , updater(context)
     , peers(peerHttp,
           [this](const std::string &method, size_t bytes) {
@@ -192,6 +196,7 @@
               }}})
     , hostDuty(context, store, mirror)
     , rolloutDuty(context, store, mirror)
+    , deliveryDuty(context, store, mirror, rolloutDuty.rolloutLeadership())
     , cacheDuty(context, cacheJournal,
           [this](const HostEntry &relay, const JournalPosition &position, Duration wait) { return this->fetchCacheChanges(relay, position, wait); })
     , loadDuty(context)
@@ -213,6 +218,7 @@
     this->refreshThread.join();
     this->loadDuty.stop();
     this->cacheDuty.stop();
+    this->deliveryDuty.stop();
     this->rolloutDuty.stop();
     this->hostDuty.stop();
     this->mirror.stop();
@@ -339,7 +345,7 @@
 
 CacheChanges EntryProcess::Impl::fetchCacheChanges(const HostEntry &relay, const JournalPosition &position, Duration wait)
 {
-    if (relay.loadFormat >= LoadFormat) {
+    if (relay.loadFormat >= BinaryLoadFormat) {
         const std::string query = "?journal=" + position.journal + "&after=" + std::to_string(position.next)
             + "&status_after=" + std::to_string(position.statusPosition) + "&wait_ms=" + std::to_string(toMilliseconds(wait));
         const HttpReply reply = this->peerHttp.call(relay.address, {"GET", CacheChangesPath + query, {}, ""}, wait + PeerCallMargin);
@@ -414,6 +420,17 @@
     for (const TargetNotice &notice : this->notices.known(this->clock.now())) {
         value["target_notices"][std::string(noticeKindName(notice.kind))].append(notice.target);
     }
+    for (const std::string &service : this->deliveries.services()) {
+        const DeliveryKnowledge known = this->deliveries.knowledge(service);
+        Json::Value &entry = value["deliveries"][service];
+        entry["ordered_version"] = known.order ? known.order->order.version : "";
+        entry["order_error"] = known.order ? known.order->error : "";
+        entry["phase"] = known.state ? std::string(deliveryPhaseName(known.state->phase)) : "none";
+        entry["reason"] = known.state ? known.state->reason : "";
+        entry["evidence"] = std::string(evidenceVerdictName(known.evidence.verdict));
+        entry["evidence_reason"] = known.evidence.reason;
+        entry["elapsed_ms"] = Json::Int64(toMilliseconds(known.elapsed));
+    }
     value["targets"] = Json::Int64(static_cast<int64_t>(this->directory.size()));
     value["idle_connections"] = Json::Int64(static_cast<int64_t>(this->connections.size()));
     value["log"]["dropped"] = Json::Int64(this->log.dropped());
@@ -469,6 +486,7 @@
     this->mirror.start();
     this->hostDuty.start();
     this->rolloutDuty.start();
+    this->deliveryDuty.start();
     this->cacheDuty.start();
     this->loadDuty.start();
     this->refreshThread.start();
@@ -484,6 +502,7 @@
     const Time shutdownStart = this->clock.now();
     this->log.write(LogLevel::Info, "draining", {{"requests", this->callerServer.running()}});
     this->state.isDraining.store(true);
+    this->deliveryDuty.stop();
     this->rolloutDuty.stop();
     const Time deadline = shutdownStart + this->settings.shutdownGrace - ShutdownMargin;
     Time idleSince = this->clock.now();
--- a/pimentosail/entry/loadmessages.cpp
+++ b/pimentosail/entry/loadmessages.cpp
@@ -70,8 +70,38 @@
     writer.number(number.sequence);
 }
 
+// Returns true if the row's names fit a message; see `MessageReader::name`.
+bool isSendable(const OutcomeRow &row)
+{
+    return std::max({row.key.service.size(), row.key.version.size(), row.key.route.size()}) <= MaxSentName;
+}
+
+void writeOutcomes(MessageWriter &writer, const OutcomeReport &outcomes)
+{
+    writer.number(outcomes.stream);
+    writer.number(static_cast<uint64_t>(std::count_if(outcomes.rows.begin(), outcomes.rows.end(), isSendable)));
+    for (const OutcomeRow &row : outcomes.rows) {
+        if (!isSendable(row)) {
+            continue;
+        }
+        writer.name(row.key.service);
+        writer.name(row.key.version);
+        writer.name(row.key.route);
+        writer.number(toUnsigned(row.counts.answers));
+        writer.number(toUnsigned(row.counts.failures));
+        writer.number(toUnsigned(row.counts.slow));
+        writer.number(toUnsigned(row.counts.firstEvents.count()));
+    }
+}
+
+// Returns the format in which `message` is written for a receiver that reads formats up to `receiverFormat`.
+uint8_t formatFor(const LoadMessage &message, int receiverFormat)
+{
+    return static_cast<uint8_t>(receiverFormat >= OutcomeLoadFormat && !message.outcomes.rows.empty() ? OutcomeLoadFormat : BinaryLoadFormat);
+}
+
 // Writes what follows `included` in a datagram.
-std::string writeCommon(const LoadMessage &message, Time now)
+std::string writeCommon(const LoadMessage &message, Time now, uint8_t format)
 {
     MessageWriter writer;
     writer.name(message.sender);
@@ -80,13 +110,16 @@
     writeLoads(writer, message.loads);
     writeLimits(writer, message.limits, now);
     writeNotices(writer, message.notices, now);
+    if (format >= OutcomeLoadFormat) {
+        writeOutcomes(writer, message.outcomes);
+    }
     return writer.take();
 }
 
-std::string writeStart(LoadMessageKind kind, const ReportNumber &included)
+std::string writeStart(LoadMessageKind kind, const ReportNumber &included, uint8_t format)
 {
     MessageWriter writer;
-    writer.byte(LoadFormat);
+    writer.byte(format);
     writer.byte(static_cast<uint8_t>(kind));
     writeNumber(writer, included);
     return writer.take();
@@ -100,13 +133,28 @@
     return number;
 }
 
+void readOutcomes(MessageReader &reader, OutcomeReport &outcomes)
+{
+    outcomes.stream = reader.number();
+    for (uint64_t rows = reader.rows(MaxOutcomeRows); rows > 0; --rows) {
+        OutcomeRow &row = outcomes.rows.emplace_back();
+        row.key.service = reader.name();
+        row.key.version = reader.name();
+        row.key.route = reader.name();
+        row.counts.answers = reader.signedNumber();
+        row.counts.failures = reader.signedNumber();
+        row.counts.slow = reader.signedNumber();
+        row.counts.firstEvents = Duration(reader.signedNumber());
+    }
+}
+
 LoadMessage readMessage(std::string_view bytes, Time now)
 {
     MessageReader reader(bytes);
     LoadMessage message;
     const uint8_t format = reader.byte();
     const uint8_t kind = reader.byte();
-    if (format != LoadFormat || kind > static_cast<uint8_t>(LoadMessageKind::Totals)) {
+    if (format < BinaryLoadFormat || format > LoadFormat || kind > static_cast<uint8_t>(LoadMessageKind::Totals)) {
         throw Failure(ErrorKind::BadRequest, "the load report has an unknown format");
     }
     message.kind = static_cast<LoadMessageKind>(kind);
@@ -145,6 +193,9 @@
             message.notices.push_back(std::move(notice));
         }
     }
+    if (format >= OutcomeLoadFormat) {
+        readOutcomes(reader, message.outcomes);
+    }
     reader.checkEnd();
     return message;
 }
@@ -182,19 +233,21 @@
 
 } // namespace
 
-std::string encodeLoadMessage(const LoadMessage &message, Time now)
+std::string encodeLoadMessage(const LoadMessage &message, Time now, int receiverFormat)
 {
-    return writeStart(message.kind, message.included) + writeCommon(message, now);
+    const uint8_t format = formatFor(message, receiverFormat);
+    return writeStart(message.kind, message.included, format) + writeCommon(message, now, format);
 }
 
-TotalsEncoder::TotalsEncoder(const LoadMessage &message, Time now)
-    : common(writeCommon(message, now))
+TotalsEncoder::TotalsEncoder(const LoadMessage &message, Time now, int receiverFormat)
+    : format(formatFor(message, receiverFormat))
+    , common(writeCommon(message, now, this->format))
 {
 }
 
 std::string TotalsEncoder::makeFor(const ReportNumber &included) const
 {
-    return writeStart(LoadMessageKind::Totals, included) + this->common;
+    return writeStart(LoadMessageKind::Totals, included, this->format) + this->common;
 }
 
 std::string encodeLegacyLoadMessage(const LoadMessage &message, Time now)
--- a/pimentosail/entry/loadmessages.h
+++ b/pimentosail/entry/loadmessages.h
@@ -6,7 +6,8 @@
 // A datagram starts with the number of its format. Hosts publish the newest format that they read in their entry
 // (`HostEntry::loadFormat`), so that hosts of two versions of this program understand each other while they are restarted in
 // turn. Format 1 is a JSON document, which starts with '{'; format 2 is written with Poco::BinaryWriter: integers and
-// lengths with seven bits in each byte, names as length and bytes, and times as ages in milliseconds.
+// lengths with seven bits in each byte, names as length and bytes, and times as ages in milliseconds. Format 3 is format 2 with
+// the outcomes of services' versions at the end; a message without outcomes is written in format 2.
 //
 // All functions are thread-safe.
 #pragma once
@@ -15,6 +16,7 @@
 #include <string_view>
 #include <vector>
 
+#include "pimentosail/delivery/versionoutcomes.h"
 #include "pimentosail/directory/loadtable.h"
 #include "pimentosail/directory/ratelimits.h"
 #include "pimentosail/directory/targetnotices.h"
@@ -23,7 +25,11 @@
 {
 
 // The newest format of load reports that this program reads and writes.
-constexpr int LoadFormat = 2;
+constexpr int LoadFormat = 3;
+// The first format in which reports are numbered.
+constexpr int BinaryLoadFormat = 2;
+// The first format with outcomes of versions.
+constexpr int OutcomeLoadFormat = 3;
 
 enum class LoadMessageKind {
     // The load of the sender alone.
@@ -51,10 +57,12 @@
     // What targets have said of themselves to the sender; a relay adds what it heard from others.
     std::vector<RateLimitObservation> limits;
     std::vector<TargetNotice> notices;
+    // Outcomes of the versions of services whose delivery is in progress, and the number of their stream (0 in totals).
+    OutcomeReport outcomes;
 };
 
-// Return a datagram. `now` is the time from which ages count.
-std::string encodeLoadMessage(const LoadMessage &message, Time now);
+// Return a datagram. `now` is the time from which ages count. Outcomes are left out for a receiver of an earlier format than `OutcomeLoadFormat`.
+std::string encodeLoadMessage(const LoadMessage &message, Time now, int receiverFormat = LoadFormat);
 std::string encodeLegacyLoadMessage(const LoadMessage &message, Time now);
 
 // Encodes totals for several followers: `makeFor` adds to the common part the report of one follower that they include.
@@ -62,15 +70,16 @@
 {
 public:
     // `message` is of the kind `Totals`; its `included` is not used.
-    TotalsEncoder(const LoadMessage &message, Time now);
+    TotalsEncoder(const LoadMessage &message, Time now, int receiverFormat = LoadFormat);
 
     std::string makeFor(const ReportNumber &included) const;
 
 private:
+    const uint8_t format;
     std::string common;
 };
 
-// Decodes a datagram of either format. Throws `Failure` (BadRequest) if it is incomplete, has a format that is not known, or
+// Decodes a datagram of any format. Throws `Failure` (BadRequest) if it is incomplete, has a format that is not known, or
 // exceeds a bound.
 LoadMessage decodeLoadMessage(std::string_view bytes, Time now);
 
--- a/pimentosail/entry/stateupdater.cpp
+++ b/pimentosail/entry/stateupdater.cpp
@@ -95,6 +95,9 @@
     if (anyStartsWith(changedKeys, VersionTimesPrefix)) {
         this->updateVersionTimes(mirror);
     }
+    if (anyStartsWith(changedKeys, layout.deliveryOrderPrefix) || anyStartsWith(changedKeys, DeliveryPrefix)) {
+        this->updateDeliveries(mirror);
+    }
     if (changedKeys.contains(RolloutStateKey)) {
         this->updateRollout(mirror);
     }
@@ -132,6 +135,9 @@
 {
     this->updateTargets(mirror);
     this->updateEvacuations(mirror);
+    if (this->context.deliveries.isActive()) {
+        this->updateDeliveries(mirror);
+    }
     this->context.state.updateSharingHosts(this->context.clock.now());
 }
 
@@ -301,6 +307,33 @@
     }
 }
 
+void StateUpdater::updateDeliveries(const StoreMirror &mirror)
+{
+    const KeyValueLayout &layout = this->context.wire.layout;
+    if (!this->context.deliveries.isEnabled()) {
+        return;
+    }
+    const MirrorStatus status = mirror.status();
+    const bool isRestoring = status.restoredAt != Time(0) && this->context.clock.nowWithSuspend() < status.restoredAt + RewriteTime;
+    const std::string &orderPrefix = layout.deliveryOrderPrefix;
+    const std::vector<StatedDelivery> orders
+        = this->decodedDeliveryOrders.update(mirror.items(orderPrefix), [&layout, &orderPrefix](const StoredItem &item) -> std::optional<StatedDelivery> {
+              return layout.decodeDeliveryOrder(item.key.substr(orderPrefix.size()), item);
+          });
+    const std::vector<StoredDeliveryState> states
+        = this->decodedDeliveryStates.update(mirror.items(DeliveryPrefix), [this](const StoredItem &item) -> std::optional<StoredDeliveryState> {
+              Result<DeliveryState> state = decodeDeliveryState(item.value);
+              if (!state) {
+                  this->reportUnreadable(item, state.error().message);
+                  return std::nullopt;
+              }
+              return StoredDeliveryState{std::move(*state), item.position()};
+          });
+    // Orders first: without its state, the version of an order gets nothing.
+    this->context.deliveries.setOrders(orders, isRestoring);
+    this->context.deliveries.setStates(states, isRestoring);
+}
+
 void StateUpdater::updateRollout(const StoreMirror &mirror)
 {
     const std::optional<StoredItem> item = itemAt(mirror, RolloutStateKey);
--- a/pimentosail/entry/stateupdater.h
+++ b/pimentosail/entry/stateupdater.h
@@ -35,6 +35,9 @@
 inline const std::string VersionTimesPrefix = EntryPrefix + "version-times/";
 inline const std::string VersionMarksPrefix = EntryPrefix + "version-marks/";
 
+// Followed by the name of a service: the state of the delivery of its new version.
+inline const std::string DeliveryPrefix = EntryPrefix + "delivery/";
+
 // Encodes the findings into `value`, a host's observations, and decodes them. The decoder throws if they are invalid.
 void encodeBlockFindings(const BlockFindings &findings, Json::Value &value);
 BlockFindings decodeBlockFindings(const Json::Value &value);
@@ -65,6 +68,7 @@
     void updateRollout(const StoreMirror &mirror);
     void applyAnnouncement(const RolloutAnnouncement &announcement);
     void updateVersionTimes(const StoreMirror &mirror);
+    void updateDeliveries(const StoreMirror &mirror);
     // Logs a value that cannot be decoded, once for each write.
     void reportUnreadable(const StoredItem &item, const std::string &reason);
 
@@ -76,6 +80,8 @@
     std::map<std::string, StorePosition> reportedPositions;
     DecodedItems<Registration> decodedRegistrations;
     DecodedItems<HostEntry> decodedHosts;
+    DecodedItems<StatedDelivery> decodedDeliveryOrders;
+    DecodedItems<StoredDeliveryState> decodedDeliveryStates;
     std::set<std::string> evacuatedZones;
     // Era of the store in which `evacuatedZones` was read.
     int64_t evacuationEra = 0;
--- a/pimentosail/entry/wire.h
+++ b/pimentosail/entry/wire.h
@@ -12,7 +12,9 @@
 
 #include <Poco/Net/HTTPResponse.h>
 
+#include "pimentosail/delivery/deliverystate.h"
 #include "pimentosail/directory/directory.h"
+#include "pimentosail/entry/deliveries.h"
 #include "pimentosail/kv/prefixstore.h"
 #include "pimentosail/kvcache/storecontents.h"
 #include "pimentosail/net/httpserver.h"
@@ -144,6 +146,15 @@
     Unknown,
 };
 
+// What operators are told of the delivery of a service's version.
+struct DeliveryStatus
+{
+    DeliveryPhase phase = DeliveryPhase::Waiting;
+    // Empty if the order names none.
+    std::string version;
+    std::string reason;
+};
+
 // The keys of the platform's key-value store that operators and targets write, and decoders of the values.
 struct KeyValueLayout
 {
@@ -156,6 +167,13 @@
     std::function<Result<ServingConfigurationPointer>(const std::string &value)> decodeServing;
     std::function<Result<Registration>(const std::string &id, const StoredItem &item)> decodeRegistration;
     std::function<Result<int64_t>(const std::string &value)> decodeVersion;
+    // Orders to deliver a version, and what operators are told of them. The prefixes are followed by the name of a service.
+    std::string deliveryOrderPrefix;
+    std::string deliveryStatusPrefix;
+    std::function<StatedDelivery(const std::string &service, const StoredItem &item)> decodeDeliveryOrder;
+    std::function<std::string(const DeliveryStatus &status)> encodeDeliveryStatus;
+    // Returns true if `value` tells operators the same course and version as `status`.
+    std::function<bool(const std::string &value, const DeliveryStatus &status)> isDeliveryStatus;
 };
 
 // The adapter's functions. All are thread-safe.
