--- a/pimentosail/entry/deliveries.cpp
+++ b/pimentosail/entry/deliveries.cpp
@@ -161,8 +161,8 @@
         this->metrics.set("pimentosail_delivery_phase", {{"service", service}, {"phase", std::string(deliveryPhaseName(phase))}},
             entry.state && entry.state->phase == phase ? 1 : 0);
     }
-    this->metrics.set("pimentosail_delivery_share", {{"service", service}},
-        entry.state && entry.state->phase == DeliveryPhase::Watching ? entry.state->share : 0);
+    this->metrics.set(
+        "pimentosail_delivery_share", {{"service", service}}, entry.state && entry.state->phase == DeliveryPhase::Watching ? entry.state->share : 0);
     for (const EvidenceVerdict verdict : {EvidenceVerdict::Good, EvidenceVerdict::Bad, EvidenceVerdict::TooFew}) {
         this->metrics.set("pimentosail_delivery_evidence", {{"service", service}, {"verdict", std::string(evidenceVerdictName(verdict))}},
             entry.windows && entry.evidence.verdict == verdict ? 1 : 0);
@@ -199,8 +199,7 @@
             this->log.write(entry.evidence.verdict == EvidenceVerdict::Bad ? LogLevel::Warning : LogLevel::Info, "delivery_evidence",
                 {{"service", service}, {"version", entry.order->order.version}, {"verdict", evidenceVerdictName(entry.evidence.verdict)},
                     {"reason", entry.evidence.reason}, {"new_answers", summary.newAnswers}, {"new_failures", summary.newFailures},
-                    {"new_slow", summary.newSlow}, {"old_answers", summary.oldAnswers}, {"old_failures", summary.oldFailures},
-                    {"old_slow", summary.oldSlow}});
+                    {"new_slow", summary.newSlow}, {"old_answers", summary.oldAnswers}, {"old_failures", summary.oldFailures}, {"old_slow", summary.oldSlow}});
             this->setMetrics(service, entry);
         }
     }
--- a/pimentosail/entry/deliveryduty.cpp
+++ b/pimentosail/entry/deliveryduty.cpp
@@ -79,30 +79,11 @@
         const TargetState &target = *view.target;
         const SendObstacle obstacle = this->context.gate.check(target, SendKind::Request).obstacle;
         const bool isLeaving = obstacle != SendObstacle::None && obstacle <= SendObstacle::Evacuated;
-        targets.push_back(
-            {target.id, target.softwareVersion, isLeaving, target.inFlight.load() + this->context.loads.loadOfOthers(target.id, now).requests});
+        targets.push_back({target.id, target.softwareVersion, isLeaving, target.inFlight.load() + this->context.loads.loadOfOthers(target.id, now).requests});
     }
     return targets;
 }
 
-DeliveryStep DeliveryDuty::reject(const StatedDelivery &order, const DeliveryKnowledge &known)
-{
-    DeliveryStep step;
-    step.state = known.state;
-    if (known.state && known.state->order == order.order) {
-        return step;
-    }
-    DeliveryState rejected = DeliveryState::rejected(order.order, order.error);
-    if (known.state) {
-        rejected.withdrawnVersions = known.state->withdrawnVersions;
-        if (known.state->phase != DeliveryPhase::Completed && known.state->order.version != order.order.version) {
-            rejected.withdrawnVersions.push_back(known.state->order.version);
-        }
-        std::sort(rejected.withdrawnVersions.begin(), rejected.withdrawnVersions.end());
-    }
-    return {std::move(rejected), true, true};
-}
-
 DeliveryStep DeliveryDuty::nextStep(const std::string &service, const DeliveryKnowledge &known) const
 {
     std::optional<StatedDelivery> order = known.order;
@@ -110,9 +91,6 @@
     if (order && order->error.empty() && serving && serving->findService(service) == nullptr) {
         order->error = "the configuration has no service " + service;
     }
-    if (order && !order->error.empty() && !order->order.version.empty()) {
-        return reject(*order, known);
-    }
     DeliveryInput input;
     input.previous = known.state;
     if (order && order->error.empty()) {
@@ -122,6 +100,9 @@
     input.targets = this->targetsOf(service);
     input.evidence = known.evidence;
     input.elapsed = known.elapsed;
+    if (order && !order->error.empty() && !order->order.version.empty()) {
+        return rejectDelivery(input, order->order, order->error);
+    }
     return planDelivery(input, this->settings);
 }
 
--- a/pimentosail/entry/deliveryduty.h
+++ b/pimentosail/entry/deliveryduty.h
@@ -36,8 +36,6 @@
     void decide(const StoreCondition &leadership);
     void decideService(const std::string &service, const StoreCondition &leadership);
     DeliveryStep nextStep(const std::string &service, const DeliveryKnowledge &known) const;
-    // The state of an order that is not carried out; its version gets nothing.
-    static DeliveryStep reject(const StatedDelivery &order, const DeliveryKnowledge &known);
     std::vector<DeliveryTarget> targetsOf(const std::string &service) const;
     // Returns true if the operators' status does not say `status` yet.
     bool isStatusDue(const std::string &service, const DeliveryStatus &status) const;
--- a/pimentosail/entry/loadduty.cpp
+++ b/pimentosail/entry/loadduty.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <random>
+#include <set>
 
 #include <Poco/Exception.h>
 #include <Poco/Timespan.h>
@@ -30,6 +31,19 @@
 constexpr Duration StatementInterval = Milliseconds(500);
 constexpr Duration LimitReportTime = std::chrono::seconds(5);
 
+OutcomeSource outcomeSourceOf(LoadSource source)
+{
+    switch (source) {
+    case LoadSource::Follower:
+        return OutcomeSource::Follower;
+    case LoadSource::Group:
+        return OutcomeSource::Group;
+    case LoadSource::Direct:
+        break;
+    }
+    return OutcomeSource::Direct;
+}
+
 uint64_t randomProcessId()
 {
     std::random_device device;
@@ -127,11 +141,19 @@
 {
     const std::string datagram = encodeLoadMessage(report, now);
     std::optional<std::string> legacyDatagram;
+    std::optional<std::string> formerDatagram;
     for (const HostEntry &host : hosts) {
-        if (host.loadFormat >= LoadFormat) {
+        if (host.loadFormat >= OutcomeLoadFormat || (host.loadFormat >= BinaryLoadFormat && report.outcomes.rows.empty())) {
             this->sendToHost(datagram, host);
             continue;
         }
+        if (host.loadFormat >= BinaryLoadFormat) {
+            if (!formerDatagram) {
+                formerDatagram = encodeLoadMessage(report, now, host.loadFormat);
+            }
+            this->sendToHost(*formerDatagram, host);
+            continue;
+        }
         if (!legacyDatagram) {
             legacyDatagram = encodeLegacyLoadMessage(report, now);
         }
@@ -143,6 +165,9 @@
 {
     report.relay = relay.name;
     report.replyAddress = this->context.settings.gossipListen;
+    if (this->context.deliveries.isCounting()) {
+        report.outcomes = this->context.deliveries.outcomes.ownReport(this->outcomeReceiver(), this->sequence);
+    }
     {
         const std::lock_guard lock(this->mutex);
         this->sentReports.push_back({report.number, now, report.loads});
@@ -150,15 +175,27 @@
             this->sentReports.pop_front();
         }
     }
-    this->sendToHost(relay.loadFormat >= LoadFormat ? encodeLoadMessage(report, now) : encodeLegacyLoadMessage(report, now), relay);
+    this->sendToHost(relay.loadFormat >= BinaryLoadFormat ? encodeLoadMessage(report, now, relay.loadFormat) : encodeLegacyLoadMessage(report, now), relay);
+}
+
+std::string LoadDuty::outcomeReceiver()
+{
+    const std::lock_guard lock(this->mutex);
+    return this->relayName + "/" + std::to_string(this->relayProcess);
 }
 
 void LoadDuty::sendGroup(const std::vector<TargetLoad> &own, const std::vector<HostEntry> &relays, Time now)
 {
-    const std::string datagram = encodeLoadMessage(this->makeMessage(LoadMessageKind::Group, this->context.loads.groupLoad(own, now)), now);
+    LoadMessage group = this->makeMessage(LoadMessageKind::Group, this->context.loads.groupLoad(own, now));
+    if (this->context.deliveries.isCounting()) {
+        group.outcomes = this->context.deliveries.outcomes.groupReport();
+    }
+    const std::string datagram = encodeLoadMessage(group, now);
     for (const HostEntry &relay : relays) {
-        if (relay.loadFormat >= LoadFormat) {
+        if (relay.loadFormat >= OutcomeLoadFormat) {
             this->sendToHost(datagram, relay);
+        } else if (relay.loadFormat >= BinaryLoadFormat) {
+            this->sendToHost(encodeLoadMessage(group, now, relay.loadFormat), relay);
         }
     }
 }
@@ -174,12 +211,27 @@
     if (current.empty()) {
         return;
     }
-    const LoadMessage totals = this->makeMessage(LoadMessageKind::Totals, this->context.loads.totalLoad(own, now));
+    LoadMessage totals = this->makeMessage(LoadMessageKind::Totals, this->context.loads.totalLoad(own, now));
+    std::set<std::string> outcomeReaders;
+    if (this->context.deliveries.isCounting()) {
+        totals.outcomes.rows = this->context.deliveries.outcomes.totals();
+        for (const HostEntry &host : this->context.state.hosts()) {
+            if (host.loadFormat >= OutcomeLoadFormat) {
+                outcomeReaders.insert(host.name);
+            }
+        }
+    }
     const TotalsEncoder encoder(totals, now);
+    // For followers of the former version.
+    std::optional<TotalsEncoder> formerEncoder;
     std::optional<std::string> legacyDatagram;
     for (const auto &[name, follower] : current) {
-        if (follower.loadFormat >= LoadFormat) {
-            this->sendTo(encoder.makeFor(this->context.loads.lastReport(name, now)), follower.address);
+        if (follower.loadFormat >= BinaryLoadFormat) {
+            const bool readsOutcomes = totals.outcomes.rows.empty() || outcomeReaders.contains(name);
+            if (!readsOutcomes && !formerEncoder) {
+                formerEncoder.emplace(totals, now, BinaryLoadFormat);
+            }
+            this->sendTo((readsOutcomes ? encoder : *formerEncoder).makeFor(this->context.loads.lastReport(name, now)), follower.address);
             continue;
         }
         // A follower of an earlier version counts its own load twice until it is restarted.
@@ -193,7 +245,7 @@
 // Tells the relay that this host has followed that its load is no longer part of the group.
 void LoadDuty::leaveRelay(Time now)
 {
-    if (this->followedRelay && this->followedRelay->loadFormat >= LoadFormat) {
+    if (this->followedRelay && this->followedRelay->loadFormat >= BinaryLoadFormat) {
         ++this->sequence;
         this->sendToHost(encodeLoadMessage(this->makeMessage(LoadMessageKind::Report, {}), now), *this->followedRelay);
     }
@@ -208,8 +260,13 @@
         this->leaveRelay(now);
         this->followedRelay = relay;
         this->relayMonitor.follow(this->context.settings.name, name, now);
+        if (!relay) {
+            this->context.deliveries.outcomes.forgetTotals();
+        }
         const std::lock_guard lock(this->mutex);
         this->sentReports.clear();
+        this->relayName = name;
+        this->relayProcess = 0;
         return;
     }
     this->followedRelay = relay;
@@ -232,9 +289,17 @@
         this->statementsSentAt = now;
         this->statementChangesSent = changes;
     }
-    const LoadMessage report = this->makeMessage(LoadMessageKind::Report, own);
+    if (this->context.deliveries.isCounting()) {
+        this->context.deliveries.refresh(this->context.mirror.status().lastAnswer);
+    }
+    LoadMessage report = this->makeMessage(LoadMessageKind::Report, own);
     if (relays.empty()) {
-        const bool isEmpty = own.empty() && report.limits.empty() && report.notices.empty();
+        const bool isCounting = this->context.deliveries.isCounting();
+        if (isCounting) {
+            report.outcomes = this->context.deliveries.outcomes.ownReport("", this->sequence);
+        }
+        // While a version is watched, a host that hears nothing takes itself for cut off.
+        const bool isEmpty = own.empty() && report.limits.empty() && report.notices.empty() && !isCounting;
         if (!isEmpty || !this->wasEmpty) {
             this->reportToAll(report, this->context.state.hosts(), now);
         }
@@ -248,7 +313,7 @@
     // Relays of an earlier version expect the reports of all hosts and know no groups.
     std::vector<HostEntry> legacyRelays;
     std::copy_if(relays.begin(), relays.end(), std::back_inserter(legacyRelays),
-        [this](const HostEntry &relay) { return relay.loadFormat < LoadFormat && !(this->followedRelay && this->followedRelay->name == relay.name); });
+        [this](const HostEntry &relay) { return relay.loadFormat < BinaryLoadFormat && !(this->followedRelay && this->followedRelay->name == relay.name); });
     if (!legacyRelays.empty()) {
         this->reportToAll(report, legacyRelays, now);
     }
@@ -301,10 +366,14 @@
         // A host of an earlier version reports to all relays. A relay of this version counts it as part of its group.
         const std::vector<HostEntry> relays = this->context.state.relays();
         const auto relay = std::find_if(relays.begin(), relays.end(), [&message](const HostEntry &candidate) { return candidate.name == message.relay; });
-        if (relay != relays.end() && relay->loadFormat >= LoadFormat) {
+        if (relay != relays.end() && relay->loadFormat >= BinaryLoadFormat) {
             return;
         }
     }
+    if (!message.outcomes.rows.empty()) {
+        this->context.deliveries.outcomes.recordReport(
+            outcomeSourceOf(source), message.sender, message.outcomes.stream, message.number.sequence, message.outcomes.rows);
+    }
     if (!this->context.loads.record(source, message.sender, message.number, message.loads, now)) {
         this->countDropped("older_than_last");
         return;
@@ -312,7 +381,7 @@
     const std::lock_guard lock(this->mutex);
     if (followsThis && message.kind == LoadMessageKind::Report) {
         const Poco::Net::SocketAddress address = message.replyAddress.empty() ? from : Poco::Net::SocketAddress(message.replyAddress);
-        this->followers[message.sender] = {address, now, isNumbered ? LoadFormat : 1};
+        this->followers[message.sender] = {address, now, isNumbered ? BinaryLoadFormat : 1};
     } else {
         this->followers.erase(message.sender);
     }
@@ -336,9 +405,17 @@
             return;
         }
         ownIncluded = std::move(sent->loads);
+        this->context.deliveries.outcomes.acknowledge(this->outcomeReceiver(), message.included.sequence);
     } else {
         this->relayMonitor.recordTotalsWithoutReport(now);
     }
+    if (!message.outcomes.rows.empty()) {
+        this->context.deliveries.outcomes.recordTotals(message.outcomes.rows);
+    }
+    {
+        const std::lock_guard lock(this->mutex);
+        this->relayProcess = message.sender == this->relayName ? message.number.process : this->relayProcess;
+    }
     this->context.loads.recordTotals(std::move(message.loads), ownIncluded, now);
 }
 
@@ -346,6 +423,7 @@
 {
     const Time now = this->context.clock.now();
     LoadMessage message = decodeLoadMessage(bytes, now);
+    this->context.deliveries.recordOtherHost();
     this->recordStatements(message);
     if (message.kind == LoadMessageKind::Totals) {
         this->handleTotals(std::move(message), now);
--- a/pimentosail/entry/loadduty.h
+++ b/pimentosail/entry/loadduty.h
@@ -68,6 +68,8 @@
     void sendToHost(const std::string &datagram, const HostEntry &host);
     void reportToAll(const LoadMessage &report, const std::vector<HostEntry> &hosts, Time now);
     void reportToRelay(LoadMessage report, const HostEntry &relay, Time now);
+    // Returns the name under which the relay that this host follows gets its outcomes; it is another one after the relay has restarted.
+    std::string outcomeReceiver();
     void sendGroup(const std::vector<TargetLoad> &own, const std::vector<HostEntry> &relays, Time now);
     void sendTotals(const std::vector<TargetLoad> &own, Time now);
     void leaveRelay(Time now);
@@ -82,9 +84,12 @@
     Poco::Net::DatagramSocket socket;
     const uint64_t processId;
     std::mutex mutex;
-    // The next two are guarded by `mutex`.
+    // The next four are guarded by `mutex`.
     std::map<std::string, Follower> followers;
     std::deque<SentReport> sentReports;
+    // The relay that this host follows, and its process as far as it is known.
+    std::string relayName;
+    uint64_t relayProcess = 0;
     RelayMonitor relayMonitor;
     // The following are used by the sending thread only.
     uint64_t sequence = 0;
--- a/pimentosail/entry/loadmessages.cpp
+++ b/pimentosail/entry/loadmessages.cpp
@@ -87,6 +87,8 @@
         writer.name(row.key.service);
         writer.name(row.key.version);
         writer.name(row.key.route);
+        writer.number(toUnsigned(row.order.era));
+        writer.number(toUnsigned(row.order.revision));
         writer.number(toUnsigned(row.counts.answers));
         writer.number(toUnsigned(row.counts.failures));
         writer.number(toUnsigned(row.counts.slow));
@@ -141,6 +143,8 @@
         row.key.service = reader.name();
         row.key.version = reader.name();
         row.key.route = reader.name();
+        row.order.era = reader.signedNumber();
+        row.order.revision = reader.signedNumber();
         row.counts.answers = reader.signedNumber();
         row.counts.failures = reader.signedNumber();
         row.counts.slow = reader.signedNumber();
--- a/pimentosail/entry/requestplanning.cpp
+++ b/pimentosail/entry/requestplanning.cpp
@@ -1,6 +1,8 @@
 #include "pimentosail/entry/requestrunner.h"
 
 #include <algorithm>
+#include <iterator>
+#include <utility>
 
 #include "pimentosail/admission/memoryadmission.h"
 
@@ -107,15 +109,63 @@
     return shares;
 }
 
-std::vector<RequestRunner::GatedCandidate> RequestRunner::candidates() const
+std::optional<DeliveryView> RequestRunner::deliveryView()
+{
+    if (!this->context.deliveries.isActive()) {
+        return std::nullopt;
+    }
+    DeliveryView view = this->context.deliveries.view(this->service, this->context.mirror.status().lastAnswer);
+    if (!view.order && !view.state) {
+        return std::nullopt;
+    }
+    // A request that was sent before is tried again on old versions only, so that a watched one gets no more than its share.
+    if (needsDraw(view) && this->arrivals == 0 && !std::exchange(this->hasDrawn, true)) {
+        this->isDrawn = this->context.deliveries.limiter.mayUseNewVersion(this->service);
+    }
+    return view;
+}
+
+void RequestRunner::returnDraw()
+{
+    if (std::exchange(this->isDrawn, false)) {
+        this->context.deliveries.limiter.giveBack(this->service);
+    }
+}
+
+void RequestRunner::settleDraw(const TargetChoice &choice)
+{
+    if (!this->context.deliveries.isActive()) {
+        return;
+    }
+    this->context.metrics.count("pimentosail_delivery_requests_total", {{"service", this->service}, {"version", choice.target->softwareVersion}});
+    if (!this->isDrawn) {
+        return;
+    }
+    const DeliveryView view = this->context.deliveries.view(this->service, this->context.mirror.status().lastAnswer);
+    if (view.state && view.state->order.version == choice.target->softwareVersion) {
+        this->isDrawn = false;
+    } else {
+        this->returnDraw();
+    }
+}
+
+std::vector<RequestRunner::GatedCandidate> RequestRunner::candidates()
 {
     const std::string model = this->request.prompt ? this->request.prompt->model : "";
     const ServiceSettings *serviceSettings = this->serving->findService(this->service);
     ShareContext shareContext;
     std::vector<GatedCandidate> result;
     const Time now = this->context.clock.now();
+    const std::optional<DeliveryView> delivery = this->deliveryView();
     for (TargetView &view : this->context.directory.all(this->service, model)) {
         GatedCandidate gated;
+        if (delivery) {
+            const DeliveryDecision permission = checkDelivery(*delivery, view.target->softwareVersion, view.target->id, this->isDrawn);
+            if (!permission.isAllowed()) {
+                continue;
+            }
+            gated.isPreferred = permission.isPreferred;
+        }
         gated.shares = this->sharesOf(*view.target, shareContext);
         const SendDecision decision = this->context.gate.check(*view.target, SendKind::Request, gated.shares);
         // An obstacle whose end is known counts in the Retry-After of a refusal.
@@ -174,6 +224,13 @@
         query.cacheZones = this->context.cacheStores.zonesOf(this->saltFor(version), query.affinity);
         this->isCached = !query.cacheZones.empty();
     }
+    std::vector<GatedCandidate> preferred;
+    std::copy_if(gated.begin(), gated.end(), std::back_inserter(preferred), [](const GatedCandidate &entry) { return entry.isPreferred; });
+    if (!preferred.empty()) {
+        if (std::optional<TargetChoice> choice = this->pickAndAcquire(query, preferred, false)) {
+            return choice;
+        }
+    }
     // Targets that have asked other hosts to rest are used if no other target may get the request.
     std::optional<TargetChoice> choice = this->pickAndAcquire(query, gated, false);
     const bool hasAvoided = std::any_of(gated.begin(), gated.end(), [](const GatedCandidate &entry) { return entry.isAvoided; });
--- a/pimentosail/entry/requestrunner.cpp
+++ b/pimentosail/entry/requestrunner.cpp
@@ -74,6 +74,7 @@
     } catch (const std::exception &exception) {
         this->answerFailure(Failure(ErrorKind::Internal, exception.what()));
     }
+    this->returnDraw();
     this->logDone();
 }
 
@@ -252,6 +253,7 @@
     if (failedRun || result.end == AttemptEnd::Answered) {
         recordOutcome(target, failedRun);
     }
+    this->recordVersionOutcome(choice, result, failedRun);
     if (this->request.prompt && result.timeToFirstEvent > Duration(0) && result.header.isEventStream) {
         this->context.cacheStores.recordFirstTokenTime(this->cacheSource, result.timeToFirstEvent);
         if (!this->isLate) {
@@ -284,6 +286,22 @@
     }
 }
 
+void RequestRunner::recordVersionOutcome(const TargetChoice &choice, const AttemptResult &result, bool failedRun)
+{
+    if (!this->context.deliveries.isCounting() || result.sentAt == Time(0)) {
+        return;
+    }
+    const bool isDeadline = result.end == AttemptEnd::Deadline;
+    if (!failedRun && !isDeadline && result.end != AttemptEnd::Answered) {
+        return;
+    }
+    // A deadline that passes before the first event tells that the target is at least as slow as that; after it, that the target broke off.
+    const bool hasBegun = result.timeToFirstEvent > Duration(0);
+    const Duration firstEvent = hasBegun ? result.timeToFirstEvent : this->context.clock.now() - result.sentAt;
+    this->context.deliveries.outcomes.recordAnswer(
+        {this->service, choice.target->softwareVersion, this->route->name}, {.isFailure = failedRun || (isDeadline && hasBegun), .firstEvent = firstEvent});
+}
+
 Failure RequestRunner::failureFor(const AttemptResult &result) const
 {
     const std::string text = std::string(attemptEndName(result.end)) + ": " + result.reason;
@@ -417,6 +435,7 @@
         if (!std::exchange(this->isCounted, true)) {
             this->context.retryBudget.recordFirstSend(this->service);
         }
+        this->settleDraw(choice);
         const AttemptPlan plan = this->planFor(choice);
         Attempt attempt(this->context, this->request, plan);
         AttemptResult result = attempt.run(this->limitsFor(choice),
--- a/pimentosail/entry/requestrunner.h
+++ b/pimentosail/entry/requestrunner.h
@@ -40,6 +40,8 @@
         TargetShares shares;
         // The target wants no requests of some other host.
         bool isAvoided = false;
+        // The target has a version that is being watched, and the request is one of its share.
+        bool isPreferred = false;
     };
     // What the shares of all targets of a service depend on, computed when a target has a limit.
     struct ShareContext
@@ -64,7 +66,14 @@
     std::optional<TargetChoice> tryChoose();
     // Returns false if the prompt is to wait for memory of a target. Throws `Failure` (Overloaded) if it has waited too long.
     bool admitToMemory(const TargetChoice &choice);
-    std::vector<GatedCandidate> candidates() const;
+    std::vector<GatedCandidate> candidates();
+    // Returns what decides which versions of the service's software may get the request now; nothing if there is no delivery. Draws once whether the
+    // request is one of a watched version's share.
+    std::optional<DeliveryView> deliveryView();
+    // Uses the draw up if the request goes to the watched version, and gives it back if not.
+    void settleDraw(const TargetChoice &choice);
+    void returnDraw();
+    void recordVersionOutcome(const TargetChoice &choice, const AttemptResult &result, bool failedRun);
     TargetShares sharesOf(const TargetState &target, ShareContext &shareContext) const;
     std::optional<TargetChoice> pickAndAcquire(const PickQuery &query, const std::vector<GatedCandidate> &gated, bool usesAvoided);
     std::string saltFor(int64_t version) const;
@@ -126,6 +135,9 @@
     std::vector<Time> limitEnds;
     // Retry-After of a refusal; zero if there is no estimate.
     Duration retryAfter{};
+    // The request has been counted for the share of a watched version, and it is one of that share and has not been sent.
+    bool hasDrawn = false;
+    bool isDrawn = false;
     // A cache store holds the last shared block of the prompt.
     bool isCached = false;
 
