--- a/pimentosail/entry/deliveries.cpp
+++ b/pimentosail/entry/deliveries.cpp
@@ -121,6 +121,11 @@
                 {{"service", service}, {"version", entry.state->order.version}, {"phase", deliveryPhaseName(entry.state->phase)}, {"share", entry.state->share},
                     {"chosen", entry.state->chosenTargets.size()}, {"elapsed_ms", toMilliseconds(entry.state->elapsed)}, {"reason", entry.state->reason}});
         }
+        if (isPhaseChange && isFinal(entry.state->phase)) {
+            // An order for the same version that came at the same time is counted anew.
+            this->outcomes.end(service);
+            entry.windows.reset();
+        }
         this->adapt(service, entry);
     }
     this->updateFlags();
@@ -137,16 +142,33 @@
         if (!entry.order) {
             entry.evidence = {};
         }
-    } else if (!entry.windows || !isSameOrder(entry.countedOrder, entry.order->order)) {
-        entry.countedOrder = entry.order->order;
-        entry.windows.emplace(service, entry.order->order.version);
-        entry.evidence = {};
+    } else {
+        if (!entry.windows || entry.countedVersion != entry.order->order.version) {
+            entry.countedVersion = entry.order->order.version;
+            entry.windows.emplace(service, entry.countedVersion);
+            entry.evidence = {};
+        }
         this->outcomes.begin(entry.order->order);
     }
     this->limiter.setShare(service, isInProgress && isOfOrder && entry.state->phase == DeliveryPhase::Watching ? entry.state->share : 0);
+    updateViews(entry);
     this->setMetrics(service, entry);
 }
 
+void Deliveries::updateViews(Entry &entry)
+{
+    DeliveryView view;
+    // An order that names no version concerns no target.
+    if (entry.order && !entry.order->order.version.empty()) {
+        view.order = entry.order->order;
+    }
+    view.state = entry.state;
+    view.isStopped = entry.evidence.verdict == EvidenceVerdict::Bad;
+    entry.connectedView = view.order || view.state ? std::make_shared<const DeliveryView>(view) : nullptr;
+    view.isIsolated = true;
+    entry.isolatedView = entry.connectedView ? std::make_shared<const DeliveryView>(std::move(view)) : nullptr;
+}
+
 void Deliveries::updateFlags()
 {
     std::erase_if(this->entries, [](const auto &entry) { return !entry.second.order && !entry.second.state; });
@@ -200,6 +222,7 @@
                 {{"service", service}, {"version", entry.order->order.version}, {"verdict", evidenceVerdictName(entry.evidence.verdict)},
                     {"reason", entry.evidence.reason}, {"new_answers", summary.newAnswers}, {"new_failures", summary.newFailures},
                     {"new_slow", summary.newSlow}, {"old_answers", summary.oldAnswers}, {"old_failures", summary.oldFailures}, {"old_slow", summary.oldSlow}});
+            updateViews(entry);
             this->setMetrics(service, entry);
         }
     }
@@ -211,23 +234,14 @@
     }
 }
 
-DeliveryView Deliveries::view(const std::string &service, Time lastStoreAnswer) const
+std::shared_ptr<const DeliveryView> Deliveries::view(const std::string &service, Time lastStoreAnswer) const
 {
     const std::lock_guard lock(this->mutex);
     const auto found = this->entries.find(service);
     if (found == this->entries.end()) {
-        return {};
+        return nullptr;
     }
-    const Entry &entry = found->second;
-    DeliveryView view;
-    // An order that names no version concerns no target.
-    if (entry.order && !entry.order->order.version.empty()) {
-        view.order = entry.order->order;
-    }
-    view.state = entry.state;
-    view.isStopped = entry.evidence.verdict == EvidenceVerdict::Bad;
-    view.isIsolated = this->isIsolated(lastStoreAnswer);
-    return view;
+    return this->isIsolated(lastStoreAnswer) ? found->second.isolatedView : found->second.connectedView;
 }
 
 std::vector<std::string> Deliveries::services() const
--- a/pimentosail/entry/deliveries.h
+++ b/pimentosail/entry/deliveries.h
@@ -14,6 +14,7 @@
 
 #include <atomic>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <optional>
 #include <string>
@@ -95,8 +96,8 @@
     // Records that a report of another host arrived.
     void recordOtherHost();
 
-    // Returns what decides where requests for `service` may go. `lastStoreAnswer` is when the store last answered.
-    DeliveryView view(const std::string &service, Time lastStoreAnswer) const;
+    // Returns what decides where requests for `service` may go, or nullptr if there is no delivery. `lastStoreAnswer` is when the store last answered.
+    std::shared_ptr<const DeliveryView> view(const std::string &service, Time lastStoreAnswer) const;
 
     // Services with an order or a state.
     std::vector<std::string> services() const;
@@ -117,16 +118,20 @@
         Time stateAt{};
         bool isRewriteDue = false;
         bool mayLackOrder = false;
-        // Order for which `windows` were begun.
-        DeliveryOrder countedOrder;
+        // Version for which `windows` were begun.
+        std::string countedVersion;
         std::optional<EvidenceWindows> windows;
         Evidence evidence;
+        // Made with each change, since every request asks for one: while this host is connected, and while it is cut off.
+        std::shared_ptr<const DeliveryView> connectedView;
+        std::shared_ptr<const DeliveryView> isolatedView;
     };
 
     // The following are called with `mutex` locked.
     // Begins or ends to count outcomes, and sets the share.
     void adapt(const std::string &service, Entry &entry);
     void updateFlags();
+    static void updateViews(Entry &entry);
     Duration elapsedOf(const Entry &entry) const;
     void setMetrics(const std::string &service, const Entry &entry);
     bool isIsolated(Time lastStoreAnswer) const;
--- a/pimentosail/entry/deliveryduty.cpp
+++ b/pimentosail/entry/deliveryduty.cpp
@@ -146,7 +146,7 @@
     if (transaction.puts.empty() && transaction.removals.empty()) {
         return;
     }
-    if (step.isPhaseChange && step.state) {
+    if (this->write(transaction, service) && step.isPhaseChange && step.state) {
         const EvidenceSummary &summary = step.state->evidence;
         this->context.log.write(LogLevel::Info, "delivery_decided",
             {{"service", service}, {"version", step.state->order.version}, {"phase", deliveryPhaseName(step.state->phase)}, {"share", step.state->share},
@@ -154,16 +154,15 @@
                 {"reason", step.state->reason}, {"new_answers", summary.newAnswers}, {"new_failures", summary.newFailures}, {"new_slow", summary.newSlow},
                 {"old_answers", summary.oldAnswers}, {"old_failures", summary.oldFailures}, {"old_slow", summary.oldSlow}});
     }
-    this->write(transaction, service);
 }
 
-void DeliveryDuty::write(const StoreTransaction &transaction, const std::string &service)
+bool DeliveryDuty::write(const StoreTransaction &transaction, const std::string &service)
 {
     try {
         const CommitOutcome outcome = this->store.commit(transaction);
         if (outcome.status == CommitStatus::Committed) {
             this->writtenAt = outcome.position();
-            return;
+            return true;
         }
         // Another host is the leader, or the mirror does not have this host's last write yet, whose answer was lost.
         this->context.log.write(LogLevel::Info, "delivery_not_written", {{"service", service}, {"reason", "the leadership or the state has changed"}});
@@ -171,6 +170,7 @@
         // The state may have been written; then the condition on it fails until the mirror has it.
         this->context.metrics.count("pimentosail_store_failures_total", {{"duty", "delivery"}});
     }
+    return false;
 }
 
 } // namespace pimentosail
--- a/pimentosail/entry/deliveryduty.h
+++ b/pimentosail/entry/deliveryduty.h
@@ -39,7 +39,8 @@
     std::vector<DeliveryTarget> targetsOf(const std::string &service) const;
     // Returns true if the operators' status does not say `status` yet.
     bool isStatusDue(const std::string &service, const DeliveryStatus &status) const;
-    void write(const StoreTransaction &transaction, const std::string &service);
+    // Returns true if the store has carried out the transaction.
+    bool write(const StoreTransaction &transaction, const std::string &service);
 
     EntryContext &context;
     PrefixStore store;
--- a/pimentosail/entry/loadmessagestest.cpp
+++ b/pimentosail/entry/loadmessagestest.cpp
@@ -91,6 +91,32 @@
     cr_assert_eq(totals.loads[1].lateTokens, 5);
 }
 
+// Guards against hosts of the version before outcomes that do not understand each other while they are restarted in turn.
+Test(loadmessages, outcomes_are_sent_only_to_hosts_that_read_them)
+{
+    LoadMessage message = makeMessage(LoadMessageKind::Totals);
+    cr_assert_eq(encodeLoadMessage(message, Now)[0], BinaryLoadFormat, "a message without outcomes is understood by all");
+    message.outcomes
+        = {77, {{{"chat", "v2", "look"}, {30, 4, 2, Milliseconds(900)}, {1, 500}}, {{"chat", std::string(201, 'v'), "look"}, {1, 0, 0, {}}, {1, 500}}}};
+    const std::string datagram = encodeLoadMessage(message, Now);
+    cr_assert_eq(datagram[0], OutcomeLoadFormat);
+    const LoadMessage decoded = decodeLoadMessage(datagram, Now);
+    cr_assert_eq(decoded.outcomes.stream, 77);
+    cr_assert_eq(decoded.outcomes.rows.size(), 1, "a name that no host reads is left out");
+    cr_assert(decoded.outcomes.rows[0] == message.outcomes.rows[0]);
+    cr_assert_eq(decoded.loads.size(), 2);
+    cr_assert(decodeLoadMessage(TotalsEncoder(message, Now).makeFor({5, 7}), Now).outcomes.rows == decoded.outcomes.rows);
+    for (const std::string &former : {encodeLoadMessage(message, Now, BinaryLoadFormat), TotalsEncoder(message, Now, BinaryLoadFormat).makeFor({5, 7})}) {
+        cr_assert_eq(former[0], BinaryLoadFormat);
+        cr_assert_eq(decodeLoadMessage(former, Now).outcomes.rows.size(), 0);
+        cr_assert_eq(decodeLoadMessage(former, Now).loads.size(), 2);
+    }
+    for (size_t size = 0; size < datagram.size(); ++size) {
+        cr_assert(isRefused(std::string_view(datagram).substr(0, size)), "a datagram cut at byte %zu", size);
+    }
+    cr_assert(isRefused(datagram + "x"));
+}
+
 // Guards against a load report that was cut, belongs to another program or version, or claims to be huge.
 Test(loadmessages, an_incomplete_or_foreign_datagram_is_refused)
 {
--- a/pimentosail/entry/requestplanning.cpp
+++ b/pimentosail/entry/requestplanning.cpp
@@ -109,17 +109,14 @@
     return shares;
 }
 
-std::optional<DeliveryView> RequestRunner::deliveryView()
+std::shared_ptr<const DeliveryView> RequestRunner::deliveryView()
 {
     if (!this->context.deliveries.isActive()) {
-        return std::nullopt;
-    }
-    DeliveryView view = this->context.deliveries.view(this->service, this->context.mirror.status().lastAnswer);
-    if (!view.order && !view.state) {
-        return std::nullopt;
+        return nullptr;
     }
+    std::shared_ptr<const DeliveryView> view = this->context.deliveries.view(this->service, this->context.mirror.status().lastAnswer);
     // A request that was sent before is tried again on old versions only, so that a watched one gets no more than its share.
-    if (needsDraw(view) && this->arrivals == 0 && !std::exchange(this->hasDrawn, true)) {
+    if (view && needsDraw(*view) && this->arrivals == 0 && !std::exchange(this->hasDrawn, true)) {
         this->isDrawn = this->context.deliveries.limiter.mayUseNewVersion(this->service);
     }
     return view;
@@ -141,8 +138,8 @@
     if (!this->isDrawn) {
         return;
     }
-    const DeliveryView view = this->context.deliveries.view(this->service, this->context.mirror.status().lastAnswer);
-    if (view.state && view.state->order.version == choice.target->softwareVersion) {
+    const std::shared_ptr<const DeliveryView> view = this->context.deliveries.view(this->service, this->context.mirror.status().lastAnswer);
+    if (view && view->state && view->state->order.version == choice.target->softwareVersion) {
         this->isDrawn = false;
     } else {
         this->returnDraw();
@@ -156,7 +153,7 @@
     ShareContext shareContext;
     std::vector<GatedCandidate> result;
     const Time now = this->context.clock.now();
-    const std::optional<DeliveryView> delivery = this->deliveryView();
+    const std::shared_ptr<const DeliveryView> delivery = this->deliveryView();
     for (TargetView &view : this->context.directory.all(this->service, model)) {
         GatedCandidate gated;
         if (delivery) {
--- a/pimentosail/entry/requestrunner.h
+++ b/pimentosail/entry/requestrunner.h
@@ -67,9 +67,9 @@
     // Returns false if the prompt is to wait for memory of a target. Throws `Failure` (Overloaded) if it has waited too long.
     bool admitToMemory(const TargetChoice &choice);
     std::vector<GatedCandidate> candidates();
-    // Returns what decides which versions of the service's software may get the request now; nothing if there is no delivery. Draws once whether the
+    // Returns what decides which versions of the service's software may get the request now; nullptr if there is no delivery. Draws once whether the
     // request is one of a watched version's share.
-    std::optional<DeliveryView> deliveryView();
+    std::shared_ptr<const DeliveryView> deliveryView();
     // Uses the draw up if the request goes to the watched version, and gives it back if not.
     void settleDraw(const TargetChoice &choice);
     void returnDraw();
