--- a/pimentosail/entry/deliveriestest.cpp
+++ b/pimentosail/entry/deliveriestest.cpp
@@ -117,6 +117,8 @@
     fixture.deliveries.refresh(fixture.clock.now());
     cr_assert_not(fixture.mayUse("v2", "n1", true));
     cr_assert(fixture.mayUse("v1", "o1"));
+    const std::string reason = fixture.deliveries.knowledge("chat").evidence.reason;
+    cr_assert_eq(reason, "route look: 40 failures in 50 answers, old versions 0.0 % of 200", "%s", reason.c_str());
     fixture.deliveries.setStates({makeState(order, DeliveryPhase::RolledBack, {0, 8})}, false);
     cr_assert_not(fixture.mayUse("v2", "n1", true));
     // The same version ordered again is judged anew.
