--- a/pimentosail/delivery/deliverypermission.cpp
+++ b/pimentosail/delivery/deliverypermission.cpp
@@ -32,22 +32,30 @@
     return isCurrent || view.state->phase == DeliveryPhase::Completed ? view.state->phase : DeliveryPhase::RolledBack;
 }
 
+DeliveryObstacle findObstacleWhileWatched(const DeliveryView &view, const std::string &targetId, bool isDrawn)
+{
+    if (view.isStopped) {
+        return DeliveryObstacle::Stopped;
+    }
+    if (view.isIsolated) {
+        return DeliveryObstacle::Isolated;
+    }
+    if (!view.hasOldTargets) {
+        return DeliveryObstacle::None;
+    }
+    if (!contains(view.state->chosenTargets, targetId)) {
+        return DeliveryObstacle::NotChosen;
+    }
+    return isDrawn ? DeliveryObstacle::None : DeliveryObstacle::OutsideShare;
+}
+
 DeliveryObstacle findObstacleForNew(const DeliveryView &view, DeliveryPhase phase, const std::string &targetId, bool isDrawn)
 {
     switch (phase) {
     case DeliveryPhase::Waiting:
-        return DeliveryObstacle::NotStarted;
+        return view.hasOldTargets ? DeliveryObstacle::NotStarted : DeliveryObstacle::None;
     case DeliveryPhase::Watching:
-        if (view.isStopped) {
-            return DeliveryObstacle::Stopped;
-        }
-        if (view.isIsolated) {
-            return DeliveryObstacle::Isolated;
-        }
-        if (!contains(view.state->chosenTargets, targetId)) {
-            return DeliveryObstacle::NotChosen;
-        }
-        return isDrawn ? DeliveryObstacle::None : DeliveryObstacle::OutsideShare;
+        return findObstacleWhileWatched(view, targetId, isDrawn);
     case DeliveryPhase::Switching:
         return view.isStopped ? DeliveryObstacle::Stopped : DeliveryObstacle::None;
     case DeliveryPhase::Completed:
@@ -55,7 +63,7 @@
     case DeliveryPhase::RolledBack:
         break;
     }
-    return DeliveryObstacle::RolledBack;
+    return view.state->isRejected && !view.hasOldTargets ? DeliveryObstacle::None : DeliveryObstacle::RolledBack;
 }
 
 DeliveryObstacle findObstacleForOld(const DeliveryView &view, DeliveryPhase phase)
@@ -81,7 +89,7 @@
 {
     const bool hasOrderedVersion = view.order && view.order->version == targetVersion;
     if (!view.state) {
-        return {hasOrderedVersion ? DeliveryObstacle::NotStarted : DeliveryObstacle::None};
+        return {hasOrderedVersion && view.hasOldTargets ? DeliveryObstacle::NotStarted : DeliveryObstacle::None};
     }
     if (contains(view.state->withdrawnVersions, targetVersion)) {
         return {DeliveryObstacle::RolledBack};
@@ -89,10 +97,10 @@
     const DeliveryPhase phase = effectivePhase(view);
     if (targetVersion == view.state->order.version) {
         const DeliveryObstacle obstacle = findObstacleForNew(view, phase, targetId, isDrawn);
-        return {obstacle, obstacle == DeliveryObstacle::None && phase == DeliveryPhase::Watching};
+        return {obstacle, obstacle == DeliveryObstacle::None && phase == DeliveryPhase::Watching && isDrawn};
     }
     // The order has another version than the state, which is that of a former order.
-    if (hasOrderedVersion) {
+    if (hasOrderedVersion && view.hasOldTargets) {
         return {DeliveryObstacle::NotStarted};
     }
     return {findObstacleForOld(view, phase)};
--- a/pimentosail/delivery/deliverypermission.h
+++ b/pimentosail/delivery/deliverypermission.h
@@ -5,12 +5,15 @@
 //
 //     phase                    new version                              old versions
 //     no order and no state    allowed                                  allowed
-//     order, no state yet      denied                                   allowed
-//     Waiting                  denied                                   allowed
-//     Watching                 chosen targets, for drawn requests       allowed
+//     order, no state yet      denied (1)                               allowed
+//     Waiting                  denied (1)                               allowed
+//     Watching                 chosen targets, for drawn requests (1)   allowed
 //     Switching                allowed                                  denied
 //     Completed                allowed                                  denied
-//     RolledBack               denied                                   allowed
+//     RolledBack               denied (2)                               allowed
+//
+// (1) Allowed if no target of another version takes requests: refusing everything would protect no caller. (2) The same if the order was rejected as
+// faulty, because it may name the only version that there is.
 //
 // In Watching and Switching, a host that itself finds the version bad (`isStopped`) denies the new version and allows the old ones. In Watching, a
 // host that hears from neither the store nor other hosts (`isIsolated`) denies the new version. The state of an order that was removed or replaced
@@ -34,6 +37,8 @@
     std::optional<DeliveryState> state;
     // This host's own sums say that the version of `order` is bad.
     bool isStopped = false;
+    // Some target of another version than the new one takes requests.
+    bool hasOldTargets = true;
     // This host has heard from neither the store nor other hosts for `IsolationLimit`.
     bool isIsolated = false;
 };
--- a/pimentosail/delivery/deliveryplan.cpp
+++ b/pimentosail/delivery/deliveryplan.cpp
@@ -15,6 +15,12 @@
 
 // Least share while a version is watched, so that it gets some requests even if the switch takes all of what may be exposed.
 constexpr double MinWatchShare = 0.01;
+// Part of the requests beside the share (Bounds.ExposureSlack) that is used for watching. The rest covers requests that are on their way when a host
+// stops.
+constexpr double SlackPart = 0.5;
+// Time after which the rate of the service is known, and the relative change of the share below which it is not written again.
+constexpr Duration MinRateTime = std::chrono::seconds(1);
+constexpr double ShareTolerance = 0.2;
 // Bounds of the time of the switch. In 1 s most requests end that run on old targets; after 5 s only few more do.
 constexpr Duration MinSwitchTime = std::chrono::seconds(1);
 constexpr Duration MaxSwitchTime = std::chrono::seconds(5);
@@ -29,6 +35,8 @@
 // targets take as long again.
 constexpr Duration MinWatchTime = Milliseconds(500);
 constexpr Duration MinSettleTime = Milliseconds(600);
+// With fewer answers of the new version, completion waits for the deadline. They are well within what a bad version may get beside its share (50).
+constexpr int64_t FewAnswers = 40;
 // A delivery that is still in progress this long after its deadline, since there was no decider, is rolled back.
 constexpr Duration MaxLateness = std::chrono::seconds(10);
 // Bounds of the time after which a state is written again because of the time in it: a successor that has not seen the order itself is late by at
@@ -105,6 +113,16 @@
     }
 }
 
+// Returns the share for the rate of the service as its answers show it.
+double planShare(const DeliveryState &state, const DeliverySettings &settings)
+{
+    const double answers = static_cast<double>(state.evidence.newAnswers + state.evidence.oldAnswers);
+    const bool isRateKnown = state.elapsed >= MinRateTime && answers > 0;
+    const double share = watchShare(state.order.duration, settings, isRateKnown ? answers / toSeconds(state.elapsed) : 0);
+    const bool isSimilar = std::abs(share - state.share) < ShareTolerance * state.share;
+    return isSimilar ? state.share : share;
+}
+
 void advanceWatching(DeliveryState &state, const DeliveryInput &input, const DeliverySettings &settings, const TargetGroups &groups)
 {
     if (input.evidence.verdict == EvidenceVerdict::Bad) {
@@ -130,7 +148,7 @@
         }
         return;
     }
-    const double share = watchShare(duration, settings);
+    const double share = planShare(state, settings);
     state.chosenTargets = chooseTargets(state.chosenTargets, groups.serving, chosenTargetCount(share, groups.serving.size()));
     // Where rounding gives too few targets, the share is reduced, so that they are not overloaded.
     state.share = std::min(share, static_cast<double>(state.chosenTargets.size()) / static_cast<double>(groups.serving.size()));
@@ -172,8 +190,9 @@
     const Duration planned = state.phaseBegan + switchTime(duration, settings);
     // With enough good answers, the deadline comes before the full time of the switch.
     const Duration least = evidence.verdict == EvidenceVerdict::Good ? state.phaseBegan + MinSettleTime : planned;
-    const bool hasNoOldRuns = state.elapsed >= planned && state.oldRuns == 0;
-    if (hasNoOldRuns || state.elapsed >= std::max(duration - CompletionMargin, least)) {
+    const bool mayWait = evidence.verdict == EvidenceVerdict::TooFew && evidence.summary.newAnswers < FewAnswers;
+    const bool isDone = state.elapsed >= planned && state.oldRuns == 0 && !mayWait;
+    if (isDone || state.elapsed >= std::max(duration - CompletionMargin, least)) {
         complete(state, evidence);
     }
 }
@@ -296,12 +315,14 @@
     return std::max(duration - reserve - switchTime(duration, settings), Duration(0));
 }
 
-double watchShare(Duration duration, const DeliverySettings &settings)
+double watchShare(Duration duration, const DeliverySettings &settings, double requestsPerSecond)
 {
     const double total = toSeconds(duration);
     const double inSwitch = toSeconds(switchTime(duration, settings));
-    const double share = total > inSwitch ? (settings.exposureShare * total - inSwitch) / (total - inSwitch) : 0;
-    return std::min(std::max(share, MinWatchShare), settings.exposureShare);
+    const double watched = total - inSwitch;
+    const double share = watched > 0 ? (settings.exposureShare * total - inSwitch) / watched : 0;
+    const double slackShare = watched > 0 && requestsPerSecond > 0 ? SlackPart * settings.exposureSlack / (requestsPerSecond * watched) : 0;
+    return std::min(std::max(share, MinWatchShare) + slackShare, settings.exposureShare);
 }
 
 size_t chosenTargetCount(double share, size_t newTargets)
@@ -347,6 +368,7 @@
         return keep(input);
     }
     DeliveryState state{.order = order, .phase = DeliveryPhase::RolledBack, .withdrawnVersions = withdrawnVersions(input, order)};
+    state.isRejected = true;
     state.reason = "rejected: " + reason;
     return write(input, std::move(state));
 }
--- a/pimentosail/delivery/deliveryplan.h
+++ b/pimentosail/delivery/deliveryplan.h
@@ -24,6 +24,8 @@
 {
     // Largest share of the service's requests between the order and its deadline that a bad version may get.
     double exposureShare = 0.1;
+    // Requests that a bad version may get beside that share.
+    double exposureSlack = 0;
 };
 
 // A registered target of the service.
@@ -67,8 +69,9 @@
 // Returns the time after the order at which the switch begins.
 Duration switchBegin(Duration duration, const DeliverySettings &settings);
 
-// Returns the share of the requests that the new version gets while it is watched, if the number of its targets does not limit it.
-double watchShare(Duration duration, const DeliverySettings &settings);
+// Returns the share of the requests that the new version gets while it is watched, if the number of its targets does not limit it. With few requests it
+// is larger by half of `exposureSlack`, so that there are answers to judge; `requestsPerSecond` is the rate of the service, 0 if it is not known.
+double watchShare(Duration duration, const DeliverySettings &settings, double requestsPerSecond = 0);
 
 // Returns how many of `newTargets` targets share `share` of the requests, so that each has about the load that it would have with all of them.
 size_t chosenTargetCount(double share, size_t newTargets);
--- a/pimentosail/delivery/deliverystate.cpp
+++ b/pimentosail/delivery/deliverystate.cpp
@@ -107,6 +107,7 @@
     state.elapsed = timeField(document, "elapsed_ms");
     state.phaseBegan = timeField(document, "phase_began_ms");
     state.oldRuns = countField(document, "old_runs");
+    state.isRejected = jsonBoolean(document, "rejected");
     state.reason = jsonString(document, "reason");
     const Json::Value &evidence = document["evidence"];
     if (!evidence.isNull() && !evidence.isObject()) {
@@ -158,6 +159,7 @@
     document["elapsed_ms"] = Json::Int64(toMilliseconds(state.elapsed));
     document["phase_began_ms"] = Json::Int64(toMilliseconds(state.phaseBegan));
     document["old_runs"] = Json::Int64(state.oldRuns);
+    document["rejected"] = state.isRejected;
     document["reason"] = state.reason;
     Json::Value &evidence = document["evidence"];
     evidence["new_answers"] = Json::Int64(state.evidence.newAnswers);
--- a/pimentosail/delivery/deliverystate.h
+++ b/pimentosail/delivery/deliverystate.h
@@ -70,6 +70,8 @@
     Duration phaseBegan{};
     // Requests in flight on old targets when this state was written.
     int64_t oldRuns = 0;
+    // The order was not carried out because it is faulty.
+    bool isRejected = false;
     // Why the phase is what it is.
     std::string reason;
     EvidenceSummary evidence;
--- a/pimentosail/delivery/evidence.cpp
+++ b/pimentosail/delivery/evidence.cpp
@@ -34,9 +34,9 @@
 constexpr Duration SnapshotInterval = Milliseconds(100);
 // First answers of new targets may be slow because caches and connections are empty. Slow answers do not count in this time after the first answer.
 constexpr Duration WarmUp = Milliseconds(1500);
-// In the switch, all other new targets get their first requests. A version that was fast while it was watched must be slow in more answers.
-constexpr double SwitchSlowMargin = 0.25;
-constexpr double WarmSwitchSlowMargin = 0.5;
+// In the switch, all other new targets get their first requests. If the version was fast while it was watched, slow answers count after this time.
+constexpr Duration SwitchWarmUp = Milliseconds(600);
+constexpr double SwitchSlowMargin = 0.1;
 
 // Answers of both versions on one route with the number of those that are bad in one respect.
 struct Comparison
@@ -104,6 +104,11 @@
     return std::clamp(upper * OrdinaryFactor, MinOrdinaryShare, MaxOrdinaryShare);
 }
 
+double shareOf(double bad, double answers)
+{
+    return answers > 0 ? bad / answers : 0;
+}
+
 std::string percent(double share)
 {
     return std::to_string(std::lround(share * 1000) / 10) + "." + std::to_string(std::lround(share * 1000) % 10) + " %";
@@ -112,28 +117,22 @@
 std::string describe(const std::string &route, const Comparison &comparison, Respect respect)
 {
     const std::string kind = respect == Respect::Failures ? "failures" : "slow answers";
-    const double oldShare = comparison.oldAnswers > 0 ? comparison.oldBad / comparison.oldAnswers : 0;
+    const double oldShare = shareOf(comparison.oldBad, comparison.oldAnswers);
     return (route.empty() ? std::string("all routes: ") : "route " + route + ": ") + std::to_string(std::lround(comparison.newBad)) + " " + kind + " in "
         + std::to_string(std::lround(comparison.newAnswers)) + " answers, old versions " + percent(oldShare) + " of "
         + std::to_string(std::lround(comparison.oldAnswers));
 }
 
-// Returns true if the old versions hardly have such answers. One slow answer alone may have an accidental cause.
-bool areUnexplained(const Comparison &comparison, Respect respect)
+// Returns true if the old versions, which have `oldShare` of such answers, hardly have so many. One slow answer alone may have an accidental cause.
+bool areUnexplained(const Comparison &comparison, double oldShare, Respect respect)
 {
     const double least = respect == Respect::Failures ? 1 : 2;
-    if (comparison.newBad < least) {
-        return false;
-    }
-    const double oldShare = comparison.oldAnswers > 0 ? comparison.oldBad / comparison.oldAnswers : 0;
-    return upperTail(comparison.newBad, comparison.newAnswers, oldShare) <= ExplainedProbability;
+    return comparison.newBad >= least && upperTail(comparison.newBad, comparison.newAnswers, oldShare) <= ExplainedProbability;
 }
 
 void note(Finding &finding, const std::string &route, const Comparison &comparison, Respect respect, double ordinary, double margin)
 {
-    const double newShare = comparison.newAnswers > 0 ? comparison.newBad / comparison.newAnswers : 0;
-    const double oldShare = comparison.oldAnswers > 0 ? comparison.oldBad / comparison.oldAnswers : 0;
-    if (newShare - oldShare < margin) {
+    if (shareOf(comparison.newBad, comparison.newAnswers) - shareOf(comparison.oldBad, comparison.oldAnswers) < margin) {
         return;
     }
     const double probability = upperTail(comparison.newBad, comparison.newAnswers, ordinary);
@@ -149,21 +148,28 @@
     Comparison all;
     // The shares of the routes by the new version's answers, since the versions may serve them in different proportions.
     double ordinary = 0;
+    double expectedBad = 0;
     double oldBad = 0;
     for (const auto &[route, comparison] : routes) {
         const double routeOrdinary = ordinaryShare(comparison);
         note(finding, route, comparison, respect, routeOrdinary, margin);
-        finding.hasBadAnswers = finding.hasBadAnswers || areUnexplained(comparison, respect);
         all.newAnswers += comparison.newAnswers;
         all.newBad += comparison.newBad;
         all.oldAnswers += comparison.oldAnswers;
         ordinary += comparison.newAnswers * routeOrdinary;
-        oldBad += comparison.oldAnswers > 0 ? comparison.newAnswers * comparison.oldBad / comparison.oldAnswers : 0;
+        expectedBad += comparison.newAnswers * shareOf(comparison.oldBad, comparison.oldAnswers);
+        oldBad += comparison.oldBad;
+    }
+    for (const auto &[route, comparison] : routes) {
+        // On a rare route, the old versions may have none by chance.
+        const double oldShare = std::max(shareOf(comparison.oldBad, comparison.oldAnswers), shareOf(oldBad, all.oldAnswers));
+        finding.hasBadAnswers = finding.hasBadAnswers || areUnexplained(comparison, oldShare, respect);
     }
     if (all.newAnswers > 0) {
-        all.oldBad = oldBad / all.newAnswers * all.oldAnswers;
+        all.oldBad = expectedBad / all.newAnswers * all.oldAnswers;
         const double allOrdinary = ordinary / all.newAnswers;
         note(finding, "", all, respect, allOrdinary, margin);
+        finding.hasBadAnswers = finding.hasBadAnswers || areUnexplained(all, shareOf(all.oldBad, all.oldAnswers), respect);
         finding.isGood = lowerTail(all.newBad, all.newAnswers, std::min(allOrdinary + NoticeableExcess, MaxOrdinaryShare)) <= OverlookProbability;
     }
     return finding;
@@ -319,36 +325,50 @@
     }
 }
 
+void EvidenceWindows::enterSwitch()
+{
+    this->beforeSwitch = this->since(LongestWindow);
+    this->warmBeforeSwitch = this->sinceWarmUp(Duration(0));
+    if (this->wasFastWhileWatched) {
+        this->warmAt = this->latest.at + SwitchWarmUp;
+        this->warm.reset();
+    } else if (!this->warm) {
+        // There is no time left for a warm-up, so everything counts.
+        this->warm = Snapshot();
+        this->warmBeforeSwitch = this->latest.routes;
+    }
+}
+
 Evidence EvidenceWindows::judge(DeliveryPhase phase)
 {
     const bool isSwitching = phase == DeliveryPhase::Switching;
     if (isSwitching && !this->beforeSwitch) {
-        this->beforeSwitch = this->since(LongestWindow);
+        this->enterSwitch();
     }
     EvidenceMargins margins;
     if (isSwitching) {
-        margins.slow = this->wasFastWhileWatched ? WarmSwitchSlowMargin : SwitchSlowMargin;
+        margins.slow = SwitchSlowMargin;
     }
-    const Routes &whole = this->latest.routes;
-    const Routes warmWhole = this->sinceWarmUp(Duration(0));
-    const auto compareRoutes = [&](const Routes &routes, const Routes &all, Respect respect, double margin) {
+    const auto compareRoutes = [&](const Routes &routes, const Routes &former, Respect respect, double margin) {
         Comparisons comparisons = toComparisons(routes, respect);
         if (isSwitching) {
-            useFormerBaseline(comparisons, toComparisons(all, respect), toComparisons(*this->beforeSwitch, respect));
+            useFormerBaseline(comparisons, toComparisons(former, respect), toComparisons(*this->beforeSwitch, respect));
         }
         return compare(comparisons, respect, margin);
     };
+    const Routes &whole = this->latest.routes;
     const Finding failures = compareRoutes(whole, whole, Respect::Failures, margins.failures);
-    const Finding slow = compareRoutes(warmWhole, warmWhole, Respect::Slow, margins.slow);
+    Finding slow = compareRoutes(this->sinceWarmUp(Duration(0)), this->warmBeforeSwitch, Respect::Slow, margins.slow);
     std::vector<Finding> findings = {failures, slow};
     for (const Duration window : Windows) {
         findings.push_back(compareRoutes(this->since(window), whole, Respect::Failures, margins.failures));
-        findings.push_back(compareRoutes(this->sinceWarmUp(window), warmWhole, Respect::Slow, margins.slow));
+        findings.push_back(compareRoutes(this->sinceWarmUp(window), this->warmBeforeSwitch, Respect::Slow, margins.slow));
     }
-    Evidence evidence = conclude(findings, failures, slow, summarize(whole));
     if (phase == DeliveryPhase::Watching) {
         this->wasFastWhileWatched = slow.isGood;
     }
+    slow.isGood = slow.isGood || (isSwitching && this->wasFastWhileWatched);
+    Evidence evidence = conclude(findings, failures, slow, summarize(whole));
     if (evidence.verdict == EvidenceVerdict::Bad && this->badReason.empty()) {
         this->badReason = evidence.reason;
     }
--- a/pimentosail/delivery/evidence.h
+++ b/pimentosail/delivery/evidence.h
@@ -95,6 +95,7 @@
     Routes since(Duration window) const;
     // The same without those before the end of the warm-up; all after it if `window` is zero.
     Routes sinceWarmUp(Duration window) const;
+    void enterSwitch();
 
     std::string service;
     std::string newVersion;
@@ -106,6 +107,8 @@
     std::optional<Snapshot> warm;
     // The answers of the last seconds before the switch.
     std::optional<Routes> beforeSwitch;
+    // The answers before the switch that slow ones are compared with.
+    Routes warmBeforeSwitch;
     // While it was watched, the new version was not slow.
     bool wasFastWhileWatched = false;
     std::string badReason;
--- a/pimentosail/delivery/versionoutcomes.h
+++ b/pimentosail/delivery/versionoutcomes.h
@@ -97,8 +97,9 @@
 constexpr size_t MaxOutcomeStreams = 2048;
 
 // An answer counts as slow if its first event takes longer than this multiple of the old versions' mean on the same route, and the time in
-// addition, which covers the way to another zone.
-constexpr double SlowAnswerFactor = 2.0;
+// addition, which covers the way to another zone. A version that always takes three times as long exceeds it if its mean was above 7 ms; where times vary
+// as in an exponential distribution, a tenth of the old versions' answers does.
+constexpr double SlowAnswerFactor = 2.25;
 constexpr Duration SlowAnswerAllowance = Milliseconds(5);
 // Answers of the old versions on a route from which their mean counts as known.
 constexpr int64_t MinAnswersForMean = 10;
