Delivery: very slow answers count on their own

OutcomeCounts has one field more for answers over five times the mean, which is to travel with the others.

--- a/pimentosail/delivery/evidence.cpp
+++ b/pimentosail/delivery/evidence.cpp
@@ -53,8 +53,24 @@
 enum class Respect {
     Failures,
     Slow,
+    VerySlow,
 };
 
+constexpr std::array<std::string_view, 3> RespectNames = {"failures", "slow answers", "very slow answers"};
+
+int64_t countOf(const OutcomeCounts &counts, Respect respect)
+{
+    switch (respect) {
+    case Respect::Failures:
+        return counts.failures;
+    case Respect::Slow:
+        return counts.slow;
+    case Respect::VerySlow:
+        break;
+    }
+    return counts.verySlow;
+}
+
 // What the comparison in one respect showed.
 struct Finding
 {
@@ -116,7 +132,7 @@
 
 std::string describe(const std::string &route, const Comparison &comparison, Respect respect)
 {
-    const std::string kind = respect == Respect::Failures ? "failures" : "slow answers";
+    const std::string kind(RespectNames.at(static_cast<size_t>(respect)));
     const double oldShare = shareOf(comparison.oldBad, comparison.oldAnswers);
     return (route.empty() ? std::string("all routes: ") : "route " + route + ": ") + std::to_string(std::lround(comparison.newBad)) + " " + kind + " in "
         + std::to_string(std::lround(comparison.newAnswers)) + " answers, old versions " + percent(oldShare) + " of "
@@ -177,13 +193,12 @@
 
 Comparisons toComparisons(const Routes &routes, Respect respect)
 {
-    const auto bad = [respect](const OutcomeCounts &counts) {
-        return static_cast<double>(respect == Respect::Failures ? counts.failures : counts.slow);
-    };
     Comparisons comparisons;
     for (const auto &[route, outcomes] : routes) {
-        comparisons[route] = {static_cast<double>(outcomes.newVersion.answers), bad(outcomes.newVersion), static_cast<double>(outcomes.oldVersions.answers),
-            bad(outcomes.oldVersions)};
+        const OutcomeCounts &fresh = outcomes.newVersion;
+        const OutcomeCounts &old = outcomes.oldVersions;
+        comparisons[route] = {static_cast<double>(fresh.answers), static_cast<double>(countOf(fresh, respect)), static_cast<double>(old.answers),
+            static_cast<double>(countOf(old, respect))};
     }
     return comparisons;
 }
@@ -234,7 +249,7 @@
 
 bool isLess(const OutcomeCounts &left, const OutcomeCounts &right)
 {
-    return left.answers < right.answers || left.failures < right.failures || left.slow < right.slow;
+    return left.answers < right.answers || left.failures < right.failures || left.slow < right.slow || left.verySlow < right.verySlow;
 }
 
 // Returns true if some count of `later` is less than in `earlier`, as after a change to a relay that has heard less.
@@ -246,7 +261,7 @@
     });
 }
 
-// Joins findings of several periods and respects into a verdict. The last failure and slow findings are those of the whole time.
+// Joins findings of several periods and respects into a verdict. `failures` and `slow` are those of the whole time.
 Evidence conclude(const std::vector<Finding> &findings, const Finding &failures, const Finding &slow, const EvidenceSummary &summary)
 {
     Evidence evidence;
@@ -281,7 +296,8 @@
 {
     const Finding failures = compare(toComparisons(routes, Respect::Failures), Respect::Failures, margins.failures);
     const Finding slow = compare(toComparisons(routes, Respect::Slow), Respect::Slow, margins.slow);
-    return conclude({failures, slow}, failures, slow, summarize(routes));
+    const Finding verySlow = compare(toComparisons(routes, Respect::VerySlow), Respect::VerySlow, margins.slow);
+    return conclude({failures, slow, verySlow}, failures, slow, summarize(routes));
 }
 
 EvidenceWindows::EvidenceWindows(std::string serviceName, std::string newVersionName)
@@ -358,11 +374,18 @@
     };
     const Routes &whole = this->latest.routes;
     const Finding failures = compareRoutes(whole, whole, Respect::Failures, margins.failures);
-    Finding slow = compareRoutes(this->sinceWarmUp(Duration(0)), this->warmBeforeSwitch, Respect::Slow, margins.slow);
-    std::vector<Finding> findings = {failures, slow};
+    std::vector<Finding> findings = {failures};
     for (const Duration window : Windows) {
         findings.push_back(compareRoutes(this->since(window), whole, Respect::Failures, margins.failures));
-        findings.push_back(compareRoutes(this->sinceWarmUp(window), this->warmBeforeSwitch, Respect::Slow, margins.slow));
+    }
+    Finding slow;
+    for (const Duration window : {Duration(0), Windows[0], Windows[1]}) {
+        const Routes warmRoutes = this->sinceWarmUp(window);
+        findings.push_back(compareRoutes(warmRoutes, this->warmBeforeSwitch, Respect::Slow, margins.slow));
+        if (window == Duration(0)) {
+            slow = findings.back();
+        }
+        findings.push_back(compareRoutes(warmRoutes, this->warmBeforeSwitch, Respect::VerySlow, margins.slow));
     }
     if (phase == DeliveryPhase::Watching) {
         this->wasFastWhileWatched = slow.isGood;
--- a/pimentosail/delivery/versionoutcomes.cpp
+++ b/pimentosail/delivery/versionoutcomes.cpp
@@ -16,6 +16,11 @@
 // Receiver of a relay's group reports, unlike any host's name.
 const std::string GroupReceiver = "\ngroup";
 
+Duration limitOf(Duration mean, double factor)
+{
+    return fromSeconds(toSeconds(mean) * factor) + SlowAnswerAllowance;
+}
+
 bool isOfService(const OutcomeKey &key, const std::string &service)
 {
     return key.service == service;
@@ -51,6 +56,7 @@
     this->answers += other.answers;
     this->failures += other.failures;
     this->slow += other.slow;
+    this->verySlow += other.verySlow;
     this->firstEvents += other.firstEvents;
     return *this;
 }
@@ -60,6 +66,7 @@
     this->answers -= other.answers;
     this->failures -= other.failures;
     this->slow -= other.slow;
+    this->verySlow -= other.verySlow;
     this->firstEvents -= other.firstEvents;
     return *this;
 }
@@ -103,8 +110,9 @@
     if (answer.isFailure) {
         counts.failures = 1;
     } else {
-        const std::optional<Duration> limit = this->slowLimitLocked(key.service, key.route);
-        counts.slow = limit && answer.firstEvent > *limit ? 1 : 0;
+        const std::optional<Duration> mean = this->meanLocked(key.service, key.route);
+        counts.slow = mean && answer.firstEvent > limitOf(*mean, SlowAnswerFactor) ? 1 : 0;
+        counts.verySlow = mean && answer.firstEvent > limitOf(*mean, VerySlowAnswerFactor) ? 1 : 0;
         counts.firstEvents = answer.firstEvent;
     }
     this->own[key] += counts;
@@ -113,7 +121,8 @@
 std::optional<Duration> VersionOutcomeTable::slowLimit(const std::string &service, const std::string &route) const
 {
     const std::lock_guard lock(this->mutex);
-    return this->slowLimitLocked(service, route);
+    const std::optional<Duration> mean = this->meanLocked(service, route);
+    return mean ? std::optional(limitOf(*mean, SlowAnswerFactor)) : std::nullopt;
 }
 
 bool VersionOutcomeTable::recordReport(OutcomeSource source, const std::string &sender, uint64_t stream, uint64_t sequence, const std::vector<OutcomeRow> &rows)
@@ -293,7 +302,7 @@
     this->followerSums.clear();
 }
 
-std::optional<Duration> VersionOutcomeTable::slowLimitLocked(const std::string &service, const std::string &route) const
+std::optional<Duration> VersionOutcomeTable::meanLocked(const std::string &service, const std::string &route) const
 {
     const auto order = this->orders.find(service);
     if (order == this->orders.end()) {
@@ -312,8 +321,7 @@
     if (successes < MinAnswersForMean) {
         return std::nullopt;
     }
-    const double mean = static_cast<double>(old.firstEvents.count()) / static_cast<double>(successes);
-    return Duration(static_cast<int64_t>(mean * SlowAnswerFactor)) + SlowAnswerAllowance;
+    return old.firstEvents / successes;
 }
 
 } // namespace pimentosail
--- a/pimentosail/delivery/versionoutcomes.h
+++ b/pimentosail/delivery/versionoutcomes.h
@@ -49,6 +49,8 @@
     int64_t failures = 0;
     // Answers whose first event came later than `slowLimit`.
     int64_t slow = 0;
+    // Those of them whose first event came even later than the limit with `VerySlowAnswerFactor`.
+    int64_t verySlow = 0;
     // Sum of the first-event times of all answers that are no failures.
     Duration firstEvents{};
 
@@ -100,6 +102,9 @@
 // addition, which covers the way to another zone. A version that always takes three times as long exceeds it if its mean was above 7 ms; where times vary
 // as in an exponential distribution, a tenth of the old versions' answers does.
 constexpr double SlowAnswerFactor = 2.25;
+// The same for very slow answers, which hardly any version has. They reveal a version of which only a part of the answers is slow, in services with
+// widely varying times.
+constexpr double VerySlowAnswerFactor = 5;
 constexpr Duration SlowAnswerAllowance = Milliseconds(5);
 // Answers of the old versions on a route from which their mean counts as known.
 constexpr int64_t MinAnswersForMean = 10;
@@ -161,7 +166,8 @@
     Sums takeRowsLocked(const std::vector<OutcomeRow> &rows);
     std::vector<OutcomeRow> toRowsLocked(const Sums &sums) const;
     void startStreamLocked(const std::string &receiver);
-    std::optional<Duration> slowLimitLocked(const std::string &service, const std::string &route) const;
+    // Returns the mean first-event time of the old versions, if it is known.
+    std::optional<Duration> meanLocked(const std::string &service, const std::string &route) const;
 
     const uint64_t process;
     mutable std::mutex mutex;
