--- a/pimentosail/delivery/evidence.cpp
+++ b/pimentosail/delivery/evidence.cpp
@@ -18,7 +18,7 @@
 // The same for one look at the moment of the switch or of completion.
 constexpr double SuspicionProbability = 2e-3;
 // The same for a version of which too little is known, where the old versions do have such answers.
-constexpr double ExplainedProbability = 5e-3;
+constexpr double ExplainedProbability = 2e-2;
 // A version is good if it would show as few failures and slow answers with this probability at most in case `NoticeableExcess` more than ordinary
 // were bad.
 constexpr double OverlookProbability = 0.05;
