--- a/pimentosail/delivery/evidence.cpp
+++ b/pimentosail/delivery/evidence.cpp
@@ -296,7 +296,7 @@
 {
     const Finding failures = compare(toComparisons(routes, Respect::Failures), Respect::Failures, margins.failures);
     const Finding slow = compare(toComparisons(routes, Respect::Slow), Respect::Slow, margins.slow);
-    const Finding verySlow = compare(toComparisons(routes, Respect::VerySlow), Respect::VerySlow, margins.slow);
+    const Finding verySlow = compare(toComparisons(routes, Respect::VerySlow), Respect::VerySlow, margins.verySlow);
     return conclude({failures, slow, verySlow}, failures, slow, summarize(routes));
 }
 
@@ -385,7 +385,7 @@
         if (window == Duration(0)) {
             slow = findings.back();
         }
-        findings.push_back(compareRoutes(warmRoutes, this->warmBeforeSwitch, Respect::VerySlow, margins.slow));
+        findings.push_back(compareRoutes(warmRoutes, this->warmBeforeSwitch, Respect::VerySlow, margins.verySlow));
     }
     if (phase == DeliveryPhase::Watching) {
         this->wasFastWhileWatched = slow.isGood;
--- a/pimentosail/delivery/evidence.h
+++ b/pimentosail/delivery/evidence.h
@@ -64,6 +64,7 @@
 {
     double failures = 0.02;
     double slow = 0.05;
+    double verySlow = 0.05;
 };
 
 // Judges the answers of one period, by route.
--- a/pimentosail/delivery/versionoutcomes.cpp
+++ b/pimentosail/delivery/versionoutcomes.cpp
@@ -294,12 +294,14 @@
     if (newReceiver == this->receiver) {
         return;
     }
+    if (this->receiver == GroupReceiver) {
+        // Other relays hold what followers reported until now as part of that stream.
+        this->followerSums.clear();
+    }
     this->receiver = newReceiver;
     ++this->streamNumber;
     this->base = this->acknowledged;
     this->pending.clear();
-    // Other relays hold what followers reported during a former stream as part of that stream.
-    this->followerSums.clear();
 }
 
 std::optional<Duration> VersionOutcomeTable::meanLocked(const std::string &service, const std::string &route) const
--- a/pimentosail/delivery/versionoutcomes.h
+++ b/pimentosail/delivery/versionoutcomes.h
@@ -185,7 +185,7 @@
 
     // By sender and stream.
     std::map<std::pair<std::string, uint64_t>, Stream> streams;
-    // Sum of all streams, and of what followers reported during the current stream.
+    // Sum of all streams, and of what followers have reported since this host was last a relay.
     Sums streamSums;
     Sums followerSums;
     std::optional<Sums> relayTotals;
