Delivery: an order back to the former version, and rejected orders, leave a version in use

While v2 was rolled back and an order named v1 again, neither version was allowed until the next state; and a rejected order that named the incumbent withdrew it from the next delivery.

--- a/pimentosail/delivery/deliverypermission.cpp
+++ b/pimentosail/delivery/deliverypermission.cpp
@@ -85,6 +85,13 @@
         && !view.isStopped && !view.isIsolated;
 }
 
+bool hasAllowedVersion(DeliveryView view, const std::vector<std::string> &servingVersions)
+{
+    view.hasOldTargets = true;
+    return std::any_of(
+        servingVersions.begin(), servingVersions.end(), [&view](const std::string &version) { return checkDelivery(view, version, "", false).isAllowed(); });
+}
+
 DeliveryDecision checkDelivery(const DeliveryView &view, const std::string &targetVersion, const std::string &targetId, bool isDrawn)
 {
     const bool hasOrderedVersion = view.order && view.order->version == targetVersion;
--- a/pimentosail/delivery/deliverypermission.h
+++ b/pimentosail/delivery/deliverypermission.h
@@ -12,7 +12,7 @@
 //     Completed                allowed                                  denied
 //     RolledBack               denied (2)                               allowed
 //
-// (1) Allowed if no target of another version takes requests: refusing everything would protect no caller. (2) The same if the order was rejected as
+// (1) Allowed if no target with an allowed version takes requests: refusing everything would protect no caller. (2) The same if the order was rejected as
 // faulty, because it may name the only version that there is.
 //
 // In Watching and Switching, a host that itself finds the version bad (`isStopped`) denies the new version and allows the old ones. In Watching, a
@@ -23,6 +23,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "pimentosail/delivery/deliveryorder.h"
 #include "pimentosail/delivery/deliverystate.h"
@@ -37,7 +38,7 @@
     std::optional<DeliveryState> state;
     // This host's own sums say that the version of `order` is bad.
     bool isStopped = false;
-    // Some target of another version than the new one takes requests.
+    // Some target takes requests whose version is allowed at any rate; see `hasAllowedVersion`.
     bool hasOldTargets = true;
     // This host has heard from neither the store nor other hosts for `IsolationLimit`.
     bool isIsolated = false;
@@ -84,6 +85,9 @@
 // Returns true if requests of the service are to be drawn by `ExposureLimiter::mayUseNewVersion`: a version is watched, and this host may use it.
 bool needsDraw(const DeliveryView &view);
 
+// Returns true if one of `servingVersions`, the versions of the targets that take requests, is allowed for requests outside the share.
+bool hasAllowedVersion(DeliveryView view, const std::vector<std::string> &servingVersions);
+
 // Returns whether a request may go to the target `targetId` with `targetVersion`. `isDrawn` is what the exposure limiter said of this request.
 DeliveryDecision checkDelivery(const DeliveryView &view, const std::string &targetVersion, const std::string &targetId, bool isDrawn);
 
--- a/pimentosail/delivery/deliverypermissiontest.cpp
+++ b/pimentosail/delivery/deliverypermissiontest.cpp
@@ -148,6 +148,18 @@
     cr_assert_eq(obstacle(view, "v2", "new1"), DeliveryObstacle::RolledBack, "a version that was found bad stays out of use");
 }
 
+// Failure: an order back to the former version, while the new one was just rolled back, leaves no target for any request.
+Test(deliverypermission, something_is_allowed_if_the_order_goes_back_to_the_former_version)
+{
+    DeliveryView view = makeView(DeliveryPhase::RolledBack);
+    cr_assert(hasAllowedVersion(view, {"v1", "v2"}));
+    view.order = *DeliveryOrder::make("chat", "v1", 12, {1, 9});
+    cr_assert_not(hasAllowedVersion(view, {"v1", "v2"}));
+    view.hasOldTargets = false;
+    cr_assert_eq(obstacle(view, "v1", "old1"), DeliveryObstacle::None);
+    cr_assert_eq(obstacle(view, "v2", "new1"), DeliveryObstacle::RolledBack);
+}
+
 // Failure: names in logs and metrics do not match the obstacles.
 Test(deliverypermission, each_obstacle_has_its_name)
 {
--- a/pimentosail/delivery/deliveryplan.cpp
+++ b/pimentosail/delivery/deliveryplan.cpp
@@ -182,7 +182,8 @@
         enterPhase(state, DeliveryPhase::RolledBack, "bad: " + evidence.reason);
         return;
     }
-    if (groups.serving.empty()) {
+    // Without old targets there is nothing to go back to.
+    if (groups.serving.empty() && groups.hasServingOld) {
         enterPhase(state, DeliveryPhase::RolledBack, "all targets of the new version left");
         return;
     }
@@ -231,9 +232,10 @@
     if (input.previous) {
         const DeliveryState &previous = *input.previous;
         versions.insert(previous.withdrawnVersions.begin(), previous.withdrawnVersions.end());
+        // A rejected order may have named any version.
         if (previous.phase == DeliveryPhase::Completed) {
             versions.insert(previous.oldVersions.begin(), previous.oldVersions.end());
-        } else {
+        } else if (!previous.isRejected) {
             versions.insert(previous.order.version);
         }
     }
@@ -247,7 +249,8 @@
 // restored store have brought it back.
 bool isSameDelivery(const DeliveryState &state, const DeliveryOrder &order)
 {
-    if (state.order.version != order.version) {
+    // A rejected order that is valid now, since its service has become known, is carried out.
+    if (state.order.version != order.version || state.isRejected) {
         return false;
     }
     return state.order.position == order.position || !isFinal(state.phase) || state.order.position.era != order.position.era;
--- a/pimentosail/delivery/deliveryplantest.cpp
+++ b/pimentosail/delivery/deliveryplantest.cpp
@@ -293,12 +293,29 @@
     cr_assert_not(rejectDelivery(course.input, faulty, "again").mustWrite);
 }
 
+// Failure: a rejected order that named the only version in use takes it out of use in the next delivery; or an order for a service that became known
+// later is never carried out.
+Test(deliveryplan, a_rejected_order_has_no_effect_on_the_next)
+{
+    Course course;
+    course.input.order.reset();
+    course.input.previous = rejectDelivery(course.input, makeOrder("v1", {1, 5}), "unknown service").state;
+    course.input.order = makeOrder();
+    cr_assert_eq(course.at(0), DeliveryPhase::Watching);
+    cr_assert(course.input.previous->withdrawnVersions.empty());
+    course.input.previous = rejectDelivery({.targets = course.input.targets}, makeOrder(), "unknown service").state;
+    cr_assert_eq(course.at(100), DeliveryPhase::Watching);
+}
+
 // Failure: a service whose old targets are gone refuses everything until the switch.
 Test(deliveryplan, without_old_targets_all_requests_go_to_the_new_ones_at_once)
 {
     Course course;
     course.input.targets = makeTargets(0, 10);
     cr_assert_eq(course.at(0), DeliveryPhase::Switching);
+    setLeaving(course.input.targets, "v2");
+    cr_assert_eq(course.at(500), DeliveryPhase::Switching, "there is nothing to go back to");
+    course.input.targets = makeTargets(0, 10);
     cr_assert_eq(course.at(1000), DeliveryPhase::Completed);
 }
 
--- a/pimentosail/delivery/evidence.cpp
+++ b/pimentosail/delivery/evidence.cpp
@@ -35,7 +35,7 @@
 // First answers of new targets may be slow because caches and connections are empty. Slow answers do not count in this time after the first answer.
 constexpr Duration WarmUp = Milliseconds(1500);
 // In the switch, all other new targets get their first requests. If the version was fast while it was watched, slow answers count after this time.
-constexpr Duration SwitchWarmUp = Milliseconds(600);
+constexpr Duration SwitchWarmUp = Milliseconds(400);
 constexpr double SwitchSlowMargin = 0.1;
 
 // Answers of both versions on one route with the number of those that are bad in one respect.
