--- a/pimentosail/delivery/deliveryorder.cpp
+++ b/pimentosail/delivery/deliveryorder.cpp
@@ -1,6 +1,7 @@
 #include "pimentosail/delivery/deliveryorder.h"
 
 #include <cmath>
+#include <optional>
 
 namespace pimentosail
 {
--- a/pimentosail/delivery/exposurelimitertest.cpp
+++ b/pimentosail/delivery/exposurelimitertest.cpp
@@ -74,8 +74,10 @@
     ExposureLimiter limiter;
     limiter.setShare("chat", 0.01);
     std::atomic<int> sent{0};
+    constexpr int Threads = 4;
     std::vector<std::jthread> threads;
-    for (int index = 0; index < 4; ++index) {
+    threads.reserve(Threads);
+    for (int index = 0; index < Threads; ++index) {
         threads.emplace_back([&] {
             for (int request = 0; request < 10'000; ++request) {
                 sent += limiter.mayUseNewVersion("chat") ? 1 : 0;
--- a/pimentosail/delivery/versionoutcomes.h
+++ b/pimentosail/delivery/versionoutcomes.h
@@ -18,11 +18,13 @@
 // Thread-safe.
 #pragma once
 
+#include <compare>
 #include <cstdint>
 #include <map>
 #include <mutex>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -39,7 +41,11 @@
     std::string version;
     std::string route;
 
-    friend auto operator<=>(const OutcomeKey &, const OutcomeKey &) = default;
+    friend bool operator==(const OutcomeKey &, const OutcomeKey &) = default;
+    friend auto operator<=>(const OutcomeKey &left, const OutcomeKey &right)
+    {
+        return std::tie(left.service, left.version, left.route) <=> std::tie(right.service, right.version, right.route);
+    }
 };
 
 struct OutcomeCounts
