--- a/pimentosail/delivery/deliverypermission.h
+++ b/pimentosail/delivery/deliverypermission.h
@@ -5,12 +5,15 @@
 //
 //     phase                    new version                              old versions
 //     no order and no state    allowed                                  allowed
-//     order, no state yet      denied                                   allowed
-//     Waiting                  denied                                   allowed
-//     Watching                 chosen targets, for drawn requests       allowed
+//     order, no state yet      denied (1)                               allowed
+//     Waiting                  denied (1)                               allowed
+//     Watching                 chosen targets, for drawn requests (1)   allowed
 //     Switching                allowed                                  denied
 //     Completed                allowed                                  denied
-//     RolledBack               denied                                   allowed
+//     RolledBack               denied (2)                               allowed
+//
+// (1) Allowed if no target with an allowed version takes requests: refusing everything would protect no caller. (2) The same if the order was rejected as
+// faulty, because it may name the only version that there is.
 //
 // In Watching and Switching, a host that itself finds the version bad (`isStopped`) denies the new version and allows the old ones. In Watching, a
 // host that hears from neither the store nor other hosts (`isIsolated`) denies the new version. The state of an order that was removed or replaced
@@ -20,6 +23,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "pimentosail/delivery/deliveryorder.h"
 #include "pimentosail/delivery/deliverystate.h"
@@ -34,6 +38,8 @@
     std::optional<DeliveryState> state;
     // This host's own sums say that the version of `order` is bad.
     bool isStopped = false;
+    // Some target takes requests whose version is allowed at any rate; see `hasAllowedVersion`.
+    bool hasOldTargets = true;
     // This host has heard from neither the store nor other hosts for `IsolationLimit`.
     bool isIsolated = false;
 };
@@ -79,6 +85,9 @@
 // Returns true if requests of the service are to be drawn by `ExposureLimiter::mayUseNewVersion`: a version is watched, and this host may use it.
 bool needsDraw(const DeliveryView &view);
 
+// Returns true if one of `servingVersions`, the versions of the targets that take requests, is allowed for requests outside the share.
+bool hasAllowedVersion(DeliveryView view, const std::vector<std::string> &servingVersions);
+
 // Returns whether a request may go to the target `targetId` with `targetVersion`. `isDrawn` is what the exposure limiter said of this request.
 DeliveryDecision checkDelivery(const DeliveryView &view, const std::string &targetVersion, const std::string &targetId, bool isDrawn);
 
--- a/pimentosail/delivery/evidence.cpp
+++ b/pimentosail/delivery/evidence.cpp
@@ -18,7 +18,7 @@
 // The same for one look at the moment of the switch or of completion.
 constexpr double SuspicionProbability = 2e-3;
 // The same for a version of which too little is known, where the old versions do have such answers.
-constexpr double ExplainedProbability = 5e-3;
+constexpr double ExplainedProbability = 2e-2;
 // A version is good if it would show as few failures and slow answers with this probability at most in case `NoticeableExcess` more than ordinary
 // were bad.
 constexpr double OverlookProbability = 0.05;
@@ -34,9 +34,9 @@
 constexpr Duration SnapshotInterval = Milliseconds(100);
 // First answers of new targets may be slow because caches and connections are empty. Slow answers do not count in this time after the first answer.
 constexpr Duration WarmUp = Milliseconds(1500);
-// In the switch, all other new targets get their first requests. A version that was fast while it was watched must be slow in more answers.
-constexpr double SwitchSlowMargin = 0.25;
-constexpr double WarmSwitchSlowMargin = 0.5;
+// In the switch, all other new targets get their first requests. If the version was fast while it was watched, slow answers count after this time.
+constexpr Duration SwitchWarmUp = Milliseconds(400);
+constexpr double SwitchSlowMargin = 0.1;
 
 // Answers of both versions on one route with the number of those that are bad in one respect.
 struct Comparison
@@ -53,8 +53,24 @@
 enum class Respect {
     Failures,
     Slow,
+    VerySlow,
 };
 
+constexpr std::array<std::string_view, 3> RespectNames = {"failures", "slow answers", "very slow answers"};
+
+int64_t countOf(const OutcomeCounts &counts, Respect respect)
+{
+    switch (respect) {
+    case Respect::Failures:
+        return counts.failures;
+    case Respect::Slow:
+        return counts.slow;
+    case Respect::VerySlow:
+        break;
+    }
+    return counts.verySlow;
+}
+
 // What the comparison in one respect showed.
 struct Finding
 {
@@ -104,6 +120,11 @@
     return std::clamp(upper * OrdinaryFactor, MinOrdinaryShare, MaxOrdinaryShare);
 }
 
+double shareOf(double bad, double answers)
+{
+    return answers > 0 ? bad / answers : 0;
+}
+
 std::string percent(double share)
 {
     return std::to_string(std::lround(share * 1000) / 10) + "." + std::to_string(std::lround(share * 1000) % 10) + " %";
@@ -111,29 +132,23 @@
 
 std::string describe(const std::string &route, const Comparison &comparison, Respect respect)
 {
-    const std::string kind = respect == Respect::Failures ? "failures" : "slow answers";
-    const double oldShare = comparison.oldAnswers > 0 ? comparison.oldBad / comparison.oldAnswers : 0;
+    const std::string kind(RespectNames.at(static_cast<size_t>(respect)));
+    const double oldShare = shareOf(comparison.oldBad, comparison.oldAnswers);
     return (route.empty() ? std::string("all routes: ") : "route " + route + ": ") + std::to_string(std::lround(comparison.newBad)) + " " + kind + " in "
         + std::to_string(std::lround(comparison.newAnswers)) + " answers, old versions " + percent(oldShare) + " of "
         + std::to_string(std::lround(comparison.oldAnswers));
 }
 
-// Returns true if the old versions hardly have such answers. One slow answer alone may have an accidental cause.
-bool areUnexplained(const Comparison &comparison, Respect respect)
+// Returns true if the old versions, which have `oldShare` of such answers, hardly have so many. One slow answer alone may have an accidental cause.
+bool areUnexplained(const Comparison &comparison, double oldShare, Respect respect)
 {
     const double least = respect == Respect::Failures ? 1 : 2;
-    if (comparison.newBad < least) {
-        return false;
-    }
-    const double oldShare = comparison.oldAnswers > 0 ? comparison.oldBad / comparison.oldAnswers : 0;
-    return upperTail(comparison.newBad, comparison.newAnswers, oldShare) <= ExplainedProbability;
+    return comparison.newBad >= least && upperTail(comparison.newBad, comparison.newAnswers, oldShare) <= ExplainedProbability;
 }
 
 void note(Finding &finding, const std::string &route, const Comparison &comparison, Respect respect, double ordinary, double margin)
 {
-    const double newShare = comparison.newAnswers > 0 ? comparison.newBad / comparison.newAnswers : 0;
-    const double oldShare = comparison.oldAnswers > 0 ? comparison.oldBad / comparison.oldAnswers : 0;
-    if (newShare - oldShare < margin) {
+    if (shareOf(comparison.newBad, comparison.newAnswers) - shareOf(comparison.oldBad, comparison.oldAnswers) < margin) {
         return;
     }
     const double probability = upperTail(comparison.newBad, comparison.newAnswers, ordinary);
@@ -149,21 +164,28 @@
     Comparison all;
     // The shares of the routes by the new version's answers, since the versions may serve them in different proportions.
     double ordinary = 0;
+    double expectedBad = 0;
     double oldBad = 0;
     for (const auto &[route, comparison] : routes) {
         const double routeOrdinary = ordinaryShare(comparison);
         note(finding, route, comparison, respect, routeOrdinary, margin);
-        finding.hasBadAnswers = finding.hasBadAnswers || areUnexplained(comparison, respect);
         all.newAnswers += comparison.newAnswers;
         all.newBad += comparison.newBad;
         all.oldAnswers += comparison.oldAnswers;
         ordinary += comparison.newAnswers * routeOrdinary;
-        oldBad += comparison.oldAnswers > 0 ? comparison.newAnswers * comparison.oldBad / comparison.oldAnswers : 0;
+        expectedBad += comparison.newAnswers * shareOf(comparison.oldBad, comparison.oldAnswers);
+        oldBad += comparison.oldBad;
+    }
+    for (const auto &[route, comparison] : routes) {
+        // On a rare route, the old versions may have none by chance.
+        const double oldShare = std::max(shareOf(comparison.oldBad, comparison.oldAnswers), shareOf(oldBad, all.oldAnswers));
+        finding.hasBadAnswers = finding.hasBadAnswers || areUnexplained(comparison, oldShare, respect);
     }
     if (all.newAnswers > 0) {
-        all.oldBad = oldBad / all.newAnswers * all.oldAnswers;
+        all.oldBad = expectedBad / all.newAnswers * all.oldAnswers;
         const double allOrdinary = ordinary / all.newAnswers;
         note(finding, "", all, respect, allOrdinary, margin);
+        finding.hasBadAnswers = finding.hasBadAnswers || areUnexplained(all, shareOf(all.oldBad, all.oldAnswers), respect);
         finding.isGood = lowerTail(all.newBad, all.newAnswers, std::min(allOrdinary + NoticeableExcess, MaxOrdinaryShare)) <= OverlookProbability;
     }
     return finding;
@@ -171,13 +193,12 @@
 
 Comparisons toComparisons(const Routes &routes, Respect respect)
 {
-    const auto bad = [respect](const OutcomeCounts &counts) {
-        return static_cast<double>(respect == Respect::Failures ? counts.failures : counts.slow);
-    };
     Comparisons comparisons;
     for (const auto &[route, outcomes] : routes) {
-        comparisons[route] = {static_cast<double>(outcomes.newVersion.answers), bad(outcomes.newVersion), static_cast<double>(outcomes.oldVersions.answers),
-            bad(outcomes.oldVersions)};
+        const OutcomeCounts &fresh = outcomes.newVersion;
+        const OutcomeCounts &old = outcomes.oldVersions;
+        comparisons[route] = {static_cast<double>(fresh.answers), static_cast<double>(countOf(fresh, respect)), static_cast<double>(old.answers),
+            static_cast<double>(countOf(old, respect))};
     }
     return comparisons;
 }
@@ -228,7 +249,7 @@
 
 bool isLess(const OutcomeCounts &left, const OutcomeCounts &right)
 {
-    return left.answers < right.answers || left.failures < right.failures || left.slow < right.slow;
+    return left.answers < right.answers || left.failures < right.failures || left.slow < right.slow || left.verySlow < right.verySlow;
 }
 
 // Returns true if some count of `later` is less than in `earlier`, as after a change to a relay that has heard less.
@@ -240,7 +261,7 @@
     });
 }
 
-// Joins findings of several periods and respects into a verdict. The last failure and slow findings are those of the whole time.
+// Joins findings of several periods and respects into a verdict. `failures` and `slow` are those of the whole time.
 Evidence conclude(const std::vector<Finding> &findings, const Finding &failures, const Finding &slow, const EvidenceSummary &summary)
 {
     Evidence evidence;
@@ -275,7 +296,8 @@
 {
     const Finding failures = compare(toComparisons(routes, Respect::Failures), Respect::Failures, margins.failures);
     const Finding slow = compare(toComparisons(routes, Respect::Slow), Respect::Slow, margins.slow);
-    return conclude({failures, slow}, failures, slow, summarize(routes));
+    const Finding verySlow = compare(toComparisons(routes, Respect::VerySlow), Respect::VerySlow, margins.verySlow);
+    return conclude({failures, slow, verySlow}, failures, slow, summarize(routes));
 }
 
 EvidenceWindows::EvidenceWindows(std::string serviceName, std::string newVersionName)
@@ -319,36 +341,57 @@
     }
 }
 
+void EvidenceWindows::enterSwitch()
+{
+    this->beforeSwitch = this->since(LongestWindow);
+    this->warmBeforeSwitch = this->sinceWarmUp(Duration(0));
+    if (this->wasFastWhileWatched) {
+        this->warmAt = this->latest.at + SwitchWarmUp;
+        this->warm.reset();
+    } else if (!this->warm) {
+        // There is no time left for a warm-up, so everything counts.
+        this->warm = Snapshot();
+        this->warmBeforeSwitch = this->latest.routes;
+    }
+}
+
 Evidence EvidenceWindows::judge(DeliveryPhase phase)
 {
     const bool isSwitching = phase == DeliveryPhase::Switching;
     if (isSwitching && !this->beforeSwitch) {
-        this->beforeSwitch = this->since(LongestWindow);
+        this->enterSwitch();
     }
     EvidenceMargins margins;
     if (isSwitching) {
-        margins.slow = this->wasFastWhileWatched ? WarmSwitchSlowMargin : SwitchSlowMargin;
+        margins.slow = SwitchSlowMargin;
     }
-    const Routes &whole = this->latest.routes;
-    const Routes warmWhole = this->sinceWarmUp(Duration(0));
-    const auto compareRoutes = [&](const Routes &routes, const Routes &all, Respect respect, double margin) {
+    const auto compareRoutes = [&](const Routes &routes, const Routes &former, Respect respect, double margin) {
         Comparisons comparisons = toComparisons(routes, respect);
         if (isSwitching) {
-            useFormerBaseline(comparisons, toComparisons(all, respect), toComparisons(*this->beforeSwitch, respect));
+            useFormerBaseline(comparisons, toComparisons(former, respect), toComparisons(*this->beforeSwitch, respect));
         }
         return compare(comparisons, respect, margin);
     };
+    const Routes &whole = this->latest.routes;
     const Finding failures = compareRoutes(whole, whole, Respect::Failures, margins.failures);
-    const Finding slow = compareRoutes(warmWhole, warmWhole, Respect::Slow, margins.slow);
-    std::vector<Finding> findings = {failures, slow};
+    std::vector<Finding> findings = {failures};
     for (const Duration window : Windows) {
         findings.push_back(compareRoutes(this->since(window), whole, Respect::Failures, margins.failures));
-        findings.push_back(compareRoutes(this->sinceWarmUp(window), warmWhole, Respect::Slow, margins.slow));
     }
-    Evidence evidence = conclude(findings, failures, slow, summarize(whole));
+    Finding slow;
+    for (const Duration window : {Duration(0), Windows[0], Windows[1]}) {
+        const Routes warmRoutes = this->sinceWarmUp(window);
+        findings.push_back(compareRoutes(warmRoutes, this->warmBeforeSwitch, Respect::Slow, margins.slow));
+        if (window == Duration(0)) {
+            slow = findings.back();
+        }
+        findings.push_back(compareRoutes(warmRoutes, this->warmBeforeSwitch, Respect::VerySlow, margins.verySlow));
+    }
     if (phase == DeliveryPhase::Watching) {
         this->wasFastWhileWatched = slow.isGood;
     }
+    slow.isGood = slow.isGood || (isSwitching && this->wasFastWhileWatched);
+    Evidence evidence = conclude(findings, failures, slow, summarize(whole));
     if (evidence.verdict == EvidenceVerdict::Bad && this->badReason.empty()) {
         this->badReason = evidence.reason;
     }
--- a/pimentosail/delivery/versionoutcomes.h
+++ b/pimentosail/delivery/versionoutcomes.h
@@ -18,11 +18,13 @@
 // Thread-safe.
 #pragma once
 
+#include <compare>
 #include <cstdint>
 #include <map>
 #include <mutex>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -39,7 +41,11 @@
     std::string version;
     std::string route;
 
-    friend auto operator<=>(const OutcomeKey &, const OutcomeKey &) = default;
+    friend bool operator==(const OutcomeKey &, const OutcomeKey &) = default;
+    friend auto operator<=>(const OutcomeKey &left, const OutcomeKey &right)
+    {
+        return std::tie(left.service, left.version, left.route) <=> std::tie(right.service, right.version, right.route);
+    }
 };
 
 struct OutcomeCounts
@@ -49,6 +55,8 @@
     int64_t failures = 0;
     // Answers whose first event came later than `slowLimit`.
     int64_t slow = 0;
+    // Those of them whose first event came even later than the limit with `VerySlowAnswerFactor`.
+    int64_t verySlow = 0;
     // Sum of the first-event times of all answers that are no failures.
     Duration firstEvents{};
 
@@ -97,8 +105,12 @@
 constexpr size_t MaxOutcomeStreams = 2048;
 
 // An answer counts as slow if its first event takes longer than this multiple of the old versions' mean on the same route, and the time in
-// addition, which covers the way to another zone.
-constexpr double SlowAnswerFactor = 2.0;
+// addition, which covers the way to another zone. A version that always takes three times as long exceeds it if its mean was above 7 ms; where times vary
+// as in an exponential distribution, a tenth of the old versions' answers does.
+constexpr double SlowAnswerFactor = 2.25;
+// The same for very slow answers, which hardly any version has. They reveal a version of which only a part of the answers is slow, in services with
+// widely varying times.
+constexpr double VerySlowAnswerFactor = 5;
 constexpr Duration SlowAnswerAllowance = Milliseconds(5);
 // Answers of the old versions on a route from which their mean counts as known.
 constexpr int64_t MinAnswersForMean = 10;
@@ -160,7 +172,8 @@
     Sums takeRowsLocked(const std::vector<OutcomeRow> &rows);
     std::vector<OutcomeRow> toRowsLocked(const Sums &sums) const;
     void startStreamLocked(const std::string &receiver);
-    std::optional<Duration> slowLimitLocked(const std::string &service, const std::string &route) const;
+    // Returns the mean first-event time of the old versions, if it is known.
+    std::optional<Duration> meanLocked(const std::string &service, const std::string &route) const;
 
     const uint64_t process;
     mutable std::mutex mutex;
@@ -178,7 +191,7 @@
 
     // By sender and stream.
     std::map<std::pair<std::string, uint64_t>, Stream> streams;
-    // Sum of all streams, and of what followers reported during the current stream.
+    // Sum of all streams, and of what followers have reported since this host was last a relay.
     Sums streamSums;
     Sums followerSums;
     std::optional<Sums> relayTotals;
--- a/pimentosail/entry/deliveryduty.cpp
+++ b/pimentosail/entry/deliveryduty.cpp
@@ -23,7 +23,7 @@
     , store(std::move(platformStore))
     , mirror(storeMirror)
     , leadership(rolloutLeadership)
-    , settings{entryContext.settings.exposureShare.value_or(0)}
+    , settings{entryContext.settings.exposureShare.value_or(0), static_cast<double>(entryContext.settings.exposureSlack)}
     , thread("delivery", [this] { this->run(); })
 {
 }
--- a/pimentosail/entry/loadmessages.cpp
+++ b/pimentosail/entry/loadmessages.cpp
@@ -92,6 +92,7 @@
         writer.number(toUnsigned(row.counts.answers));
         writer.number(toUnsigned(row.counts.failures));
         writer.number(toUnsigned(row.counts.slow));
+        writer.number(toUnsigned(row.counts.verySlow));
         writer.number(toUnsigned(row.counts.firstEvents.count()));
     }
 }
@@ -148,6 +149,7 @@
         row.counts.answers = reader.signedNumber();
         row.counts.failures = reader.signedNumber();
         row.counts.slow = reader.signedNumber();
+        row.counts.verySlow = reader.signedNumber();
         row.counts.firstEvents = Duration(reader.signedNumber());
     }
 }
--- a/pimentosail/entry/loadmessagestest.cpp
+++ b/pimentosail/entry/loadmessagestest.cpp
@@ -97,7 +97,7 @@
     LoadMessage message = makeMessage(LoadMessageKind::Totals);
     cr_assert_eq(encodeLoadMessage(message, Now)[0], BinaryLoadFormat, "a message without outcomes is understood by all");
     message.outcomes
-        = {77, {{{"chat", "v2", "look"}, {30, 4, 2, Milliseconds(900)}, {1, 500}}, {{"chat", std::string(201, 'v'), "look"}, {1, 0, 0, {}}, {1, 500}}}};
+        = {77, {{{"chat", "v2", "look"}, {30, 4, 2, 1, Milliseconds(900)}, {1, 500}}, {{"chat", std::string(201, 'v'), "look"}, {1, 0, 0, 0, {}}, {1, 500}}}};
     const std::string datagram = encodeLoadMessage(message, Now);
     cr_assert_eq(datagram[0], OutcomeLoadFormat);
     const LoadMessage decoded = decodeLoadMessage(datagram, Now);
--- a/pimentosail/entry/requestplanning.cpp
+++ b/pimentosail/entry/requestplanning.cpp
@@ -109,54 +109,16 @@
     return shares;
 }
 
-std::shared_ptr<const DeliveryView> RequestRunner::deliveryView()
-{
-    if (!this->context.deliveries.isActive()) {
-        return nullptr;
-    }
-    std::shared_ptr<const DeliveryView> view = this->context.deliveries.view(this->service, this->context.mirror.status().lastAnswer);
-    // A request that was sent before is tried again on old versions only, so that a watched one gets no more than its share.
-    if (view && needsDraw(*view) && this->arrivals == 0 && !std::exchange(this->hasDrawn, true)) {
-        this->isDrawn = this->context.deliveries.limiter.mayUseNewVersion(this->service);
-    }
-    return view;
-}
-
-void RequestRunner::returnDraw()
-{
-    if (std::exchange(this->isDrawn, false)) {
-        this->context.deliveries.limiter.giveBack(this->service);
-    }
-}
-
-void RequestRunner::settleDraw(const TargetChoice &choice)
-{
-    if (!this->context.deliveries.isActive()) {
-        return;
-    }
-    this->context.metrics.count("pimentosail_delivery_requests_total", {{"service", this->service}, {"version", choice.target->softwareVersion}});
-    if (!this->isDrawn) {
-        return;
-    }
-    const std::shared_ptr<const DeliveryView> view = this->context.deliveries.view(this->service, this->context.mirror.status().lastAnswer);
-    if (view && view->state && view->state->order.version == choice.target->softwareVersion) {
-        this->isDrawn = false;
-    } else {
-        this->returnDraw();
-    }
-}
-
-std::vector<RequestRunner::GatedCandidate> RequestRunner::candidates()
+std::vector<RequestRunner::GatedCandidate> RequestRunner::candidatesUnder(const DeliveryView *delivery) const
 {
     const std::string model = this->request.prompt ? this->request.prompt->model : "";
     const ServiceSettings *serviceSettings = this->serving->findService(this->service);
     ShareContext shareContext;
     std::vector<GatedCandidate> result;
     const Time now = this->context.clock.now();
-    const std::shared_ptr<const DeliveryView> delivery = this->deliveryView();
     for (TargetView &view : this->context.directory.all(this->service, model)) {
         GatedCandidate gated;
-        if (delivery) {
+        if (delivery != nullptr) {
             const DeliveryDecision permission = checkDelivery(*delivery, view.target->softwareVersion, view.target->id, this->isDrawn);
             if (!permission.isAllowed()) {
                 continue;
@@ -189,6 +151,18 @@
     return result;
 }
 
+std::vector<RequestRunner::GatedCandidate> RequestRunner::candidates()
+{
+    const std::shared_ptr<const DeliveryView> delivery = this->deliveryView();
+    std::vector<GatedCandidate> result = this->candidatesUnder(delivery.get());
+    if (result.empty() && delivery && !this->hasOldTargets(*delivery)) {
+        DeliveryView view = *delivery;
+        view.hasOldTargets = false;
+        result = this->candidatesUnder(&view);
+    }
+    return result;
+}
+
 std::optional<TargetChoice> RequestRunner::tryChoose()
 {
     PickQuery query;
--- a/pimentosail/entry/requestrunner.cpp
+++ b/pimentosail/entry/requestrunner.cpp
@@ -286,22 +286,6 @@
     }
 }
 
-void RequestRunner::recordVersionOutcome(const TargetChoice &choice, const AttemptResult &result, bool failedRun)
-{
-    if (!this->context.deliveries.isCounting() || result.sentAt == Time(0)) {
-        return;
-    }
-    const bool isDeadline = result.end == AttemptEnd::Deadline;
-    if (!failedRun && !isDeadline && result.end != AttemptEnd::Answered) {
-        return;
-    }
-    // A deadline that passes before the first event tells that the target is at least as slow as that; after it, that the target broke off.
-    const bool hasBegun = result.timeToFirstEvent > Duration(0);
-    const Duration firstEvent = hasBegun ? result.timeToFirstEvent : this->context.clock.now() - result.sentAt;
-    this->context.deliveries.outcomes.recordAnswer(
-        {this->service, choice.target->softwareVersion, this->route->name}, {.isFailure = failedRun || (isDeadline && hasBegun), .firstEvent = firstEvent});
-}
-
 Failure RequestRunner::failureFor(const AttemptResult &result) const
 {
     const std::string text = std::string(attemptEndName(result.end)) + ": " + result.reason;
--- a/pimentosail/entry/requestrunner.h
+++ b/pimentosail/entry/requestrunner.h
@@ -1,5 +1,5 @@
-// Serves one request of a caller: admission, attempts and the answer (requestrunner.cpp), and the choice of a target and
-// the plan of what is sent there (requestplanning.cpp).
+// Serves one request of a caller: admission, attempts and the answer (requestrunner.cpp), the choice of a target and
+// the plan of what is sent there (requestplanning.cpp), and the delivery of new versions (requestdelivery.cpp).
 //
 // A request that cannot be served ends with a `Failure`, whose error kind determines the answer. An answer that states
 // that the request was not run is sent only if no attempt can have run it.
@@ -67,6 +67,10 @@
     // Returns false if the prompt is to wait for memory of a target. Throws `Failure` (Overloaded) if it has waited too long.
     bool admitToMemory(const TargetChoice &choice);
     std::vector<GatedCandidate> candidates();
+    // Returns the targets that `delivery` allows; all if it is nullptr.
+    std::vector<GatedCandidate> candidatesUnder(const DeliveryView *delivery) const;
+    // Returns true if targets are in service whose version is allowed without a draw.
+    bool hasOldTargets(const DeliveryView &view) const;
     // Returns what decides which versions of the service's software may get the request now; nullptr if there is no delivery. Draws once whether the
     // request is one of a watched version's share.
     std::shared_ptr<const DeliveryView> deliveryView();
