--- a/pimentosail/directory/directorytest.cpp
+++ b/pimentosail/directory/directorytest.cpp
@@ -83,6 +83,24 @@
     cr_assert(usable(fixture).empty(), "a registration that stays missing is removed");
 }
 
+// Guards against a request that is planned for one version of a target's software and counted for another.
+Test(directory, another_software_version_under_the_same_id_is_another_target)
+{
+    Fixture fixture;
+    Registration registration = makeRegistration("a", 1);
+    registration.softwareVersion = "v1";
+    fixture.directory.apply({registration}, true, Time(0));
+    const TargetPointer before = fixture.directory.find("a");
+    registration.softwareVersion = "v2";
+    registration.revision = 2;
+    fixture.directory.apply({registration}, true, Time(0));
+    const TargetPointer after = fixture.directory.find("a");
+    cr_assert_neq(before, after);
+    cr_assert_eq(before->softwareVersion, "v1");
+    cr_assert_eq(after->softwareVersion, "v2");
+    cr_assert(before->removed);
+}
+
 Test(directory, a_restart_under_the_same_id_is_a_new_cold_target)
 {
     Fixture fixture;
