--- a/pimentosail/entry/context.h
+++ b/pimentosail/entry/context.h
@@ -12,6 +12,7 @@
 #include "pimentosail/dispatch/quarantine.h"
 #include "pimentosail/dispatch/targetspeeds.h"
 #include "pimentosail/dispatch/workmix.h"
+#include "pimentosail/entry/deliveries.h"
 #include "pimentosail/entry/entrysettings.h"
 #include "pimentosail/entry/entrystate.h"
 #include "pimentosail/entry/messagememory.h"
@@ -54,6 +55,7 @@
     MessageMemory &requestMemory;
     // What callers that read slowly have not taken yet.
     CallerBuffers &callerBuffers;
+    Deliveries &deliveries;
     const StoreMirror &mirror;
 };
 
--- a/pimentosail/entry/requestplanning.cpp
+++ b/pimentosail/entry/requestplanning.cpp
@@ -1,6 +1,8 @@
 #include "pimentosail/entry/requestrunner.h"
 
 #include <algorithm>
+#include <iterator>
+#include <utility>
 
 #include "pimentosail/admission/memoryadmission.h"
 #include "pimentosail/dispatch/enginepriority.h"
@@ -114,7 +116,7 @@
     return shares;
 }
 
-std::vector<RequestRunner::GatedCandidate> RequestRunner::candidates() const
+std::vector<RequestRunner::GatedCandidate> RequestRunner::candidatesUnder(const DeliveryView *delivery) const
 {
     const std::string model = this->request.prompt ? this->request.prompt->model : "";
     const ServiceSettings *serviceSettings = this->serving->findService(this->service);
@@ -123,6 +125,13 @@
     const Time now = this->context.clock.now();
     for (TargetView &view : this->context.directory.all(this->service, model)) {
         GatedCandidate gated;
+        if (delivery != nullptr) {
+            const DeliveryDecision permission = checkDelivery(*delivery, view.target->softwareVersion, view.target->id, this->isDrawn);
+            if (!permission.isAllowed()) {
+                continue;
+            }
+            gated.isPreferred = permission.isPreferred;
+        }
         gated.shares = this->sharesOf(*view.target, shareContext);
         const SendDecision decision = this->context.gate.check(*view.target, SendKind::Request, gated.shares);
         // An obstacle whose end is known counts in the Retry-After of a refusal.
@@ -150,6 +159,18 @@
     return result;
 }
 
+std::vector<RequestRunner::GatedCandidate> RequestRunner::candidates()
+{
+    const std::shared_ptr<const DeliveryView> delivery = this->deliveryView();
+    std::vector<GatedCandidate> result = this->candidatesUnder(delivery.get());
+    if (result.empty() && delivery && !this->hasOldTargets(*delivery)) {
+        DeliveryView view = *delivery;
+        view.hasOldTargets = false;
+        result = this->candidatesUnder(&view);
+    }
+    return result;
+}
+
 std::optional<TargetChoice> RequestRunner::tryChoose()
 {
     PickQuery query;
@@ -201,6 +222,13 @@
         query.preferredTargets = query.mixed ? this->preferredTargets : 1;
     }
     query.oldestVersion = this->oldestUsableVersion(query, gated);
+    std::vector<GatedCandidate> preferred;
+    std::copy_if(gated.begin(), gated.end(), std::back_inserter(preferred), [](const GatedCandidate &entry) { return entry.isPreferred; });
+    if (!preferred.empty()) {
+        if (std::optional<TargetChoice> choice = this->pickAndAcquire(query, preferred, false)) {
+            return choice;
+        }
+    }
     // Targets that have asked other hosts to rest are used if no other target may get the request.
     std::optional<TargetChoice> choice = this->pickAndAcquire(query, gated, false);
     const bool hasAvoided = std::any_of(gated.begin(), gated.end(), [](const GatedCandidate &entry) { return entry.isAvoided; });
--- a/pimentosail/entry/requestrecords.cpp
+++ b/pimentosail/entry/requestrecords.cpp
@@ -61,6 +61,7 @@
     if (failedRun || result.end == AttemptEnd::Answered) {
         recordOutcome(target, failedRun);
     }
+    this->recordVersionOutcome(choice, result, failedRun);
     if (this->request.prompt && result.timeToFirstEvent > Duration(0) && result.header.isEventStream) {
         this->context.cacheStores.recordFirstTokenTime(this->cacheSource, result.timeToFirstEvent);
         if (!this->isLate) {
--- a/pimentosail/entry/requestrunner.cpp
+++ b/pimentosail/entry/requestrunner.cpp
@@ -66,6 +66,7 @@
         this->answerFailure(Failure(ErrorKind::Internal, exception.what()));
     }
     this->finishAnswer();
+    this->returnDraw();
     this->logDone();
 }
 
@@ -340,6 +341,7 @@
         if (!std::exchange(this->isCounted, true)) {
             this->context.retryBudget.recordFirstSend(this->service);
         }
+        this->settleDraw(choice);
         const AttemptPlan plan = this->planFor(choice);
         Attempt attempt(this->context, this->request, plan);
         AttemptResult result = attempt.run(this->limitsFor(choice),
--- a/pimentosail/entry/rolloutleadership.cpp
+++ b/pimentosail/entry/rolloutleadership.cpp
@@ -59,9 +59,22 @@
         }
     }
     this->ownToken = 0;
+    this->setHolding(std::nullopt);
     endLease(this->context.log, this->mirror, this->store, this->lease);
 }
 
+std::optional<StoreCondition> RolloutLeadership::holding() const
+{
+    const std::lock_guard lock(this->holdingMutex);
+    return this->heldCondition;
+}
+
+void RolloutLeadership::setHolding(std::optional<StoreCondition> condition)
+{
+    const std::lock_guard lock(this->holdingMutex);
+    this->heldCondition = std::move(condition);
+}
+
 bool RolloutLeadership::mayOrder() const
 {
     const std::lock_guard lock(this->mutex);
@@ -115,6 +128,7 @@
 {
     this->context.log.write(LogLevel::Warning, "rollout_right_lost", {{"fence", this->ownToken}, {"reason", reason}});
     this->ownToken = 0;
+    this->setHolding(std::nullopt);
     this->lease = {};
     this->takenOver.reset();
     this->announcedAt = Time(0);
@@ -164,6 +178,7 @@
     this->trustedUntil = requestedAt + LeadershipLease;
     this->takenOver.reset();
     this->announcedAt = Time(0);
+    this->setHolding(StoreCondition{RolloutLeaderKey, this->leaderSince.revision, this->leaderSince.era});
     this->context.log.write(LogLevel::Info, "rollout_right_taken", {{"fence", this->ownToken}, {"era", outcome.era}, {"revision", outcome.revision}});
 }
 
--- a/pimentosail/entry/rolloutleadership.h
+++ b/pimentosail/entry/rolloutleadership.h
@@ -7,7 +7,7 @@
 // The leader is the host that has written the leadership key under its lease. A leader relies on the key only for the
 // lease time after the start of its last renewal, on a clock that includes time in suspension, and only in the era of the store in
 // which it wrote the key. `orderToken` is to be called right before each load order. All functions but `stop` may be called by any thread; they
-// wait for each other, also for the calls to the store that `maintain` and `announce` make.
+// wait for each other, also for the calls to the store that `maintain` and `announce` make, except `holding`, which does not wait.
 #pragma once
 
 #include <mutex>
@@ -49,6 +49,9 @@
 
     // Records that this host may have sent the target a load order until now.
     void recordOrder(const std::string &target);
+    // Returns the condition that the leadership key is still the one that this host wrote, or nothing if this host is not the leader. A write
+    // under this condition needs no other protection from a host that has lost the leadership.
+    std::optional<StoreCondition> holding() const;
 
     // Returns true if this host may send load orders now.
     bool mayOrder() const;
@@ -71,6 +74,7 @@
     void tryAcquire();
     void renew(Time now);
     void lose(const char *reason);
+    void setHolding(std::optional<StoreCondition> condition);
     // Returns true if the store began another era after this host became the leader.
     bool isOfEarlierEra() const;
     // Sets from when a new leader may send load orders.
@@ -86,6 +90,9 @@
     // Position of the write by which this host became the leader, and the fencing token made of it; 0 if it is not the leader.
     StorePosition leaderSince;
     int64_t ownToken = 0;
+    mutable std::mutex holdingMutex;
+    // Guarded by `holdingMutex`.
+    std::optional<StoreCondition> heldCondition;
     // The targets that may have got a load order of this host or of its predecessor.
     RecentOrders recentOrders;
     // Which targets may get load orders; empty until that is known.
--- a/pimentosail/entry/storeduties.h
+++ b/pimentosail/entry/storeduties.h
@@ -89,6 +89,11 @@
     // Ends the duty and gives up the leadership.
     void stop();
 
+    const RolloutLeadership &rolloutLeadership() const
+    {
+        return this->leadership;
+    }
+
 private:
     enum class TargetCallKind {
         // Fetches the target's report and sends a load order if the target needs it.
--- a/pimentosail/net/answerrules.cpp
+++ b/pimentosail/net/answerrules.cpp
@@ -53,7 +53,7 @@
     return "none";
 }
 
-AnswerFault faultAtEnd(const AnswerEnd &end)
+AnswerFault faultAtEnd(const AnswerEnding &end)
 {
     if (end.framing != AnswerFraming::UntilClose) {
         return end.framing == AnswerFraming::None || end.isFramingReached ? AnswerFault::None : AnswerFault::Truncated;
--- a/pimentosail/net/answerrules.h
+++ b/pimentosail/net/answerrules.h
@@ -54,7 +54,7 @@
 std::string_view answerFaultText(AnswerFault fault);
 
 // What is known when no more bytes of an answer are to come.
-struct AnswerEnd
+struct AnswerEnding
 {
     AnswerFraming framing = AnswerFraming::None;
     // The body has the announced length, or its last chunk was read.
@@ -67,6 +67,6 @@
 // Returns None if the answer is complete. An answer whose own framing marks its end is complete there, also if the request was not received
 // completely: a peer may answer before it has read a long body. A close marks the end only if nothing shows that the peer failed: a peer that
 // ends while it reads the request closes the connection too.
-AnswerFault faultAtEnd(const AnswerEnd &end);
+AnswerFault faultAtEnd(const AnswerEnding &end);
 
 } // namespace pimentosail
--- a/pimentosail/net/httpconnection.cpp
+++ b/pimentosail/net/httpconnection.cpp
@@ -360,7 +360,7 @@
 
 ReadStatus HttpConnection::endAnswer(bool isFramingReached)
 {
-    AnswerEnd end{.framing = this->framing, .isFramingReached = isFramingReached};
+    AnswerEnding end{.framing = this->framing, .isFramingReached = isFramingReached};
     if (this->framing == AnswerFraming::UntilClose) {
         end.isRequestReceived = this->isRequestReceived();
         // The kernel reports the end of the input before a reset that has arrived after it.
