--- a/pimentosail/entry/entryprocess.cpp
+++ b/pimentosail/entry/entryprocess.cpp
@@ -180,8 +180,7 @@
     , callerBuffers(clock, settings.memoryBytes / HostMemoryPerCallerBuffers)
     , deliveries(clock, log, metrics, settings.exposureShare.has_value())
     , context{clock, log, metrics, settings, wire, state, directory, loads, connections, rateLimits, notices, retryBudget, gate, quarantine, blockQuarantine,
-          cacheStores, blockReuse, forecast, workMix, mixedLoad, blockShares, targetSpeeds, answerMemory, requestMemory, callerBuffers, deliveries,
-          mirror}
+          cacheStores, blockReuse, forecast, workMix, mixedLoad, blockShares, targetSpeeds, answerMemory, requestMemory, callerBuffers, deliveries, mirror}
     , updater(context)
     , peers(peerHttp,
           [this](const std::string &method, size_t bytes) {
