--- a/pimentosail/entry/entrystate.h
+++ b/pimentosail/entry/entrystate.h
@@ -55,7 +55,7 @@
     StorePosition position;
     // The targets that it names; empty if it is unreadable or of a former version of the program.
     std::optional<std::vector<std::string>> ordered;
-    std::vector<std::string> loading;
+    std::map<std::string, int64_t> loading;
     // The leader gave up the leadership with it.
     bool isHandOver = false;
 };
--- a/pimentosail/entry/rolloutduty.cpp
+++ b/pimentosail/entry/rolloutduty.cpp
@@ -71,6 +71,7 @@
     for (const auto &[id, load] : this->pendingLoads) {
         if (!load.isOutstanding) {
             announcement.loading.push_back(id);
+            announcement.loadingVersions[id] = load.version;
         }
     }
     announcement.finished.assign(this->finished.begin(), this->finished.end());
@@ -177,9 +178,7 @@
             || (excluded != this->excludedUntil.end() && now < excluded->second);
         if (!handOver.mayOrder(target.id, orderTime)) {
             target.isExcluded = true;
-            // The load of the former leader is done when the version changes; a newer one may be wanted by then.
-            const int64_t former = this->versionsAtTakeover.try_emplace(target.id, target.version).first->second;
-            target.isLoading = target.isLoading || (target.version < version && target.version == former && handOver.isLoading(target.id, orderTime));
+            target.isLoading = target.isLoading || handOver.isLoading(target.id, target.version, orderTime);
         }
         target.requestsInFlight = view.target->inFlight.load();
         byId[target.id] = view.target;
@@ -478,7 +477,6 @@
             this->pendingLoads.clear();
             this->finished.clear();
             this->released.clear();
-            this->versionsAtTakeover.clear();
             this->hasNews = false;
             for (auto &[model, loadTime] : this->loadTimes) {
                 loadTime.endProbe();
--- a/pimentosail/entry/stateupdater.cpp
+++ b/pimentosail/entry/stateupdater.cpp
@@ -314,7 +314,7 @@
         const RolloutAnnouncement announcement = decodeAnnouncement(item->value);
         latest.fencingToken = announcement.fencingToken;
         latest.ordered = announcement.ordered;
-        latest.loading = announcement.loading;
+        latest.loading = announcement.loadingVersions;
         latest.isHandOver = announcement.isHandOver;
         // The store came back from an older copy, and this host has applied this announcement or a later one.
         const bool isOutdated = eraOfToken(announcement.fencingToken) < item->era && item->revision <= former.position.revision;
--- a/pimentosail/entry/storeduties.h
+++ b/pimentosail/entry/storeduties.h
@@ -191,8 +191,6 @@
     std::deque<FinishedLoad> finished;
     std::vector<std::string> released;
     std::map<std::string, Time> excludedUntil;
-    // Weight versions of the targets that were held for orders of the former leader, as of this leader's first plan. By target id.
-    std::map<std::string, int64_t> versionsAtTakeover;
     // By model.
     std::map<std::string, LoadTime> loadTimes;
     // The announcement is to change.
--- a/pimentosail/rollout/announcement.cpp
+++ b/pimentosail/rollout/announcement.cpp
@@ -46,6 +46,9 @@
         row["version"] = Json::Int64(load.version);
         value["finished"].append(row);
     }
+    for (const auto &[target, version] : announcement.loadingVersions) {
+        value["loading_versions"][target] = Json::Int64(version);
+    }
     if (announcement.ordered) {
         value["ordered"] = toJsonArray(*announcement.ordered);
     }
@@ -65,6 +68,11 @@
     for (const Json::Value &row : document["finished"]) {
         announcement.finished.push_back({jsonString(row, "target"), jsonString(row, "model"), jsonInteger(row, "version")});
     }
+    if (document["loading_versions"].isObject()) {
+        for (const std::string &target : document["loading_versions"].getMemberNames()) {
+            announcement.loadingVersions[target] = jsonInteger(document["loading_versions"], target.c_str());
+        }
+    }
     if (document.isMember("ordered")) {
         if (!document["ordered"].isArray()) {
             throw Failure(ErrorKind::BadRequest, "the ordered targets must be an array");
--- a/pimentosail/rollout/announcement.h
+++ b/pimentosail/rollout/announcement.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -27,6 +28,8 @@
     int64_t fencingToken = 0;
     // Targets that must not receive requests because they load weights or are about to.
     std::vector<std::string> loading;
+    // The versions that these targets load; empty in announcements of former program versions.
+    std::map<std::string, int64_t> loadingVersions;
     // The most recently finished loads.
     std::vector<FinishedLoad> finished;
     // Targets that may receive requests again.
--- a/pimentosail/rollout/handover.cpp
+++ b/pimentosail/rollout/handover.cpp
@@ -36,7 +36,7 @@
         return handOver;
     }
     handOver.named.insert(predecessor.ordered->begin(), predecessor.ordered->end());
-    handOver.loading.insert(predecessor.loading.begin(), predecessor.loading.end());
+    handOver.loading = predecessor.loading;
     handOver.namedFrom = from;
     return handOver;
 }
--- a/pimentosail/rollout/handover.h
+++ b/pimentosail/rollout/handover.h
@@ -14,6 +14,7 @@
 // All times are of a clock that also advances during suspension. Not thread-safe; `planHandOver` and `HandOver::mayOrder` are pure.
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -58,8 +59,8 @@
     std::optional<Time> announcedAt;
     // The targets that it names; empty if it is unreadable or of a former version of the program.
     std::optional<std::vector<std::string>> ordered;
-    // Those of them that load or are about to.
-    std::vector<std::string> loading;
+    // Those of them that load or are about to, and the version that each loads.
+    std::map<std::string, int64_t> loading;
 };
 
 // Until when a new leader must not order the targets.
@@ -70,7 +71,7 @@
     // These targets get no order before `namedFrom`.
     std::set<std::string> named;
     // Those of them that may load now; they count among the targets that may load at a time.
-    std::set<std::string> loading;
+    std::map<std::string, int64_t> loading;
     Time namedFrom{};
 
     bool mayOrder(const std::string &target, Time now) const
@@ -78,10 +79,11 @@
         return now >= this->allFrom && (now >= this->namedFrom || !this->named.contains(target));
     }
 
-    // Returns true if an order of the predecessor may be in progress at the target.
-    bool isLoading(const std::string &target, Time now) const
+    // Returns true if an order of the predecessor may be in progress at the target, which has `version` now.
+    bool isLoading(const std::string &target, int64_t version, Time now) const
     {
-        return now < this->namedFrom && this->loading.contains(target);
+        const auto found = this->loading.find(target);
+        return now < this->namedFrom && found != this->loading.end() && version < found->second;
     }
 };
 
--- a/pimentosail/rollout/handovertest.cpp
+++ b/pimentosail/rollout/handovertest.cpp
@@ -43,6 +43,20 @@
     cr_assert(planHandOver({}, Distance).mayOrder("t2", Start), "there was no announcement");
 }
 
+// Load: all places for loads are taken when the leader is lost. Guards against a load that occupies a place after its end because a newer version is
+// wanted, and against more targets that load than permitted.
+Test(hand_over, a_load_of_the_predecessor_ends_when_the_target_has_its_version)
+{
+    const HandOver handOver = planHandOver({std::nullopt, Start, std::vector<std::string>{"t1", "t2"}, {{"t1", 2}}}, Distance);
+    cr_assert(handOver.isLoading("t1", 1, Start));
+    cr_assert_not(handOver.isLoading("t1", 2, Start));
+    cr_assert_not(handOver.isLoading("t2", 1, Start));
+    cr_assert_not(handOver.isLoading("t1", 1, Start + Distance));
+    RolloutAnnouncement announcement;
+    announcement.loadingVersions = {{"t1", 2}};
+    cr_assert_eq(decodeAnnouncement(encodeAnnouncement(announcement)).loadingVersions.at("t1"), 2);
+}
+
 // Guards against names that are dropped while an order of the leader or of its predecessor is recent.
 Test(hand_over, a_target_is_named_until_its_order_is_old_enough)
 {
