--- a/pimentosail/entry/entryprocess.cpp
+++ b/pimentosail/entry/entryprocess.cpp
@@ -300,6 +300,7 @@
         this->metrics.set("pimentosail_target_notices", {{"kind", std::string(noticeKindName(kind))}},
             static_cast<double>(std::count_if(targetNotices.begin(), targetNotices.end(), [kind](const TargetNotice &notice) { return notice.kind == kind; })));
     }
+    this->metrics.set("pimentosail_delivery_outcomes_dropped", {}, static_cast<double>(this->deliveries.outcomes.dropped()));
     for (const CacheStore &store : this->cacheStores.stores()) {
         this->metrics.set("pimentosail_cache_store_held_tokens", {{"store", store.name}}, static_cast<double>(this->cacheStores.heldTokens(store.name)));
     }
