--- a/pimentosail/dispatch/mixedcost.cpp
+++ b/pimentosail/dispatch/mixedcost.cpp
@@ -44,10 +44,11 @@
     double delays = 0;
     if (profile.overtakesLong) {
         cost.aheadTokens -= longPending;
-        time += std::min(longPending, ChunkTokens) / 2;
+        // The long prompts that wait stretch the pauses of this prompt's answer, too.
+        time += std::max(std::min(longPending, ChunkTokens) / 2, profile.pauseWeight * longPending);
         delays = profile.longPrefill > 0 ? query.prefillTokens * longPending / profile.longPrefill : 0;
     } else if (profile.isLong) {
-        delays = std::min(query.prefillTokens, ChunkTokens) * (candidate.requests - runs);
+        delays = std::max(std::min(query.prefillTokens, ChunkTokens), profile.pauseWeight * query.prefillTokens) * (candidate.requests - runs);
     }
     cost.total = candidate.speed * (time + cost.aheadTokens + delays) + capacityCost(query, candidate);
     return cost;
--- a/pimentosail/entry/entryprocess.cpp
+++ b/pimentosail/entry/entryprocess.cpp
@@ -324,6 +324,7 @@
             static_cast<double>(std::count_if(targetNotices.begin(), targetNotices.end(), [kind](const TargetNotice &notice) { return notice.kind == kind; })));
     }
     this->reportMixedLoad();
+    this->metrics.set("pimentosail_delivery_outcomes_dropped", {}, static_cast<double>(this->deliveries.outcomes.dropped()));
     for (const CacheStore &store : this->cacheStores.stores()) {
         this->metrics.set("pimentosail_cache_store_held_tokens", {{"store", store.name}}, static_cast<double>(this->cacheStores.heldTokens(store.name)));
     }
--- a/pimentosail/entry/requestrunner.cpp
+++ b/pimentosail/entry/requestrunner.cpp
@@ -196,6 +196,9 @@
             this->firstEventAt = this->context.clock.now();
             this->recordAnswerBegun();
         }
+        const Time now = this->context.clock.now();
+        this->longestPause = this->lastEventAt == Time(0) ? Duration(0) : std::max(this->longestPause, now - this->lastEventAt);
+        this->lastEventAt = now;
         this->exchange.write(event);
     } catch (const std::exception &) {
         // The caller has closed its connection; the attempt ends with `CallerDisconnected`.
@@ -278,6 +281,7 @@
     // An error that answers the resumption of a stream is no end of it, whatever its content type.
     if (result.end == AttemptEnd::Answered && this->streaming && result.header.isEventStream && result.header.status == Poco::Net::HTTPResponse::HTTP_OK) {
         this->streamEnded = true;
+        this->context.mixedLoad.recordPauses(this->service, this->route->name, this->longestPause > this->route->targetGap);
         this->exchange.endStream();
         return true;
     }
--- a/pimentosail/entry/requestrunner.h
+++ b/pimentosail/entry/requestrunner.h
@@ -150,6 +150,9 @@
     std::vector<Time> limitEnds;
     // Retry-After of a refusal; zero if there is no estimate.
     Duration retryAfter{};
+    // When the last event was passed on, and the longest time between two.
+    Time lastEventAt{};
+    Duration longestPause{};
     // The last choice of a target was made for mixed load.
     bool isMixed = false;
     // The last choice was among targets that are open to this host for a short time.
