--- a/pimentosail/dispatch/picker.cpp
+++ b/pimentosail/dispatch/picker.cpp
@@ -51,7 +51,8 @@
 {
     double cost = !query.affinity.empty() && candidate.version < query.newestVersion ? olderCost : 0;
     if (!longAnswerSet.empty() && longAnswerSet.contains(&candidate) != (query.lane == Lane::LongAnswers)) {
-        cost += OtherLaneTokens;
+        // Under mixed load, lanes count as far as answers have pauses over their limit without them.
+        cost += query.mixed ? query.mixed->pauseWeight * OtherLaneTokens : OtherLaneTokens;
     }
     if (query.mixed && candidate.target->zone != query.localZone) {
         cost += mixedZoneCost(query);
@@ -77,7 +78,8 @@
 std::set<const Candidate *> longAnswerTargets(const PickQuery &query, const std::vector<const Candidate *> &allowed)
 {
     std::set<const Candidate *> longAnswerSet;
-    if (query.mixed || query.lane == Lane::Any || query.longAnswerShare <= 0 || allowed.size() < MinTargetsForLanes) {
+    const bool hasLanes = !query.mixed || query.mixed->pauseWeight > 0;
+    if (!hasLanes || query.lane == Lane::Any || query.longAnswerShare <= 0 || allowed.size() < MinTargetsForLanes) {
         return longAnswerSet;
     }
     std::map<int64_t, std::vector<std::pair<uint64_t, const Candidate *>>> byVersion;
