--- a/pimentosail/entry/requestplanning.cpp
+++ b/pimentosail/entry/requestplanning.cpp
@@ -43,6 +43,8 @@
 // `MinStallTimeout`.
 constexpr int StallFactor = 8;
 constexpr Duration MinStallTimeout = Milliseconds(900);
+// A bounded fetch may take the target latency divided by this, so that the tokens can still be read in time.
+constexpr int FetchLatencyDivisor = 2;
 // A fetch may take this multiple of its expected time.
 constexpr int FetchTimeFactor = 2;
 // Under mixed load, a prompt that has waited for its target latency divided by this counts as late.
@@ -443,16 +445,15 @@
     return priorities.enginePriority(this->configuredPriority(), left);
 }
 
-// Under mixed load, a fetch ends at the target latency, or later if the target would have taken longer to read the tokens instead. A prompt
-// behind a slow link is late then, but its caller has not given up yet.
+// Under mixed load, a fetch ends at half of the target latency, or later if the target would have taken longer to read the tokens instead.
 std::optional<int64_t> RequestRunner::fetchEnd(const TargetChoice &choice, const CachePlan &cache) const
 {
     if (!this->isMixed || !cache.hasFetch()) {
         return std::nullopt;
     }
     const double tokens = choice.pendingTokens + static_cast<double>(cache.fetchTokens);
-    const Duration limit
-        = std::max<Duration>(this->route->targetLatency, FetchTimeFactor * cache.expectedTime + fromSeconds(tokens * this->readTime / 1000));
+    const Duration limit = std::max<Duration>(
+        this->route->targetLatency / FetchLatencyDivisor, FetchTimeFactor * cache.expectedTime + fromSeconds(tokens * this->readTime / 1000));
     const Duration latest = this->deadline - this->context.clock.now();
     const std::optional<int64_t> now = this->context.cacheStores.targetClock().at(this->context.clock.nowWithSuspend());
     return now ? std::optional<int64_t>(*now + toMilliseconds(std::min(limit, latest))) : std::nullopt;
