--- a/pimentosail/dispatch/mixedload.cpp
+++ b/pimentosail/dispatch/mixedload.cpp
@@ -30,6 +30,9 @@
 constexpr double MaxReadTime = 1.0 / 5;
 // A route that had no prompts for this long does not count.
 constexpr Duration RouteMemory = std::chrono::seconds(60);
+// The weight of pauses rises by this with each answer that had one over its limit, and falls by `PauseFall` with each other.
+constexpr double PauseRise = 0.1;
+constexpr double PauseFall = PauseRise / 20;
 constexpr size_t MaxRoutes = 512;
 constexpr size_t MaxServices = 128;
 
@@ -113,6 +116,20 @@
     }
 }
 
+void MixedLoad::recordPauses(const std::string &service, const std::string &route, bool hadLongPause)
+{
+    const std::lock_guard lock(this->mutex);
+    const auto foundService = this->services.find(service);
+    if (foundService == this->services.end()) {
+        return;
+    }
+    const auto found = foundService->second.routes.find(route);
+    if (found != foundService->second.routes.end() && !found->second.isLong) {
+        double &weight = foundService->second.pauseWeight;
+        weight = std::clamp(weight + (hadLongPause ? PauseRise : -PauseFall), 0.0, 1.0);
+    }
+}
+
 // Each route counts with its own regression: the first-token times of more urgent prompts depend little on the tokens that
 // wait, so they would make targets look faster than they are.
 void MixedLoad::decide(ServiceState &service) const
@@ -163,6 +180,7 @@
     }
     MixedProfile profile;
     profile.readTime = found->second.readTime;
+    profile.pauseWeight = found->second.pauseWeight;
     profile.overtakesLong = true;
     double longPrompts = 0;
     double shortPrompts = 0;
--- a/pimentosail/dispatch/mixedload.h
+++ b/pimentosail/dispatch/mixedload.h
@@ -37,6 +37,8 @@
     double longPrefill = 0;
     double longHeld = 0;
     double shortHeld = 0;
+    // How much the pauses of answers count, from 0 to 1; see `MixedLoad::recordPauses`.
+    double pauseWeight = 0;
 };
 
 // A prompt as it was sent.
@@ -67,6 +69,11 @@
     // read until then, the prompt's own included.
     void recordFirstToken(const std::string &service, const std::string &route, double pendingTokens, Duration time);
 
+    // Records whether a complete answer that is not of a long prompt had a pause over its route's limit. Engines read prompts in chunks of
+    // different size, and events have different numbers of tokens, so that only the pauses tell whether long prompts may run beside
+    // answers. The weight rises with each answer that had one, and falls with the others: it rests where one answer in twenty has one.
+    void recordPauses(const std::string &service, const std::string &route, bool hadLongPause);
+
     // Returns the profile for a prompt of `route` with `priority`, or nothing if the load of `service` is not mixed.
     std::optional<MixedProfile> profile(const std::string &service, const std::string &route, int priority) const;
 
@@ -108,6 +115,7 @@
         std::map<std::string, RouteState> routes;
         bool isMixed = false;
         double readTime = 0;
+        double pauseWeight = 0;
     };
 
     void decide(ServiceState &service) const;
--- a/pimentosail/entry/entryprocess.cpp
+++ b/pimentosail/entry/entryprocess.cpp
@@ -10,6 +10,7 @@
 #include <Poco/NumberParser.h>
 
 #include "pimentosail/base/json.h"
+#include "pimentosail/entry/deliveryduty.h"
 #include "pimentosail/entry/loadduty.h"
 #include "pimentosail/entry/peermessages.h"
 #include "pimentosail/entry/requestrunner.h"
@@ -31,6 +32,8 @@
 // Connections of other hosts. Each follower of a relay keeps two long polls open.
 constexpr int64_t PeerConnections = 160;
 constexpr int64_t ReadyConnections = 16;
+// What waits for slow readers may take one part in this of the memory of the process, as the answers and the bodies of requests may.
+constexpr int64_t HostMemoryPerCallerBuffers = 8;
 // Time from reporting not ready until the load balancer sends no new requests: it probes once a second and removes a host
 // after two failed probes. A request that is accepted more than three seconds after SIGTERM must be completed, which a
 // long stream could not be.
@@ -127,6 +130,8 @@
     TargetSpeeds targetSpeeds;
     MessageMemory answerMemory;
     MessageMemory requestMemory;
+    CallerBuffers callerBuffers;
+    Deliveries deliveries;
     EntryContext context;
     StateUpdater updater;
     std::mutex updaterMutex;
@@ -136,6 +141,7 @@
     RpcServer rpc;
     HostDuty hostDuty;
     RolloutDuty rolloutDuty;
+    DeliveryDuty deliveryDuty;
     CacheEventDuty cacheDuty;
     LoadDuty loadDuty;
     std::mutex snapshotMutex;
@@ -171,8 +177,10 @@
     , targetSpeeds(clock)
     , answerMemory(settings.memoryBytes)
     , requestMemory(settings.memoryBytes)
+    , callerBuffers(clock, settings.memoryBytes / HostMemoryPerCallerBuffers)
+    , deliveries(clock, log, metrics, settings.exposureShare.has_value())
     , context{clock, log, metrics, settings, wire, state, directory, loads, connections, rateLimits, notices, retryBudget, gate, quarantine, blockQuarantine,
-          cacheStores, blockReuse, forecast, workMix, mixedLoad, blockShares, targetSpeeds, answerMemory, requestMemory, mirror}
+          cacheStores, blockReuse, forecast, workMix, mixedLoad, blockShares, targetSpeeds, answerMemory, requestMemory, callerBuffers, deliveries, mirror}
     , updater(context)
     , peers(peerHttp,
           [this](const std::string &method, size_t bytes) {
@@ -203,6 +211,7 @@
               }}})
     , hostDuty(context, store, mirror)
     , rolloutDuty(context, store, mirror)
+    , deliveryDuty(context, store, mirror, rolloutDuty.rolloutLeadership())
     , cacheDuty(context, cacheJournal,
           [this](const HostEntry &relay, const JournalPosition &position, Duration wait) { return this->fetchCacheChanges(relay, position, wait); })
     , loadDuty(context)
@@ -224,6 +233,7 @@
     this->refreshThread.join();
     this->loadDuty.stop();
     this->cacheDuty.stop();
+    this->deliveryDuty.stop();
     this->rolloutDuty.stop();
     this->hostDuty.stop();
     this->mirror.stop();
@@ -295,6 +305,9 @@
     this->metrics.set("pimentosail_hosts", {}, static_cast<double>(this->state.hostCount()));
     this->metrics.set("pimentosail_idle_connections", {}, static_cast<double>(this->connections.size()));
     this->metrics.set("pimentosail_repeated_ids", {}, static_cast<double>(this->connections.repeatedIds()));
+    this->metrics.set("pimentosail_slow_reader_bytes", {}, static_cast<double>(this->callerBuffers.bytes()));
+    this->metrics.set("pimentosail_slow_readers", {}, static_cast<double>(this->callerBuffers.readers()));
+    this->metrics.set("pimentosail_slow_readers_ended", {}, static_cast<double>(this->callerBuffers.ended()));
     this->metrics.set("pimentosail_log_lines_dropped", {}, static_cast<double>(this->log.dropped()));
     this->metrics.set("pimentosail_log_lines_suppressed", {}, static_cast<double>(this->log.suppressed()));
     const std::vector<SuspectedBlocks> suspects = this->blockQuarantine.suspects();
@@ -311,6 +324,7 @@
             static_cast<double>(std::count_if(targetNotices.begin(), targetNotices.end(), [kind](const TargetNotice &notice) { return notice.kind == kind; })));
     }
     this->reportMixedLoad();
+    this->metrics.set("pimentosail_delivery_outcomes_dropped", {}, static_cast<double>(this->deliveries.outcomes.dropped()));
     for (const CacheStore &store : this->cacheStores.stores()) {
         this->metrics.set("pimentosail_cache_store_held_tokens", {{"store", store.name}}, static_cast<double>(this->cacheStores.heldTokens(store.name)));
     }
@@ -375,7 +389,7 @@
 
 CacheChanges EntryProcess::Impl::fetchCacheChanges(const HostEntry &relay, const JournalPosition &position, Duration wait)
 {
-    if (relay.loadFormat >= LoadFormat) {
+    if (relay.loadFormat >= BinaryLoadFormat) {
         const std::string query = "?journal=" + position.journal + "&after=" + std::to_string(position.next)
             + "&status_after=" + std::to_string(position.statusPosition) + "&wait_ms=" + std::to_string(toMilliseconds(wait));
         const HttpReply reply = this->peerHttp.call(relay.address, {"GET", CacheChangesPath + query, {}, ""}, wait + PeerCallMargin);
@@ -454,6 +468,17 @@
     for (const TargetNotice &notice : this->notices.known(this->clock.now())) {
         value["target_notices"][std::string(noticeKindName(notice.kind))].append(notice.target);
     }
+    for (const std::string &service : this->deliveries.services()) {
+        const DeliveryKnowledge known = this->deliveries.knowledge(service);
+        Json::Value &entry = value["deliveries"][service];
+        entry["ordered_version"] = known.order ? known.order->order.version : "";
+        entry["order_error"] = known.order ? known.order->error : "";
+        entry["phase"] = known.state ? std::string(deliveryPhaseName(known.state->phase)) : "none";
+        entry["reason"] = known.state ? known.state->reason : "";
+        entry["evidence"] = std::string(evidenceVerdictName(known.evidence.verdict));
+        entry["evidence_reason"] = known.evidence.reason;
+        entry["elapsed_ms"] = Json::Int64(toMilliseconds(known.elapsed));
+    }
     value["targets"] = Json::Int64(static_cast<int64_t>(this->directory.size()));
     value["idle_connections"] = Json::Int64(static_cast<int64_t>(this->connections.size()));
     value["log"]["dropped"] = Json::Int64(this->log.dropped());
@@ -509,6 +534,7 @@
     this->mirror.start();
     this->hostDuty.start();
     this->rolloutDuty.start();
+    this->deliveryDuty.start();
     this->cacheDuty.start();
     this->loadDuty.start();
     this->refreshThread.start();
@@ -524,6 +550,7 @@
     const Time shutdownStart = this->clock.now();
     this->log.write(LogLevel::Info, "draining", {{"requests", this->callerServer.running()}});
     this->state.isDraining.store(true);
+    this->deliveryDuty.stop();
     this->rolloutDuty.stop();
     const Time deadline = shutdownStart + this->settings.shutdownGrace - ShutdownMargin;
     Time idleSince = this->clock.now();
--- a/pimentosail/entry/requestplanning.cpp
+++ b/pimentosail/entry/requestplanning.cpp
@@ -1,6 +1,8 @@
 #include "pimentosail/entry/requestrunner.h"
 
 #include <algorithm>
+#include <iterator>
+#include <utility>
 
 #include "pimentosail/admission/memoryadmission.h"
 #include "pimentosail/dispatch/enginepriority.h"
@@ -41,9 +43,8 @@
 // `MinStallTimeout`.
 constexpr int StallFactor = 8;
 constexpr Duration MinStallTimeout = Milliseconds(900);
-// A bounded fetch may take at least this long: the estimate of the targets' clock is some ms behind, and the fetch begins only
-// when the target comes to the prompt.
-constexpr Duration MinFetchTime = Milliseconds(100);
+// A bounded fetch may take the target latency divided by this, so that the tokens can still be read in time.
+constexpr int FetchLatencyDivisor = 2;
 // A fetch may take this multiple of its expected time.
 constexpr int FetchTimeFactor = 2;
 // Under mixed load, a prompt that has waited for its target latency divided by this counts as late.
@@ -114,7 +115,7 @@
     return shares;
 }
 
-std::vector<RequestRunner::GatedCandidate> RequestRunner::candidates() const
+std::vector<RequestRunner::GatedCandidate> RequestRunner::candidatesUnder(const DeliveryView *delivery) const
 {
     const std::string model = this->request.prompt ? this->request.prompt->model : "";
     const ServiceSettings *serviceSettings = this->serving->findService(this->service);
@@ -123,6 +124,13 @@
     const Time now = this->context.clock.now();
     for (TargetView &view : this->context.directory.all(this->service, model)) {
         GatedCandidate gated;
+        if (delivery != nullptr) {
+            const DeliveryDecision permission = checkDelivery(*delivery, view.target->softwareVersion, view.target->id, this->isDrawn);
+            if (!permission.isAllowed()) {
+                continue;
+            }
+            gated.isPreferred = permission.isPreferred;
+        }
         gated.shares = this->sharesOf(*view.target, shareContext);
         const SendDecision decision = this->context.gate.check(*view.target, SendKind::Request, gated.shares);
         // An obstacle whose end is known counts in the Retry-After of a refusal.
@@ -150,6 +158,18 @@
     return result;
 }
 
+std::vector<RequestRunner::GatedCandidate> RequestRunner::candidates()
+{
+    const std::shared_ptr<const DeliveryView> delivery = this->deliveryView();
+    std::vector<GatedCandidate> result = this->candidatesUnder(delivery.get());
+    if (result.empty() && delivery && !this->hasOldTargets(*delivery)) {
+        DeliveryView view = *delivery;
+        view.hasOldTargets = false;
+        result = this->candidatesUnder(&view);
+    }
+    return result;
+}
+
 std::optional<TargetChoice> RequestRunner::tryChoose()
 {
     PickQuery query;
@@ -201,6 +221,13 @@
         query.preferredTargets = query.mixed ? this->preferredTargets : 1;
     }
     query.oldestVersion = this->oldestUsableVersion(query, gated);
+    std::vector<GatedCandidate> preferred;
+    std::copy_if(gated.begin(), gated.end(), std::back_inserter(preferred), [](const GatedCandidate &entry) { return entry.isPreferred; });
+    if (!preferred.empty()) {
+        if (std::optional<TargetChoice> choice = this->pickAndAcquire(query, preferred, false)) {
+            return choice;
+        }
+    }
     // Targets that have asked other hosts to rest are used if no other target may get the request.
     std::optional<TargetChoice> choice = this->pickAndAcquire(query, gated, false);
     const bool hasAvoided = std::any_of(gated.begin(), gated.end(), [](const GatedCandidate &entry) { return entry.isAvoided; });
@@ -418,15 +445,15 @@
     return priorities.enginePriority(this->configuredPriority(), left);
 }
 
-// Under mixed load, a fetch ends by the time at which the target would have read the tokens instead: a slow link then costs at most
-// the time of reading them.
+// Under mixed load, a fetch ends at half of the target latency, or later if the target would have taken longer to read the tokens instead.
 std::optional<int64_t> RequestRunner::fetchEnd(const TargetChoice &choice, const CachePlan &cache) const
 {
     if (!this->isMixed || !cache.hasFetch()) {
         return std::nullopt;
     }
     const double tokens = choice.pendingTokens + static_cast<double>(cache.fetchTokens);
-    const Duration limit = std::max<Duration>(MinFetchTime, FetchTimeFactor * cache.expectedTime) + fromSeconds(tokens * this->readTime / 1000);
+    const Duration limit = std::max<Duration>(
+        this->route->targetLatency / FetchLatencyDivisor, FetchTimeFactor * cache.expectedTime + fromSeconds(tokens * this->readTime / 1000));
     const Duration latest = this->deadline - this->context.clock.now();
     const std::optional<int64_t> now = this->context.cacheStores.targetClock().at(this->context.clock.nowWithSuspend());
     return now ? std::optional<int64_t>(*now + toMilliseconds(std::min(limit, latest))) : std::nullopt;
@@ -475,6 +502,7 @@
     AttemptLimits limits;
     limits.deadline = this->deadline;
     limits.callerSocket = this->exchange.callerSocket();
+    limits.callerWriter = this->exchange.callerWriter();
     limits.interrupt = &this->context.state.shutdownEnd;
     limits.maxConnectionIdle = this->route->isIdempotent() ? MaxIdleIdempotent : MaxIdleUnsafe;
     if (this->route->isIdempotent()) {
--- a/pimentosail/entry/requestrunner.h
+++ b/pimentosail/entry/requestrunner.h
@@ -1,5 +1,6 @@
-// Serves one request of a caller: admission, attempts and the answer (requestrunner.cpp), and the choice of a target and
-// the plan of what is sent there (requestplanning.cpp).
+// Serves one request of a caller: admission, attempts and the answer (requestrunner.cpp), the choice of a target and the
+// plan of what is sent there (requestplanning.cpp), the delivery of new versions (requestdelivery.cpp), and what is recorded
+// of it (requestrecords.cpp).
 //
 // A request that cannot be served ends with a `Failure`, whose error kind determines the answer. An answer that states
 // that the request was not run is sent only if no attempt can have run it.
@@ -41,6 +42,8 @@
         TargetShares shares;
         // The target wants no requests of some other host.
         bool isAvoided = false;
+        // The target has a version that is being watched, and the request is one of its share.
+        bool isPreferred = false;
     };
     // What the shares of all targets of a service depend on, computed when a target has a limit.
     struct ShareContext
@@ -65,7 +68,18 @@
     std::optional<TargetChoice> tryChoose();
     // Returns false if the prompt is to wait for memory of a target. Throws `Failure` (Overloaded) if it has waited too long.
     bool admitToMemory(const TargetChoice &choice);
-    std::vector<GatedCandidate> candidates() const;
+    std::vector<GatedCandidate> candidates();
+    // Returns the targets that `delivery` allows; all if it is nullptr.
+    std::vector<GatedCandidate> candidatesUnder(const DeliveryView *delivery) const;
+    // Returns true if targets are in service whose version is allowed without a draw.
+    bool hasOldTargets(const DeliveryView &view) const;
+    // Returns what decides which versions of the service's software may get the request now; nullptr if there is no delivery. Draws once whether the
+    // request is one of a watched version's share.
+    std::shared_ptr<const DeliveryView> deliveryView();
+    // Uses the draw up if the request goes to the watched version, and gives it back if not.
+    void settleDraw(const TargetChoice &choice);
+    void returnDraw();
+    void recordVersionOutcome(const TargetChoice &choice, const AttemptResult &result, bool failedRun);
     TargetShares sharesOf(const TargetState &target, ShareContext &shareContext) const;
     std::optional<TargetChoice> pickAndAcquire(const PickQuery &query, const std::vector<GatedCandidate> &gated, bool usesAvoided);
     std::string saltFor(int64_t version) const;
@@ -95,6 +109,8 @@
     bool mayTryAgain(const AttemptResult &result);
     void deliver(const AttemptResult &result);
     void answerFailure(const Failure &reported);
+    // Waits until a caller that reads slowly has taken the answer.
+    void finishAnswer();
     Failure failureFor(const AttemptResult &result) const;
     void logDone();
     bool isAborted() const
@@ -134,6 +150,9 @@
     std::vector<Time> limitEnds;
     // Retry-After of a refusal; zero if there is no estimate.
     Duration retryAfter{};
+    // When the last event was passed on, and the longest time between two.
+    Time lastEventAt{};
+    Duration longestPause{};
     // The last choice of a target was made for mixed load.
     bool isMixed = false;
     // The last choice was among targets that are open to this host for a short time.
@@ -146,6 +165,9 @@
     size_t preferredTargets = 0;
     // The priority that the last target got.
     int enginePriority = 0;
+    // The request has been counted for the share of a watched version, and it is one of that share and has not been sent.
+    bool hasDrawn = false;
+    bool isDrawn = false;
     // A cache store holds the last shared block of the prompt.
     bool isCached = false;
 
--- a/pimentosail/entry/rolloutduty.cpp
+++ b/pimentosail/entry/rolloutduty.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "pimentosail/entry/storeduties.h"
@@ -59,7 +60,6 @@
     this->leadership.stop(this->announcement(), this->pendingTargets());
 }
 
-// Returns true if load orders may be sent now.
 bool RolloutDuty::mayOrder() const
 {
     return this->leadership.mayOrder() && !this->stopping.load();
@@ -71,6 +71,7 @@
     for (const auto &[id, load] : this->pendingLoads) {
         if (!load.isOutstanding) {
             announcement.loading.push_back(id);
+            announcement.loadingVersions[id] = load.version;
         }
     }
     announcement.finished.assign(this->finished.begin(), this->finished.end());
@@ -81,9 +82,7 @@
 std::vector<std::string> RolloutDuty::pendingTargets() const
 {
     std::vector<std::string> result;
-    for (const auto &[id, load] : this->pendingLoads) {
-        result.push_back(id);
-    }
+    std::transform(this->pendingLoads.begin(), this->pendingLoads.end(), std::back_inserter(result), [](const auto &entry) { return entry.first; });
     return result;
 }
 
@@ -179,7 +178,7 @@
             || (excluded != this->excludedUntil.end() && now < excluded->second);
         if (!handOver.mayOrder(target.id, orderTime)) {
             target.isExcluded = true;
-            target.isLoading = target.isLoading || (target.version < version && handOver.isLoading(target.id, orderTime));
+            target.isLoading = target.isLoading || handOver.isLoading(target.id, target.version, orderTime);
         }
         target.requestsInFlight = view.target->inFlight.load();
         byId[target.id] = view.target;
