--- a/pimentosail/entry/stateupdater.cpp
+++ b/pimentosail/entry/stateupdater.cpp
@@ -156,6 +156,7 @@
           });
     const MirrorStatus status = mirror.status();
     this->context.directory.apply(registrations, status.isReachable, status.recoveredAt, listed.era);
+    this->releaseLoadedTargets(registrations);
     const size_t size = this->context.directory.size();
     if (size != this->lastTargetCount) {
         this->context.log.write(LogLevel::Info, "targets_changed",
@@ -361,8 +362,30 @@
     this->context.state.recordRollout(latest);
 }
 
+// A leader that is lost no longer announces the end of the loads that it has ordered. The targets' own entries show it.
+void StateUpdater::releaseLoadedTargets(const std::vector<Registration> &registrations)
+{
+    if (this->loadingVersions.empty()) {
+        return;
+    }
+    for (const Registration &registration : registrations) {
+        const auto loading = this->loadingVersions.find(registration.id);
+        // With several models it is not known which of them the target loads.
+        const bool isLoaded
+            = loading != this->loadingVersions.end() && registration.modelVersions.size() == 1 && registration.modelVersions.begin()->second >= loading->second;
+        if (!isLoaded) {
+            continue;
+        }
+        this->loadingVersions.erase(loading);
+        if (const TargetPointer target = this->context.directory.find(registration.id)) {
+            target->avoidUntil.store(0);
+        }
+    }
+}
+
 void StateUpdater::applyAnnouncement(const RolloutAnnouncement &announcement)
 {
+    this->loadingVersions = announcement.loadingVersions;
     for (const std::string &id : announcement.loading) {
         if (const TargetPointer target = this->context.directory.find(id)) {
             target->avoidUntil.store((this->context.clock.now() + MaxLoadAvoidance).count());
--- a/pimentosail/entry/stateupdater.h
+++ b/pimentosail/entry/stateupdater.h
@@ -67,6 +67,8 @@
     void updateObservations(const StoreMirror &mirror, const std::set<std::string> &changedKeys);
     void updateRollout(const StoreMirror &mirror);
     void applyAnnouncement(const RolloutAnnouncement &announcement);
+    // Ends the avoidance of targets whose entry shows the version that they were announced to load.
+    void releaseLoadedTargets(const std::vector<Registration> &registrations);
     void updateVersionTimes(const StoreMirror &mirror);
     void updateDeliveries(const StoreMirror &mirror);
     // Logs a value that cannot be decoded, once for each write.
@@ -82,6 +84,8 @@
     DecodedItems<HostEntry> decodedHosts;
     DecodedItems<StatedDelivery> decodedDeliveryOrders;
     DecodedItems<StoredDeliveryState> decodedDeliveryStates;
+    // The versions that targets load by the last announcement, by target.
+    std::map<std::string, int64_t> loadingVersions;
     std::set<std::string> evacuatedZones;
     // Era of the store in which `evacuatedZones` was read.
     int64_t evacuationEra = 0;
