--- a/pimentosail/dispatch/sendwindow.h
+++ b/pimentosail/dispatch/sendwindow.h
@@ -4,13 +4,14 @@
 // after a load of weights, would get a request of every host at once and be overloaded for seconds. So in each interval of
 // the reports a target is open to as many hosts, on average, as it has room for prompts: in its cache memory, and in the
 // time in which a prompt is still on time. A hash of host, target and interval decides, so that no messages are needed; a
-// host that restarts, or that the store refuses, counts like any other. A target that is open to no host in an interval is
-// XX
+// host that restarts, or that the store refuses, counts like any other. A target that is open to no host in an interval
+// gets no prompt from any, except one that prefers it and for which it has room.
 //
 //     const double places = promptPlaces(query, candidate, aheadTokens);
-//     const bool isOpen = isOpenTo(windowKey("front-1", now), candidate.target->id, places, hosts);
+//     if (isOpenTo(windowKey("front-1", now), *candidate.target, places, hosts)) { ... }
+//     recordWindowSend(windowKey("front-1", now), *candidate.target);
 //
-// The functions are pure and thread-safe.
+// Thread-safe.
 #pragma once
 
 #include <string>
