--- a/pimentosail/dispatch/sendwindowtest.cpp
+++ b/pimentosail/dispatch/sendwindowtest.cpp
@@ -168,6 +168,7 @@
 Test(send_window, lanes_are_kept_as_far_as_pauses_need_them)
 {
     std::vector<Candidate> candidates;
+    candidates.reserve(10);
     for (int index = 0; index < 10; ++index) {
         candidates.push_back(makeCandidate("target-" + std::to_string(index), 0, 0));
     }
