--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -1,4 +1,4 @@
-// A cache store restarts while one machine is frozen. After the thaw, does that machine have parts fetched that are being written again?
+// A cache store restarts while prompts wait at busy workers. Do these prompts, once they begin, take parts that are being written again?
 #include "../standins-2/standins.h"
 
 using namespace standins;
@@ -7,7 +7,9 @@
 {
 
 constexpr const char *Host = "pule25.example";
-constexpr const char *Key = "nu6wsjnbanfqasnmgkcu";
+// The key of a tenant with priority 1, and of one with priority 0.
+constexpr const char *PatientKey = "nu6wsjnbanfqasnmgkcu";
+constexpr const char *UrgentKey = "yj8pjbvk9m68k7b2ex5w";
 constexpr const char *Model = "daka510000";
 // Figures of the site.
 constexpr int64_t PartTokens = 7520;
@@ -20,6 +22,10 @@
 // Two one-way delays between zones for the handshake and two for the call.
 constexpr double RoundTrips = 4 * 0.0009;
 constexpr int Parts = 16;
+// Requests that a worker runs at once, and how long a run takes: 49 tokens of a worker that is full, and 9 tokens.
+constexpr int Slots = 4;
+constexpr double LongRun = 2.2;
+constexpr double ShortRun = 0.1;
 
 std::string partName(int number)
 {
@@ -174,19 +180,52 @@
     return result;
 }
 
-// A worker: fetches and saves the parts that it is told to, and answers with a short stream.
-bool serveWorker(const Message &request, Connection &connection, CacheStore &store, Totals &totals)
+// The slots of a worker. More urgent requests are admitted first, then those that have waited longer.
+class SlotQueue
+{
+public:
+    void enter(int priority)
+    {
+        std::unique_lock lock(this->mutex);
+        const std::pair<int, int> place{priority, this->nextNumber++};
+        this->waiting.insert(place);
+        this->changed.wait(lock, [&] { return this->running < Slots && *this->waiting.begin() == place; });
+        this->waiting.erase(place);
+        ++this->running;
+        this->changed.notify_all();
+    }
+
+    void leave()
+    {
+        const std::lock_guard lock(this->mutex);
+        --this->running;
+        this->changed.notify_all();
+    }
+
+private:
+    std::mutex mutex;
+    std::condition_variable changed;
+    std::set<std::pair<int, int>> waiting;
+    int running = 0;
+    int nextNumber = 0;
+};
+
+// A worker: takes a slot, fetches and saves the parts that it is told to, and answers with a stream.
+bool serveWorker(const Message &request, Connection &connection, CacheStore &store, Totals &totals, SlotQueue &slots)
 {
     if (request.path() == "/-/report") {
         return connection.send(answerText(200, {{"Content-Type", "application/json"}},
             std::string(R"({"Stage":"both","Models":[{"Name":")") + Model
-                + R"(","Version":1,"Adapters":[]}],"Busy":false,"Sequence":0,"Waiting":0,"Running":0,"KvUsed":0,"KvTotal":65752,"Handles":0})"));
+                + R"(","Version":1,"Adapters":[]}],"Busy":false,"Sequence":0,"Waiting":0,"Running":0,"KvUsed":0,"KvTotal":200000,"Handles":0})"));
     }
     const std::string id = request.header("X-Pimentosail-Request-Id");
     const std::string salt = request.header("X-Pimentosail-Cache-Salt");
     const std::vector<std::string> parts = splitList(request.header("X-Pimentosail-Prompt-Prefix"));
     const std::vector<std::string> sources = splitList(request.header("X-Pimentosail-Kv-Fetch-From"));
     const std::vector<std::string> goals = splitList(request.header("X-Pimentosail-Kv-Save-To"));
+    const std::string priority = request.header("X-Pimentosail-Request-Priority");
+    const double arrivedAt = now();
+    slots.enter(priority.empty() ? 5 : std::atoi(priority.c_str()));
     ++totals.runs;
     for (size_t index = 0; index < parts.size(); ++index) {
         const std::string part = parts[index].substr(0, parts[index].find(':'));
@@ -195,13 +234,18 @@
             const std::string outcome = store.fetch(salt, part);
             totals.wholeFetches += outcome == "whole" ? 1 : 0;
             totals.unfinishedFetches += outcome == "being written" ? 1 : 0;
-            Record::get().line("worker: request %s fetches part %s: %s", id.c_str(), part.c_str(), outcome.c_str());
+            Record::get().line("worker: request %s begins after %.3f s and fetches part %s: %s%s%s", id.c_str(), now() - arrivedAt, part.c_str(),
+                outcome.c_str(), request.header("X-Pimentosail-Kv-Retain-Until").empty() ? "" : ", to be ended by ",
+                request.header("X-Pimentosail-Kv-Retain-Until").c_str());
         }
         if (index < goals.size() && goals[index] == store.address()) {
             ++totals.saves;
             store.save(salt, part, tokens);
         }
     }
+    const bool isLong = request.header("X-Pimentosail-Token-Usage").ends_with(",49");
+    sleepFor(isLong ? LongRun : ShortRun);
+    slots.leave();
     std::string text = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\nX-Pimentosail-Request-Id: " + id
         + "\r\nX-Pimentosail-Response-Signature: 3e1b." + id + "\r\nX-Pimentosail-Weight-Versions: 1\r\n\r\n";
     for (int event = 1; event <= 3; ++event) {
@@ -210,33 +254,31 @@
         std::snprintf(size, sizeof(size), "%zx\r\n", data.size());
         text += size + data + "\r\n";
     }
-    sleepFor(0.01);
     return connection.send(text + "0\r\n\r\n");
 }
 
-std::string requestText(const std::string &id, const std::string &part)
+std::string requestText(const std::string &id, const std::string &part, const char *key, int outputTokens)
 {
-    return std::string("POST /puxa400/2f HTTP/1.1\r\nHost: ") + Host + "\r\nX-Pimentosail-Request-Id: " + id + "\r\nX-Pimentosail-Model: " + Model
-        + "\r\nX-Pimentosail-Token-Usage: " + std::to_string(PartTokens + OwnTokens) + ",9\r\nX-Pimentosail-Prompt-Prefix: " + part + ":"
-        + std::to_string(PartTokens) + ",91bd" + id + ":" + std::to_string(OwnTokens) + "\r\nX-Pimentosail-Request-Deadline: 4000\r\nAuthorization: Bearer "
-        + Key + "\r\nContent-Length: 2\r\n\r\nhi";
+    return std::string("POST /cufi501/2f HTTP/1.1\r\nHost: ") + Host + "\r\nX-Pimentosail-Request-Id: " + id + "\r\nX-Pimentosail-Model: " + Model
+        + "\r\nX-Pimentosail-Token-Usage: " + std::to_string(PartTokens + OwnTokens) + "," + std::to_string(outputTokens)
+        + "\r\nX-Pimentosail-Prompt-Prefix: " + part + ":" + std::to_string(PartTokens) + ",91bd" + id + ":" + std::to_string(OwnTokens)
+        + "\r\nX-Pimentosail-Request-Deadline: 12000\r\nAuthorization: Bearer " + key + "\r\nContent-Length: 2\r\n\r\nhi";
 }
 
-// Sends one request for each part on the given connections and reads the answers. Returns how many were complete.
-int ask(const EntryHost &host, std::vector<std::unique_ptr<Connection>> &connections, const std::string &label, const std::function<void()> &afterSending)
+// Sends one request for each connection, for part after part, and reads the answers. Returns how many were complete.
+int ask(const EntryHost &host, std::vector<std::unique_ptr<Connection>> &connections, const std::string &label, const char *key, int outputTokens)
 {
-    for (int part = 0; part < Parts; ++part) {
-        const std::string id = label + std::to_string(part);
-        connections[static_cast<size_t>(part)]->send(requestText(id, partName(part)));
+    for (size_t number = 0; number < connections.size(); ++number) {
+        connections[number]->send(
+            requestText(label + std::to_string(number), partName(static_cast<int>(number + number / Parts * 2 * Slots) % Parts), key, outputTokens));
+        sleepFor(0.002);
     }
-    Record::get().line("client: %d requests %s* sent to %s on kept connections", Parts, label.c_str(), host.name.c_str());
-    afterSending();
+    Record::get().line("client: %zu requests %s* sent to %s", connections.size(), label.c_str(), host.name.c_str());
     int complete = 0;
     std::map<int, int> statuses;
-    for (int part = 0; part < Parts; ++part) {
+    for (const auto &connection : connections) {
         Message answer;
-        Connection &connection = *connections[static_cast<size_t>(part)];
-        complete += connection.readHead(answer, now() + 5) && connection.readBody(answer, now() + 5) && answer.status() == 200 ? 1 : 0;
+        complete += connection->readHead(answer, now() + 12) && connection->readBody(answer, now() + 12) && answer.status() == 200 ? 1 : 0;
         ++statuses[answer.status()];
     }
     for (const auto &[status, count] : statuses) {
@@ -245,11 +287,11 @@
     return complete;
 }
 
-std::vector<std::unique_ptr<Connection>> openAll(const EntryHost &host)
+std::vector<std::unique_ptr<Connection>> openAll(const EntryHost &host, int count)
 {
     std::vector<std::unique_ptr<Connection>> result;
-    result.reserve(Parts);
-    for (int part = 0; part < Parts; ++part) {
+    result.reserve(static_cast<size_t>(count));
+    for (int number = 0; number < count; ++number) {
         result.push_back(Connection::open(host.ip, host.frontPort));
     }
     return result;
@@ -257,14 +299,15 @@
 
 Json::Value configuration(const std::string &storeAddress)
 {
-    return parseJson(R"({"Version":7,"Routes":[{"Name":"r-1","Host":"pule25.example","PathPrefix":"/puxa400/","Kind":"streaming","TimeoutMs":4000,
-        "TargetLatencyMs":500,"Priority":1,"Service":"huvo11a","MaxAttempts":2,"Public":false,"Sticky":true,"Resumable":true,"TargetGapMs":400}],
+    return parseJson(R"({"Version":7,"Routes":[{"Name":"r-2","Host":"pule25.example","PathPrefix":"/cufi501/","Kind":"streaming","TimeoutMs":12000,
+        "TargetLatencyMs":800,"Priority":1,"Service":"huvo11a","MaxAttempts":1,"Public":false,"Sticky":true,"Resumable":false,"TargetGapMs":400}],
         "Services":[{"Name":"lovo22d","KvStoreAddress":")"
         + storeAddress + R"(","Zone":"melnik","KvCapacityTokens":2294961,"BandwidthMbps":58000.0,"MaxInFlight":12,"Managed":true,"first_ms":6.0},
-        {"Name":"huvo11a","HealthPath":"/health","ConnectionLimit":610,"Protocol":"h1","Tls":false,"ColdS":0,"ColdPerS":0,"Engine":{"Slots":128,
-        "KvCapacityTokens":6575200,"KvTokenBytes":18432,"BandwidthMbps":180000.0,"Managed":true,"MaxInFlight":12,"Models":[{"Name":"daka510000"}]}}],
+        {"Name":"huvo11a","HealthPath":"/health","ConnectionLimit":610,"Protocol":"h1","Tls":false,"ColdS":0,"ColdPerS":0,"Engine":{"Slots":4,
+        "KvCapacityTokens":200000,"KvTokenBytes":18432,"BandwidthMbps":180000.0,"Managed":true,"MaxInFlight":12,"Models":[{"Name":"daka510000"}]}}],
         "Limits":{"HeaderBytes":16384,"BodyBytes":4194304,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},
-        "Tenants":[{"Name":"jeye930","ApiKeys":["nu6wsjnbanfqasnmgkcu"],"Priority":1}]})");
+        "Tenants":[{"Name":"jeye930","ApiKeys":["nu6wsjnbanfqasnmgkcu"],"Priority":1},
+        {"Name":"kopo112","ApiKeys":["yj8pjbvk9m68k7b2ex5w"],"Priority":0}]})");
 }
 
 } // namespace
@@ -278,12 +321,14 @@
     const std::string storeIp = addresses.nextIp();
     CacheStore store(storeIp, addresses.freePort(storeIp));
     Totals totals;
+    std::vector<SlotQueue> slots(2);
     std::vector<std::unique_ptr<Server>> workers;
     for (int worker = 0; worker < 2; ++worker) {
         const std::string ip = addresses.nextIp();
-        workers.push_back(std::make_unique<Server>(
-            ip, addresses.freePort(ip), [&](const Message &request, Connection &connection) { return serveWorker(request, connection, store, totals); }));
-        Json::Value beat = parseJson(R"({"Service":"huvo11a","Zone":"sungurlare","Version":"v1","Slots":128,"State":"ready","ColdRemainingMs":0,"Stage":"both",
+        workers.push_back(std::make_unique<Server>(ip, addresses.freePort(ip), [&, worker](const Message &request, Connection &connection) {
+            return serveWorker(request, connection, store, totals, slots[static_cast<size_t>(worker)]);
+        }));
+        Json::Value beat = parseJson(R"({"Service":"huvo11a","Zone":"sungurlare","Version":"v1","Slots":4,"State":"ready","ColdRemainingMs":0,"Stage":"both",
             "Models":[{"Name":"daka510000","Version":1,"Adapters":[]}],"Sequence":4})");
         beat["Address"] = workers.back()->address();
         beat["born"] = Json::Int64(unixMilliseconds());
@@ -291,53 +336,40 @@
     }
     platform.put("op/version/daka510000", parseJson(R"({"Model":"daka510000","Version":1})"));
     platform.put("op/config", configuration(store.address()));
-    EntryHost frozen(addresses, "front-sungurlare-1", "sungurlare", platform.address(), run.temporary);
-    EntryHost other(addresses, "front-melnik-1", "melnik", platform.address(), run.temporary);
-    frozen.start(run.program, {frozen.control(), other.control()});
-    other.start(run.program, {frozen.control(), other.control()});
-    if (!frozen.awaitReady(10) || !other.awaitReady(10)) {
+    EntryHost first(addresses, "front-sungurlare-1", "sungurlare", platform.address(), run.temporary);
+    EntryHost second(addresses, "front-melnik-1", "melnik", platform.address(), run.temporary);
+    first.start(run.program, {first.control(), second.control()});
+    second.start(run.program, {first.control(), second.control()});
+    if (!first.awaitReady(10) || !second.awaitReady(10)) {
         return finish(CouldNotRun, "the machines did not become ready");
     }
     sleepFor(4);
-    std::vector<std::unique_ptr<Connection>> toFrozen = openAll(frozen);
-    std::vector<std::unique_ptr<Connection>> toOther = openAll(other);
     // The parts come into use, and both machines learn that the store has them.
-    ask(other, toOther, "a", [] {});
-    sleepFor(2);
-    ask(other, toOther, "e", [] {});
-    sleepFor(4);
-    if (ask(frozen, toFrozen, "b", [] {}) < Parts / 2 || totals.wholeFetches < Parts / 2 || totals.unfinishedFetches > 0) {
+    std::vector<std::unique_ptr<Connection>> urgent = openAll(second, Parts);
+    for (int round = 0; round < 3; ++round) {
+        ask(second, urgent, "a" + std::to_string(round) + "-", UrgentKey, 9);
+        sleepFor(1.5);
+    }
+    if (totals.wholeFetches < Parts / 2 || totals.unfinishedFetches > 0) {
         return finish(CouldNotRun, "the parts were not fetched from the store before the disruption");
     }
-    sleepFor(1);
     const double start = now();
+    std::vector<std::unique_ptr<Connection>> patient = openAll(first, 6 * Slots);
+    std::thread waiting([&] { ask(first, patient, "b", PatientKey, 49); });
+    sleepUntil(start + 0.3);
     if (run.hasTrouble) {
-        frozen.signal(SIGSTOP);
-        Record::get().line("%s frozen", frozen.name.c_str());
-        sleepUntil(start + 0.1);
         store.crash();
-        sleepUntil(start + 1.1);
+        sleepUntil(start + 0.7);
         store.comeBack();
     }
-    sleepUntil(start + 5.5);
-    // Callers return; the other machine has the lost parts saved again.
-    std::thread refill([&] { ask(other, toOther, "c", [] {}); });
-    sleepUntil(start + 5.6);
-    const int before = totals.unfinishedFetches;
-    ask(frozen, toFrozen, "d", [&] {
-        sleepUntil(start + 5.75);
-        if (run.hasTrouble) {
-            frozen.signal(SIGCONT);
-            Record::get().line("%s thawed after %.1f s", frozen.name.c_str(), now() - start);
-        }
-    });
-    refill.join();
-    const int unfinished = totals.unfinishedFetches - before;
-    frozen.signal(SIGTERM);
-    other.signal(SIGTERM);
-    frozen.awaitEnd(9);
-    other.awaitEnd(9);
-    const std::string text
-        = std::to_string(unfinished) + " of " + std::to_string(Parts) + " requests took memory of a part that was being written in the store";
+    // Other callers return shortly before the last of the waiting prompts begin.
+    sleepUntil(start + 2 * LongRun - 0.05);
+    ask(second, urgent, "c", UrgentKey, 9);
+    waiting.join();
+    first.signal(SIGTERM);
+    second.signal(SIGTERM);
+    first.awaitEnd(9);
+    second.awaitEnd(9);
+    const std::string text = std::to_string(totals.unfinishedFetches) + " requests took memory of a part that was being written in the store";
     return finish(totals.unfinishedFetches > 0 ? Broken : Held, text);
 }
