--- a/review/8/case.cpp
+++ b/review/8/case.cpp
@@ -17,9 +17,13 @@
 constexpr double OtherZoneFactor = 2;
 constexpr double EventLag = 0.06;
 constexpr double FirstMs = 6;
+constexpr double PrefillTokensPerMs = 112;
+// A transfer that would wait for longer is not started.
+constexpr double MaxTransferWait = 2;
 // Two one-way delays between zones for the handshake and two for the call.
 constexpr double RoundTrips = 4 * 0.0009;
-constexpr int Parts = 16;
+constexpr int Workers = 4;
+constexpr int Parts = 20;
 
 std::string partName(int number)
 {
@@ -28,7 +32,7 @@
     return text;
 }
 
-// A managed cache store with one link, over which transfers run one after another.
+// A managed cache store. Over its link, in each direction, transfers run one after another.
 class CacheStore
 {
 public:
@@ -42,29 +46,46 @@
         return this->server.address();
     }
 
-    // A worker begins to save a part: its space is reserved at once, and it is complete when the link has carried it.
+    // A worker has read a part and begins to save it: its space is reserved at once, and it is complete when the link has carried it.
     void save(const std::string &salt, const std::string &part, int64_t tokens)
     {
         const std::lock_guard lock(this->mutex);
         if (this->isDown || this->parts.contains({salt, part})) {
             return;
         }
-        const double time = static_cast<double>(tokens) * TokenBytes * 8 / StoreLinkBits * OtherZoneFactor;
+        const double time = transferTime(tokens);
         this->linkFree = std::max(this->linkFree, now() + FirstMs / 1000) + time;
         this->parts[{salt, part}] = {tokens, this->linkFree};
         this->changes.push_back({this->linkFree + EventLag, salt, part, tokens});
         Record::get().line("store: epoch %d, part %s reserved, complete at %.3f", this->epoch, part.c_str(), this->linkFree);
     }
 
-    // A worker fetches a part. Returns "miss", "whole" or "being written".
-    std::string fetch(const std::string &salt, const std::string &part)
+    // A worker fetches a part. The transfer begins when those before it have ended, and the part is looked up then. Returns "miss", "whole" or
+    // "being written" after the transfer.
+    std::string fetch(const std::string &salt, const std::string &part, int64_t tokens)
     {
-        const std::lock_guard lock(this->mutex);
-        const auto found = this->parts.find({salt, part});
-        if (this->isDown || found == this->parts.end()) {
-            return "miss";
+        double startsAt = 0;
+        double endsAt = 0;
+        {
+            const std::lock_guard lock(this->mutex);
+            startsAt = std::max(now() + FirstMs / 1000, this->fetchLinkFree);
+            if (startsAt - now() > MaxTransferWait || !this->parts.contains({salt, part})) {
+                return "miss";
+            }
+            endsAt = startsAt + transferTime(tokens);
+            this->fetchLinkFree = endsAt;
+        }
+        sleepUntil(startsAt);
+        std::string outcome = "miss";
+        {
+            const std::lock_guard lock(this->mutex);
+            const auto found = this->parts.find({salt, part});
+            if (!this->isDown && found != this->parts.end()) {
+                outcome = now() < found->second.completeAt ? "being written" : "whole";
+            }
         }
-        return now() < found->second.completeAt ? "being written" : "whole";
+        sleepUntil(endsAt);
+        return outcome;
     }
 
     void crash()
@@ -75,6 +96,7 @@
             this->parts.clear();
             this->changes.clear();
             this->linkFree = 0;
+            this->fetchLinkFree = 0;
             ++this->epoch;
         }
         this->server.stop();
@@ -92,6 +114,11 @@
     }
 
 private:
+    static double transferTime(int64_t tokens)
+    {
+        return static_cast<double>(tokens) * TokenBytes * 8 / StoreLinkBits * OtherZoneFactor;
+    }
+
     struct Part
     {
         int64_t tokens = 0;
@@ -152,9 +179,30 @@
     int epoch = 77120;
     bool isDown = false;
     double linkFree = 0;
+    double fetchLinkFree = 0;
     Server server;
 };
 
+// A worker reads prompts one after another.
+class Prefill
+{
+public:
+    void read(int64_t tokens)
+    {
+        double end = 0;
+        {
+            const std::lock_guard lock(this->mutex);
+            this->free = std::max(now(), this->free) + static_cast<double>(tokens) / PrefillTokensPerMs / 1000;
+            end = this->free;
+        }
+        sleepUntil(end);
+    }
+
+private:
+    std::mutex mutex;
+    double free = 0;
+};
+
 struct Totals
 {
     std::atomic<int> runs{0};
@@ -175,7 +223,7 @@
 }
 
 // A worker: fetches and saves the parts that it is told to, and answers with a short stream.
-bool serveWorker(const Message &request, Connection &connection, CacheStore &store, Totals &totals)
+bool serveWorker(const Message &request, Connection &connection, CacheStore &store, Totals &totals, Prefill &prefill)
 {
     if (request.path() == "/-/report") {
         return connection.send(answerText(200, {{"Content-Type", "application/json"}},
@@ -191,12 +239,17 @@
     for (size_t index = 0; index < parts.size(); ++index) {
         const std::string part = parts[index].substr(0, parts[index].find(':'));
         const int64_t tokens = std::atoll(parts[index].substr(parts[index].find(':') + 1).c_str());
+        bool hasPart = false;
         if (index < sources.size() && sources[index] == store.address()) {
-            const std::string outcome = store.fetch(salt, part);
+            const std::string outcome = store.fetch(salt, part, tokens);
             totals.wholeFetches += outcome == "whole" ? 1 : 0;
             totals.unfinishedFetches += outcome == "being written" ? 1 : 0;
+            hasPart = outcome != "miss";
             Record::get().line("worker: request %s fetches part %s: %s", id.c_str(), part.c_str(), outcome.c_str());
         }
+        if (!hasPart) {
+            prefill.read(tokens);
+        }
         if (index < goals.size() && goals[index] == store.address()) {
             ++totals.saves;
             store.save(salt, part, tokens);
@@ -278,11 +331,13 @@
     const std::string storeIp = addresses.nextIp();
     CacheStore store(storeIp, addresses.freePort(storeIp));
     Totals totals;
+    std::vector<Prefill> prefills(Workers);
     std::vector<std::unique_ptr<Server>> workers;
-    for (int worker = 0; worker < 2; ++worker) {
+    for (int worker = 0; worker < Workers; ++worker) {
         const std::string ip = addresses.nextIp();
-        workers.push_back(std::make_unique<Server>(
-            ip, addresses.freePort(ip), [&](const Message &request, Connection &connection) { return serveWorker(request, connection, store, totals); }));
+        workers.push_back(std::make_unique<Server>(ip, addresses.freePort(ip), [&, worker](const Message &request, Connection &connection) {
+            return serveWorker(request, connection, store, totals, prefills[static_cast<size_t>(worker)]);
+        }));
         Json::Value beat = parseJson(R"({"Service":"huvo11a","Zone":"sungurlare","Version":"v1","Slots":128,"State":"ready","ColdRemainingMs":0,"Stage":"both",
             "Models":[{"Name":"daka510000","Version":1,"Adapters":[]}],"Sequence":4})");
         beat["Address"] = workers.back()->address();
@@ -314,18 +369,18 @@
     if (run.hasTrouble) {
         frozen.signal(SIGSTOP);
         Record::get().line("%s frozen", frozen.name.c_str());
-        sleepUntil(start + 0.1);
+        sleepUntil(start + 0.05);
         store.crash();
-        sleepUntil(start + 1.1);
+        sleepUntil(start + 0.25);
         store.comeBack();
     }
-    sleepUntil(start + 5.5);
+    sleepUntil(start + 2.75);
     // Callers return; the other machine has the lost parts saved again.
     std::thread refill([&] { ask(other, toOther, "c", [] {}); });
-    sleepUntil(start + 5.6);
+    sleepUntil(start + 2.85);
     const int before = totals.unfinishedFetches;
     ask(frozen, toFrozen, "d", [&] {
-        sleepUntil(start + 5.75);
+        sleepUntil(start + 2.97);
         if (run.hasTrouble) {
             frozen.signal(SIGCONT);
             Record::get().line("%s thawed after %.1f s", frozen.name.c_str(), now() - start);
