Save to a restarted cache store only when no earlier prompt can fetch

Cause: SaveDelay (2 s) assumed that prompts sent before a restart have begun by then. A prompt may wait at a target until its deadline, 12 s on that route, and fetches when it begins. Ruled out: late knowledge of the restart; both hosts log it 10 ms after the store is back, and the waiting prompts were written before.

Change: StoreEpoch says from when a host may save to a store: 3 s (time in which all hosts know the new epoch), 1 s (way to the target) and the longest timeout of a route to engines under any configuration that this host has had. A host that starts, or learns of a store by a later configuration, waits as well, because it does not know how old the epoch is. Only when the whole system starts for the first time (Bootstrap) there is nothing to wait for.

--- a/pimentosail/entry/entryprocess.cpp
+++ b/pimentosail/entry/entryprocess.cpp
@@ -171,7 +171,7 @@
     , sendLimiter(clock)
     , gate(clock, directory, notices, sendLimiter)
     , quarantine(clock)
-    , cacheStores(clock)
+    , cacheStores(clock, settings.isFirstStart)
     , cacheJournal(cacheStores)
     , mixedLoad(clock)
     , targetSpeeds(clock)
--- a/pimentosail/entry/entrysettings.h
+++ b/pimentosail/entry/entrysettings.h
@@ -31,6 +31,8 @@
     std::string keyValueStoreAddress;
     // Addresses of some other hosts (`peerListen`); some may be out of date.
     std::vector<std::string> peers;
+    // The whole system starts for the first time: no host has run before this one.
+    bool isFirstStart = false;
     // Limit of open file descriptors of the process.
     int64_t fileDescriptors = 1024;
     // Memory that the process may use.
--- a/pimentosail/entry/stateupdater.cpp
+++ b/pimentosail/entry/stateupdater.cpp
@@ -123,7 +123,7 @@
             coldDurations[service.name] = service.coldDuration;
         }
         this->context.directory.setColdDurations(std::move(coldDurations));
-        this->context.cacheStores.setStores(decoded.stores);
+        this->context.cacheStores.setStores(decoded.stores, longestPromptTimeout(decoded));
         this->context.metrics.set("pimentosail_configuration_version", {}, static_cast<double>(decoded.version));
         this->context.log.write(LogLevel::Info, "configuration_in_force",
             {{"version", decoded.version}, {"revision", item.revision}, {"routes", decoded.routes.size()}, {"services", decoded.services.size()},
--- a/pimentosail/kvcache/cachejournaltest.cpp
+++ b/pimentosail/kvcache/cachejournaltest.cpp
@@ -24,7 +24,7 @@
 {
     Clock clock;
     CacheStores stores(clock);
-    stores.setStores({makeStore("a"), makeStore("b"), makeStore("c")});
+    stores.setStores({makeStore("a"), makeStore("b"), makeStore("c")}, std::chrono::seconds(12));
     CacheJournal journal(stores);
     const auto read = [&journal](JournalPosition &position) {
         CacheChanges changes = journal.changesAfter(position, Milliseconds(1));
--- a/pimentosail/kvcache/kvcachetest.cpp
+++ b/pimentosail/kvcache/kvcachetest.cpp
@@ -20,6 +20,9 @@
 }
 
 constexpr Duration AcceptableTransferTime = Milliseconds(200);
+constexpr Duration LongestRequest = std::chrono::seconds(12);
+// Nothing is saved to a store for this long after its restart.
+constexpr Duration RestartDelay = StoreEpoch::NoticeTime + StoreEpoch::MaxTransit + LongestRequest;
 const std::vector<PromptBlock> SamplePrompt{{"shared", 2000}, {"session", 5000}, {"own", 1500}};
 
 struct Fixture
@@ -28,15 +31,20 @@
     {
         this->clock.pause();
         this->clock.advance(std::chrono::seconds(10));
-        this->stores.setStores({makeStore("fast", 200000, 10000), makeStore("slow", 58000, 1000000), makeStore("slow2", 58000, 1000000)});
+        this->stores.setStores({makeStore("fast", 200000, 10000), makeStore("slow", 58000, 1000000), makeStore("slow2", 58000, 1000000)}, LongestRequest);
         for (const char *name : {"fast", "slow", "slow2"}) {
             this->stores.apply(name, {1, 0, false, {}});
         }
-        // Until then nothing is saved to a store whose epoch is new.
-        this->clock.advance(std::chrono::seconds(2));
     }
+
+    // Returns true if a new block would be saved to the store "fast", which is preferred.
+    bool isSavedToFast(const std::string &salt)
+    {
+        return this->stores.plan(salt, SamplePrompt, 2, "z1", AcceptableTransferTime, 0).saveTo[1] == "fast:80";
+    }
+
     Clock clock;
-    CacheStores stores{this->clock};
+    CacheStores stores{this->clock, true};
 };
 
 } // namespace
@@ -111,21 +119,65 @@
     cr_assert(answer(7, 1, 2).mayFollow(0, 0), "the first poll");
 }
 
-// Guards against a target that reads a block while it is written again: hosts that do not know of a restart yet have the former blocks
-// fetched, so the others save nothing there for a while.
-Test(kvcache, nothing_is_saved_to_a_store_that_has_just_restarted)
+// Guards against a target that reads a block while it is written again: prompts that were sent before a restart may wait at their targets for as
+// long as their route allows and fetch the former blocks then, so nothing is saved for that time (review/7).
+Test(kvcache, nothing_is_saved_to_a_restarted_store_while_an_earlier_prompt_may_fetch)
 {
     Fixture fixture;
-    cr_assert_eq(fixture.stores.plan("w1", SamplePrompt, 2, "z1", AcceptableTransferTime, 0).saveTo[1], "fast:80");
+    cr_assert(fixture.isSavedToFast("w1"));
     fixture.stores.apply("fast", {2, 0, false, {}});
-    cr_assert_neq(fixture.stores.plan("w2", SamplePrompt, 2, "z1", AcceptableTransferTime, 0).saveTo[1], "fast:80");
-    fixture.clock.advance(Milliseconds(1999));
-    cr_assert_neq(fixture.stores.plan("w3", SamplePrompt, 2, "z1", AcceptableTransferTime, 0).saveTo[1], "fast:80");
+    cr_assert_not(fixture.isSavedToFast("w2"));
+    fixture.clock.advance(RestartDelay - Milliseconds(1));
+    cr_assert_not(fixture.isSavedToFast("w3"));
     fixture.clock.advance(Milliseconds(1));
-    cr_assert_eq(fixture.stores.plan("w4", SamplePrompt, 2, "z1", AcceptableTransferTime, 0).saveTo[1], "fast:80");
+    cr_assert(fixture.isSavedToFast("w4"));
     // The same for a follower, which learns of the restart from its relay.
     fixture.stores.replace({{"fast", 3, true}, {"slow", 1, true}, {"slow2", 1, true}}, {});
-    cr_assert_neq(fixture.stores.plan("w5", SamplePrompt, 2, "z1", AcceptableTransferTime, 0).saveTo[1], "fast:80");
+    cr_assert_not(fixture.isSavedToFast("w5"));
+    fixture.clock.advance(RestartDelay);
+    cr_assert(fixture.isSavedToFast("w6"));
+    // A relay that does not know the store yet says nothing of a restart.
+    fixture.stores.replace({{"fast", 0, true}, {"slow", 1, true}, {"slow2", 1, true}}, {});
+    cr_assert(fixture.isSavedToFast("w7"));
+}
+
+// Guards against a wait that ends early because a configuration has shortened the timeout under which earlier prompts were sent.
+Test(kvcache, a_shorter_timeout_does_not_shorten_the_wait_for_earlier_prompts)
+{
+    Fixture fixture;
+    fixture.stores.apply("fast", {2, 0, false, {}});
+    fixture.stores.setStores(fixture.stores.stores(), std::chrono::seconds(1));
+    fixture.clock.advance(RestartDelay - Milliseconds(1));
+    cr_assert_not(fixture.isSavedToFast("w1"));
+    fixture.clock.advance(Milliseconds(1));
+    cr_assert(fixture.isSavedToFast("w2"));
+}
+
+// Guards against a host that starts, or is told of a store, just after a restart of the store and saves at once, because the epoch is new to it only.
+Test(kvcache, a_host_that_does_not_know_the_former_epoch_waits_as_well)
+{
+    Fixture fixture;
+    CacheStores restarted(fixture.clock);
+    const CacheStore store = makeStore("fast", 200000, 10000);
+    restarted.setStores({store}, LongestRequest);
+    restarted.apply("fast", {2, 0, false, {}});
+    const auto isSaved = [](CacheStores &stores, const std::string &salt) {
+        return stores.plan(salt, SamplePrompt, 2, "z1", AcceptableTransferTime, 0).saveTo[1] == "fast:80";
+    };
+    cr_assert_not(isSaved(restarted, "w1"));
+    fixture.clock.advance(RestartDelay);
+    cr_assert(isSaved(restarted, "w2"));
+    // A configuration removes the store, and a later one lists it again.
+    restarted.setStores({}, LongestRequest);
+    restarted.setStores({store}, LongestRequest);
+    restarted.apply("fast", {3, 0, false, {}});
+    cr_assert_not(isSaved(restarted, "w3"));
+    // On the first start of the whole system, a store that answers long after the configuration may have been used by other hosts.
+    CacheStores late(fixture.clock, true);
+    late.setStores({store}, LongestRequest);
+    fixture.clock.advance(std::chrono::seconds(6));
+    late.apply("fast", {3, 0, false, {}});
+    cr_assert_not(isSaved(late, "w4"));
 }
 
 Test(kvcache, no_block_is_saved_to_a_full_store)
@@ -180,7 +232,7 @@
     const std::string present = CacheSalt{"m", 2, ""}.text();
     CacheStore managed = makeStore("fast", 200000, 10000);
     managed.isManaged = true;
-    fixture.stores.setStores({managed, makeStore("slow", 58000, 1000000)});
+    fixture.stores.setStores({managed, makeStore("slow", 58000, 1000000)}, LongestRequest);
     fixture.stores.apply(
         "fast", {1, 1, false, {{old, "session", 5000, false}, {present, "session", 4000, false}, {CacheSalt{"m", 1, "t"}.text(), "session", 300, false}}});
     const std::vector<BlocksToFree> freed = fixture.stores.removeSalt(old);
@@ -261,7 +313,7 @@
     const std::vector<PromptBlock> blocks{{"session-0", 3000}};
     cr_assert_neq(fixture.stores.plan("w1", blocks, 1, "z1", AcceptableTransferTime, 0).saveTo[0], "fast:80");
     fixture.stores.apply("fast", {2, 0, false, {}});
-    fixture.clock.advance(std::chrono::seconds(2));
+    fixture.clock.advance(RestartDelay);
     const std::vector<PromptBlock> others{{"session-9", 3000}};
     cr_assert_eq(fixture.stores.plan("w1", others, 1, "z1", AcceptableTransferTime, 0).saveTo[0], "fast:80", "a restarted store is empty");
 }
--- a/pimentosail/kvcache/storecontents.cpp
+++ b/pimentosail/kvcache/storecontents.cpp
@@ -14,9 +14,9 @@
 // A planned save that was not reported within this time has failed or its event was lost. The block is then saved again.
 constexpr Duration SaveReportTime = std::chrono::seconds(3);
 constexpr size_t MaxPendingSaves = 8192;
-// Nothing is saved to a cache store for this long after its restart, or after this host has come to know it. By then all hosts know
-// of the restart, and prompts that were sent before have begun or given up their transfers.
-constexpr Duration SaveDelay = std::chrono::seconds(2);
+// When the whole system starts for the first time, cache stores that report their epoch within this time of the first configuration have
+// not been used before.
+constexpr Duration FirstUseTime = std::chrono::seconds(5);
 // No more blocks are saved to a cache store once it is this full. The remaining space absorbs the saves of other hosts: a
 // block that does not fit completely is lost.
 constexpr double MaxFillFraction = 0.97;
@@ -31,9 +31,15 @@
 
 } // namespace
 
-void CacheStores::setStores(const std::vector<CacheStore> &stores)
+void CacheStores::setStores(const std::vector<CacheStore> &stores, Duration longestRequest)
 {
     const std::lock_guard lock(this->mutex);
+    this->longestTimeout = std::max(this->longestTimeout, longestRequest);
+    // Other hosts may have used a cache store that a later configuration adds.
+    const bool isFirstConfiguration = this->configuredAt == Time(0);
+    if (isFirstConfiguration) {
+        this->configuredAt = this->clock.nowWithSuspend();
+    }
     std::set<std::string> names;
     for (const CacheStore &store : stores) {
         names.insert(store.name);
@@ -42,10 +48,17 @@
             entry = StoreState{};
         }
         entry.store = store;
+        entry.isUnused = entry.isUnused || (isFirstConfiguration && this->isFirstStart);
     }
     std::erase_if(this->entries, [&names](const auto &entry) { return !names.contains(entry.first); });
 }
 
+Duration CacheStores::longestRequest() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->longestTimeout;
+}
+
 std::vector<CacheStore> CacheStores::stores() const
 {
     const std::lock_guard lock(this->mutex);
@@ -56,6 +69,22 @@
     return result;
 }
 
+bool CacheStores::observeEpoch(StoreState &entry, int64_t epoch)
+{
+    const Time now = this->clock.nowWithSuspend();
+    const bool hadEpoch = entry.epoch.number() != 0;
+    if (!entry.epoch.observe(epoch, now)) {
+        return false;
+    }
+    entry.blocks.clear();
+    entry.heldTokens = 0;
+    entry.unreportedTokens = 0;
+    if (!hadEpoch && entry.isUnused && now < this->configuredAt + FirstUseTime) {
+        entry.epoch.openForSaves();
+    }
+    return hadEpoch;
+}
+
 bool CacheStores::apply(const std::string &store, const CacheEvents &events)
 {
     const std::lock_guard lock(this->mutex);
@@ -64,14 +93,7 @@
         return false;
     }
     StoreState &entry = found->second;
-    const bool isCleared = entry.epoch != events.epoch && entry.epoch != 0;
-    if (entry.epoch != events.epoch) {
-        entry.blocks.clear();
-        entry.heldTokens = 0;
-        entry.unreportedTokens = 0;
-        entry.epoch = events.epoch;
-        entry.epochSeenAt = this->clock.now();
-    }
+    const bool isCleared = this->observeEpoch(entry, events.epoch);
     for (const CacheEvent &event : events.events) {
         const BlockKey key{event.salt, event.block};
         const auto known = entry.blocks.find(key);
@@ -93,7 +115,7 @@
     const std::lock_guard lock(this->mutex);
     std::vector<CacheStoreStatus> result;
     for (const auto &[name, entry] : this->entries) {
-        result.push_back({name, entry.epoch, entry.isReachable});
+        result.push_back({name, entry.epoch.number(), entry.isReachable});
     }
     return result;
 }
@@ -104,7 +126,7 @@
     std::vector<CacheChange> result;
     for (const auto &[name, entry] : this->entries) {
         for (const auto &[key, tokens] : entry.blocks) {
-            result.push_back({name, entry.epoch, {key.first, key.second, tokens, false}});
+            result.push_back({name, entry.epoch.number(), {key.first, key.second, tokens, false}});
         }
     }
     return result;
@@ -120,17 +142,16 @@
     for (const CacheStoreStatus &status : statuses) {
         const auto found = this->entries.find(status.store);
         if (found != this->entries.end()) {
-            if (found->second.epoch != status.epoch) {
-                found->second.unreportedTokens = 0;
-                found->second.epochSeenAt = this->clock.now();
+            // A relay that has not heard of the store yet reports no epoch.
+            if (status.epoch != 0) {
+                this->observeEpoch(found->second, status.epoch);
             }
-            found->second.epoch = status.epoch;
             found->second.isReachable = status.isReachable;
         }
     }
     for (const CacheChange &change : contents) {
         const auto found = this->entries.find(change.store);
-        if (found != this->entries.end() && found->second.epoch == change.epoch) {
+        if (found != this->entries.end() && found->second.epoch.number() == change.epoch) {
             found->second.blocks[{change.event.salt, change.event.block}] = change.event.tokens;
             found->second.heldTokens += change.event.tokens;
             this->pendingSaves.erase({change.event.salt, change.event.block});
@@ -152,7 +173,7 @@
     const std::lock_guard lock(this->mutex);
     std::vector<BlocksToFree> result;
     for (auto &[name, entry] : this->entries) {
-        BlocksToFree freed{entry.store.address, entry.epoch, salt, {}};
+        BlocksToFree freed{entry.store.address, entry.epoch.number(), salt, {}};
         for (auto block = entry.blocks.lower_bound({salt, ""}); block != entry.blocks.end() && block->first.first == salt;) {
             freed.blocks.push_back(block->first.second);
             entry.heldTokens -= block->second;
@@ -286,10 +307,11 @@
     StoreState *best = nullptr;
     double bestScore = 0;
     const uint64_t key = combineHashes(stableHash(salt), stableHash(block.id));
+    const Time now = this->clock.nowWithSuspend();
     for (auto &[name, entry] : this->entries) {
         const auto capacity = static_cast<double>(entry.store.capacityTokens);
         const double freeTokens = MaxFillFraction * capacity - usedTokens(entry);
-        const bool acceptsSaves = entry.isReachable && entry.epoch != 0 && this->clock.now() >= entry.epochSeenAt + SaveDelay;
+        const bool acceptsSaves = entry.isReachable && entry.epoch.number() != 0 && entry.epoch.saveDelay(now, this->longestTimeout) == Duration(0);
         if (&entry == excluded || !acceptsSaves || freeTokens < static_cast<double>(block.tokens)) {
             continue;
         }
--- a/pimentosail/kvcache/storecontents.h
+++ b/pimentosail/kvcache/storecontents.h
@@ -2,12 +2,11 @@
 // KV-cache blocks of a prompt and to which it saves them.
 //
 // A block is fetched only after its cache store has reported it complete. A lost event can cause a target to recompute a
-// block that is stored; it never causes a target to fetch an incomplete block. After a restart, a cache store is empty, but hosts that do
-// not know of the restart yet still have its former blocks fetched; so nothing is saved there for `SaveDelay`, because a block that is
-// being written again could be read.
+// block that is stored; it never causes a target to fetch an incomplete block. After a restart, a cache store is empty, but requests that
+// were sent before may still wait at targets and fetch its former blocks; `StoreEpoch` says for how long nothing is saved there.
 //
 //     CacheStores stores(clock);
-//     stores.setStores(serving->all().stores);
+//     stores.setStores(serving->all().stores, longestPromptTimeout(serving->all()));
 //     stores.apply("jar-1", events);
 //     CachePlan plan = stores.plan(salt, blocks, sharedCount, targetZone, Milliseconds(200), draw);
 //
@@ -24,6 +23,7 @@
 #include <vector>
 
 #include "pimentosail/base/clock.h"
+#include "pimentosail/kvcache/storeepoch.h"
 #include "pimentosail/kvcache/targetclock.h"
 #include "pimentosail/routing/servingconfiguration.h"
 
@@ -140,14 +140,19 @@
     // KV-cache bytes per token of a model whose configuration does not state them.
     static constexpr double DefaultBytesPerToken = 18432;
 
-    explicit CacheStores(const Clock &runtimeClock)
+    // `isSystemNew` is true if the whole system starts for the first time, so that no host has used the cache stores before.
+    explicit CacheStores(const Clock &runtimeClock, bool isSystemNew = false)
         : clock(runtimeClock)
+        , isFirstStart(isSystemNew)
     {
     }
 
-    // Sets the cache stores of the configuration. Drops the known contents of cache stores that were removed or have a new
-    // address.
-    void setStores(const std::vector<CacheStore> &stores);
+    // Sets the cache stores of the configuration, and how long a target may spend on a prompt. Drops the known contents of cache
+    // stores that were removed or have a new address.
+    void setStores(const std::vector<CacheStore> &stores, Duration longestRequest);
+
+    // Returns the longest time that a target may spend on a prompt under any configuration that this host has had.
+    Duration longestRequest() const;
 
     std::vector<CacheStore> stores() const;
 
@@ -210,9 +215,9 @@
     {
         CacheStore store;
         bool isReachable = true;
-        int64_t epoch = 0;
-        // When this host first saw this epoch.
-        Time epochSeenAt{};
+        StoreEpoch epoch;
+        // No host has used the cache store in a former epoch.
+        bool isUnused = false;
         int64_t heldTokens = 0;
         // Tokens of planned saves that were never reported, because the save was interrupted or its event was lost. Both may
         // take space in the cache store.
@@ -225,6 +230,8 @@
     };
 
     static double usedTokens(const StoreState &entry);
+    // Records the epoch that a cache store has reported, and drops the blocks of another one. Returns true if there was another one.
+    bool observeEpoch(StoreState &entry, int64_t epoch);
     StoreState *chooseSaveStore(const std::string &salt, const PromptBlock &block, const std::string &zone, const StoreState *excluded);
     // Returns the cache store with the shortest expected transfer time of a stored block, and that time.
     std::pair<StoreState *, Duration> findSource(const BlockKey &key, double bytes, int64_t tokens, const std::string &zone, Time now);
@@ -236,6 +243,10 @@
     const Clock &clock;
     TargetClock clockOfTargets;
     mutable std::mutex mutex;
+    const bool isFirstStart;
+    // When the first configuration was set; zero before.
+    Time configuredAt{};
+    Duration longestTimeout{};
     std::map<std::string, StoreState> entries;
     // Saves that were planned and not yet reported. They keep concurrent requests from saving the same block.
     std::map<BlockKey, PendingSave> pendingSaves;
--- a/pimentosail/routing/servingconfiguration.cpp
+++ b/pimentosail/routing/servingconfiguration.cpp
@@ -1,6 +1,7 @@
 #include "pimentosail/routing/servingconfiguration.h"
 
 #include <algorithm>
+#include <set>
 
 namespace pimentosail
 {
@@ -92,6 +93,23 @@
     return found == this->teamsByKey.end() ? nullptr : found->second;
 }
 
+Duration longestPromptTimeout(const DecodedConfiguration &configuration)
+{
+    std::set<std::string> engines;
+    for (const ServiceSettings &service : configuration.services) {
+        if (service.engine) {
+            engines.insert(service.name);
+        }
+    }
+    Duration longest{};
+    for (const Route &route : configuration.routes) {
+        const bool hasPrompts
+            = std::any_of(route.services.begin(), route.services.end(), [&engines](const WeightedService &entry) { return engines.contains(entry.service); });
+        longest = hasPrompts ? std::max(longest, route.timeout) : longest;
+    }
+    return longest;
+}
+
 const std::string &pickService(const Route &route, uint64_t draw)
 {
     int64_t total = 0;
--- a/pimentosail/routing/servingconfiguration.h
+++ b/pimentosail/routing/servingconfiguration.h
@@ -140,6 +140,9 @@
     CallerLimits limits;
 };
 
+// Returns the longest timeout of the routes to services with an engine, or zero if there are none.
+Duration longestPromptTimeout(const DecodedConfiguration &configuration);
+
 class ServingConfiguration;
 using ServingConfigurationPointer = std::shared_ptr<const ServingConfiguration>;
 
