Use what is known of a cache store only while its epoch is confirmed

Cause: contents of a cache store had no age. A store counted as reachable until a poll failed, so a host that stood still, a poll that hangs, or a relay that is behind went by old contents. Ruled out: a slow poll; the host logs the restart within 10 ms of its thaw.

Change: a host goes by an epoch for 3 s (StoreEpoch::Lease) after it sent the last poll that the store answered with it. The time is measured on the clock that advances while the host stands still, checked in the choice and again when the request is written (AttemptPlan without its cache plan then). A relay tells its followers how old its confirmations are; one of an earlier version tells nothing, and followers fetch nothing meanwhile. The wait before saves after a restart uses the same constant instead of an assumption. Saves need a confirmed epoch as well. Gauges, a counter and the state dump show ages and waits; cache_store_restarted names the wait.

--- a/pimentosail/entry/attempt.cpp
+++ b/pimentosail/entry/attempt.cpp
@@ -232,12 +232,25 @@
     return std::move(*connection);
 }
 
+// Returns the bytes of the request. The cache plan may have expired since the target was chosen, for example while this host stood still.
+std::string Attempt::encode(AttemptResult &result) const
+{
+    result.hasExpiredCachePlan = this->plan.cache.hasExpired(this->context.clock.nowWithSuspend());
+    if (!result.hasExpiredCachePlan) {
+        return this->context.wire.encodeAttempt(this->request, this->plan);
+    }
+    this->context.metrics.count("pimentosail_expired_cache_plans_total", {{"service", this->plan.target->service}});
+    AttemptPlan uncached = this->plan;
+    uncached.cache = {};
+    return this->context.wire.encodeAttempt(this->request, uncached);
+}
+
 bool Attempt::sendRequest(HttpConnection &connection, const AttemptLimits &limits, AttemptResult &result)
 {
     bool anySent = false;
     this->sentAt = this->context.clock.now();
     const Wait wait{this->context.clock, limits.deadline, limits.callerSocket, limits.interrupt, limits.callerWriter};
-    const SendStatus status = connection.sendNamed(this->context.wire.encodeAttempt(this->request, this->plan), this->request.id, wait, anySent);
+    const SendStatus status = connection.sendNamed(this->encode(result), this->request.id, wait, anySent);
     result.sentAt = anySent ? this->sentAt : Time(0);
     switch (status) {
     case SendStatus::Sent:
--- a/pimentosail/entry/attempt.h
+++ b/pimentosail/entry/attempt.h
@@ -70,6 +70,8 @@
     Time sentAt{};
     // The request was sent on a connection of the pool.
     bool usedPooledConnection = false;
+    // The request was sent without its cache plan, which had expired.
+    bool hasExpiredCachePlan = false;
     // Time from sending the request to the first event, or to the end of an answer without events; zero if there was
     // neither.
     Duration timeToFirstEvent{};
@@ -95,6 +97,7 @@
 private:
     bool mayShareConnection() const;
     std::unique_ptr<HttpConnection> openConnection(const AttemptLimits &limits, AttemptResult &result);
+    std::string encode(AttemptResult &result) const;
     bool sendRequest(HttpConnection &connection, const AttemptLimits &limits, AttemptResult &result);
     bool readMatchingHeader(HttpConnection &connection, const AttemptLimits &limits, AttemptResult &result);
     void readBody(HttpConnection &connection, const AttemptLimits &limits, AttemptResult &result);
--- a/pimentosail/entry/cacheeventduty.cpp
+++ b/pimentosail/entry/cacheeventduty.cpp
@@ -141,8 +141,12 @@
             continue;
         }
         try {
+            const Time askedAt = this->context.clock.nowWithSuspend();
             const CacheChanges changes = this->fetchChanges(*relay, position, RelayWait);
             this->applyChanges(changes);
+            for (const CacheStoreConfirmation &confirmation : changes.confirmations) {
+                this->context.cacheStores.confirm(confirmation.store, confirmation.epoch, askedAt - confirmation.age);
+            }
             position = {changes.journal, changes.next, changes.statusPosition};
             if (!wasReachable) {
                 wasReachable = true;
@@ -187,14 +191,17 @@
         }
         lastUse = this->context.clock.now();
         try {
+            const Time askedAt = this->context.clock.nowWithSuspend();
             // The first poll returns at once, because no blocks are saved in a store before its epoch is known.
             const CacheEvents events = this->context.wire.pollCacheStore(store->address, epoch, next, epoch == 0 ? Duration(0) : PollWait);
             if (events.clockTime) {
                 this->context.cacheStores.targetClock().record(*events.clockTime, this->context.clock.nowWithSuspend());
             }
             if (epoch != 0 && events.epoch != epoch) {
-                this->context.log.write(LogLevel::Warning, "cache_store_restarted", {{"store", name}, {"epoch", events.epoch}});
                 this->applyEvents(name, {events.epoch, 0, false, {}});
+                this->context.log.write(LogLevel::Warning, "cache_store_restarted",
+                    {{"store", name}, {"epoch", events.epoch}, {"save_delay_ms", toMilliseconds(this->context.cacheStores.saveDelay(name))}});
+                this->context.cacheStores.confirm(name, events.epoch, askedAt);
                 epoch = events.epoch;
                 next = 0;
                 continue;
@@ -202,6 +209,7 @@
             epoch = events.epoch;
             next = events.next;
             this->applyEvents(name, events);
+            this->context.cacheStores.confirm(name, events.epoch, askedAt);
             if (events.hasGap && this->context.clock.now() >= nextListing) {
                 nextListing = this->context.clock.now() + ListingInterval;
                 const CacheEvents listing = this->context.wire.listCacheStore(store->address);
--- a/pimentosail/entry/entryprocess.cpp
+++ b/pimentosail/entry/entryprocess.cpp
@@ -257,7 +257,10 @@
         exchange.send(200, "application/json", this->rpc.handle(exchange.readBody(1024 * 1024, this->clock, PeerCallMargin)));
     } else if (path == CacheChangesPath) {
         try {
-            const std::string changes = this->answerCacheChanges(exchange);
+            std::string changes = this->answerCacheChanges(exchange);
+            if (!exchange.query("confirmations").empty()) {
+                changes.insert(0, writeCacheConfirmations(this->cacheStores.confirmations()));
+            }
             HeaderList headers{{"Content-Type", "application/octet-stream"}};
             if (const std::optional<int64_t> time = this->cacheStores.targetClock().at(this->clock.nowWithSuspend())) {
                 headers.emplace_back(TargetClockHeader, std::to_string(*time));
@@ -327,6 +330,10 @@
     this->metrics.set("pimentosail_delivery_outcomes_dropped", {}, static_cast<double>(this->deliveries.outcomes.dropped()));
     for (const CacheStore &store : this->cacheStores.stores()) {
         this->metrics.set("pimentosail_cache_store_held_tokens", {{"store", store.name}}, static_cast<double>(this->cacheStores.heldTokens(store.name)));
+        this->metrics.set("pimentosail_cache_store_save_delay_seconds", {{"store", store.name}}, toSeconds(this->cacheStores.saveDelay(store.name)));
+    }
+    for (const CacheStoreConfirmation &confirmation : this->cacheStores.confirmations()) {
+        this->metrics.set("pimentosail_cache_store_confirmation_age_seconds", {{"store", confirmation.store}}, toSeconds(confirmation.age));
     }
 }
 
@@ -391,7 +398,7 @@
 {
     if (relay.loadFormat >= BinaryLoadFormat) {
         const std::string query = "?journal=" + position.journal + "&after=" + std::to_string(position.next)
-            + "&status_after=" + std::to_string(position.statusPosition) + "&wait_ms=" + std::to_string(toMilliseconds(wait));
+            + "&status_after=" + std::to_string(position.statusPosition) + "&wait_ms=" + std::to_string(toMilliseconds(wait)) + "&confirmations=1";
         const HttpReply reply = this->peerHttp.call(relay.address, {"GET", CacheChangesPath + query, {}, ""}, wait + PeerCallMargin);
         this->metrics.count("pimentosail_peer_bytes_total", {{"method", "cache_changes"}}, static_cast<double>(query.size() + reply.body.size()));
         if (reply.status != 200) {
@@ -447,6 +454,11 @@
     for (const CacheStore &store : this->cacheStores.stores()) {
         value["cache_stores"][store.name]["held_tokens"] = Json::Int64(this->cacheStores.heldTokens(store.name));
         value["cache_stores"][store.name]["capacity_tokens"] = Json::Int64(store.capacityTokens);
+        value["cache_stores"][store.name]["save_delay_ms"] = Json::Int64(toMilliseconds(this->cacheStores.saveDelay(store.name)));
+    }
+    for (const CacheStoreConfirmation &confirmation : this->cacheStores.confirmations()) {
+        value["cache_stores"][confirmation.store]["epoch"] = Json::Int64(confirmation.epoch);
+        value["cache_stores"][confirmation.store]["confirmation_age_ms"] = Json::Int64(toMilliseconds(confirmation.age));
     }
     for (const SuspectedBlocks &suspected : this->blockQuarantine.suspects()) {
         Json::Value entry;
--- a/pimentosail/entry/peermessages.cpp
+++ b/pimentosail/entry/peermessages.cpp
@@ -60,6 +60,8 @@
 
 // Version of the binary form of cache changes.
 constexpr uint8_t CacheChangesFormat = 1;
+// Confirmations of the cache stores' epochs, followed by the changes.
+constexpr uint8_t ConfirmedCacheChangesFormat = 2;
 constexpr uint64_t MaxCacheStores = 10000;
 constexpr uint64_t MaxCacheChanges = 4000000;
 
@@ -182,14 +184,38 @@
     return writer.take();
 }
 
+std::string writeCacheConfirmations(const std::vector<CacheStoreConfirmation> &confirmations)
+{
+    MessageWriter writer;
+    writer.byte(ConfirmedCacheChangesFormat);
+    writer.number(confirmations.size());
+    for (const CacheStoreConfirmation &confirmation : confirmations) {
+        writer.name(confirmation.store);
+        writer.number(toUnsigned(confirmation.epoch));
+        // Rounded up, so that the receiver does not take the confirmation for a later one.
+        writer.number(toUnsigned(toMilliseconds(confirmation.age) + 1));
+    }
+    return writer.take();
+}
+
 CacheChanges readCacheChanges(std::string_view bytes)
 {
     const auto read = [](std::string_view text) {
         MessageReader reader(text);
-        if (reader.byte() != CacheChangesFormat) {
+        CacheChanges changes;
+        uint8_t format = reader.byte();
+        if (format == ConfirmedCacheChangesFormat) {
+            for (uint64_t rows = reader.rows(MaxCacheStores); rows > 0; --rows) {
+                CacheStoreConfirmation &confirmation = changes.confirmations.emplace_back();
+                confirmation.store = reader.name();
+                confirmation.epoch = reader.signedNumber();
+                confirmation.age = reader.age();
+            }
+            format = reader.byte();
+        }
+        if (format != CacheChangesFormat) {
             throw Failure(ErrorKind::BadRequest, "unknown format of cache changes");
         }
-        CacheChanges changes;
         changes.journal = reader.name();
         changes.next = reader.signedNumber();
         changes.statusPosition = reader.signedNumber();
--- a/pimentosail/entry/peermessages.h
+++ b/pimentosail/entry/peermessages.h
@@ -25,9 +25,13 @@
 // take a megabyte in it and some tens of megabytes as a tree.
 std::string writeCacheChanges(const CacheChanges &changes);
 
+// Returns the confirmations in the form that precedes the changes. A host of an earlier version does not read them.
+std::string writeCacheConfirmations(const std::vector<CacheStoreConfirmation> &confirmations);
+
 // Decode an answer of another host. Throw `Failure` (PeerLost) if the answer is invalid.
 MirrorChanges decodeStoreChanges(const Json::Value &value);
 CacheChanges decodeCacheChanges(const Json::Value &value);
+// Reads changes with or without preceding confirmations.
 CacheChanges readCacheChanges(std::string_view bytes);
 
 } // namespace pimentosail
--- a/pimentosail/entry/peermessagestest.cpp
+++ b/pimentosail/entry/peermessagestest.cpp
@@ -77,6 +77,35 @@
     }
 }
 
+// Guards against a follower that takes contents for newer than they are: what its relay says of the age of its knowledge must arrive, and a relay that
+// says nothing of it must not seem to confirm anything.
+Test(peermessages, confirmations_of_cache_stores_precede_the_changes)
+{
+    CacheChanges sent;
+    sent.journal = "j";
+    sent.stores = {{"jar", 5, true}};
+    sent.changes = {{"jar", 5, {"m/1", "q", 800, false}}};
+    const std::string changes = writeCacheChanges(sent);
+    const std::string bytes = writeCacheConfirmations({{"jar", 5, Duration(1200500)}, {"urn", 600, Duration(0)}}) + changes;
+    const CacheChanges decoded = readCacheChanges(bytes);
+    cr_assert_eq(decoded.confirmations.size(), 2);
+    cr_assert_eq(decoded.confirmations[0].store, "jar");
+    cr_assert_eq(decoded.confirmations[0].epoch, 5);
+    cr_assert_eq(decoded.confirmations[0].age, Duration(Milliseconds(1201)), "an age is rounded up");
+    cr_assert_eq(decoded.confirmations[1].epoch, 600);
+    cr_assert_eq(decoded.changes.size(), 1);
+    cr_assert_eq(readCacheChanges(changes).confirmations.size(), 0);
+    for (size_t size = 0; size < bytes.size(); ++size) {
+        bool isRefused = false;
+        try {
+            readCacheChanges(std::string_view(bytes).substr(0, size));
+        } catch (const Failure &failure) {
+            isRefused = failure.error.kind == ErrorKind::PeerLost;
+        }
+        cr_assert(isRefused, "an answer cut at byte %zu", size);
+    }
+}
+
 Test(peermessages, an_invalid_answer_is_a_failure_of_the_peer)
 {
     for (const char *text : {"[]", "{}", "3", R"({"revision":1,"changes":3})", R"({"journal":"j","next":1,"stores":[],"changes":[[9,1,"s","p",2]]})"}) {
--- a/pimentosail/entry/requestrecords.cpp
+++ b/pimentosail/entry/requestrecords.cpp
@@ -63,7 +63,7 @@
     }
     this->recordVersionOutcome(choice, result, failedRun);
     if (this->request.prompt && result.timeToFirstEvent > Duration(0) && result.header.isEventStream) {
-        this->context.cacheStores.recordFirstTokenTime(this->cacheSource, result.timeToFirstEvent);
+        this->context.cacheStores.recordFirstTokenTime(result.hasExpiredCachePlan ? "" : this->cacheSource, result.timeToFirstEvent);
         if (!this->isLate) {
             if (this->isMixed) {
                 this->context.targetSpeeds.record(target.id, this->context.forecast.predict(this->route->name, this->pendingAtSend), result.timeToFirstEvent);
--- a/pimentosail/kvcache/cachejournal.h
+++ b/pimentosail/kvcache/cachejournal.h
@@ -32,6 +32,8 @@
     // The cache stores of `changes`, and those whose status has changed; all in a snapshot.
     std::vector<CacheStoreStatus> stores;
     std::vector<CacheChange> changes;
+    // When the relay last knew the epochs of the cache stores for certain. A relay of an earlier version sends none.
+    std::vector<CacheStoreConfirmation> confirmations;
 };
 
 // What a reader of a journal has received: the journal's name, the next change, and the last change of a status (-1: none, so that
--- a/pimentosail/kvcache/kvcachetest.cpp
+++ b/pimentosail/kvcache/kvcachetest.cpp
@@ -22,7 +22,7 @@
 constexpr Duration AcceptableTransferTime = Milliseconds(200);
 constexpr Duration LongestRequest = std::chrono::seconds(12);
 // Nothing is saved to a store for this long after its restart.
-constexpr Duration RestartDelay = StoreEpoch::NoticeTime + StoreEpoch::MaxTransit + LongestRequest;
+constexpr Duration RestartDelay = StoreEpoch::Lease + StoreEpoch::MaxTransit + LongestRequest;
 const std::vector<PromptBlock> SamplePrompt{{"shared", 2000}, {"session", 5000}, {"own", 1500}};
 
 struct Fixture
@@ -35,6 +35,30 @@
         for (const char *name : {"fast", "slow", "slow2"}) {
             this->stores.apply(name, {1, 0, false, {}});
         }
+        this->confirmAll();
+    }
+
+    // Confirms the epochs of all stores, as their answers to polls do.
+    void confirmAll()
+    {
+        for (const CacheStoreStatus &status : this->stores.status()) {
+            this->stores.confirm(status.store, status.epoch, this->clock.nowWithSuspend());
+        }
+    }
+
+    // Applies the events of one store, which also confirm its epoch.
+    bool apply(const std::string &store, const CacheEvents &events)
+    {
+        const bool isCleared = this->stores.apply(store, events);
+        this->stores.confirm(store, events.epoch, this->clock.nowWithSuspend());
+        return isCleared;
+    }
+
+    // Advances the clock while the stores go on answering polls.
+    void advance(Duration duration)
+    {
+        this->clock.advance(duration);
+        this->confirmAll();
     }
 
     // Returns true if a new block would be saved to the store "fast", which is preferred.
@@ -59,7 +83,7 @@
     const CachePlan second = fixture.stores.plan("w1", SamplePrompt, 2, "z1", AcceptableTransferTime, 0);
     cr_assert_eq(second.fetchTokens, 0);
     cr_assert_eq(second.saveTokens, 0, "a pending save is not repeated");
-    fixture.stores.apply("fast", {1, 1, false, {{"w1", "session", 5000, false}}});
+    fixture.apply("fast", {1, 1, false, {{"w1", "session", 5000, false}}});
     const CachePlan third = fixture.stores.plan("w1", SamplePrompt, 2, "z1", AcceptableTransferTime, 0);
     cr_assert_eq(third.fetchFrom[1], "fast:80");
     cr_assert(third.fetchFrom[0].empty());
@@ -69,7 +93,7 @@
 Test(kvcache, the_expected_transfer_time_grows_with_the_bytes_of_a_token)
 {
     Fixture fixture;
-    fixture.stores.apply("slow", {1, 1, false, {{"w1", "session", 5000, false}}});
+    fixture.apply("slow", {1, 1, false, {{"w1", "session", 5000, false}}});
     const Duration usual = fixture.stores.plan("w1", SamplePrompt, 2, "z1", AcceptableTransferTime, 0).expectedTime;
     const Duration large = fixture.stores.plan("w1", SamplePrompt, 2, "z1", AcceptableTransferTime, 0, 327680).expectedTime;
     cr_assert_float_eq(toSeconds(usual) * 1000, 12.7, 0.1);
@@ -79,7 +103,7 @@
 Test(kvcache, blocks_of_another_salt_are_never_fetched)
 {
     Fixture fixture;
-    fixture.stores.apply("fast", {1, 1, false, {{"w1", "session", 5000, false}}});
+    fixture.apply("fast", {1, 1, false, {{"w1", "session", 5000, false}}});
     cr_assert_eq(fixture.stores.plan("w2", SamplePrompt, 2, "z1", AcceptableTransferTime, 0).fetchTokens, 0);
     cr_assert_eq(fixture.stores.plan("w1.team", SamplePrompt, 2, "z1", AcceptableTransferTime, 0).fetchTokens, 0);
 }
@@ -87,15 +111,15 @@
 Test(kvcache, an_incomplete_block_is_not_fetched)
 {
     Fixture fixture;
-    fixture.stores.apply("fast", {1, 1, false, {{"w1", "session", 4000, false}}});
+    fixture.apply("fast", {1, 1, false, {{"w1", "session", 4000, false}}});
     cr_assert_eq(fixture.stores.plan("w1", SamplePrompt, 2, "z1", AcceptableTransferTime, 0).fetchTokens, 0);
 }
 
 Test(kvcache, a_restarted_store_is_empty)
 {
     Fixture fixture;
-    fixture.stores.apply("fast", {1, 1, false, {{"w1", "session", 5000, false}}});
-    cr_assert(fixture.stores.apply("fast", {2, 0, false, {}}));
+    fixture.apply("fast", {1, 1, false, {{"w1", "session", 5000, false}}});
+    cr_assert(fixture.apply("fast", {2, 0, false, {}}));
     cr_assert_eq(fixture.stores.plan("w1", SamplePrompt, 2, "z1", AcceptableTransferTime, 0).fetchTokens, 0);
     cr_assert_eq(fixture.stores.heldTokens("fast"), 0);
 }
@@ -125,16 +149,17 @@
 {
     Fixture fixture;
     cr_assert(fixture.isSavedToFast("w1"));
-    fixture.stores.apply("fast", {2, 0, false, {}});
+    fixture.apply("fast", {2, 0, false, {}});
     cr_assert_not(fixture.isSavedToFast("w2"));
-    fixture.clock.advance(RestartDelay - Milliseconds(1));
+    fixture.advance(RestartDelay - Milliseconds(1));
     cr_assert_not(fixture.isSavedToFast("w3"));
-    fixture.clock.advance(Milliseconds(1));
+    fixture.advance(Milliseconds(1));
     cr_assert(fixture.isSavedToFast("w4"));
     // The same for a follower, which learns of the restart from its relay.
     fixture.stores.replace({{"fast", 3, true}, {"slow", 1, true}, {"slow2", 1, true}}, {});
+    fixture.confirmAll();
     cr_assert_not(fixture.isSavedToFast("w5"));
-    fixture.clock.advance(RestartDelay);
+    fixture.advance(RestartDelay);
     cr_assert(fixture.isSavedToFast("w6"));
     // A relay that does not know the store yet says nothing of a restart.
     fixture.stores.replace({{"fast", 0, true}, {"slow", 1, true}, {"slow2", 1, true}}, {});
@@ -145,11 +170,11 @@
 Test(kvcache, a_shorter_timeout_does_not_shorten_the_wait_for_earlier_prompts)
 {
     Fixture fixture;
-    fixture.stores.apply("fast", {2, 0, false, {}});
+    fixture.apply("fast", {2, 0, false, {}});
     fixture.stores.setStores(fixture.stores.stores(), std::chrono::seconds(1));
-    fixture.clock.advance(RestartDelay - Milliseconds(1));
+    fixture.advance(RestartDelay - Milliseconds(1));
     cr_assert_not(fixture.isSavedToFast("w1"));
-    fixture.clock.advance(Milliseconds(1));
+    fixture.advance(Milliseconds(1));
     cr_assert(fixture.isSavedToFast("w2"));
 }
 
@@ -161,11 +186,12 @@
     const CacheStore store = makeStore("fast", 200000, 10000);
     restarted.setStores({store}, LongestRequest);
     restarted.apply("fast", {2, 0, false, {}});
-    const auto isSaved = [](CacheStores &stores, const std::string &salt) {
+    const auto isSaved = [&fixture](CacheStores &stores, const std::string &salt) {
+        stores.confirm("fast", stores.status()[0].epoch, fixture.clock.nowWithSuspend());
         return stores.plan(salt, SamplePrompt, 2, "z1", AcceptableTransferTime, 0).saveTo[1] == "fast:80";
     };
     cr_assert_not(isSaved(restarted, "w1"));
-    fixture.clock.advance(RestartDelay);
+    fixture.advance(RestartDelay);
     cr_assert(isSaved(restarted, "w2"));
     // A configuration removes the store, and a later one lists it again.
     restarted.setStores({}, LongestRequest);
@@ -175,15 +201,69 @@
     // On the first start of the whole system, a store that answers long after the configuration may have been used by other hosts.
     CacheStores late(fixture.clock, true);
     late.setStores({store}, LongestRequest);
-    fixture.clock.advance(std::chrono::seconds(6));
+    fixture.advance(std::chrono::seconds(6));
     late.apply("fast", {3, 0, false, {}});
     cr_assert_not(isSaved(late, "w4"));
 }
 
+// Guards against a host that goes by contents of a store of which it has not heard for some time: it stood still, a poll hangs, or its relay is
+// behind (review/8). The store may have restarted and be filled again.
+Test(kvcache, contents_are_used_only_for_a_time_after_the_store_has_confirmed_its_epoch)
+{
+    Fixture fixture;
+    fixture.stores.setStores({makeStore("fast", 200000, 10000)}, LongestRequest);
+    fixture.apply("fast", {1, 1, false, {{"w1", "session", 5000, false}}});
+    const auto plan = [&fixture] {
+        return fixture.stores.plan("w1", SamplePrompt, 2, "z1", AcceptableTransferTime, 0);
+    };
+    cr_assert(plan().hasFetch());
+    cr_assert_eq(fixture.stores.zonesOf("w1", "session").size(), 1);
+    fixture.clock.suspend(StoreEpoch::Lease - Milliseconds(1));
+    const CachePlan last = plan();
+    cr_assert(last.hasFetch());
+    cr_assert_not(last.hasExpired(fixture.clock.nowWithSuspend()));
+    fixture.clock.suspend(Milliseconds(1));
+    cr_assert_not(plan().hasFetch());
+    cr_assert_not(plan().hasSave());
+    cr_assert_eq(fixture.stores.zonesOf("w1", "session").size(), 0);
+    cr_assert(last.hasExpired(fixture.clock.nowWithSuspend()), "a plan that was made before is not sent any more");
+    cr_assert_not(CachePlan{}.hasExpired(fixture.clock.nowWithSuspend()), "a plan without transfers does not expire");
+    // An answer to a poll that was sent before the time shows nothing of the time after it.
+    fixture.stores.confirm("fast", 1, fixture.clock.nowWithSuspend() - StoreEpoch::Lease);
+    cr_assert_not(plan().hasFetch());
+    // Neither does one of another epoch.
+    fixture.stores.confirm("fast", 2, fixture.clock.nowWithSuspend());
+    cr_assert_not(plan().hasFetch());
+    fixture.stores.confirm("fast", 1, fixture.clock.nowWithSuspend());
+    cr_assert(plan().hasFetch());
+}
+
+// Guards against a follower that copies the contents of a former epoch from a relay which is behind, and goes by them as if they were new.
+Test(kvcache, contents_that_a_relay_copies_are_as_old_as_the_relays_last_answer)
+{
+    Fixture fixture;
+    const CacheChange block{"fast", 7, {"w1", "session", 5000, false}};
+    fixture.stores.replace({{"fast", 7, true}}, {block});
+    cr_assert_not(fixture.stores.plan("w1", SamplePrompt, 2, "z1", AcceptableTransferTime, 0).hasFetch(), "no answer of the store is known");
+    const Time now = fixture.clock.nowWithSuspend();
+    fixture.stores.confirm("fast", 7, now - StoreEpoch::Lease + Milliseconds(1));
+    cr_assert(fixture.stores.plan("w1", SamplePrompt, 2, "z1", AcceptableTransferTime, 0).hasFetch());
+    const std::vector<CacheStoreConfirmation> confirmations = fixture.stores.confirmations();
+    cr_assert_eq(confirmations[0].store, "fast");
+    cr_assert_eq(confirmations[0].epoch, 7);
+    cr_assert_eq(confirmations[0].age, StoreEpoch::Lease - Milliseconds(1));
+    fixture.clock.advance(Milliseconds(1));
+    cr_assert_not(fixture.stores.plan("w1", SamplePrompt, 2, "z1", AcceptableTransferTime, 0).hasFetch());
+    // A newer confirmation of the former epoch says nothing of a copy of a later one.
+    fixture.stores.confirm("fast", 7, fixture.clock.nowWithSuspend());
+    fixture.stores.replace({{"fast", 8, true}}, {{"fast", 8, {"w1", "session", 5000, false}}});
+    cr_assert_not(fixture.stores.plan("w1", SamplePrompt, 2, "z1", AcceptableTransferTime, 0).hasFetch());
+}
+
 Test(kvcache, no_block_is_saved_to_a_full_store)
 {
     Fixture fixture;
-    fixture.stores.apply("fast", {1, 1, false, {{"w1", "x", 9000, false}}});
+    fixture.apply("fast", {1, 1, false, {{"w1", "x", 9000, false}}});
     const CachePlan plan = fixture.stores.plan("w1", SamplePrompt, 2, "z1", AcceptableTransferTime, 0);
     cr_assert(plan.saveTo[1] == "slow:80" || plan.saveTo[1] == "slow2:80");
 }
@@ -193,8 +273,8 @@
 Test(kvcache, blocks_behind_a_saturated_link_are_fetched_less_and_copied_to_another_store)
 {
     Fixture fixture;
-    fixture.stores.apply("fast", {1, 1, false, {{"w1", "x", 9900, false}}});
-    fixture.stores.apply("slow", {1, 1, false, {{"w1", "session", 5000, false}}});
+    fixture.apply("fast", {1, 1, false, {{"w1", "x", 9900, false}}});
+    fixture.apply("slow", {1, 1, false, {{"w1", "session", 5000, false}}});
     cr_assert_eq(fixture.stores.plan("w1", SamplePrompt, 2, "z1", AcceptableTransferTime, UINT64_MAX).fetchFrom[1], "slow:80");
     for (int observation = 0; observation < 20; ++observation) {
         fixture.stores.recordFirstTokenTime("", Milliseconds(90));
@@ -203,9 +283,9 @@
     const CachePlan plan = fixture.stores.plan("w1", SamplePrompt, 2, "z1", AcceptableTransferTime, UINT64_MAX);
     cr_assert(plan.fetchFrom[1].empty());
     cr_assert_eq(plan.saveTo[1], "slow2:80");
-    fixture.stores.apply("slow2", {1, 1, false, {{"w1", "session", 5000, false}}});
+    fixture.apply("slow2", {1, 1, false, {{"w1", "session", 5000, false}}});
     cr_assert_eq(fixture.stores.plan("w1", SamplePrompt, 2, "z1", AcceptableTransferTime, UINT64_MAX).fetchFrom[1], "slow2:80");
-    fixture.clock.advance(std::chrono::seconds(6));
+    fixture.advance(std::chrono::seconds(6));
     cr_assert_neq(fixture.stores.plan("w1", SamplePrompt, 2, "z1", AcceptableTransferTime, UINT64_MAX).fetchFrom[1], "", "an old observation decays");
 }
 
@@ -213,8 +293,8 @@
 Test(kvcache, only_hot_blocks_get_a_second_copy)
 {
     Fixture fixture;
-    fixture.stores.apply("fast", {1, 1, false, {{"w1", "x", 9900, false}}});
-    fixture.stores.apply("slow", {1, 1, false, {{"w1", "session", 5000, false}, {"w1", "shared", 2000, false}}});
+    fixture.apply("fast", {1, 1, false, {{"w1", "x", 9900, false}}});
+    fixture.apply("slow", {1, 1, false, {{"w1", "session", 5000, false}, {"w1", "shared", 2000, false}}});
     for (int observation = 0; observation < 20; ++observation) {
         fixture.stores.recordFirstTokenTime("", Milliseconds(90));
         fixture.stores.recordFirstTokenTime("slow", Milliseconds(1500));
@@ -233,7 +313,7 @@
     CacheStore managed = makeStore("fast", 200000, 10000);
     managed.isManaged = true;
     fixture.stores.setStores({managed, makeStore("slow", 58000, 1000000)}, LongestRequest);
-    fixture.stores.apply(
+    fixture.apply(
         "fast", {1, 1, false, {{old, "session", 5000, false}, {present, "session", 4000, false}, {CacheSalt{"m", 1, "t"}.text(), "session", 300, false}}});
     const std::vector<BlocksToFree> freed = fixture.stores.removeSalt(old);
     cr_assert_eq(freed.size(), 1);
@@ -257,7 +337,7 @@
 Test(kvcache, an_unreachable_store_is_neither_fetched_from_nor_saved_to)
 {
     Fixture fixture;
-    fixture.stores.apply("fast", {1, 1, false, {{"w1", "session", 5000, false}}});
+    fixture.apply("fast", {1, 1, false, {{"w1", "session", 5000, false}}});
     fixture.stores.setReachable("fast", false);
     const CachePlan plan = fixture.stores.plan("w1", SamplePrompt, 2, "z1", AcceptableTransferTime, 0);
     cr_assert_eq(plan.fetchTokens, 0);
@@ -303,17 +383,17 @@
 Test(kvcache, unreported_saves_count_as_used_space)
 {
     Fixture fixture;
-    fixture.stores.apply("fast", {1, 1, false, {{"w1", "x", 3000, false}}});
+    fixture.apply("fast", {1, 1, false, {{"w1", "x", 3000, false}}});
     for (int request = 0; request < 2; ++request) {
         const std::vector<PromptBlock> blocks{{"session-" + std::to_string(request), 3000}};
         cr_assert_eq(fixture.stores.plan("w1", blocks, 1, "z1", AcceptableTransferTime, 0).saveTo[0], "fast:80");
-        fixture.clock.advance(std::chrono::seconds(4));
+        fixture.advance(std::chrono::seconds(4));
         fixture.stores.expireSaves();
     }
     const std::vector<PromptBlock> blocks{{"session-0", 3000}};
     cr_assert_neq(fixture.stores.plan("w1", blocks, 1, "z1", AcceptableTransferTime, 0).saveTo[0], "fast:80");
-    fixture.stores.apply("fast", {2, 0, false, {}});
-    fixture.clock.advance(RestartDelay);
+    fixture.apply("fast", {2, 0, false, {}});
+    fixture.advance(RestartDelay);
     const std::vector<PromptBlock> others{{"session-9", 3000}};
     cr_assert_eq(fixture.stores.plan("w1", others, 1, "z1", AcceptableTransferTime, 0).saveTo[0], "fast:80", "a restarted store is empty");
 }
--- a/pimentosail/kvcache/storecontents.cpp
+++ b/pimentosail/kvcache/storecontents.cpp
@@ -159,6 +159,35 @@
     }
 }
 
+void CacheStores::confirm(const std::string &store, int64_t epoch, Time time)
+{
+    const std::lock_guard lock(this->mutex);
+    const auto found = this->entries.find(store);
+    if (found != this->entries.end()) {
+        found->second.epoch.confirm(epoch, time);
+    }
+}
+
+std::vector<CacheStoreConfirmation> CacheStores::confirmations() const
+{
+    const std::lock_guard lock(this->mutex);
+    const Time now = this->clock.nowWithSuspend();
+    std::vector<CacheStoreConfirmation> result;
+    for (const auto &[name, entry] : this->entries) {
+        if (entry.epoch.lastConfirmation() != Time(0)) {
+            result.push_back({name, entry.epoch.number(), now - entry.epoch.lastConfirmation()});
+        }
+    }
+    return result;
+}
+
+Duration CacheStores::saveDelay(const std::string &store) const
+{
+    const std::lock_guard lock(this->mutex);
+    const auto found = this->entries.find(store);
+    return found == this->entries.end() ? Duration(0) : found->second.epoch.saveDelay(this->clock.nowWithSuspend(), this->longestTimeout);
+}
+
 void CacheStores::setReachable(const std::string &store, bool isReachable)
 {
     const std::lock_guard lock(this->mutex);
@@ -269,9 +298,10 @@
 std::set<std::string> CacheStores::zonesOf(const std::string &salt, const std::string &block) const
 {
     const std::lock_guard lock(this->mutex);
+    const Time now = this->clock.nowWithSuspend();
     std::set<std::string> result;
     for (const auto &[name, entry] : this->entries) {
-        if (entry.isReachable && entry.blocks.contains({salt, block})) {
+        if (entry.isUsable(now) && entry.blocks.contains({salt, block})) {
             result.insert(entry.store.zone);
         }
     }
@@ -311,7 +341,7 @@
     for (auto &[name, entry] : this->entries) {
         const auto capacity = static_cast<double>(entry.store.capacityTokens);
         const double freeTokens = MaxFillFraction * capacity - usedTokens(entry);
-        const bool acceptsSaves = entry.isReachable && entry.epoch.number() != 0 && entry.epoch.saveDelay(now, this->longestTimeout) == Duration(0);
+        const bool acceptsSaves = entry.isUsable(now) && entry.epoch.saveDelay(now, this->longestTimeout) == Duration(0);
         if (&entry == excluded || !acceptsSaves || freeTokens < static_cast<double>(block.tokens)) {
             continue;
         }
@@ -332,7 +362,7 @@
     std::pair<StoreState *, Duration> best{nullptr, Duration(0)};
     for (auto &[name, entry] : this->entries) {
         const auto known = entry.blocks.find(key);
-        if (!entry.isReachable || known == entry.blocks.end() || known->second < tokens) {
+        if (!entry.isUsable(this->clock.nowWithSuspend()) || known == entry.blocks.end() || known->second < tokens) {
             continue;
         }
         const Duration time = transferTime(entry, bytes, zone) + entry.store.firstByteDelay + this->linkWait(entry, now);
@@ -362,6 +392,12 @@
     result.fetchFrom.resize(blocks.size());
     result.saveTo.resize(blocks.size());
     const Time now = this->clock.now();
+    // Includes a cache store in the plan.
+    const auto useStore = [&result](const StoreState &entry) {
+        const Time end = entry.epoch.usableUntil();
+        result.usableUntil = result.usableUntil == Time(0) ? end : std::min(result.usableUntil, end);
+        return entry.store.address;
+    };
     const double uniform = static_cast<double>(draw >> 11U) / 9007199254740992.0;
     int64_t mainTokens = 0;
     for (size_t index = 0; index < std::min(sharedCount, blocks.size()); ++index) {
@@ -372,7 +408,7 @@
         if (source != nullptr) {
             const double ratio = static_cast<double>(acceptableTransferTime.count()) / static_cast<double>(std::max<int64_t>(1, sourceTime.count()));
             if (uniform < ratio * ratio) {
-                result.fetchFrom[index] = source->store.address;
+                result.fetchFrom[index] = useStore(*source);
                 result.fetchTokens += block.tokens;
                 if (block.tokens > mainTokens) {
                     mainTokens = block.tokens;
@@ -393,7 +429,7 @@
             if (this->pendingSaves.size() < MaxPendingSaves) {
                 this->pendingSaves[key] = {now, saveStore->store.name, block.tokens};
             }
-            result.saveTo[index] = saveStore->store.address;
+            result.saveTo[index] = useStore(*saveStore);
             result.saveTokens += block.tokens;
         }
     }
--- a/pimentosail/kvcache/storecontents.h
+++ b/pimentosail/kvcache/storecontents.h
@@ -3,11 +3,13 @@
 //
 // A block is fetched only after its cache store has reported it complete. A lost event can cause a target to recompute a
 // block that is stored; it never causes a target to fetch an incomplete block. After a restart, a cache store is empty, but requests that
-// were sent before may still wait at targets and fetch its former blocks; `StoreEpoch` says for how long nothing is saved there.
+// were sent before may still wait at targets and fetch its former blocks. `StoreEpoch` says for how long nothing is saved there, and
+// for how long contents may be used of which nothing has been heard since.
 //
 //     CacheStores stores(clock);
 //     stores.setStores(serving->all().stores, longestPromptTimeout(serving->all()));
 //     stores.apply("jar-1", events);
+//     stores.confirm("jar-1", events.epoch, pollSentAt);
 //     CachePlan plan = stores.plan(salt, blocks, sharedCount, targetZone, Milliseconds(200), draw);
 //
 // Thread-safe.
@@ -83,7 +85,13 @@
     // Time (Unix ms on the targets' clock) by which the fetches must have ended; the target reads the prompt then. Nothing if they
     // are not bounded.
     std::optional<int64_t> fetchEnd;
+    // Time (`Clock::nowWithSuspend`) until which the request must be sent. Later, the cache stores may have restarted unnoticed.
+    Time usableUntil{};
 
+    bool hasExpired(Time now) const
+    {
+        return (this->hasFetch() || this->hasSave()) && now >= this->usableUntil;
+    }
     bool hasFetch() const
     {
         return this->fetchTokens > 0;
@@ -102,6 +110,14 @@
     bool isReachable = false;
 };
 
+// States that a cache store was in an epoch some time ago.
+struct CacheStoreConfirmation
+{
+    std::string store;
+    int64_t epoch = 0;
+    Duration age{};
+};
+
 // A change at one of several cache stores. Blocks stored under another epoch were lost in the restart.
 struct CacheChange
 {
@@ -166,6 +182,16 @@
     // Replaces the known status and contents by a snapshot from another host.
     void replace(const std::vector<CacheStoreStatus> &statuses, const std::vector<CacheChange> &contents);
 
+    // Records that a cache store was in `epoch` at `time` (`Clock::nowWithSuspend`) or later; has no effect if another epoch is known.
+    // Blocks are fetched from and saved to a cache store only for `StoreEpoch::Lease` after that.
+    void confirm(const std::string &store, int64_t epoch, Time time);
+
+    // Returns the last confirmation of each cache store that has one.
+    std::vector<CacheStoreConfirmation> confirmations() const;
+
+    // Returns how long nothing is saved to a cache store yet because it may have restarted; zero for an unknown one.
+    Duration saveDelay(const std::string &store) const;
+
     // Marks a cache store as reachable or unreachable. No block is fetched from or saved to an unreachable one.
     void setReachable(const std::string &store, bool isReachable);
 
@@ -194,7 +220,7 @@
     // excess over the lowest average, of no fetch or of another cache store, estimates the wait for the store's link.
     void recordFirstTokenTime(const std::string &store, Duration time);
 
-    // Returns the zones of the reachable cache stores that have the complete `block`.
+    // Returns the zones of the cache stores from which the complete `block` may be fetched.
     std::set<std::string> zonesOf(const std::string &salt, const std::string &block) const;
 
     // Returns the number of tokens that a cache store is known to hold.
@@ -227,6 +253,12 @@
         // time of its last update.
         double firstTokenMs = 0;
         Time observedAt{};
+
+        // Returns true if blocks may be fetched from the cache store at `now` (`Clock::nowWithSuspend`).
+        bool isUsable(Time now) const
+        {
+            return this->isReachable && this->epoch.isUsable(now);
+        }
     };
 
     static double usedTokens(const StoreState &entry);
--- a/pimentosail/kvcache/storeepoch.cpp
+++ b/pimentosail/kvcache/storeepoch.cpp
@@ -16,12 +16,19 @@
     return true;
 }
 
+void StoreEpoch::confirm(int64_t reported, Time time)
+{
+    if (reported == this->epoch) {
+        this->confirmedAt = std::max(this->confirmedAt, time);
+    }
+}
+
 Duration StoreEpoch::saveDelay(Time now, Duration longestRequest) const
 {
     if (this->isOpen) {
         return Duration(0);
     }
-    return std::max(Duration(0), this->seenAt + NoticeTime + MaxTransit + longestRequest - now);
+    return std::max(Duration(0), this->seenAt + Lease + MaxTransit + longestRequest - now);
 }
 
 } // namespace pimentosail
