Read the time once for each cache plan

The check of confirmed epochs read the clock for each block and store, some hundred times a prompt in a deployment with 43 cache stores. CacheStores uses one clock now, the one that advances while the host stands still, and a plan reads it once.

--- a/pimentosail/kvcache/storecontents.cpp
+++ b/pimentosail/kvcache/storecontents.cpp
@@ -291,7 +291,7 @@
     const auto found = this->entries.find(store);
     if (found != this->entries.end()) {
         updateAverage(found->second.firstTokenMs);
-        found->second.observedAt = this->clock.now();
+        found->second.observedAt = this->clock.nowWithSuspend();
     }
 }
 
@@ -316,7 +316,7 @@
 void CacheStores::expireSaves()
 {
     const std::lock_guard lock(this->mutex);
-    const Time now = this->clock.now();
+    const Time now = this->clock.nowWithSuspend();
     for (auto pending = this->pendingSaves.begin(); pending != this->pendingSaves.end();) {
         if (now < pending->second.at + SaveReportTime) {
             ++pending;
@@ -332,12 +332,12 @@
 
 // Returns the reachable cache store with the fastest link that has space for the block. Among equals, it prefers the lower
 // fill, then the target's zone, then the order of rendezvous hashing.
-CacheStores::StoreState *CacheStores::chooseSaveStore(const std::string &salt, const PromptBlock &block, const std::string &zone, const StoreState *excluded)
+CacheStores::StoreState *CacheStores::chooseSaveStore(
+    const std::string &salt, const PromptBlock &block, const std::string &zone, const StoreState *excluded, Time now)
 {
     StoreState *best = nullptr;
     double bestScore = 0;
     const uint64_t key = combineHashes(stableHash(salt), stableHash(block.id));
-    const Time now = this->clock.nowWithSuspend();
     for (auto &[name, entry] : this->entries) {
         const auto capacity = static_cast<double>(entry.store.capacityTokens);
         const double freeTokens = MaxFillFraction * capacity - usedTokens(entry);
@@ -362,7 +362,7 @@
     std::pair<StoreState *, Duration> best{nullptr, Duration(0)};
     for (auto &[name, entry] : this->entries) {
         const auto known = entry.blocks.find(key);
-        if (!entry.isUsable(this->clock.nowWithSuspend()) || known == entry.blocks.end() || known->second < tokens) {
+        if (!entry.isUsable(now) || known == entry.blocks.end() || known->second < tokens) {
             continue;
         }
         const Duration time = transferTime(entry, bytes, zone) + entry.store.firstByteDelay + this->linkWait(entry, now);
@@ -391,7 +391,7 @@
     CachePlan result;
     result.fetchFrom.resize(blocks.size());
     result.saveTo.resize(blocks.size());
-    const Time now = this->clock.now();
+    const Time now = this->clock.nowWithSuspend();
     // Includes a cache store in the plan.
     const auto useStore = [&result](const StoreState &entry) {
         const Time end = entry.epoch.usableUntil();
@@ -422,7 +422,7 @@
         if (pending != this->pendingSaves.end() && now < pending->second.at + SaveReportTime) {
             continue;
         }
-        const StoreState *saveStore = this->chooseSaveStore(salt, block, zone, source);
+        const StoreState *saveStore = this->chooseSaveStore(salt, block, zone, source, now);
         // A second copy is saved only of a hot block and over a link with less than half the wait.
         const bool shouldSave = saveStore != nullptr && (source == nullptr || (isHot && 2 * this->linkWait(*saveStore, now) < this->linkWait(*source, now)));
         if (shouldSave) {
--- a/pimentosail/kvcache/storecontents.h
+++ b/pimentosail/kvcache/storecontents.h
@@ -12,7 +12,7 @@
 //     stores.confirm("jar-1", events.epoch, pollSentAt);
 //     CachePlan plan = stores.plan(salt, blocks, sharedCount, targetZone, Milliseconds(200), draw);
 //
-// Thread-safe.
+// All times are those of `Clock::nowWithSuspend`. Thread-safe.
 #pragma once
 
 #include <cstdint>
@@ -264,7 +264,7 @@
     static double usedTokens(const StoreState &entry);
     // Records the epoch that a cache store has reported, and drops the blocks of another one. Returns true if there was another one.
     bool observeEpoch(StoreState &entry, int64_t epoch);
-    StoreState *chooseSaveStore(const std::string &salt, const PromptBlock &block, const std::string &zone, const StoreState *excluded);
+    StoreState *chooseSaveStore(const std::string &salt, const PromptBlock &block, const std::string &zone, const StoreState *excluded, Time now);
     // Returns the cache store with the shortest expected transfer time of a stored block, and that time.
     std::pair<StoreState *, Duration> findSource(const BlockKey &key, double bytes, int64_t tokens, const std::string &zone, Time now);
     // Records the use of a block. Returns true if the block is hot, that is, was used a short time before.
