Plan transfers of blocks only for services with an engine

The wait before saves to a restarted cache store is as long as the longest timeout of a route to a service with an engine. A service whose targets have models and whose configuration names no engine got transfers as well, with any timeout. It gets none now, so that the wait covers all of them. routing_test and the tests of hosts with cache stores pass.

--- a/pimentosail/entry/requestplanning.cpp
+++ b/pimentosail/entry/requestplanning.cpp
@@ -480,12 +480,12 @@
         plan.expectedVersion = choice.version;
         this->expectedVersion = choice.version;
         plan.cacheSalt = this->saltFor(choice.version);
-        if (choice.version > 0) {
-            const ServiceSettings *settings = this->serving->findService(this->service);
-            const bool hasSize = settings != nullptr && settings->engine && settings->engine->bytesPerToken > 0;
+        // The wait before saves to a restarted cache store covers the routes to services with an engine only.
+        const ServiceSettings *settings = this->serving->findService(this->service);
+        if (choice.version > 0 && settings != nullptr && settings->engine) {
             plan.cache = this->context.cacheStores.plan(plan.cacheSalt, this->request.prompt->blocks, this->sharedBlocks, choice.target->zone,
                 this->route->targetLatency / TransferTimeDivisor, this->random(),
-                hasSize ? static_cast<double>(settings->engine->bytesPerToken) : CacheStores::DefaultBytesPerToken);
+                settings->engine->bytesPerToken > 0 ? static_cast<double>(settings->engine->bytesPerToken) : CacheStores::DefaultBytesPerToken);
             plan.cache.fetchEnd = this->fetchEnd(choice, plan.cache);
         }
         this->cacheSource = plan.cache.mainSource;
--- a/pimentosail/routing/routingtest.cpp
+++ b/pimentosail/routing/routingtest.cpp
@@ -33,6 +33,20 @@
 
 } // namespace
 
+// Guards against a wait for earlier prompts that is as long as an upload may take, or too short for one of two services of a route.
+Test(routing, the_longest_timeout_of_prompts_is_that_of_routes_to_engines)
+{
+    DecodedConfiguration configuration = makeConfiguration();
+    cr_assert_eq(longestPromptTimeout(configuration), Duration(0));
+    configuration.services[1].engine = EngineProfile{};
+    configuration.routes[0].timeout = std::chrono::seconds(600);
+    configuration.routes[1].timeout = std::chrono::seconds(12);
+    configuration.routes[1].services = {{"desk", 1}, {"loom", 1}};
+    configuration.routes.push_back(makeRoute("other", "/c/"));
+    configuration.routes.back().services = {{"loom", 1}};
+    cr_assert_eq(longestPromptTimeout(configuration), Duration(std::chrono::seconds(12)));
+}
+
 Test(routing, the_longest_prefix_wins)
 {
     const Result<ServingConfigurationPointer> serving = ServingConfiguration::create(makeConfiguration());
