Bound every fetch on the targets' clock, and wait for no longer than that

Where cache stores state the targets' clock, each fetch has an end on it now, two seconds after the choice at the latest (before, under mixed load only), after which a target discards it. Saves wait for Lease and these two seconds, five in all. A host that has known the clock and has no recent answer fetches nothing, because others rely on the bound.

--- a/pimentosail/entry/requestplanning.cpp
+++ b/pimentosail/entry/requestplanning.cpp
@@ -445,15 +445,17 @@
     return priorities.enginePriority(this->configuredPriority(), left);
 }
 
-// Under mixed load, a fetch ends at half of the target latency, or later if the target would have taken longer to read the tokens instead.
+// A fetch ends within `CacheStores::MaxFetchTime`. Under mixed load, it ends at half of the target latency, or later if the target would have
+// taken longer to read the tokens instead.
 std::optional<int64_t> RequestRunner::fetchEnd(const TargetChoice &choice, const CachePlan &cache) const
 {
-    if (!this->isMixed || !cache.hasFetch()) {
+    if (!cache.hasFetch()) {
         return std::nullopt;
     }
     const double tokens = choice.pendingTokens + static_cast<double>(cache.fetchTokens);
-    const Duration limit = std::max<Duration>(
+    const Duration worthwhile = std::max<Duration>(
         this->route->targetLatency / FetchLatencyDivisor, FetchTimeFactor * cache.expectedTime + fromSeconds(tokens * this->readTime / 1000));
+    const Duration limit = this->isMixed ? std::min(CacheStores::MaxFetchTime, worthwhile) : CacheStores::MaxFetchTime;
     const Duration latest = this->deadline - this->context.clock.now();
     const std::optional<int64_t> now = this->context.cacheStores.targetClock().at(this->context.clock.nowWithSuspend());
     return now ? std::optional<int64_t>(*now + toMilliseconds(std::min(limit, latest))) : std::nullopt;
@@ -480,7 +482,7 @@
         plan.expectedVersion = choice.version;
         this->expectedVersion = choice.version;
         plan.cacheSalt = this->saltFor(choice.version);
-        // The wait before saves to a restarted cache store covers the routes to services with an engine only.
+        // The waits for earlier fetches cover the routes to services with an engine only.
         const ServiceSettings *settings = this->serving->findService(this->service);
         if (choice.version > 0 && settings != nullptr && settings->engine) {
             plan.cache = this->context.cacheStores.plan(plan.cacheSalt, this->request.prompt->blocks, this->sharedBlocks, choice.target->zone,
--- a/pimentosail/kvcache/kvcachetest.cpp
+++ b/pimentosail/kvcache/kvcachetest.cpp
@@ -22,7 +22,7 @@
 constexpr Duration AcceptableTransferTime = Milliseconds(200);
 constexpr Duration LongestRequest = std::chrono::seconds(12);
 // Nothing is saved to a store for this long after its restart.
-constexpr Duration RestartDelay = StoreEpoch::Lease + StoreEpoch::MaxTransit + LongestRequest;
+constexpr Duration RestartDelay = StoreEpoch::Lease + CacheStores::MaxTransit + LongestRequest;
 const std::vector<PromptBlock> SamplePrompt{{"shared", 2000}, {"session", 5000}, {"own", 1500}};
 
 struct Fixture
@@ -178,6 +178,32 @@
     cr_assert(fixture.isSavedToFast("w2"));
 }
 
+// Guards against a wait for the timeouts of routes where every fetch is bounded, which has prompts read again, and against a fetch without the bound
+// that the wait relies on.
+Test(kvcache, where_the_targets_clock_is_known_the_wait_is_that_of_a_bounded_fetch)
+{
+    Fixture fixture;
+    const auto stateClock = [&fixture] {
+        fixture.stores.targetClock().record(1787181690068, fixture.clock.nowWithSuspend());
+    };
+    stateClock();
+    fixture.apply("fast", {2, 0, false, {}});
+    fixture.advance(StoreEpoch::Lease + CacheStores::MaxFetchTime - Milliseconds(1));
+    cr_assert_not(fixture.isSavedToFast("w1"));
+    fixture.advance(Milliseconds(1));
+    cr_assert(fixture.isSavedToFast("w2"));
+    fixture.apply("slow", {1, 1, false, {{"w3", "session", 5000, false}}});
+    const auto fetches = [&fixture] {
+        return fixture.stores.plan("w3", SamplePrompt, 2, "z1", AcceptableTransferTime, 0).hasFetch();
+    };
+    cr_assert(fetches());
+    // The stores still answer, but none states the time any more.
+    fixture.advance(std::chrono::seconds(10));
+    cr_assert_not(fetches());
+    stateClock();
+    cr_assert(fetches());
+}
+
 // Guards against a host that starts, or is told of a store, just after a restart of the store and saves at once, because the epoch is new to it only.
 Test(kvcache, a_host_that_does_not_know_the_former_epoch_waits_as_well)
 {
--- a/pimentosail/kvcache/storecontents.cpp
+++ b/pimentosail/kvcache/storecontents.cpp
@@ -53,10 +53,16 @@
     std::erase_if(this->entries, [&names](const auto &entry) { return !names.contains(entry.first); });
 }
 
-Duration CacheStores::longestRequest() const
+Duration CacheStores::longestFetch() const
 {
     const std::lock_guard lock(this->mutex);
-    return this->longestTimeout;
+    return this->longestFetchLocked(this->clock.nowWithSuspend());
+}
+
+Duration CacheStores::longestFetchLocked(Time now) const
+{
+    const Duration longest = MaxTransit + this->longestTimeout;
+    return this->clockOfTargets.at(now) ? std::min(MaxFetchTime, longest) : longest;
 }
 
 std::vector<CacheStore> CacheStores::stores() const
@@ -185,7 +191,8 @@
 {
     const std::lock_guard lock(this->mutex);
     const auto found = this->entries.find(store);
-    return found == this->entries.end() ? Duration(0) : found->second.epoch.saveDelay(this->clock.nowWithSuspend(), this->longestTimeout);
+    const Time now = this->clock.nowWithSuspend();
+    return found == this->entries.end() ? Duration(0) : found->second.epoch.saveDelay(now, this->longestFetchLocked(now));
 }
 
 void CacheStores::setReachable(const std::string &store, bool isReachable)
@@ -338,10 +345,11 @@
     StoreState *best = nullptr;
     double bestScore = 0;
     const uint64_t key = combineHashes(stableHash(salt), stableHash(block.id));
+    const Duration longestFetch = this->longestFetchLocked(now);
     for (auto &[name, entry] : this->entries) {
         const auto capacity = static_cast<double>(entry.store.capacityTokens);
         const double freeTokens = MaxFillFraction * capacity - usedTokens(entry);
-        const bool acceptsSaves = entry.isUsable(now) && entry.epoch.saveDelay(now, this->longestTimeout) == Duration(0);
+        const bool acceptsSaves = entry.isUsable(now) && entry.epoch.saveDelay(now, longestFetch) == Duration(0);
         if (&entry == excluded || !acceptsSaves || freeTokens < static_cast<double>(block.tokens)) {
             continue;
         }
@@ -360,6 +368,10 @@
 std::pair<CacheStores::StoreState *, Duration> CacheStores::findSource(const BlockKey &key, double bytes, int64_t tokens, const std::string &zone, Time now)
 {
     std::pair<StoreState *, Duration> best{nullptr, Duration(0)};
+    // Other hosts rely on the bound of fetches on the targets' clock, once it has been stated.
+    if (this->clockOfTargets.isStated() && !this->clockOfTargets.at(now)) {
+        return best;
+    }
     for (auto &[name, entry] : this->entries) {
         const auto known = entry.blocks.find(key);
         if (!entry.isUsable(now) || known == entry.blocks.end() || known->second < tokens) {
--- a/pimentosail/kvcache/storecontents.h
+++ b/pimentosail/kvcache/storecontents.h
@@ -155,6 +155,10 @@
 public:
     // KV-cache bytes per token of a model whose configuration does not state them.
     static constexpr double DefaultBytesPerToken = 18432;
+    // Where the targets' clock is known, a target gives up a fetch that has not ended within this time after its request was sent.
+    static constexpr Duration MaxFetchTime = std::chrono::seconds(2);
+    // Longest time that a request is on its way to a target.
+    static constexpr Duration MaxTransit = std::chrono::seconds(1);
 
     // `isSystemNew` is true if the whole system starts for the first time, so that no host has used the cache stores before.
     explicit CacheStores(const Clock &runtimeClock, bool isSystemNew = false)
@@ -167,8 +171,9 @@
     // stores that were removed or have a new address.
     void setStores(const std::vector<CacheStore> &stores, Duration longestRequest);
 
-    // Returns the longest time that a target may spend on a prompt under any configuration that this host has had.
-    Duration longestRequest() const;
+    // Returns the time after the sending of a request within which its fetches have ended: `MaxFetchTime`, or, where the targets' clock is
+    // not known, `MaxTransit` and the longest time that a target may spend on a prompt under any configuration that this host has had.
+    Duration longestFetch() const;
 
     std::vector<CacheStore> stores() const;
 
@@ -261,6 +266,8 @@
         }
     };
 
+    // The same, called with `mutex` locked.
+    Duration longestFetchLocked(Time now) const;
     static double usedTokens(const StoreState &entry);
     // Records the epoch that a cache store has reported, and drops the blocks of another one. Returns true if there was another one.
     bool observeEpoch(StoreState &entry, int64_t epoch);
--- a/pimentosail/kvcache/storeepoch.cpp
+++ b/pimentosail/kvcache/storeepoch.cpp
@@ -23,12 +23,12 @@
     }
 }
 
-Duration StoreEpoch::saveDelay(Time now, Duration longestRequest) const
+Duration StoreEpoch::saveDelay(Time now, Duration longestFetch) const
 {
     if (this->isOpen) {
         return Duration(0);
     }
-    return std::max(Duration(0), this->seenAt + Lease + MaxTransit + longestRequest - now);
+    return std::max(Duration(0), this->seenAt + Lease + longestFetch - now);
 }
 
 } // namespace pimentosail
--- a/pimentosail/kvcache/storeepoch.h
+++ b/pimentosail/kvcache/storeepoch.h
@@ -5,8 +5,8 @@
 // Two bounds prevent this without any agreement between hosts:
 //   - A host acts on an epoch for `Lease` after the last time at which the store was certainly in it. So no request with a fetch from a
 //     former epoch is sent later than `Lease` after a restart, however late the host learns of it.
-//   - A host saves to a store only `Lease`, `MaxTransit` and the longest time that a target may spend on a request after it first saw the
-//     epoch. By then all requests of the former epoch have ended.
+//   - A host saves to a store only `Lease` and the longest time that a fetch may take, from the sending of its request on, after it first saw
+//     the epoch. By then all fetches of the former epoch have ended.
 //
 //     StoreEpoch epoch;
 //     epoch.observe(77121, clock.nowWithSuspend());
@@ -28,8 +28,6 @@
 public:
     // A relay polls a cache store for up to a second, and its followers read its answer up to a second later.
     static constexpr Duration Lease = std::chrono::seconds(3);
-    // Longest time that a request is on its way to a target.
-    static constexpr Duration MaxTransit = std::chrono::seconds(1);
 
     // Records that the store has reported `epoch`. Returns true if it differs from the known one, whose blocks are lost then.
     bool observe(int64_t epoch, Time now);
@@ -65,8 +63,8 @@
         return this->confirmedAt;
     }
 
-    // Returns how long no block may be saved yet, if a target may spend up to `longestRequest` on a request.
-    Duration saveDelay(Time now, Duration longestRequest) const;
+    // Returns how long no block may be saved yet, if every fetch ends within `longestFetch` after its request is sent.
+    Duration saveDelay(Time now, Duration longestFetch) const;
 
 private:
     int64_t epoch = 0;
--- a/pimentosail/kvcache/targetclock.cpp
+++ b/pimentosail/kvcache/targetclock.cpp
@@ -24,6 +24,12 @@
     this->current.offset = std::max(offset, this->current.offset.value_or(offset));
 }
 
+bool TargetClock::isStated() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->current.offset.has_value();
+}
+
 std::optional<int64_t> TargetClock::at(Time time) const
 {
     const std::lock_guard lock(this->mutex);
--- a/pimentosail/kvcache/targetclock.h
+++ b/pimentosail/kvcache/targetclock.h
@@ -27,6 +27,9 @@
     // Returns the targets' time (Unix ms) at `time`, or nothing if no answer of the last seconds stated it.
     std::optional<int64_t> at(Time time) const;
 
+    // Returns true if an answer has stated the time.
+    bool isStated() const;
+
 private:
     // The largest difference, in ms, between stated times and times of receipt in an interval of `SampleInterval`.
     struct Interval
--- a/testing/cachesoaktest.cpp
+++ b/testing/cachesoaktest.cpp
@@ -249,7 +249,7 @@
     const std::vector<IncompleteFetch> found = incompleteFetches(1, 4, 30);
     // Saves that a host has sent before it can know of the restart are the subject of the next test.
     const auto isSentLater = [](const IncompleteFetch &fetch) {
-        return fetch.savedAfterRestart > StoreEpoch::Lease + StoreEpoch::MaxTransit;
+        return fetch.savedAfterRestart > StoreEpoch::Lease + CacheStores::MaxTransit;
     };
     cr_assert(std::none_of(found.begin(), found.end(), isSentLater));
 }
