Keep blocks of replaced weights while earlier requests may fetch them

It waits now for the time in which fetches of such requests end (CacheStores::longestFetch), as hosts do before they save to a restarted store.

Log line started says whether the whole system starts for the first time.

--- a/pimentosail/entry/blockfreeing.cpp
+++ b/pimentosail/entry/blockfreeing.cpp
@@ -8,9 +8,6 @@
 namespace
 {
 
-// Outdated blocks are freed this long after the last request that may use them could start. No transfer can then still
-// read them: one that would have to wait for more than two seconds is not started, and a fetch ends well before.
-constexpr Duration FreeDelay = std::chrono::seconds(2);
 constexpr Duration FreeingInterval = std::chrono::seconds(1);
 constexpr size_t BlocksPerCall = 200;
 
@@ -28,8 +25,8 @@
     return std::max(allowed, present);
 }
 
-// Frees the cached blocks of weight versions on which no request may start any more. It does so some seconds later, when no
-// transfer can still read them.
+// Frees the cached blocks of weight versions on which no request may start any more. It does so when the fetches of requests that were
+// sent before have ended, because one that waits at a target fetches its blocks only when it begins.
 void RolloutDuty::freeOutdatedBlocks()
 {
     const Time now = this->context.clock.now();
@@ -37,13 +34,14 @@
         return;
     }
     this->nextFreeing = now + FreeingInterval;
+    const Duration lastFetches = this->context.cacheStores.longestFetch();
     for (const std::string &text : this->context.cacheStores.salts()) {
         const std::optional<CacheSalt> salt = CacheSalt::parse(text);
         if (!salt || salt->version >= this->oldestInUse(salt->model)) {
             this->unusedSince.erase(text);
             continue;
         }
-        if (now < this->unusedSince.try_emplace(text, now).first->second + FreeDelay) {
+        if (now < this->unusedSince.try_emplace(text, now).first->second + lastFetches) {
             continue;
         }
         this->unusedSince.erase(text);
--- a/pimentosail/entry/entryprocess.cpp
+++ b/pimentosail/entry/entryprocess.cpp
@@ -553,8 +553,9 @@
     this->readyServer.start();
     this->metricsServer.start();
     this->callerServer.start();
-    this->log.write(
-        LogLevel::Info, "started", {{"zone", this->settings.zone}, {"listen", this->settings.listen}, {"store", this->settings.keyValueStoreAddress}});
+    this->log.write(LogLevel::Info, "started",
+        {{"zone", this->settings.zone}, {"listen", this->settings.listen}, {"store", this->settings.keyValueStoreAddress},
+            {"first_start", this->settings.isFirstStart}});
 }
 
 long EntryProcess::Impl::shutDown()
