--- a/pimentosail/entry/entrystate.h
+++ b/pimentosail/entry/entrystate.h
@@ -8,10 +8,12 @@
 // Thread-safe. Configuration and wanted versions never go back to an older version within a process.
 #pragma once
 
+#include <algorithm>
 #include <atomic>
 #include <map>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -35,6 +37,28 @@
     Time latest{};
 };
 
+// What this host knows of when a version became the wanted one.
+struct VersionTime
+{
+    // From when this host heard of the version.
+    TimeBounds heard;
+    // From the age marks in the key-value store (`rollout/versionage`). They may be removed late, so that the version seems younger than it is.
+    TimeBounds marked{UnknownPast, Time::max()};
+
+    // Returns false if the marks have been removed so late that the times contradict each other.
+    bool isConsistent() const
+    {
+        return this->marked.earliest <= std::min(this->heard.latest, this->marked.latest);
+    }
+
+    // Returns the times that are certain: marks that contradict them tell only that the version is at least as old.
+    TimeBounds bounds() const
+    {
+        const Time latest = std::min(this->heard.latest, this->marked.latest);
+        return {this->isConsistent() ? std::max(this->heard.earliest, this->marked.earliest) : std::min(this->heard.earliest, latest), latest};
+    }
+};
+
 // The weight version that the targets of a model should have.
 struct WantedVersion
 {
@@ -92,20 +116,34 @@
     bool addWantedVersion(const std::string &model, int64_t version, const TimeBounds &setTime)
     {
         const std::lock_guard lock(this->mutex);
-        return this->versions[model].emplace(version, setTime).second;
+        return this->versions[model].emplace(version, VersionTime{setTime, {UnknownPast, Time::max()}}).second;
     }
 
-    // Narrows down when a version was set. A time that contradicts what is known is ignored; returns false then.
-    bool narrowSetTime(const std::string &model, int64_t version, const TimeBounds &setTime)
+    // Records when a version was set by its age marks, in place of an earlier reading. Returns false if that contradicts what is known.
+    bool recordMarkedTime(const std::string &model, int64_t version, const TimeBounds &setTime)
     {
         const std::lock_guard lock(this->mutex);
-        TimeBounds &known = this->versions[model].emplace(version, setTime).first->second;
-        const TimeBounds narrowed{std::max(known.earliest, setTime.earliest), std::min(known.latest, setTime.latest)};
-        if (narrowed.earliest > narrowed.latest) {
-            return false;
+        VersionTime &known = this->versions[model].emplace(version, VersionTime{{UnknownPast, setTime.latest}, {UnknownPast, Time::max()}}).first->second;
+        known.marked = {setTime.earliest, std::min(known.marked.latest, setTime.latest)};
+        return known.isConsistent();
+    }
+
+    // Sets the versions of which the key-value store has age marks, by model.
+    void setMarkedVersions(std::map<std::string, std::set<int64_t>> marked)
+    {
+        const std::lock_guard lock(this->mutex);
+        this->markedVersions = std::move(marked);
+    }
+
+    // Returns when this host heard of a version, or nothing if it has not.
+    std::optional<TimeBounds> heardTime(const std::string &model, int64_t version) const
+    {
+        const std::lock_guard lock(this->mutex);
+        const auto found = this->versions.find(model);
+        if (found == this->versions.end() || !found->second.contains(version)) {
+            return std::nullopt;
         }
-        known = narrowed;
-        return true;
+        return found->second.at(version).heard;
     }
 
     // Returns when the version that follows `version` of `model` was set, as far as this host knows the versions. `version` must
@@ -113,7 +151,7 @@
     TimeBounds setTimeAfter(const std::string &model, int64_t version) const
     {
         const std::lock_guard lock(this->mutex);
-        return this->versions.at(model).upper_bound(version)->second;
+        return this->versions.at(model).upper_bound(version)->second.bounds();
     }
 
     // Returns the newest wanted version of `model`, or version 0 if none is recorded.
@@ -121,21 +159,26 @@
     {
         const std::lock_guard lock(this->mutex);
         const auto found = this->versions.find(model);
-        return found == this->versions.end() ? WantedVersion{} : WantedVersion{found->second.rbegin()->first, found->second.rbegin()->second};
+        return found == this->versions.end() ? WantedVersion{} : WantedVersion{found->second.rbegin()->first, found->second.rbegin()->second.bounds()};
     }
 
     // Returns the oldest version on which work may begin: the newest version that may have been wanted for `limit`. `now` is a
     // time of `Clock::nowWithSuspend`.
     int64_t oldestAllowedVersion(const std::string &model, Time now, Duration limit) const
     {
-        return this->newestVersion(model, [now, limit](const TimeBounds &setTime) { return setTime.earliest + limit <= now; });
+        const std::lock_guard lock(this->mutex);
+        return this->newestVersion(model, [now, limit](int64_t /*version*/, const VersionTime &time) { return time.bounds().earliest + limit <= now; });
     }
 
-    // Returns the oldest version on which no host may forbid work yet: the newest version that certainly has been wanted for
-    // `limit`.
+    // Returns the oldest version on which no host may forbid work yet: the newest version that certainly has been wanted for `limit`, on
+    // this host and by its age marks. Other hosts may know its age from the marks alone.
     int64_t oldestPossibleVersion(const std::string &model, Time now, Duration limit) const
     {
-        return this->newestVersion(model, [now, limit](const TimeBounds &setTime) { return setTime.latest + limit <= now; });
+        const std::lock_guard lock(this->mutex);
+        const auto marked = this->markedVersions.find(model);
+        return this->newestVersion(model, [this, now, limit, marked](int64_t version, const VersionTime &time) {
+            return time.bounds().latest + limit <= now && (marked == this->markedVersions.end() || !marked->second.contains(version));
+        });
     }
 
     // Returns the newest wanted version of every model.
@@ -144,7 +187,7 @@
         const std::lock_guard lock(this->mutex);
         std::map<std::string, WantedVersion> result;
         for (const auto &[model, wanted] : this->versions) {
-            result[model] = {wanted.rbegin()->first, wanted.rbegin()->second};
+            result[model] = {wanted.rbegin()->first, wanted.rbegin()->second.bounds()};
         }
         return result;
     }
@@ -296,16 +339,15 @@
     // Minimum number of hosts among which limits are divided, in case the other hosts are not listed yet.
     static constexpr size_t MinSharingHosts = 3;
 
-    // Returns the newest version of `model` whose time meets `condition`, or 0 if there is none.
+    // Returns the newest version of `model` that meets `condition`, or 0 if there is none; for the caller that holds `mutex`.
     template <typename Condition>
     int64_t newestVersion(const std::string &model, const Condition &condition) const
     {
-        const std::lock_guard lock(this->mutex);
         int64_t newest = 0;
         const auto found = this->versions.find(model);
         if (found != this->versions.end()) {
-            for (const auto &[version, setTime] : found->second) {
-                newest = condition(setTime) ? version : newest;
+            for (const auto &[version, time] : found->second) {
+                newest = condition(version, time) ? version : newest;
             }
         }
         return newest;
@@ -315,7 +357,8 @@
     ServingConfigurationPointer servingInForce;
     Time servingAt{};
     // For each model, its wanted versions and when each was set.
-    std::map<std::string, std::map<int64_t, TimeBounds>> versions;
+    std::map<std::string, std::map<int64_t, VersionTime>> versions;
+    std::map<std::string, std::set<int64_t>> markedVersions;
     LatestRollout lastRollout;
     std::vector<HostEntry> hostEntries;
     RelayPlan relayPlan;
--- a/pimentosail/entry/entrystatetest.cpp
+++ b/pimentosail/entry/entrystatetest.cpp
@@ -15,13 +15,42 @@
     state.addWantedVersion("m", 2, {UnknownPast, std::chrono::seconds(30)});
     cr_assert_eq(state.oldestAllowedVersion("m", std::chrono::seconds(30), limit), 2, "an unknown age is over the limit");
     cr_assert_eq(state.oldestPossibleVersion("m", std::chrono::seconds(44), limit), 1);
-    cr_assert(state.narrowSetTime("m", 2, {std::chrono::seconds(22), std::chrono::seconds(24)}));
+    cr_assert(state.recordMarkedTime("m", 2, {std::chrono::seconds(22), std::chrono::seconds(24)}));
     cr_assert_eq(state.oldestAllowedVersion("m", std::chrono::seconds(36), limit), 1);
     cr_assert_eq(state.oldestAllowedVersion("m", std::chrono::seconds(37), limit), 2);
     cr_assert_eq(state.oldestPossibleVersion("m", std::chrono::seconds(38), limit), 1);
     cr_assert_eq(state.oldestPossibleVersion("m", std::chrono::seconds(39), limit), 2);
-    cr_assert_not(state.narrowSetTime("m", 2, {std::chrono::seconds(25), std::chrono::seconds(26)}), "contradicts what is known");
+    cr_assert_not(state.recordMarkedTime("m", 2, {std::chrono::seconds(25), std::chrono::seconds(26)}), "contradicts what is known");
     cr_assert_eq(state.oldestPossibleVersion("m", std::chrono::seconds(39), limit), 2);
+    cr_assert_eq(state.oldestAllowedVersion("m", std::chrono::seconds(37), limit), 2);
+}
+
+// Guards against a leader that frees the cached blocks of a version by its own knowledge, while hosts that started after an outage of the key-value
+// store still take the next version for younger (review/6).
+Test(entrystate, blocks_are_freed_only_when_no_host_can_read_a_lower_age_from_the_marks)
+{
+    const Duration limit = std::chrono::seconds(15);
+    EntryState state;
+    state.addWantedVersion("m", 1, {Time(0), Time(0)});
+    state.addWantedVersion("m", 2, {std::chrono::seconds(20), std::chrono::seconds(20)});
+    state.setMarkedVersions({{"m", {2}}});
+    cr_assert_eq(state.oldestAllowedVersion("m", std::chrono::seconds(40), limit), 2);
+    cr_assert_eq(state.oldestPossibleVersion("m", std::chrono::seconds(40), limit), 1);
+    state.setMarkedVersions({});
+    cr_assert_eq(state.oldestPossibleVersion("m", std::chrono::seconds(40), limit), 2);
+}
+
+// Guards against a host that goes on with the first reading of marks which are removed late after its record was corrected.
+Test(entrystate, a_later_reading_of_the_marks_replaces_the_earlier_one)
+{
+    const Duration limit = std::chrono::seconds(15);
+    EntryState state;
+    state.addWantedVersion("m", 1, {Time(0), Time(0)});
+    state.addWantedVersion("m", 2, {UnknownPast, std::chrono::seconds(30)});
+    cr_assert(state.recordMarkedTime("m", 2, {std::chrono::seconds(26), std::chrono::seconds(29)}));
+    cr_assert_eq(state.oldestAllowedVersion("m", std::chrono::seconds(40), limit), 1);
+    cr_assert(state.recordMarkedTime("m", 2, {std::chrono::seconds(18), std::chrono::seconds(29)}));
+    cr_assert_eq(state.oldestAllowedVersion("m", std::chrono::seconds(33), limit), 2);
 }
 
 // Guards against the processor time of decoding every registration again whenever one of them changes.
--- a/pimentosail/entry/hostduty.cpp
+++ b/pimentosail/entry/hostduty.cpp
@@ -30,6 +30,8 @@
 // The age marks of a version are discarded if the store takes longer than this to grant their leases, because the same thread
 // renews this host's lease.
 constexpr Duration MaxGrantTime = Milliseconds(1500);
+// The hosts correct a record one after another, this far apart, until one has done so.
+constexpr Duration CorrectionStep = Milliseconds(200);
 // Pause between two records of versions, so that a store that is slow or down is not loaded further.
 constexpr Duration RecordRetry = std::chrono::seconds(1);
 
@@ -239,6 +241,56 @@
     }
 }
 
+void HostDuty::correctVersionTimes()
+{
+    // Read before the items, which have all changes up to this time.
+    const Time completeAt = this->mirror.status().completeAt;
+    const size_t hosts = std::max<size_t>(1, this->context.state.hostCount());
+    std::map<std::string, Time> late;
+    for (const StoredItem &item : this->mirror.items(VersionTimesPrefix)) {
+        const std::string name = item.key.substr(VersionTimesPrefix.size());
+        try {
+            const std::set<int64_t> present = ageMarksLeft(this->mirror, name);
+            const auto [model, version] = splitVersionName(name);
+            const std::optional<TimeBounds> heard = this->context.state.heardTime(model, version);
+            if (present.empty() || !heard || heard->earliest == UnknownPast) {
+                continue;
+            }
+            const Time now = this->context.clock.nowWithSuspend();
+            AgeRecord record = decodeAgeRecord(item.value);
+            const std::optional<Duration> delay = correctedRemovalDelay(record, present, {completeAt - heard->latest, now - heard->earliest});
+            if (!delay) {
+                continue;
+            }
+            const auto since = this->lateMarksSince.find(name);
+            late[name] = since == this->lateMarksSince.end() ? now : since->second;
+            const auto rank = static_cast<int64_t>(stableHash(name + this->context.settings.name) % hosts);
+            if (now >= late[name] + rank * CorrectionStep && now >= this->nextVersionRecord) {
+                record.removalDelay = *delay;
+                this->correctVersionTime(item, record);
+            }
+        } catch (const std::exception &) {
+            // The record or a mark is unreadable, which `StateUpdater` logs.
+        }
+    }
+    this->lateMarksSince = std::move(late);
+}
+
+void HostDuty::correctVersionTime(const StoredItem &item, const AgeRecord &corrected)
+{
+    this->nextVersionRecord = this->context.clock.nowWithSuspend() + RecordRetry;
+    try {
+        const CommitOutcome outcome = this->store.commit({{{item.key, item.revision, item.era}}, {{item.key, encodeAgeRecord(corrected), {}}}, {}});
+        this->context.log.write(LogLevel::Warning, "version_time_corrected",
+            {{"version", item.key.substr(VersionTimesPrefix.size())}, {"removal_delay_ms", toMilliseconds(corrected.removalDelay)},
+                {"written", outcome.status == CommitStatus::Committed}});
+    } catch (const Failure &failure) {
+        this->context.metrics.count("pimentosail_store_failures_total", {{"duty", "version_times"}});
+        this->context.log.write(
+            LogLevel::Warning, "version_time_not_recorded", {{"version", item.key.substr(VersionTimesPrefix.size())}, {"reason", failure.what()}});
+    }
+}
+
 void HostDuty::run()
 {
     Time nextRenewal{};
@@ -250,6 +302,7 @@
         }
         bool isAccepted = this->publishObservations();
         this->publishVersionTimes();
+        this->correctVersionTimes();
         const Time next = this->context.clock.now() + PublishInterval;
         while (!this->stopping.load() && this->context.clock.now() < next) {
             this->context.clock.sleepFor(ObservationInterval);
--- a/pimentosail/entry/stateupdater.cpp
+++ b/pimentosail/entry/stateupdater.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "pimentosail/base/error.h"
 #include "pimentosail/base/json.h"
 #include "pimentosail/entry/ownwrites.h"
 #include "pimentosail/rollout/fencingtoken.h"
@@ -33,6 +34,26 @@
 
 } // namespace
 
+std::set<int64_t> ageMarksLeft(const StoreMirror &mirror, const std::string &name)
+{
+    const std::string prefix = VersionMarksPrefix + name + "/";
+    std::set<int64_t> left;
+    for (const StoredItem &mark : mirror.items(prefix)) {
+        left.insert(std::stoll(mark.key.substr(prefix.size())));
+    }
+    return left;
+}
+
+std::pair<std::string, int64_t> splitVersionName(const std::string &name)
+{
+    const size_t slash = name.rfind('/');
+    try {
+        return {name.substr(0, slash), std::stoll(name.substr(slash + 1))};
+    } catch (const std::logic_error &) {
+        throw Failure(ErrorKind::BadRequest, "not MODEL/VERSION: " + name);
+    }
+}
+
 // A loss is a row without field names, because there may be hundreds of them.
 void encodeBlockFindings(const BlockFindings &findings, Json::Value &value)
 {
@@ -92,6 +113,9 @@
     if (anyStartsWith(changedKeys, HostsPrefix)) {
         this->updateHosts(mirror);
     }
+    if (anyStartsWith(changedKeys, VersionMarksPrefix)) {
+        this->updateAgeMarks(mirror);
+    }
     if (anyStartsWith(changedKeys, VersionTimesPrefix)) {
         this->updateVersionTimes(mirror);
     }
@@ -282,23 +306,20 @@
 {
     for (const StoredItem &item : mirror.items(VersionTimesPrefix)) {
         const std::string name = item.key.substr(VersionTimesPrefix.size());
-        if (this->timedVersions.contains(name)) {
+        const auto applied = this->timedVersions.find(name);
+        if (applied != this->timedVersions.end() && applied->second == item.position()) {
             continue;
         }
         try {
-            const std::string marksPrefix = VersionMarksPrefix + name + "/";
-            std::set<int64_t> present;
-            for (const StoredItem &mark : mirror.items(marksPrefix)) {
-                present.insert(std::stoll(mark.key.substr(marksPrefix.size())));
-            }
+            const std::set<int64_t> present = ageMarksLeft(mirror, name);
             const VersionAge age = ageFromMarks(decodeAgeRecord(item.value), present);
             const Time now = this->context.clock.nowWithSuspend();
             // A mark that is still there may have been removed since the contents were complete.
             const Time completeAt = mirror.status().completeAt;
             const TimeBounds setTime{age.atMost && completeAt != Time(0) ? completeAt - *age.atMost : UnknownPast, now - age.atLeast};
-            const size_t slash = name.rfind('/');
-            const bool isConsistent = this->context.state.narrowSetTime(name.substr(0, slash), std::stoll(name.substr(slash + 1)), setTime);
-            this->timedVersions.insert(name);
+            const auto [model, version] = splitVersionName(name);
+            const bool isConsistent = this->context.state.recordMarkedTime(model, version, setTime);
+            this->timedVersions[name] = item.position();
             this->context.log.write(isConsistent ? LogLevel::Info : LogLevel::Warning, "version_time_read",
                 {{"version", name}, {"at_least_ms", toMilliseconds(age.atLeast)}, {"at_most_ms", age.atMost ? toMilliseconds(*age.atMost) : -1},
                     {"marks_left", present.size()}, {"is_consistent", isConsistent}, {"revision", item.revision}});
@@ -308,6 +329,20 @@
     }
 }
 
+void StateUpdater::updateAgeMarks(const StoreMirror &mirror)
+{
+    std::map<std::string, std::set<int64_t>> marked;
+    for (const StoredItem &item : mirror.items(VersionMarksPrefix)) {
+        try {
+            const auto [model, version] = splitVersionName(item.key.substr(VersionMarksPrefix.size(), item.key.rfind('/') - VersionMarksPrefix.size()));
+            marked[model].insert(version);
+        } catch (const std::exception &exception) {
+            this->reportUnreadable(item, exception.what());
+        }
+    }
+    this->context.state.setMarkedVersions(std::move(marked));
+}
+
 void StateUpdater::updateDeliveries(const StoreMirror &mirror)
 {
     const KeyValueLayout &layout = this->context.wire.layout;
--- a/pimentosail/entry/stateupdater.h
+++ b/pimentosail/entry/stateupdater.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 
 #include <json/value.h>
 
@@ -35,6 +36,12 @@
 inline const std::string VersionTimesPrefix = EntryPrefix + "version-times/";
 inline const std::string VersionMarksPrefix = EntryPrefix + "version-marks/";
 
+// Returns the indices of the age marks of a version that are left. `name` is MODEL/VERSION.
+std::set<int64_t> ageMarksLeft(const StoreMirror &mirror, const std::string &name);
+
+// Splits MODEL/VERSION. Throws `Failure` (BadRequest) if `name` is something else.
+std::pair<std::string, int64_t> splitVersionName(const std::string &name);
+
 // Followed by the name of a service: the state of the delivery of its new version.
 inline const std::string DeliveryPrefix = EntryPrefix + "delivery/";
 
@@ -70,14 +77,15 @@
     // Ends the avoidance of targets whose entry shows the version that they were announced to load.
     void releaseLoadedTargets(const std::vector<Registration> &registrations);
     void updateVersionTimes(const StoreMirror &mirror);
+    void updateAgeMarks(const StoreMirror &mirror);
     void updateDeliveries(const StoreMirror &mirror);
     // Logs a value that cannot be decoded, once for each write.
     void reportUnreadable(const StoredItem &item, const std::string &reason);
 
     EntryContext &context;
     Time createdAt;
-    // Versions whose record of the age has been applied, as MODEL/VERSION.
-    std::set<std::string> timedVersions;
+    // Position of the last record of a version's age that was applied, by MODEL/VERSION.
+    std::map<std::string, StorePosition> timedVersions;
     // Position of the last logged unreadable value, by key.
     std::map<std::string, StorePosition> reportedPositions;
     DecodedItems<Registration> decodedRegistrations;
--- a/pimentosail/entry/storeduties.h
+++ b/pimentosail/entry/storeduties.h
@@ -27,6 +27,7 @@
 #include "pimentosail/rollout/announcement.h"
 #include "pimentosail/rollout/loadtime.h"
 #include "pimentosail/rollout/rollout.h"
+#include "pimentosail/rollout/versionage.h"
 
 namespace pimentosail
 {
@@ -56,6 +57,9 @@
     void publishVersionTimes();
     // Writes the age marks of a version. `name` is MODEL/VERSION.
     void publishVersionTime(const std::string &name, const TimeBounds &setTime);
+    // Corrects the records of versions whose age marks are removed late, if this host knows better when the versions were set.
+    void correctVersionTimes();
+    void correctVersionTime(const StoredItem &item, const AgeRecord &corrected);
 
     EntryContext &context;
     PrefixStore store;
@@ -71,8 +75,10 @@
     // Era of the store in which it is known whether the store has the observations, and whether it has lost them.
     int64_t observationsEra = 0;
     bool areObservationsLost = false;
-    // Time of `Clock::nowWithSuspend`.
+    // Times of `Clock::nowWithSuspend`.
     Time nextVersionRecord{};
+    // Since when this host has seen that age marks are late, by MODEL/VERSION.
+    std::map<std::string, Time> lateMarksSince;
     std::atomic<bool> stopping{false};
     DutyThread thread;
 };
--- a/pimentosail/kv/memoryprefixstore.cpp
+++ b/pimentosail/kv/memoryprefixstore.cpp
@@ -91,6 +91,22 @@
 {
     const std::lock_guard lock(this->mutex);
     this->down = isDown;
+    if (!isDown && this->leasesSuspendedSince) {
+        const Duration suspended = this->clock.nowWithSuspend() - *this->leasesSuspendedSince;
+        for (auto &[id, lease] : this->state.leases) {
+            lease.end = lease.end == Time(0) ? Time(0) : lease.end + suspended;
+        }
+        this->leasesSuspendedSince.reset();
+    }
+    this->changed.notify_all();
+}
+
+void MemoryPrefixStore::setDownWithLeases()
+{
+    const std::lock_guard lock(this->mutex);
+    this->endExpiredLeases();
+    this->down = true;
+    this->leasesSuspendedSince = this->clock.nowWithSuspend();
     this->changed.notify_all();
 }
 
@@ -146,6 +162,9 @@
 
 void MemoryPrefixStore::endExpiredLeases()
 {
+    if (this->leasesSuspendedSince) {
+        return;
+    }
     const Time now = this->clock.nowWithSuspend();
     for (const auto &[id, lease] : this->state.leases) {
         if (lease.end > Time(0) && lease.end <= now) {
--- a/pimentosail/kv/memoryprefixstore.h
+++ b/pimentosail/kv/memoryprefixstore.h
@@ -13,6 +13,7 @@
 #include <condition_variable>
 #include <map>
 #include <mutex>
+#include <optional>
 
 #include "pimentosail/kv/prefixstore.h"
 
@@ -34,9 +35,12 @@
     void put(const std::string &key, const std::string &value);
     void remove(const std::string &key);
 
-    // While set, every call of the interface except `revokeLease` throws.
+    // While set, every call of the interface except `revokeLease` throws. Leases go on.
     void setDown(bool isDown);
 
+    // The same, but leases are suspended until `setDown(false)`.
+    void setDownWithLeases();
+
     // Drops the history of changes, so that watches from earlier revisions report `isCompacted`.
     void compact();
 
@@ -107,6 +111,8 @@
     long commitCount = 0;
     int answersLeftToLose = 0;
     bool down = false;
+    // Since when leases are suspended; a time of `Clock::nowWithSuspend`.
+    std::optional<Time> leasesSuspendedSince;
 };
 
 } // namespace pimentosail
--- a/pimentosail/rollout/versionage.h
+++ b/pimentosail/rollout/versionage.h
@@ -8,8 +8,12 @@
 //     const std::vector<AgeMark> marks = ageMarks(age, limit);              // to be written under leases of `mark.ttl`
 //     const VersionAge bounds = ageFromMarks(record, {4, 5, 6, 7, 8});      // between 6 and 8 s
 //
-// A store that suspends leases during an outage keeps the marks longer by the outage; a version then seems younger by at
-// most that time. The functions are pure and thread-safe.
+// A store that suspends leases during an outage keeps the marks longer by the outage, and so does one that is restored from a copy; a version
+// then seems younger by at most that time. A host that heard of the version itself corrects the record for the hosts that start from then on:
+//
+//     if (const std::optional<Duration> delay = correctedRemovalDelay(record, {4, 5, 6, 7, 8}, age)) { ... }
+//
+// While marks of a version are left, some host may take it for as young as they show. The functions are pure and thread-safe.
 #pragma once
 
 #include <cstdint>
@@ -38,8 +42,8 @@
     // Indices of the marks go from 1 to this, whether they were written or had been reached by then.
     int64_t marks = 0;
     // The marks are removed up to this long after the version has certainly reached their age, since the store took time to
-    // grant their leases.
-    Duration grantDelay{};
+    // grant their leases or suspended them.
+    Duration removalDelay{};
     // The version may be younger by this than the writer of the marks assumed.
     Duration spread{};
 };
@@ -52,7 +56,7 @@
 };
 
 // Returns the record for marks that cover ages up to `limit`.
-AgeRecord makeAgeRecord(Duration limit, Duration grantDelay, Duration spread);
+AgeRecord makeAgeRecord(Duration limit, Duration removalDelay, Duration spread);
 
 // Returns the marks to write for a version that is at most `age` old. A mark whose rest is shorter than a store's shortest lease is
 // omitted; the version then seems to have reached it up to that time early.
@@ -61,6 +65,10 @@
 // Returns the age of a version of which just the marks `present` are left.
 VersionAge ageFromMarks(const AgeRecord &record, const std::set<int64_t> &present);
 
+// Returns the delay with which marks are removed if it is longer than that of `record`, or nothing: just the marks `present` are left of a
+// version of the age `age`, which must not come from the marks.
+std::optional<Duration> correctedRemovalDelay(const AgeRecord &record, const std::set<int64_t> &present, const VersionAge &age);
+
 std::string encodeAgeRecord(const AgeRecord &record);
 
 // Throws `Failure` (BadRequest) if `value` is not a record.
