--- a/pimentosail/base/socketstate.cpp
+++ b/pimentosail/base/socketstate.cpp
@@ -2,9 +2,11 @@
 
 #include <cerrno>
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace pimentosail
@@ -34,4 +36,10 @@
     return Milliseconds(info.tcpi_last_data_recv);
 }
 
+bool hasUnsentBytes(int descriptor)
+{
+    int bytes = 0;
+    return descriptor >= 0 && ::ioctl(descriptor, SIOCOUTQNSD, &bytes) == 0 && bytes > 0;
+}
+
 } // namespace pimentosail
--- a/pimentosail/net/callerbuffers.cpp
+++ b/pimentosail/net/callerbuffers.cpp
@@ -20,8 +20,8 @@
 constexpr Duration BlockTime = Milliseconds(250);
 // Counted for each block beside its data.
 constexpr int64_t BlockOverhead = 128;
-// While bytes are kept, the connection of a caller that reads nothing lasts for this time. The ordinary time of a connection, which is to find
-// connections that have gone silent, is shorter than the pauses of slow readers.
+// While bytes of an answer wait, the connection of a caller that reads nothing lasts for this time. The ordinary time of a connection, which is to
+// find connections that have gone silent, is shorter than the pauses of slow readers.
 constexpr unsigned ReaderTimeoutMilliseconds = 15'000;
 
 int64_t sizeOf(const std::string &data)
@@ -102,6 +102,9 @@
         if (sent < 0) {
             return false;
         }
+        if (!this->hasLongTimeout && hasUnsentBytes(this->socket)) {
+            this->lengthenUserTimeout();
+        }
         data.remove_prefix(static_cast<size_t>(sent));
         if (data.empty()) {
             return true;
@@ -203,13 +206,14 @@
     this->account(-this->keptBytes.load());
     std::erase(this->buffers.writers, this);
     this->buffers.readerCount.fetch_sub(1);
-    ::setsockopt(this->socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &this->initialUserTimeout, sizeof(this->initialUserTimeout));
 }
 
 void CallerWriter::lengthenUserTimeout()
 {
-    socklen_t size = sizeof(this->initialUserTimeout);
-    ::getsockopt(this->socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &this->initialUserTimeout, &size);
+    if (this->hasLongTimeout) {
+        return;
+    }
+    this->hasLongTimeout = true;
     ::setsockopt(this->socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &ReaderTimeoutMilliseconds, sizeof(ReaderTimeoutMilliseconds));
 }
 
--- a/pimentosail/net/callerbuffers.h
+++ b/pimentosail/net/callerbuffers.h
@@ -125,7 +125,8 @@
     bool flushKept();
     void account(int64_t change);
     void drop();
-    // Lets the kernel keep the connection for longer while its caller reads nothing; `drop` restores the time.
+    // Lets the kernel keep the connection for longer while its caller reads nothing, from the first bytes on that the caller does not take at once.
+    // The time stays until the connection ends, because bytes of the answer wait in the kernel after its end too.
     void lengthenUserTimeout();
 
     CallerBuffers &buffers;
@@ -137,7 +138,7 @@
     // Bytes have been kept, so that other threads may know the writer.
     bool wasKept = false;
     Time progressAt{};
-    unsigned initialUserTimeout = 0;
+    bool hasLongTimeout = false;
 };
 
 } // namespace pimentosail
