Correct late age marks only by hosts that know the age well

Read afresh: a host that heard of a version long after it was set, because it had lost the store, would have recorded a delay as long as its own uncertainty, and restarted hosts would have stopped work on older weights too early. It now leaves the correction to the others for that long. Without any marks the check costs one look-up.

--- a/pimentosail/entry/hostduty.cpp
+++ b/pimentosail/entry/hostduty.cpp
@@ -243,6 +243,10 @@
 
 void HostDuty::correctVersionTimes()
 {
+    if (this->mirror.items(VersionMarksPrefix).empty()) {
+        this->lateMarksSince.clear();
+        return;
+    }
     // Read before the items, which have all changes up to this time.
     const Time completeAt = this->mirror.status().completeAt;
     const size_t hosts = std::max<size_t>(1, this->context.state.hostCount());
@@ -265,7 +269,9 @@
             const auto since = this->lateMarksSince.find(name);
             late[name] = since == this->lateMarksSince.end() ? now : since->second;
             const auto rank = static_cast<int64_t>(stableHash(name + this->context.settings.name) % hosts);
-            if (now >= late[name] + rank * CorrectionStep && now >= this->nextVersionRecord) {
+            // A host that heard of the version long after it was set leaves the correction to the others.
+            const Duration vagueness = std::max(Duration(0), heard->latest - heard->earliest - record.step);
+            if (now >= late[name] + rank * CorrectionStep + vagueness && now >= this->nextVersionRecord) {
                 record.removalDelay = *delay;
                 this->correctVersionTime(item, record);
             }
