Give fetches five seconds on the targets' clock

Cause: since every fetch ends two seconds after its request is sent. Where prompts wait longer at their targets, the fetch is thrown away and the tokens are read again, at the busiest targets.

Both sides of the bound follow from the same constant as before.

--- a/pimentosail/kvcache/storecontents.h
+++ b/pimentosail/kvcache/storecontents.h
@@ -156,7 +156,7 @@
     // KV-cache bytes per token of a model whose configuration does not state them.
     static constexpr double DefaultBytesPerToken = 18432;
     // Where the targets' clock is known, a target gives up a fetch that has not ended within this time after its request was sent.
-    static constexpr Duration MaxFetchTime = std::chrono::seconds(2);
+    static constexpr Duration MaxFetchTime = std::chrono::seconds(5);
     // Longest time that a request is on its way to a target.
     static constexpr Duration MaxTransit = std::chrono::seconds(1);
 
