Keep blocks of slow readers within the bound that was made room for

Cause: std::string::reserve grows to at least twice the former capacity; room was made for less. Change: a block that grows gets exactly the capacity that was counted.

--- a/pimentosail/net/callerbuffers.cpp
+++ b/pimentosail/net/callerbuffers.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <utility>
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -17,6 +18,8 @@
 
 // Size of a block, and the time within which bytes go to the same one: they count as received together.
 constexpr size_t BlockBytes = 16 * 1024;
+// Above the sizes for which strings choose their capacity themselves.
+constexpr size_t MinBlockBytes = 64;
 constexpr Duration BlockTime = Milliseconds(250);
 // Counted for each block beside its data.
 constexpr int64_t BlockOverhead = 128;
@@ -140,7 +143,7 @@
         const size_t count = std::min(data.size(), BlockBytes - used);
         const size_t capacity = isFresh ? 0 : this->blocks.back().data.capacity();
         // Grows by doubling, up to the size of a block.
-        const size_t wanted = used + count <= capacity ? capacity : std::min(BlockBytes, std::max(used + count, 2 * capacity));
+        const size_t wanted = used + count <= capacity ? capacity : std::min(BlockBytes, std::max({MinBlockBytes, used + count, 2 * capacity}));
         this->buffers.makeRoom(*this, static_cast<int64_t>(wanted - capacity) + (isFresh ? BlockOverhead : 0));
         if (this->isEnded.load()) {
             return;
@@ -157,7 +160,13 @@
         }
         std::string &block = this->blocks.back().data;
         const int64_t before = isFresh ? 0 : sizeOf(block);
-        block.reserve(wanted);
+        if (block.capacity() < wanted) {
+            // A string that already has a capacity grows to at least twice that, which may be more than room was made for.
+            std::string grown;
+            grown.reserve(wanted);
+            grown.append(block);
+            block = std::move(grown);
+        }
         block.append(data.substr(0, count));
         this->account(sizeOf(block) - before);
         data.remove_prefix(count);
--- a/pimentosail/net/callerbufferstest.cpp
+++ b/pimentosail/net/callerbufferstest.cpp
@@ -1,5 +1,6 @@
 #include <array>
 #include <atomic>
+#include <list>
 #include <string>
 #include <thread>
 #include <vector>
@@ -59,6 +60,24 @@
 
 } // namespace
 
+// Guards against buffers beyond their bound, because a block grows by more than was made room for.
+Test(caller_buffers, no_sequence_of_writes_exceeds_the_bound)
+{
+    Clock clock;
+    CallerBuffers buffers(clock, Bound);
+    std::list<Connection> connections;
+    std::list<CallerWriter> writers;
+    for (size_t count = 0; count < 128; ++count) {
+        connections.emplace_back();
+        CallerWriter &writer = writers.emplace_back(buffers, connections.back().ends[0]);
+        for (size_t part = 0; part < 6; ++part) {
+            writer.write(std::string(count % 3 == 0 ? 20 + part : 1500 + 700 * (count % 7) + 311 * part, 'd'));
+            cr_assert_leq(buffers.bytes(), Bound, "%ld bytes", static_cast<long>(buffers.bytes()));
+        }
+    }
+    cr_assert_gt(buffers.ended(), 0);
+}
+
 // Guards against bytes that are lost, repeated or out of order when a connection takes parts of them.
 Test(caller_buffers, kept_bytes_are_written_in_order)
 {
