Limit the arenas of the allocator

Cause: eight arenas for each core; each keeps what its threads have freed. Change: four arenas in a process.

--- a/pimentosail/entry/entryprocess.cpp
+++ b/pimentosail/entry/entryprocess.cpp
@@ -48,6 +48,8 @@
 // Larger allocations are returned to the system when they are freed. By default, the allocator raises this size with each one that is
 // freed, and the heaps of many threads would keep the memory of large bodies.
 constexpr int LargeAllocationBytes = 256 * 1024;
+// Each arena of the allocator keeps what its threads have freed, and the default number grows with the cores of the machine.
+constexpr int MaxAllocatorArenas = 4;
 constexpr Duration RefreshInterval = Milliseconds(500);
 // Maximum time for which a long poll of another host is held open.
 constexpr Duration MaxPeerWait = Milliseconds(1000);
@@ -604,6 +606,7 @@
     const EntrySettings &settings, Clock &clock, EventLog &log, const Wire &wire, const PrefixStore &store)
 {
     ::mallopt(M_MMAP_THRESHOLD, LargeAllocationBytes);
+    ::mallopt(M_ARENA_MAX, MaxAllocatorArenas);
     try {
         return std::unique_ptr<EntryProcess>(new EntryProcess(std::make_unique<Impl>(settings, clock, log, wire, store)));
     } catch (const Poco::Exception &exception) {
