Hosts that start save at once to cache stores whose epoch others found open

Cause: a host waits before saves from when it first sees the epoch of a store, which for a host that starts is its own start.

Change: a host that has waited names the store's open epoch in the key-value store. Hosts that start later, and find that epoch, save at once; if the store has restarted again, or the key-value store is down, they wait as before.

--- a/pimentosail/entry/hostduty.cpp
+++ b/pimentosail/entry/hostduty.cpp
@@ -297,6 +297,45 @@
     }
 }
 
+void HostDuty::publishCacheEpochs()
+{
+    const Time now = this->context.clock.nowWithSuspend();
+    std::vector<std::string> hosts;
+    std::map<std::string, Time> missing;
+    for (const auto &[cacheStore, epoch] : this->context.cacheStores.openEpochs()) {
+        const std::string key = CacheEpochsPrefix + cacheStore;
+        const std::optional<StoredItem> item = itemAt(this->mirror, key);
+        if (item && item->value == std::to_string(epoch)) {
+            continue;
+        }
+        if (hosts.empty()) {
+            for (const HostEntry &host : this->context.state.hosts()) {
+                hosts.push_back(host.name);
+            }
+        }
+        const auto since = this->missingEpochsSince.find(cacheStore);
+        missing[cacheStore] = since == this->missingEpochsSince.end() ? now : since->second;
+        const bool isSelected = rendezvousOwner(key, hosts) == this->context.settings.name;
+        const auto rank = static_cast<int64_t>(stableHash(key + this->context.settings.name) % std::max<size_t>(1, hosts.size()));
+        const Duration delay = isSelected ? Duration(0) : (1 + rank) * FallbackPublishDelay;
+        if (now >= missing[cacheStore] + delay && now >= this->nextEpochRecord) {
+            this->publishCacheEpoch(cacheStore, epoch);
+        }
+    }
+    this->missingEpochsSince = std::move(missing);
+}
+
+void HostDuty::publishCacheEpoch(const std::string &cacheStore, int64_t epoch)
+{
+    try {
+        this->store.commit({{}, {{CacheEpochsPrefix + cacheStore, std::to_string(epoch), {}}}, {}});
+    } catch (const Failure &) {
+        // The mirror logs that the store is unreachable.
+        this->nextEpochRecord = this->context.clock.nowWithSuspend() + RecordRetry;
+        this->context.metrics.count("pimentosail_store_failures_total", {{"duty", "cache_epochs"}});
+    }
+}
+
 void HostDuty::run()
 {
     Time nextRenewal{};
@@ -309,6 +348,7 @@
         bool isAccepted = this->publishObservations();
         this->publishVersionTimes();
         this->correctVersionTimes();
+        this->publishCacheEpochs();
         const Time next = this->context.clock.now() + PublishInterval;
         while (!this->stopping.load() && this->context.clock.now() < next) {
             this->context.clock.sleepFor(ObservationInterval);
--- a/pimentosail/entry/stateupdater.cpp
+++ b/pimentosail/entry/stateupdater.cpp
@@ -119,6 +119,9 @@
     if (anyStartsWith(changedKeys, VersionTimesPrefix)) {
         this->updateVersionTimes(mirror);
     }
+    if (anyStartsWith(changedKeys, CacheEpochsPrefix)) {
+        this->updateCacheEpochs(mirror);
+    }
     if (anyStartsWith(changedKeys, layout.deliveryOrderPrefix) || anyStartsWith(changedKeys, DeliveryPrefix)) {
         this->updateDeliveries(mirror);
     }
@@ -343,6 +346,17 @@
     this->context.state.setMarkedVersions(std::move(marked));
 }
 
+void StateUpdater::updateCacheEpochs(const StoreMirror &mirror)
+{
+    for (const StoredItem &item : mirror.items(CacheEpochsPrefix)) {
+        try {
+            this->context.cacheStores.openEpoch(item.key.substr(CacheEpochsPrefix.size()), std::stoll(item.value));
+        } catch (const std::exception &exception) {
+            this->reportUnreadable(item, exception.what());
+        }
+    }
+}
+
 void StateUpdater::updateDeliveries(const StoreMirror &mirror)
 {
     const KeyValueLayout &layout = this->context.wire.layout;
--- a/pimentosail/entry/stateupdater.h
+++ b/pimentosail/entry/stateupdater.h
@@ -42,6 +42,9 @@
 // Splits MODEL/VERSION. Throws `Failure` (BadRequest) if `name` is something else.
 std::pair<std::string, int64_t> splitVersionName(const std::string &name);
 
+// Followed by the name of a cache store: its epoch, once a host has waited for the fetches of former epochs. Hosts that start later save at once.
+inline const std::string CacheEpochsPrefix = EntryPrefix + "cache-epochs/";
+
 // Followed by the name of a service: the state of the delivery of its new version.
 inline const std::string DeliveryPrefix = EntryPrefix + "delivery/";
 
@@ -78,6 +81,7 @@
     void releaseLoadedTargets(const std::vector<Registration> &registrations);
     void updateVersionTimes(const StoreMirror &mirror);
     void updateAgeMarks(const StoreMirror &mirror);
+    void updateCacheEpochs(const StoreMirror &mirror);
     void updateDeliveries(const StoreMirror &mirror);
     // Logs a value that cannot be decoded, once for each write.
     void reportUnreadable(const StoredItem &item, const std::string &reason);
--- a/pimentosail/entry/storeduties.h
+++ b/pimentosail/entry/storeduties.h
@@ -60,6 +60,9 @@
     // Corrects the records of versions whose age marks are removed late, if this host knows better when the versions were set.
     void correctVersionTimes();
     void correctVersionTime(const StoredItem &item, const AgeRecord &corrected);
+    // Publishes in which epochs cache stores are open for saves, for hosts that start later.
+    void publishCacheEpochs();
+    void publishCacheEpoch(const std::string &cacheStore, int64_t epoch);
 
     EntryContext &context;
     PrefixStore store;
@@ -79,6 +82,9 @@
     Time nextVersionRecord{};
     // Since when this host has seen that age marks are late, by MODEL/VERSION.
     std::map<std::string, Time> lateMarksSince;
+    // Since when this host has seen that the record of a cache store's open epoch is missing, and when it may write one again.
+    std::map<std::string, Time> missingEpochsSince;
+    Time nextEpochRecord{};
     std::atomic<bool> stopping{false};
     DutyThread thread;
 };
--- a/pimentosail/kvcache/kvcachetest.cpp
+++ b/pimentosail/kvcache/kvcachetest.cpp
@@ -232,6 +232,27 @@
     cr_assert_not(isSaved(late, "w4"));
 }
 
+// Guards against a wait on hosts that start long after a restart of a store, and against one that is left out for another epoch.
+Test(kvcache, an_epoch_that_another_host_has_found_open_is_open_at_once)
+{
+    Fixture fixture;
+    CacheStores started(fixture.clock);
+    started.openEpoch("fast", 2);
+    started.setStores({makeStore("fast", 200000, 10000)}, LongestRequest);
+    started.apply("fast", {2, 0, false, {}});
+    started.confirm("fast", 2, fixture.clock.nowWithSuspend());
+    cr_assert_eq(started.saveDelay("fast").count(), 0);
+    cr_assert_eq(started.openEpochs().at("fast"), 2);
+    started.apply("fast", {3, 0, false, {}});
+    started.confirm("fast", 3, fixture.clock.nowWithSuspend());
+    cr_assert_eq(started.saveDelay("fast").count(), RestartDelay.count());
+    cr_assert(started.openEpochs().empty());
+    started.openEpoch("fast", 2);
+    cr_assert_eq(started.saveDelay("fast").count(), RestartDelay.count(), "a statement about a former epoch");
+    started.openEpoch("fast", 3);
+    cr_assert_eq(started.saveDelay("fast").count(), 0);
+}
+
 // Guards against a host that goes by contents of a store of which it has not heard for some time: it stood still, a poll hangs, or its relay is
 // behind (review/8). The store may have restarted and be filled again.
 Test(kvcache, contents_are_used_only_for_a_time_after_the_store_has_confirmed_its_epoch)
--- a/pimentosail/kvcache/storecontents.cpp
+++ b/pimentosail/kvcache/storecontents.cpp
@@ -85,12 +85,38 @@
     entry.blocks.clear();
     entry.heldTokens = 0;
     entry.unreportedTokens = 0;
-    if (!hadEpoch && entry.isUnused && now < this->configuredAt + FirstUseTime) {
+    const auto stated = this->statedOpenEpochs.find(entry.store.name);
+    const bool isStatedOpen = stated != this->statedOpenEpochs.end() && stated->second == epoch;
+    if (isStatedOpen || (!hadEpoch && entry.isUnused && now < this->configuredAt + FirstUseTime)) {
         entry.epoch.openForSaves();
     }
     return hadEpoch;
 }
 
+void CacheStores::openEpoch(const std::string &store, int64_t epoch)
+{
+    const std::lock_guard lock(this->mutex);
+    this->statedOpenEpochs[store] = epoch;
+    const auto found = this->entries.find(store);
+    if (found != this->entries.end() && found->second.epoch.number() == epoch) {
+        found->second.epoch.openForSaves();
+    }
+}
+
+std::map<std::string, int64_t> CacheStores::openEpochs() const
+{
+    const std::lock_guard lock(this->mutex);
+    const Time now = this->clock.nowWithSuspend();
+    const Duration longestFetch = this->longestFetchLocked(now);
+    std::map<std::string, int64_t> result;
+    for (const auto &[name, entry] : this->entries) {
+        if (entry.isUsable(now) && entry.epoch.saveDelay(now, longestFetch) == Duration(0)) {
+            result[name] = entry.epoch.number();
+        }
+    }
+    return result;
+}
+
 bool CacheStores::apply(const std::string &store, const CacheEvents &events)
 {
     const std::lock_guard lock(this->mutex);
--- a/pimentosail/kvcache/storecontents.h
+++ b/pimentosail/kvcache/storecontents.h
@@ -197,6 +197,12 @@
     // Returns how long nothing is saved to a cache store yet because it may have restarted; zero for an unknown one.
     Duration saveDelay(const std::string &store) const;
 
+    // Permits saves to a cache store in `epoch`, which need not be known yet, because another host has waited for the fetches of former epochs.
+    void openEpoch(const std::string &store, int64_t epoch);
+
+    // Returns the present epochs in which saves are permitted, by cache store.
+    std::map<std::string, int64_t> openEpochs() const;
+
     // Marks a cache store as reachable or unreachable. No block is fetched from or saved to an unreachable one.
     void setReachable(const std::string &store, bool isReachable);
 
@@ -287,6 +293,8 @@
     Time configuredAt{};
     Duration longestTimeout{};
     std::map<std::string, StoreState> entries;
+    // Epochs that other hosts have found open for saves, by cache store.
+    std::map<std::string, int64_t> statedOpenEpochs;
     // Saves that were planned and not yet reported. They keep concurrent requests from saving the same block.
     std::map<BlockKey, PendingSave> pendingSaves;
     std::map<BlockKey, Time> lastUses;
--- a/pimentosail/kvcache/storeepoch.h
+++ b/pimentosail/kvcache/storeepoch.h
@@ -35,7 +35,7 @@
     // Records that the store was in `epoch` at `time` or later. Has no effect if another epoch is known.
     void confirm(int64_t epoch, Time time);
 
-    // Permits saves at once, because no request of a former epoch exists.
+    // Permits saves at once, because no request of a former epoch exists any more.
     void openForSaves()
     {
         this->isOpen = true;
