Name one open epoch of a cache store in each step of the duty

Read afresh: where one host names many stores, slow writes in a row would have delayed the renewal of its lease by the same thread. All tests of cache_store_restart pass.

--- a/pimentosail/entry/hostduty.cpp
+++ b/pimentosail/entry/hostduty.cpp
@@ -32,7 +32,7 @@
 constexpr Duration MaxGrantTime = Milliseconds(1500);
 // The hosts correct a record one after another, this far apart, until one has done so.
 constexpr Duration CorrectionStep = Milliseconds(200);
-// Pause between two records of versions, so that a store that is slow or down is not loaded further.
+// Pause between two records of versions, and after one that failed, so that a store that is slow or down is not loaded further.
 constexpr Duration RecordRetry = std::chrono::seconds(1);
 
 } // namespace
@@ -327,13 +327,16 @@
 
 void HostDuty::publishCacheEpoch(const std::string &cacheStore, int64_t epoch)
 {
+    // One record in each step of the duty, which also renews this host's lease.
+    Duration pause = PublishInterval;
     try {
         this->store.commit({{}, {{CacheEpochsPrefix + cacheStore, std::to_string(epoch), {}}}, {}});
     } catch (const Failure &) {
         // The mirror logs that the store is unreachable.
-        this->nextEpochRecord = this->context.clock.nowWithSuspend() + RecordRetry;
+        pause = RecordRetry;
         this->context.metrics.count("pimentosail_store_failures_total", {{"duty", "cache_epochs"}});
     }
+    this->nextEpochRecord = this->context.clock.nowWithSuspend() + pause;
 }
 
 void HostDuty::run()
