Name only those epochs as open that this host has waited for

Read afresh: a host that assumes at the first start of the whole system that no request of a former epoch exists would have told that to all others. It names the epoch once the ordinary wait is over, too.

--- a/pimentosail/kvcache/kvcachetest.cpp
+++ b/pimentosail/kvcache/kvcachetest.cpp
@@ -242,6 +242,9 @@
     started.apply("fast", {2, 0, false, {}});
     started.confirm("fast", 2, fixture.clock.nowWithSuspend());
     cr_assert_eq(started.saveDelay("fast").count(), 0);
+    cr_assert(started.openEpochs().empty(), "what another host has found is not found again");
+    fixture.advance(RestartDelay);
+    started.confirm("fast", 2, fixture.clock.nowWithSuspend());
     cr_assert_eq(started.openEpochs().at("fast"), 2);
     started.apply("fast", {3, 0, false, {}});
     started.confirm("fast", 3, fixture.clock.nowWithSuspend());
--- a/pimentosail/kvcache/storecontents.cpp
+++ b/pimentosail/kvcache/storecontents.cpp
@@ -110,7 +110,7 @@
     const Duration longestFetch = this->longestFetchLocked(now);
     std::map<std::string, int64_t> result;
     for (const auto &[name, entry] : this->entries) {
-        if (entry.isUsable(now) && entry.epoch.saveDelay(now, longestFetch) == Duration(0)) {
+        if (entry.isUsable(now) && entry.epoch.hasWaited(now, longestFetch)) {
             result[name] = entry.epoch.number();
         }
     }
--- a/pimentosail/kvcache/storecontents.h
+++ b/pimentosail/kvcache/storecontents.h
@@ -200,7 +200,7 @@
     // Permits saves to a cache store in `epoch`, which need not be known yet, because another host has waited for the fetches of former epochs.
     void openEpoch(const std::string &store, int64_t epoch);
 
-    // Returns the present epochs in which saves are permitted, by cache store.
+    // Returns the present epochs for which this host has itself waited for the fetches of former ones, by cache store.
     std::map<std::string, int64_t> openEpochs() const;
 
     // Marks a cache store as reachable or unreachable. No block is fetched from or saved to an unreachable one.
--- a/pimentosail/kvcache/storeepoch.cpp
+++ b/pimentosail/kvcache/storeepoch.cpp
@@ -31,4 +31,9 @@
     return std::max(Duration(0), this->seenAt + Lease + longestFetch - now);
 }
 
+bool StoreEpoch::hasWaited(Time now, Duration longestFetch) const
+{
+    return this->epoch != 0 && now >= this->seenAt + Lease + longestFetch;
+}
+
 } // namespace pimentosail
--- a/pimentosail/kvcache/storeepoch.h
+++ b/pimentosail/kvcache/storeepoch.h
@@ -66,6 +66,9 @@
     // Returns how long no block may be saved yet, if every fetch ends within `longestFetch` after its request is sent.
     Duration saveDelay(Time now, Duration longestFetch) const;
 
+    // Returns true if this host has itself waited for the fetches of former epochs.
+    bool hasWaited(Time now, Duration longestFetch) const;
+
 private:
     int64_t epoch = 0;
     Time seenAt{};
