--- a/review/standins-3/users.cpp
+++ b/review/standins-3/users.cpp
@@ -435,6 +435,12 @@
         }
         if (now() >= nextReport) {
             nextReport += Milliseconds(2000);
+            for (const int index : machines) {
+                const auto place = static_cast<size_t>(index);
+                if (!isDown[place]) {
+                    line += std::string(", ") + (hosts[place]->awaitReady(Milliseconds(1)) ? "ready" : "not ready");
+                }
+            }
             record.write(line);
         }
     }
