--- a/review/standins-3/users.cpp
+++ b/review/standins-3/users.cpp
@@ -41,9 +41,18 @@
 constexpr int64_t LateRequests = 8;
 constexpr double LatePart = 0.25;
 
-// A kind of requests on the sheet, and its number in ten seconds.
+// A kind of requests on the sheet, and its number in ten seconds. Streams may be resumed (`resumable`) or not (`streaming`).
 struct Kind
 {
+    bool isStream() const
+    {
+        return std::string(this->kind) == "resumable" || std::string(this->kind) == "streaming";
+    }
+    bool mayBeRepeated() const
+    {
+        return std::string(this->kind) == "resumable" || std::string(this->kind) == "safe";
+    }
+
     const char *path;
     const char *kind;
     int perTenSeconds;
@@ -77,30 +86,30 @@
 Sheet krathong()
 {
     return {7, 2, 110, Milliseconds(95000),
-        {{"/verse/", "streaming", 1090, 4000}, {"/draft/", "streaming", 1110, 12000}, {"/order/", "unsafe", 550, 1000}, {"/calendar/", "safe", 220, 1000}}};
+        {{"/verse/", "resumable", 1090, 4000}, {"/draft/", "streaming", 1110, 12000}, {"/order/", "unsafe", 550, 1000}, {"/calendar/", "safe", 220, 1000}}};
 }
 
 Sheet ledeno()
 {
     return {6, 1, 260, Milliseconds(60000),
-        {{"/call/", "streaming", 726, 4000}, {"/ask/", "streaming", 738, 12000}, {"/book/", "unsafe", 366, 3000}, {"/look/", "safe", 147, 3000}}};
+        {{"/call/", "resumable", 726, 4000}, {"/ask/", "streaming", 738, 12000}, {"/book/", "unsafe", 366, 3000}, {"/look/", "safe", 147, 3000}}};
 }
 
-Json::Value route(const std::string &name, const std::string &path, const std::string &kind, int timeout, const std::string &service)
+Json::Value route(const Kind &kind)
 {
     Json::Value value;
-    value["Name"] = name;
+    value["Name"] = std::string("r-") + kind.path[1];
     value["Host"] = "users.example";
-    value["PathPrefix"] = path;
-    value["Kind"] = kind;
-    value["TimeoutMs"] = timeout;
-    value["TargetLatencyMs"] = kind == "streaming" ? 500 : 100;
+    value["PathPrefix"] = kind.path;
+    value["Kind"] = kind.isStream() ? "streaming" : kind.kind;
+    value["TimeoutMs"] = kind.timeout;
+    value["TargetLatencyMs"] = kind.isStream() ? 500 : 100;
     value["Priority"] = 1;
-    value["Service"] = service;
+    value["Service"] = kind.isStream() ? "model" : "desk";
     value["MaxAttempts"] = 2;
     value["Public"] = false;
-    value["Sticky"] = kind == "streaming";
-    value["Resumable"] = false;
+    value["Sticky"] = kind.isStream();
+    value["Resumable"] = kind.isStream() && kind.mayBeRepeated();
     value["TargetGapMs"] = 400;
     return value;
 }
@@ -110,8 +119,7 @@
     Json::Value document;
     document["Version"] = 1;
     for (const Kind &kind : sheet.kinds) {
-        const std::string service = std::string(kind.kind) == "streaming" ? "model" : "desk";
-        document["Routes"].append(route(std::string("r-") + kind.path[1], kind.path, kind.kind, kind.timeout, service));
+        document["Routes"].append(route(kind));
     }
     for (const char *name : {"model", "desk"}) {
         Json::Value service;
@@ -172,7 +180,7 @@
             ++kind;
         }
         ++this->requests;
-        const bool isPrompt = std::string(kind->kind) == "streaming";
+        const bool isPrompt = kind->isStream();
         const std::string bytes = std::string(std::string(kind->kind) == "safe" ? "GET " : "POST ") + kind->path + std::to_string(index)
             + " HTTP/1.1\r\nHost: users.example\r\nX-Pimentosail-Request-Id: u" + std::to_string(index) + "-" + std::to_string(this->requests)
             + "\r\nX-Pimentosail-Request-Deadline: " + std::to_string(kind->timeout) + "\r\nAuthorization: Bearer key-of-t1\r\n"
@@ -242,7 +250,7 @@
                 continue;
             }
             const Milliseconds limit(user.waitsFor->timeout);
-            const bool isSafe = std::string(user.waitsFor->kind) == "safe";
+            const bool isSafe = user.waitsFor->mayBeRepeated();
             if (!isSafe && !user.isLate && time > user.sentAt + limit) {
                 user.isLate = true;
                 ++this->late;
