--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/../.."
 folder=$(mktemp -d)
 trap 'rm -rf "$folder"' EXIT
-timeout -k 3 115 target/review-3/users answers "$folder" review/14/record.txt
+timeout -k 3 115 target/review-3/users memory "$folder" review/14/record.txt
 status=$?
 if [ "$status" -gt 1 ]; then
     exit 2
