--- a/review/standins-3/poison.cpp
+++ b/review/standins-3/poison.cpp
@@ -6,6 +6,7 @@
 // FOLDER gets settings and logs. Exits with 1 if the rule was broken, 0 if it held and 2 if the case could not run.
 #include <algorithm>
 #include <csignal>
+#include <cstdlib>
 #include <iostream>
 #include <memory>
 #include <sstream>
@@ -117,7 +118,8 @@
         }
         this->supervisor = std::thread([this] { this->supervise(); });
     }
-    ~WorkerGroup()
+    // Ends the workers.
+    void end()
     {
         this->isEnding.store(true);
         this->supervisor.join();
@@ -265,6 +267,13 @@
         return before < 3 ? 2 : isBroken ? 1 : 0;
     }
 
+    // Ends all processes.
+    void end()
+    {
+        this->hosts.clear();
+        this->workers.end();
+    }
+
 private:
     void send(size_t host, const std::string &path)
     {
@@ -364,5 +373,9 @@
         std::cerr << "usage: poison FOLDER RECORD\n";
         return 2;
     }
-    return Case(argv[0], arguments[0], arguments[1]).play();
+    // Outlives the threads of the stand-ins, which end with the program.
+    Case &played = *new Case(argv[0], arguments[0], arguments[1]);
+    const int result = played.play();
+    played.end();
+    std::_Exit(result);
 }
--- a/review/standins-3/smuggle.cpp
+++ b/review/standins-3/smuggle.cpp
@@ -4,6 +4,7 @@
 //
 // FOLDER gets settings and logs. Exits with 1 if the rule was broken, 0 if it held and 2 if the case could not run.
 #include <algorithm>
+#include <cstdlib>
 #include <iostream>
 
 #include "rig.h"
@@ -83,9 +84,10 @@
 
 int play(const std::string &form, const std::string &folder, const std::string &recordPath)
 {
-    Record record(recordPath);
-    StoreStandIn store("127.0.0.2", 0);
-    WorkerStandIn worker("127.0.0.50", 0, "i-1", record);
+    // These outlive their threads, which end with the program.
+    static Record record(recordPath);
+    static StoreStandIn store("127.0.0.2", 0);
+    static WorkerStandIn worker("127.0.0.50", 0, "i-1", record);
     store.put("op/config", configuration());
     store.put("servers/i-1", worker.registration("desk", "z1"));
     HostProcess host({.name = "front-1", .ip = "127.0.0.11", .storeAddress = store.address()}, folder);
@@ -126,5 +128,5 @@
         std::cerr << "usage: smuggle encoded-word | spaced-name FOLDER RECORD\n";
         return 2;
     }
-    return play(arguments[0], arguments[1], arguments[2]);
+    std::_Exit(play(arguments[0], arguments[1], arguments[2]));
 }
--- a/review/standins-3/users.cpp
+++ b/review/standins-3/users.cpp
@@ -5,6 +5,7 @@
 //
 // FOLDER gets settings and logs. Exits with 1 if the rule was broken, 0 if it held and 2 if the case could not run.
 #include <algorithm>
+#include <cstdlib>
 #include <iostream>
 #include <memory>
 
@@ -346,16 +347,19 @@
 int play(bool isMemoryCase, const std::string &folder, const std::string &recordPath)
 {
     const Sheet sheet = isMemoryCase ? krathong() : ledeno();
-    // Those of a machine of the deployment, for each host, and as many for the users.
+    // Descriptors for the users' connections, and for those of the stand-ins.
     rlimit files{};
     ::getrlimit(RLIMIT_NOFILE, &files);
-    if (files.rlim_cur < 4100) {
-        std::cerr << "needs 4,100 file descriptors (ulimit -n)\n";
+    files.rlim_cur = std::max(files.rlim_cur, std::min<rlim_t>(files.rlim_max, 8192));
+    ::setrlimit(RLIMIT_NOFILE, &files);
+    if (files.rlim_cur < 4800) {
+        std::cerr << "needs 4,800 file descriptors (ulimit -Hn)\n";
         return 2;
     }
-    Record record(recordPath);
-    StoreStandIn store("127.0.0.2", 0);
-    std::vector<std::unique_ptr<WorkerStandIn>> workers;
+    // These outlive their threads, which end with the program.
+    static Record record(recordPath);
+    static StoreStandIn store("127.0.0.2", 0);
+    static std::vector<std::unique_ptr<WorkerStandIn>> workers;
     for (int index = 0; index < 4; ++index) {
         const std::string id = "i-" + std::to_string(index);
         workers.push_back(std::make_unique<WorkerStandIn>("127.0.0." + std::to_string(50 + index), 0, id, record));
@@ -473,5 +477,5 @@
         std::cerr << "usage: users memory | answers FOLDER RECORD\n";
         return 2;
     }
-    return play(arguments[0] == "memory", arguments[1], arguments[2]);
+    std::_Exit(play(arguments[0] == "memory", arguments[1], arguments[2]));
 }
