--- a/pimentosail/entry/attempt.cpp
+++ b/pimentosail/entry/attempt.cpp
@@ -278,7 +278,7 @@
 bool Attempt::readMatchingHeader(HttpConnection &connection, const AttemptLimits &limits, AttemptResult &result)
 {
     for (int stray = 0; stray <= MaxStrayAnswers; ++stray) {
-        Poco::Net::HTTPResponse header;
+        AnswerHead header;
         const ReadStatus status
             = this->readWithStall(limits, [&](const Wait &wait) { return connection.readHeader(header, this->request.method != "HEAD", wait); });
         if (status != ReadStatus::Data) {
--- a/pimentosail/entry/requestrunner.cpp
+++ b/pimentosail/entry/requestrunner.cpp
@@ -19,6 +19,7 @@
 constexpr Duration AnswerMargin = Milliseconds(30);
 // A request with less time left is not sent, because no target could start it in time.
 constexpr Duration MinTimeLeft = Milliseconds(15);
+constexpr int StatusOk = 200;
 // Maximum number of attempts that send nothing.
 constexpr int MaxUnsent = 6;
 // Maximum number of attempts that reach a target.
@@ -279,7 +280,7 @@
         this->context.quarantine.recordAnswer(this->fingerprint);
     }
     // An error that answers the resumption of a stream is no end of it, whatever its content type.
-    if (result.end == AttemptEnd::Answered && this->streaming && result.header.isEventStream && result.header.status == Poco::Net::HTTPResponse::HTTP_OK) {
+    if (result.end == AttemptEnd::Answered && this->streaming && result.header.isEventStream && result.header.status == StatusOk) {
         this->streamEnded = true;
         this->context.mixedLoad.recordPauses(this->service, this->route->name, this->longestPause > this->route->targetGap);
         this->exchange.endStream();
--- a/pimentosail/entry/wire.h
+++ b/pimentosail/entry/wire.h
@@ -10,20 +10,17 @@
 #include <utility>
 #include <vector>
 
-#include <Poco/Net/HTTPResponse.h>
-
 #include "pimentosail/delivery/deliverystate.h"
 #include "pimentosail/directory/directory.h"
 #include "pimentosail/entry/deliveries.h"
 #include "pimentosail/kv/prefixstore.h"
 #include "pimentosail/kvcache/storecontents.h"
 #include "pimentosail/net/httpserver.h"
+#include "pimentosail/net/messagehead.h"
 
 namespace pimentosail
 {
 
-using HeaderList = std::vector<std::pair<std::string, std::string>>;
-
 // The prompt of a request to a model.
 struct Prompt
 {
@@ -185,7 +182,7 @@
     // Returns the bytes of a complete request to a target: request line, header fields and body.
     std::function<std::string(const CallerRequest &request, const AttemptPlan &plan)> encodeAttempt;
     // Decodes the header of a target's answer. May throw `Failure` if the header is invalid.
-    std::function<ReplyHeader(const Poco::Net::HTTPResponse &header)> decodeReplyHeader;
+    std::function<ReplyHeader(const AnswerHead &head)> decodeReplyHeader;
     // Returns the header fields of an answer that this host generates itself.
     std::function<HeaderList(const CallerRequest &request)> ownAnswerHeaders;
 
--- a/pimentosail/net/answerrules.cpp
+++ b/pimentosail/net/answerrules.cpp
@@ -43,6 +43,8 @@
         return "none";
     case AnswerFault::InvalidStatus:
         return "invalid status";
+    case AnswerFault::MalformedHead:
+        return "malformed header";
     case AnswerFault::Truncated:
         return "the answer was truncated";
     case AnswerFault::EndedBeforeRequest:
--- a/pimentosail/net/answerrules.h
+++ b/pimentosail/net/answerrules.h
@@ -42,6 +42,8 @@
     None,
     // The status line names no status of a final or interim answer.
     InvalidStatus,
+    // The header can be read in more than one way.
+    MalformedHead,
     // The connection ended before the last byte that the framing promises.
     Truncated,
     // The connection ended, as the only mark of the answer's end, before the peer had received the whole request.
--- a/pimentosail/net/httpanswers.cpp
+++ b/pimentosail/net/httpanswers.cpp
@@ -1,14 +1,15 @@
 // The functions of `HttpExchange` that write answers.
 #include <array>
 #include <charconv>
-#include <sstream>
 #include <utility>
 
 #include <poll.h>
 #include <sys/socket.h>
 
-#include <Poco/Exception.h>
-#include <Poco/Net/HTTPServerRequestImpl.h>
+#include <Poco/DateTimeFormat.h>
+#include <Poco/DateTimeFormatter.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Timestamp.h>
 
 #include "pimentosail/base/json.h"
 #include "pimentosail/base/socketstate.h"
@@ -31,38 +32,49 @@
 
 void HttpExchange::closeIfBodyIsUnread()
 {
-    if (!this->isBodyRead && this->framing() != Framing::None) {
-        this->response.setKeepAlive(false);
+    if (!this->isBodyRead && this->request.framing != BodyFraming::None) {
+        this->keepsAlive = false;
     }
 }
 
 void HttpExchange::setHeader(const std::string &name, const std::string &value)
 {
-    this->response.set(name, value);
+    std::erase_if(this->answerHeaders, [&name](const auto &header) { return isSameHeader(header.first, name); });
+    this->answerHeaders.emplace_back(name, value);
+}
+
+std::string HttpExchange::headText(int status, const HeaderList &headers) const
+{
+    const auto code = static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status);
+    HeadWriter writer("HTTP/1.1 " + std::to_string(status) + " " + Poco::Net::HTTPResponse::getReasonForStatus(code));
+    bool hasDate = false;
+    for (const HeaderList *list : {&headers, &this->answerHeaders}) {
+        for (const auto &[name, value] : *list) {
+            writer.add(name, value);
+            hasDate = hasDate || isSameHeader(name, "Date");
+        }
+    }
+    if (!hasDate) {
+        writer.add("Date", Poco::DateTimeFormatter::format(Poco::Timestamp(), Poco::DateTimeFormat::HTTP_FORMAT));
+    }
+    writer.add("Connection", this->keepsAlive ? "Keep-Alive" : "Close");
+    return writer.finish();
 }
 
 void HttpExchange::send(int status, const std::string &contentType, const std::string &body)
 {
-    this->closeIfBodyIsUnread();
-    this->response.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
-    this->response.setReason(Poco::Net::HTTPResponse::getReasonForStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status)));
-    this->response.setContentType(contentType);
-    this->response.setContentLength64(static_cast<Poco::Int64>(body.size()));
-    this->sendAnswer(this->method() == Poco::Net::HTTPRequest::HTTP_HEAD ? std::string_view() : body);
+    this->sendWithHeaders(status, {{"Content-Type", contentType}}, body, this->method() != "HEAD");
 }
 
-void HttpExchange::sendWithHeaders(int status, const std::vector<std::pair<std::string, std::string>> &headers, const std::string &body, bool hasBody)
+void HttpExchange::sendWithHeaders(int status, const HeaderList &headers, const std::string &body, bool hasBody)
 {
     this->closeIfBodyIsUnread();
-    const auto code = static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status);
-    this->response.setStatusAndReason(code);
-    for (const auto &[name, value] : headers) {
-        this->response.add(name, value);
+    HeaderList all = headers;
+    const bool hasLength = hasBody && status != Poco::Net::HTTPResponse::HTTP_NO_CONTENT && status != Poco::Net::HTTPResponse::HTTP_NOT_MODIFIED;
+    if (hasLength) {
+        all.emplace_back("Content-Length", std::to_string(body.size()));
     }
-    if (hasBody && code != Poco::Net::HTTPResponse::HTTP_NO_CONTENT && code != Poco::Net::HTTPResponse::HTTP_NOT_MODIFIED) {
-        this->response.setContentLength64(static_cast<Poco::Int64>(body.size()));
-    }
-    this->sendAnswer(hasBody ? body : std::string_view());
+    this->sendAnswer(this->headText(status, all), hasLength ? body : std::string_view());
 }
 
 void HttpExchange::useBuffers(CallerBuffers &buffers)
@@ -70,57 +82,48 @@
     this->writer.emplace(buffers, this->callerSocket());
 }
 
-std::string HttpExchange::headerText() const
+bool HttpExchange::writeBytes(std::string_view bytes)
 {
-    std::ostringstream text;
-    this->response.write(text);
-    return std::move(text).str();
+    return this->writer ? this->writer->write(bytes) : this->connection.send(bytes);
 }
 
-void HttpExchange::sendAnswer(std::string_view body)
+void HttpExchange::sendAnswer(std::string head, std::string_view body)
 {
-    if (this->writer) {
-        std::string header = this->headerText();
-        this->isHeaderWritten = true;
-        const bool isCopied = body.size() <= MaxCopiedBody;
-        if (isCopied) {
-            header += body;
-        }
-        if (!this->writer->write(header) || (!isCopied && !this->writer->write(body))) {
-            this->abort();
-        }
-        return;
+    this->isHeaderWritten = true;
+    const bool isCopied = body.size() <= MaxCopiedBody;
+    if (isCopied) {
+        head += body;
     }
-    std::ostream &out = this->response.send();
-    out.write(body.data(), static_cast<std::streamsize>(body.size()));
-    out.flush();
-    if (!out.good()) {
+    if (!this->writeBytes(head) || (!isCopied && !this->writeBytes(body))) {
         this->abort();
     }
 }
 
-void HttpExchange::startStreamWithHeaders(int status, const std::vector<std::pair<std::string, std::string>> &headers)
+void HttpExchange::startChunks(int status, HeaderList headers)
 {
     this->closeIfBodyIsUnread();
-    this->response.setStatusAndReason(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
-    for (const auto &[name, value] : headers) {
-        this->response.add(name, value);
-    }
-    this->response.setChunkedTransferEncoding(true);
-    if (this->writer) {
-        this->isHeaderWritten = true;
-        this->isChunked = true;
-        if (!this->writer->write(this->headerText())) {
-            throw Failure(ErrorKind::Cancelled, "the caller has disconnected");
-        }
-        return;
+    headers.emplace_back("Transfer-Encoding", "chunked");
+    const std::string head = this->headText(status, headers);
+    this->isHeaderWritten = true;
+    this->isChunked = true;
+    if (!this->writeBytes(head)) {
+        throw Failure(ErrorKind::Cancelled, "the caller has disconnected");
     }
-    this->stream = &this->response.send();
+}
+
+void HttpExchange::startStreamWithHeaders(int status, const HeaderList &headers)
+{
+    this->startChunks(status, headers);
+}
+
+void HttpExchange::startStream(const std::string &contentType)
+{
+    this->startChunks(Poco::Net::HTTPResponse::HTTP_OK, {{"Content-Type", contentType}, {"Cache-Control", "no-store"}});
 }
 
 void HttpExchange::endStream()
 {
-    if (std::exchange(this->isChunked, false) && !this->writer->write("0\r\n\r\n")) {
+    if (std::exchange(this->isChunked, false) && !this->writeBytes("0\r\n\r\n")) {
         this->abort();
     }
 }
@@ -148,19 +151,8 @@
 void HttpExchange::abort()
 {
     this->isChunked = false;
-    this->response.setKeepAlive(false);
-    auto *implementation = dynamic_cast<Poco::Net::HTTPServerRequestImpl *>(&this->request);
-    if (implementation != nullptr) {
-        // POCO's chunked stream writes the last chunk when it is destroyed, which would mark the answer as complete;
-        // the shutdown makes this write fail.
-        ::shutdown(implementation->socket().impl()->sockfd(), SHUT_RDWR);
-    }
-}
-
-int HttpExchange::callerSocket() const
-{
-    auto *implementation = dynamic_cast<Poco::Net::HTTPServerRequestImpl *>(&this->request);
-    return implementation == nullptr ? -1 : implementation->socket().impl()->sockfd();
+    this->keepsAlive = false;
+    this->connection.shutDown();
 }
 
 void HttpExchange::sendJson(int status, const Json::Value &value)
@@ -182,41 +174,19 @@
 {
     const ErrorAnswer &answer = answerFor(error.kind);
     if (answer.retryAfterSeconds > 0) {
-        this->response.set("Retry-After", std::to_string(answer.retryAfterSeconds));
+        this->setHeader("Retry-After", std::to_string(answer.retryAfterSeconds));
     }
     this->sendJson(answer.httpStatus, errorBody(error, requestId));
 }
 
-void HttpExchange::startStream(const std::string &contentType)
-{
-    this->closeIfBodyIsUnread();
-    this->response.setStatus(Poco::Net::HTTPResponse::HTTP_OK);
-    this->response.setContentType(contentType);
-    this->response.setChunkedTransferEncoding(true);
-    this->response.set("Cache-Control", "no-store");
-    this->stream = &this->response.send();
-}
-
 void HttpExchange::write(const std::string &data)
 {
-    if (this->writer) {
-        std::array<char, 16> size;
-        const std::to_chars_result end = std::to_chars(size.data(), size.data() + size.size(), data.size(), 16);
-        std::string chunk;
-        chunk.reserve(data.size() + size.size() + 4);
-        chunk.append(size.data(), end.ptr).append("\r\n").append(data).append("\r\n");
-        if (!data.empty() && !this->writer->write(chunk)) {
-            throw Failure(ErrorKind::Cancelled, "the caller has disconnected");
-        }
-        return;
-    }
-    try {
-        this->stream->write(data.data(), static_cast<std::streamsize>(data.size()));
-        this->stream->flush();
-    } catch (const Poco::Exception &) {
-        this->stream->setstate(std::ios::badbit);
-    }
-    if (!this->stream->good()) {
+    std::array<char, 16> size;
+    const std::to_chars_result end = std::to_chars(size.data(), size.data() + size.size(), data.size(), 16);
+    std::string chunk;
+    chunk.reserve(data.size() + size.size() + 4);
+    chunk.append(size.data(), end.ptr).append("\r\n").append(data).append("\r\n");
+    if (!data.empty() && !this->writeBytes(chunk)) {
         throw Failure(ErrorKind::Cancelled, "the caller has disconnected");
     }
 }
--- a/pimentosail/net/httpclient.cpp
+++ b/pimentosail/net/httpclient.cpp
@@ -1,9 +1,7 @@
 #include "pimentosail/net/httpclient.h"
 
 #include <algorithm>
-#include <sstream>
 
-#include <Poco/Net/HTTPRequest.h>
 #include <Poco/String.h>
 
 namespace pimentosail
@@ -28,27 +26,31 @@
     }
 }
 
+// Throws `Failure` (Internal) if a header can't be written.
 std::string encode(const std::string &address, const HttpRequest &request)
 {
-    Poco::Net::HTTPRequest header(request.method, request.path, Poco::Net::HTTPRequest::HTTP_1_1);
-    header.setHost(address);
+    HeadWriter writer(request.method + " " + request.path + " HTTP/1.1");
+    const auto isGiven = [&request](std::string_view wanted) {
+        return std::any_of(request.headers.begin(), request.headers.end(), [wanted](const auto &header) { return isSameHeader(header.first, wanted); });
+    };
+    if (!isGiven("Host")) {
+        writer.add("Host", address);
+    }
     for (const auto &[name, value] : request.headers) {
-        header.set(name, value);
+        writer.add(name, value);
     }
     if (!request.body.empty() || request.method == "POST") {
-        header.setContentLength64(static_cast<Poco::Int64>(request.body.size()));
-        if (!header.has("Content-Type")) {
-            header.setContentType("application/json");
+        writer.add("Content-Length", std::to_string(request.body.size()));
+        if (!isGiven("Content-Type")) {
+            writer.add("Content-Type", "application/json");
         }
     }
-    std::ostringstream bytes;
-    header.write(bytes);
-    return std::move(bytes).str() + request.body;
+    return writer.finish() + request.body;
 }
 
 bool mayHaveBody(const HttpRequest &request)
 {
-    return request.method != Poco::Net::HTTPRequest::HTTP_HEAD;
+    return request.method != "HEAD";
 }
 
 // How an exchange ended without an answer.
@@ -75,14 +77,14 @@
     if (sent != SendStatus::Sent && sent != SendStatus::AnsweredEarly) {
         return tl::unexpected<ExchangeFailure>({"the request could not be written", sent == SendStatus::Timeout});
     }
-    Poco::Net::HTTPResponse response;
+    AnswerHead response;
     if (const ReadStatus status = connection.readHeader(response, mayHaveBody(request), waitOf(timeout)); status != ReadStatus::Data) {
         return tl::unexpected(failureOf(status, "the header"));
     }
     HttpReply reply;
-    reply.status = response.getStatus();
-    reply.contentType = response.getContentType();
-    reply.headers.assign(response.begin(), response.end());
+    reply.status = response.status;
+    reply.contentType = response.header("Content-Type");
+    reply.headers = std::move(response.headers);
     const Time bodyEnd = clock.now() + MaxBodyTime;
     ReadStatus status = ReadStatus::Data;
     while (status == ReadStatus::Data) {
@@ -201,7 +203,7 @@
 
 int HttpStream::status() const
 {
-    return this->response.getStatus();
+    return this->response.status;
 }
 
 LineStatus HttpStream::receive(Duration wait)
--- a/pimentosail/net/httpclient.h
+++ b/pimentosail/net/httpclient.h
@@ -18,8 +18,6 @@
 #include <utility>
 #include <vector>
 
-#include <Poco/Net/HTTPResponse.h>
-
 #include "pimentosail/base/clock.h"
 #include "pimentosail/base/error.h"
 #include "pimentosail/net/httpconnection.h"
@@ -131,7 +129,7 @@
     Clock clock;
     std::unique_ptr<HttpConnection> connection;
     bool expectsBody;
-    Poco::Net::HTTPResponse response;
+    AnswerHead response;
     // Bytes of the body that were not returned yet, and how many of them at the start contain no line end.
     std::string received;
     size_t searched = 0;
--- a/pimentosail/net/httpconnection.cpp
+++ b/pimentosail/net/httpconnection.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
-#include <sstream>
 #include <string_view>
 #include <system_error>
 #include <vector>
@@ -15,10 +14,7 @@
 #include <sys/socket.h>
 
 #include <Poco/Exception.h>
-#include <Poco/Net/NetException.h>
 #include <Poco/Net/SocketAddress.h>
-#include <Poco/NumberParser.h>
-#include <Poco/String.h>
 
 #include "pimentosail/base/hash.h"
 #include "pimentosail/base/socketstate.h"
@@ -81,18 +77,6 @@
     }
 }
 
-// Returns the values of all headers called `wanted`.
-std::vector<std::string> valuesOf(const Poco::Net::HTTPResponse &header, const std::string &wanted)
-{
-    std::vector<std::string> values;
-    for (const auto &[name, value] : header) {
-        if (Poco::icompare(name, wanted) == 0) {
-            values.push_back(value);
-        }
-    }
-    return values;
-}
-
 } // namespace
 
 Result<std::unique_ptr<HttpConnection>> HttpConnection::connect(const std::string &address, const Wait &wait)
@@ -267,7 +251,7 @@
     }
 }
 
-ReadStatus HttpConnection::readHeader(Poco::Net::HTTPResponse &header, bool expectsBody, const Wait &wait)
+ReadStatus HttpConnection::readHeader(AnswerHead &header, bool expectsBody, const Wait &wait)
 {
     this->complete = false;
     this->awaitsAnswer = true;
@@ -292,42 +276,38 @@
         }
     }
     this->interimBytes = 0;
-    try {
-        std::istringstream text(this->buffer.substr(0, headerBytes));
-        header.clear();
-        header.read(text);
-    } catch (const Poco::Exception &) {
-        return ReadStatus::Broken;
-    }
+    Result<AnswerHead> parsed = parseAnswerHead(std::string_view(this->buffer).substr(0, headerBytes));
     this->buffer.erase(0, headerBytes);
-    this->targetKeepsAlive = header.getKeepAlive() && header.getVersion() == Poco::Net::HTTPMessage::HTTP_1_1;
-    const bool hasNoBody
-        = !expectsBody || header.getStatus() == Poco::Net::HTTPResponse::HTTP_NO_CONTENT || header.getStatus() == Poco::Net::HTTPResponse::HTTP_NOT_MODIFIED;
-    if (hasNoBody) {
-        this->framing = AnswerFraming::None;
-        return ReadStatus::Data;
+    if (!parsed) {
+        return this->breakOff(AnswerFault::MalformedHead);
     }
-    return this->readFraming(header) ? ReadStatus::Data : ReadStatus::Broken;
+    header = std::move(*parsed);
+    this->targetKeepsAlive = header.keepsAlive;
+    this->readFraming(header, expectsBody);
+    return ReadStatus::Data;
 }
 
-bool HttpConnection::readFraming(const Poco::Net::HTTPResponse &header)
+void HttpConnection::readFraming(const AnswerHead &header, bool expectsBody)
 {
-    const std::vector<std::string> lengths = valuesOf(header, Poco::Net::HTTPMessage::CONTENT_LENGTH);
-    const std::vector<std::string> encodings = valuesOf(header, Poco::Net::HTTPMessage::TRANSFER_ENCODING);
-    if (!encodings.empty()) {
-        this->framing = AnswerFraming::Chunked;
-        this->chunks = ChunkDecoder();
-        return lengths.empty() && encodings.size() == 1 && Poco::icompare(encodings.front(), Poco::Net::HTTPMessage::CHUNKED_TRANSFER_ENCODING) == 0;
+    constexpr int NoContent = 204;
+    constexpr int NotModified = 304;
+    if (!expectsBody || header.status == NoContent || header.status == NotModified) {
+        this->framing = AnswerFraming::None;
+        return;
     }
-    if (lengths.empty()) {
+    switch (header.framing) {
+    case BodyFraming::None:
         this->framing = AnswerFraming::UntilClose;
-        return true;
+        break;
+    case BodyFraming::Length:
+        this->framing = AnswerFraming::Length;
+        this->remaining = header.bodyLength;
+        break;
+    case BodyFraming::Chunked:
+        this->framing = AnswerFraming::Chunked;
+        this->chunks = ChunkDecoder();
+        break;
     }
-    const std::string &length = lengths.front();
-    const bool isNumber = !length.empty() && length.find_first_not_of("0123456789") == std::string::npos;
-    this->framing = AnswerFraming::Length;
-    return isNumber && std::all_of(lengths.begin(), lengths.end(), [&length](const std::string &other) { return other == length; })
-        && Poco::NumberParser::tryParseUnsigned64(length, this->remaining);
 }
 
 ReadStatus HttpConnection::decodeChunked(std::string &data)
--- a/pimentosail/net/httpconnection.h
+++ b/pimentosail/net/httpconnection.h
@@ -1,7 +1,6 @@
 // One HTTP/1.1 connection to a target, another host or a store, which checks the framing of answers strictly.
 //
-// POCO parses the header of an answer. The body is decoded here, because POCO's chunked reader reports a truncated body
-// as one that ended. Each wait also watches the caller's connection, so that it ends at once when the caller
+// `parseAnswerHead` reads the header of an answer. Each wait also watches the caller's connection, so that it ends at once when the caller
 // disconnects.
 //
 //     Result<std::unique_ptr<HttpConnection>> connection = HttpConnection::connect("10.0.0.1:80", wait);
@@ -17,7 +16,6 @@
 #include <string>
 #include <vector>
 
-#include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/StreamSocket.h>
 
 #include "pimentosail/base/clock.h"
@@ -26,6 +24,7 @@
 #include "pimentosail/net/answerrules.h"
 #include "pimentosail/net/callerbuffers.h"
 #include "pimentosail/net/chunkdecoder.h"
+#include "pimentosail/net/messagehead.h"
 
 namespace pimentosail
 {
@@ -96,7 +95,7 @@
 
     // Reads the header of the final answer and skips interim answers (100, 102, 103), up to a total size. Returns Data on success, and Broken
     // for another status, as soon as its line has arrived. `expectsBody` is false for the answer to HEAD.
-    ReadStatus readHeader(Poco::Net::HTTPResponse &header, bool expectsBody, const Wait &wait);
+    ReadStatus readHeader(AnswerHead &header, bool expectsBody, const Wait &wait);
 
     // Appends the bytes of the body that have arrived to `data`, and waits if there are none. Returns Data if it has
     // appended bytes.
@@ -138,8 +137,8 @@
     {
     }
 
-    // Finds out where the body ends. Returns false if the header is ambiguous about it, so that the next answer could not be found.
-    bool readFraming(const Poco::Net::HTTPResponse &header);
+    // Finds out where the body ends.
+    void readFraming(const AnswerHead &header, bool expectsBody);
     // Reads what has arrived while a request is being sent, and removes interim answers from it.
     EarlyInput readEarlyInput();
     // Removes complete interim answers from the start of `buffer`. Returns Interim if more bytes are needed to tell what follows, or more than
@@ -168,7 +167,7 @@
     size_t interimBytes = 0;
     ChunkDecoder chunks;
     // Bytes left of a body with a length.
-    Poco::UInt64 remaining = 0;
+    uint64_t remaining = 0;
     bool closedByPeer = false;
     bool complete = false;
     bool targetKeepsAlive = false;
--- a/pimentosail/net/httpserver.cpp
+++ b/pimentosail/net/httpserver.cpp
@@ -1,21 +1,19 @@
 #include "pimentosail/net/httpserver.h"
 
 #include <algorithm>
+#include <mutex>
+#include <set>
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <Poco/Exception.h>
-#include <Poco/Net/HTTPRequestHandler.h>
-#include <Poco/Net/HTTPRequestHandlerFactory.h>
-#include <Poco/Net/HTTPServerParams.h>
-#include <Poco/Net/HTTPServerRequestImpl.h>
-#include <Poco/Net/HTTPServerSession.h>
-#include <Poco/Net/HTTPSession.h>
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/ServerSocket.h>
-#include <Poco/String.h>
+#include <Poco/Net/TCPServerConnection.h>
+#include <Poco/Net/TCPServerConnectionFactory.h>
+#include <Poco/Net/TCPServerParams.h>
 #include <Poco/URI.h>
 
 #include "pimentosail/base/statelog.h"
@@ -30,11 +28,14 @@
 constexpr int Backlog = 256;
 // Threads that a server keeps when it has no connections.
 constexpr int MinThreads = 1;
-// How long a read waits for a caller that sends nothing within its request.
-constexpr long ReceiveTimeoutSeconds = 10;
+// Time in which the head of a request must arrive after its first byte.
+constexpr Duration HeadTimeout = std::chrono::seconds(10);
 // How long an idle connection stays open.
-constexpr long KeepAliveSeconds = 30;
-constexpr size_t ReadBlock = 16 * 1024;
+constexpr Duration KeepAliveTime = std::chrono::seconds(30);
+// Larger heads are refused. Above what configurations allow (`CallerLimits::headerBytes`).
+constexpr size_t MaxHeadBytes = 64 * 1024;
+constexpr int StatusBadRequest = 400;
+constexpr int StatusHeadTooLarge = 431;
 // A connection ends if what was sent to its peer stays unacknowledged for this time. Long enough for several losses of a packet in a row.
 constexpr unsigned UserTimeoutMilliseconds = 3000;
 // A connection on which nothing is sent is probed in this interval, and ends after this number of lost probes.
@@ -44,37 +45,6 @@
 // counts.
 constexpr int MaxUnsentBytes = 128 * 1024;
 
-// Digits of a Content-Length that fits 64 bits with a sign.
-constexpr size_t MaxLengthDigits = 18;
-
-// Reads from the buffer and the socket of a POCO session. POCO's own streams take a cut or malformed body for one that ended.
-class SessionReader : public Poco::Net::HTTPSession
-{
-public:
-    static int bufferedBytes(const Poco::Net::HTTPSession &session)
-    {
-        return (session.*(&SessionReader::buffered))();
-    }
-
-    // Returns the number of bytes read; 0 if the peer has closed the connection.
-    static size_t receive(Poco::Net::HTTPSession &session, char *buffer, size_t size)
-    {
-        // Few bytes are taken through the buffer, so that not each read costs a system call.
-        if (size < ReadBlock && bufferedBytes(session) == 0) {
-            (session.*(&SessionReader::refill))();
-            if (bufferedBytes(session) == 0) {
-                return 0;
-            }
-        }
-        return static_cast<size_t>(std::max(0, (session.*(&SessionReader::read))(buffer, static_cast<std::streamsize>(size))));
-    }
-
-private:
-    using Poco::Net::HTTPSession::buffered;
-    using Poco::Net::HTTPSession::read;
-    using Poco::Net::HTTPSession::refill;
-};
-
 // A connection can go silent for good without an end, and its peer may read slowly. Accepted sockets inherit these options.
 void limitConnections(Poco::Net::ServerSocket &listener)
 {
@@ -86,152 +56,185 @@
     listener.setOption(IPPROTO_TCP, TCP_NOTSENT_LOWAT, MaxUnsentBytes);
 }
 
-class FunctionHandler : public Poco::Net::HTTPRequestHandler
+// Where a head ends.
+constexpr std::string_view HeadEnd = "\r\n\r\n";
+
+// Removes empty lines before a request, which some callers send after a body.
+void skipEmptyLines(CallerConnection &connection)
 {
-public:
-    FunctionHandler(const HttpServer::Handler &requestHandler, std::atomic<long> &activeCount)
-        : handler(requestHandler)
-        , active(activeCount)
-    {
+    while (connection.received().starts_with("\r\n")) {
+        connection.take(2);
     }
+}
 
-    void handleRequest(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response) override
-    {
-        this->active.fetch_add(1);
-        HttpExchange exchange(request, response);
-        try {
-            this->handler(exchange);
-        } catch (const Poco::Exception &) {
-            // The connection failed, so that no error can be sent.
-            exchange.abort();
-        } catch (const std::exception &exception) {
-            logStateChange("handler_failed", {{"reason", exception.what()}});
-            exchange.abort();
+// Waits for the first byte of a request, and then for its head. Returns the head as sent, which may be too large, or nothing if none comes.
+std::optional<std::string> receiveHead(CallerConnection &connection, const Clock &clock)
+{
+    const Time idleEnd = clock.now() + KeepAliveTime;
+    skipEmptyLines(connection);
+    while (connection.received().empty()) {
+        if (connection.receive(clock, idleEnd) != ReceiveStatus::Data) {
+            return std::nullopt;
+        }
+        skipEmptyLines(connection);
+    }
+    const Time end = clock.now() + HeadTimeout;
+    while (true) {
+        const size_t size = connection.received().find(HeadEnd);
+        if (size != std::string_view::npos) {
+            return connection.take(size + HeadEnd.size());
         }
-        if (exchange.isStreamOpen()) {
-            exchange.abort();
+        if (connection.received().size() > MaxHeadBytes) {
+            return connection.take(MaxHeadBytes + 1);
         }
-        if (!exchange.isHeaderSent()) {
-            // The next answer would be taken for the one that is missing.
-            exchange.closeAfterAnswer();
+        if (connection.receive(clock, end) != ReceiveStatus::Data) {
+            return std::nullopt;
         }
-        this->active.fetch_sub(1);
     }
+}
 
-private:
-    const HttpServer::Handler &handler;
-    std::atomic<long> &active;
-};
+// Answers a request that was not read. Its connection has to end, because nobody knows where the next request begins.
+void refuseHead(CallerConnection &connection, int status, const Error &error)
+{
+    HttpExchange exchange(connection, RequestHead{}, false);
+    exchange.sendJson(status, errorBody(error, ""));
+}
 
 } // namespace
 
-class HttpServer::Factory : public Poco::Net::HTTPRequestHandlerFactory
+struct HttpServer::Service
 {
-public:
-    Factory(Handler requestHandler, std::atomic<long> &activeCount)
+    explicit Service(Handler requestHandler)
         : handler(std::move(requestHandler))
-        , active(activeCount)
     {
     }
 
-    Poco::Net::HTTPRequestHandler *createRequestHandler(const Poco::Net::HTTPServerRequest & /*request*/) override
+    // Serves the requests of a connection until it ends.
+    void serve(CallerConnection &connection);
+    // Returns false if the connection has to end.
+    bool serveRequest(CallerConnection &connection);
+    void handle(HttpExchange &exchange);
+    // Shuts the open connections down.
+    void stop();
+
+    const Handler handler;
+    Clock clock;
+    std::atomic<long> active{0};
+    std::mutex mutex;
+    // Open connections, and whether new ones are shut down at once.
+    std::set<CallerConnection *> open;
+    bool isStopped = false;
+};
+
+void HttpServer::Service::serve(CallerConnection &connection)
+{
     {
-        // POCO takes ownership.
-        return new FunctionHandler(this->handler, this->active);
+        const std::lock_guard lock(this->mutex);
+        if (this->isStopped) {
+            return;
+        }
+        this->open.insert(&connection);
     }
+    while (this->serveRequest(connection)) { }
+    const std::lock_guard lock(this->mutex);
+    this->open.erase(&connection);
+}
 
-private:
-    Handler handler;
-    std::atomic<long> &active;
-};
-
-std::string HttpExchange::path() const
+bool HttpServer::Service::serveRequest(CallerConnection &connection)
 {
-    try {
-        return Poco::URI(this->request.getURI()).getPath();
-    } catch (const Poco::Exception &) {
-        throw Failure(ErrorKind::BadRequest, "malformed request path");
+    const std::optional<std::string> bytes = receiveHead(connection, this->clock);
+    if (!bytes) {
+        return false;
     }
+    if (bytes->size() > MaxHeadBytes) {
+        refuseHead(connection, StatusHeadTooLarge, Error(ErrorKind::BadRequest, "the head of the request is too large"));
+        return false;
+    }
+    Result<RequestHead> head = parseRequestHead(*bytes);
+    if (!head) {
+        refuseHead(connection, StatusBadRequest, head.error());
+        return false;
+    }
+    HttpExchange exchange(connection, std::move(*head), true);
+    this->active.fetch_add(1);
+    this->handle(exchange);
+    this->active.fetch_sub(1);
+    return exchange.keepsConnection() && exchange.isHeaderSent();
 }
 
-std::string HttpExchange::query(const std::string &name) const
+void HttpServer::Service::handle(HttpExchange &exchange)
 {
-    const Poco::URI uri(this->request.getURI());
-    for (const auto &[key, value] : uri.getQueryParameters()) {
-        if (key == name) {
-            return value;
+    try {
+        this->handler(exchange);
+        if (exchange.callerWriter() == nullptr) {
+            exchange.endStream();
         }
+    } catch (const Poco::Exception &) {
+        // The connection failed, so that no error can be sent.
+        exchange.abort();
+    } catch (const std::exception &exception) {
+        logStateChange("handler_failed", {{"reason", exception.what()}});
+        exchange.abort();
+    }
+    if (exchange.isStreamOpen()) {
+        exchange.abort();
     }
-    return {};
 }
 
-std::string HttpExchange::header(const std::string &name) const
+void HttpServer::Service::stop()
 {
-    return this->request.get(name, "");
+    const std::lock_guard lock(this->mutex);
+    this->isStopped = true;
+    for (CallerConnection *connection : this->open) {
+        connection->shutDown();
+    }
 }
 
-std::vector<std::pair<std::string, std::string>> HttpExchange::headers() const
+std::string HttpExchange::path() const
 {
-    std::vector<std::pair<std::string, std::string>> result;
-    for (const auto &[name, value] : this->request) {
-        result.emplace_back(name, value);
+    try {
+        return Poco::URI(this->request.target).getPath();
+    } catch (const Poco::Exception &) {
+        throw Failure(ErrorKind::BadRequest, "malformed request path");
     }
-    return result;
 }
 
-HttpExchange::Framing HttpExchange::framing() const
+std::string HttpExchange::query(const std::string &name) const
 {
-    int lengths = 0;
-    int encodings = 0;
-    bool isKnown = true;
-    for (const auto &[name, value] : this->request) {
-        if (Poco::icompare(name, Poco::Net::HTTPMessage::CONTENT_LENGTH) == 0) {
-            ++lengths;
-            isKnown = isKnown && !value.empty() && value.size() <= MaxLengthDigits && value.find_first_not_of("0123456789") == std::string::npos;
-        } else if (Poco::icompare(name, Poco::Net::HTTPMessage::TRANSFER_ENCODING) == 0) {
-            ++encodings;
-            isKnown = isKnown && Poco::icompare(value, Poco::Net::HTTPMessage::CHUNKED_TRANSFER_ENCODING) == 0;
+    const Poco::URI uri(this->request.target);
+    for (const auto &[key, value] : uri.getQueryParameters()) {
+        if (key == name) {
+            return value;
         }
     }
-    if (!isKnown || lengths + encodings > 1) {
-        return Framing::Ambiguous;
-    }
-    if (encodings > 0) {
-        return Framing::Chunked;
-    }
-    return lengths > 0 && this->request.getContentLength64() > 0 ? Framing::Length : Framing::None;
+    return {};
 }
 
 std::string HttpExchange::receive(uint64_t size, Clock &clock, Time end)
 {
-    auto *implementation = dynamic_cast<Poco::Net::HTTPServerRequestImpl *>(&this->request);
-    if (implementation == nullptr) {
-        throw Failure(ErrorKind::Internal, "the request has no connection");
-    }
-    Poco::Net::HTTPSession &session = implementation->session();
-    std::string block(static_cast<size_t>(std::min<uint64_t>(size, ReadBlock)), '\0');
-    try {
-        const Duration left = end - clock.now();
-        const bool isReadable = SessionReader::bufferedBytes(session) > 0
-            || (left > Duration(0) && implementation->socket().poll(Poco::Timespan(left.count()), Poco::Net::Socket::SELECT_READ));
-        if (!isReadable) {
+    if (this->connection.received().empty()) {
+        switch (this->connection.receive(clock, end)) {
+        case ReceiveStatus::Data:
+            break;
+        case ReceiveStatus::Timeout:
             throw Failure(ErrorKind::RequestTimeout, "the request took too long to arrive");
+        case ReceiveStatus::Closed:
+            throw Failure(ErrorKind::BadRequest, "the body was truncated");
         }
-        block.resize(SessionReader::receive(session, block.data(), block.size()));
-    } catch (const Poco::TimeoutException &) {
-        throw Failure(ErrorKind::RequestTimeout, "the request took too long to arrive");
-    } catch (const Poco::Exception &exception) {
-        throw Failure(ErrorKind::BadRequest, "the body was truncated: " + exception.displayText());
     }
-    if (block.empty()) {
-        throw Failure(ErrorKind::BadRequest, "the body was truncated");
+    return this->connection.take(static_cast<size_t>(std::min<uint64_t>(size, CallerConnection::MaxReceiveBytes)));
+}
+
+void HttpExchange::sendContinue()
+{
+    if (this->request.expectsContinue && !std::exchange(this->isContinueSent, true)) {
+        this->connection.send(HeadWriter("HTTP/1.1 100 Continue").finish());
     }
-    return block;
 }
 
 void HttpExchange::consumeLength(int64_t limit, Clock &clock, Time end, const BodySink &sink)
 {
-    const int64_t length = this->request.getContentLength64();
+    const auto length = static_cast<int64_t>(this->request.bodyLength);
     // Some bytes more than are allowed are read, so that most callers have sent their body and read the error answer.
     const int64_t readable = length > limit ? std::min(length, 2 * limit) : length;
     for (int64_t left = readable; left > 0;) {
@@ -273,17 +276,16 @@
 void HttpExchange::consumeBody(int64_t limit, Clock &clock, Time end, const BodySink &sink)
 {
     this->isBodyBegun = true;
-    switch (this->framing()) {
-    case Framing::None:
+    this->sendContinue();
+    switch (this->request.framing) {
+    case BodyFraming::None:
         break;
-    case Framing::Length:
+    case BodyFraming::Length:
         this->consumeLength(limit, clock, end, sink);
         break;
-    case Framing::Chunked:
+    case BodyFraming::Chunked:
         this->consumeChunks(limit, clock, end, sink);
         break;
-    case Framing::Ambiguous:
-        throw Failure(ErrorKind::BadRequest, "the length of the body is not clear");
     }
     this->isBodyRead = true;
 }
@@ -300,8 +302,8 @@
             body.reserve(capacity);
         }
     };
-    if (this->framing() == Framing::Length) {
-        ensureCapacity(static_cast<size_t>(std::min(this->request.getContentLength64(), limit)));
+    if (this->request.framing == BodyFraming::Length) {
+        ensureCapacity(static_cast<size_t>(std::min(static_cast<int64_t>(this->request.bodyLength), limit)));
     }
     this->consumeBody(limit, clock, clock.now() + timeout, [&body, &ensureCapacity](const std::string &block) {
         ensureCapacity(body.size() + block.size());
@@ -322,17 +324,61 @@
     }
 }
 
+namespace
+{
+
+// Serves one connection on a thread of the pool.
+template <typename Service>
+class ServedConnection : public Poco::Net::TCPServerConnection
+{
+public:
+    ServedConnection(const Poco::Net::StreamSocket &socket, std::shared_ptr<Service> sharedService)
+        : TCPServerConnection(socket)
+        , service(std::move(sharedService))
+    {
+    }
+
+    void run() override
+    {
+        CallerConnection connection(this->socket());
+        this->service->serve(connection);
+    }
+
+private:
+    std::shared_ptr<Service> service;
+};
+
+template <typename Service>
+class ServedConnectionFactory : public Poco::Net::TCPServerConnectionFactory
+{
+public:
+    explicit ServedConnectionFactory(std::shared_ptr<Service> sharedService)
+        : service(std::move(sharedService))
+    {
+    }
+
+    Poco::Net::TCPServerConnection *createConnection(const Poco::Net::StreamSocket &socket) override
+    {
+        // POCO takes ownership.
+        return new ServedConnection<Service>(socket, this->service);
+    }
+
+private:
+    std::shared_ptr<Service> service;
+};
+
+} // namespace
+
 HttpServer::HttpServer(const std::string &address, int64_t maxConnections, Handler requestHandler)
-    : pool(MinThreads, static_cast<int>(maxConnections) + MinThreads)
+    : service(std::make_shared<Service>(std::move(requestHandler)))
+    , pool(MinThreads, static_cast<int>(maxConnections) + MinThreads)
     , listener(Poco::Net::SocketAddress(address), Backlog)
 {
     limitConnections(this->listener);
-    auto *params = new Poco::Net::HTTPServerParams();
+    auto *params = new Poco::Net::TCPServerParams();
     params->setMaxThreads(static_cast<int>(maxConnections));
     params->setMaxQueued(static_cast<int>(maxConnections));
-    params->setTimeout(Poco::Timespan(ReceiveTimeoutSeconds, 0));
-    params->setKeepAliveTimeout(Poco::Timespan(KeepAliveSeconds, 0));
-    this->server = std::make_unique<Poco::Net::HTTPServer>(new Factory(std::move(requestHandler), this->active), this->pool, this->listener, params);
+    this->server = std::make_unique<Poco::Net::TCPServer>(new ServedConnectionFactory<Service>(this->service), this->pool, this->listener, params);
 }
 
 HttpServer::~HttpServer()
@@ -345,6 +391,11 @@
     this->server->start();
 }
 
+long HttpServer::running() const
+{
+    return this->service->active.load();
+}
+
 void HttpServer::stopAccepting()
 {
     this->server->stop();
@@ -355,7 +406,8 @@
 
 void HttpServer::stop()
 {
-    this->server->stopAll(true);
+    this->service->stop();
+    this->server->stop();
 }
 
 } // namespace pimentosail
--- a/pimentosail/net/httpserver.h
+++ b/pimentosail/net/httpserver.h
@@ -1,10 +1,10 @@
-// A POCO HTTP server with a thread pool of its own and a limit of connections. It calls one function for each request.
+// An HTTP server with a thread pool of its own and a limit of connections. It calls one function for each request.
 //
 //     HttpServer server("127.0.0.1:8080", 600, [](HttpExchange &exchange) { exchange.sendJson(200, value); });
 //     server.start();
 //
 // The handler runs on a thread of the pool, for several requests at once. Exceptions of a handler end the connection, and so does a handler that
-// sends no answer.
+// sends no answer. A request whose head can't be read without doubt (`parseRequestHead`) gets 400, and its connection ends.
 // An `HttpExchange` belongs to the thread of its handler; `running` may be called by any thread.
 #pragma once
 
@@ -17,10 +17,8 @@
 #include <utility>
 #include <vector>
 
-#include <Poco/Net/HTTPServer.h>
-#include <Poco/Net/HTTPServerRequest.h>
-#include <Poco/Net/HTTPServerResponse.h>
 #include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/TCPServer.h>
 #include <Poco/ThreadPool.h>
 #include <json/value.h>
 
@@ -28,6 +26,8 @@
 #include "pimentosail/base/error.h"
 #include "pimentosail/base/interrupt.h"
 #include "pimentosail/net/callerbuffers.h"
+#include "pimentosail/net/callerconnection.h"
+#include "pimentosail/net/messagehead.h"
 
 namespace pimentosail
 {
@@ -38,15 +38,17 @@
 public:
     using BodyReserve = std::function<void(size_t bytes)>;
 
-    HttpExchange(Poco::Net::HTTPServerRequest &serverRequest, Poco::Net::HTTPServerResponse &serverResponse)
-        : request(serverRequest)
-        , response(serverResponse)
+    // `mayKeepOpen` is false if the connection has to end after the answer.
+    HttpExchange(CallerConnection &callerConnection, RequestHead requestHead, bool mayKeepOpen)
+        : connection(callerConnection)
+        , request(std::move(requestHead))
+        , keepsAlive(mayKeepOpen && this->request.keepsAlive)
     {
     }
 
     const std::string &method() const
     {
-        return this->request.getMethod();
+        return this->request.method;
     }
 
     // Returns the path without its query. Throws `Failure` (BadRequest) if it is malformed.
@@ -56,16 +58,22 @@
     std::string query(const std::string &name) const;
 
     // Returns a header, or an empty string.
-    std::string header(const std::string &name) const;
+    std::string header(const std::string &name) const
+    {
+        return this->request.header(name);
+    }
 
     // Returns the request target as sent: path and query.
     const std::string &target() const
     {
-        return this->request.getURI();
+        return this->request.target;
     }
 
     // Returns all headers in the order of the request.
-    std::vector<std::pair<std::string, std::string>> headers() const;
+    const HeaderList &headers() const
+    {
+        return this->request.headers;
+    }
 
     // Reads the body. Throws `Failure`: BodyTooLarge over `limit` bytes, RequestTimeout after `timeout`, BadRequest if it is truncated or
     // its length is ambiguous. After an answer to a request whose body was not read completely, the connection is closed, because the rest
@@ -89,10 +97,10 @@
 
     // Sends a complete answer with the given headers. `hasBody` is false for the answer to HEAD, whose body is not
     // sent.
-    void sendWithHeaders(int status, const std::vector<std::pair<std::string, std::string>> &headers, const std::string &body, bool hasBody);
+    void sendWithHeaders(int status, const HeaderList &headers, const std::string &body, bool hasBody);
 
     // Starts a streamed answer with the given headers; `write` adds to it.
-    void startStreamWithHeaders(int status, const std::vector<std::pair<std::string, std::string>> &headers);
+    void startStreamWithHeaders(int status, const HeaderList &headers);
 
     // From here on, answers are written through a `CallerWriter`: `sendWithHeaders`, `startStreamWithHeaders` and `write` don't wait for a
     // slow caller, and `finish` has to be called at the end. To be called before the answer begins.
@@ -117,11 +125,20 @@
     // Closes the connection after the answer.
     void closeAfterAnswer()
     {
-        this->response.setKeepAlive(false);
+        this->keepsAlive = false;
     }
 
-    // Returns the descriptor of the caller's connection, or -1.
-    int callerSocket() const;
+    // Returns true if another request may follow on the connection.
+    bool keepsConnection() const
+    {
+        return this->keepsAlive;
+    }
+
+    // Returns the descriptor of the caller's connection.
+    int callerSocket() const
+    {
+        return this->connection.descriptor();
+    }
 
     // Starts a streamed answer with status 200; `write` adds to it. `write` throws `Failure` (Cancelled) once the
     // caller has disconnected.
@@ -131,10 +148,10 @@
     // Returns true if the header of the answer was sent.
     bool isHeaderSent() const
     {
-        return this->isHeaderWritten || this->response.sent();
+        return this->isHeaderWritten;
     }
 
-    // Returns true if a streamed answer was started through `useBuffers` and not ended.
+    // Returns true if a streamed answer was started and not ended.
     bool isStreamOpen() const
     {
         return this->isChunked;
@@ -144,17 +161,8 @@
     bool isCallerDisconnected() const;
 
 private:
-    // How the end of the request's body is found.
-    enum class Framing {
-        None,
-        Length,
-        Chunked,
-        // The headers contradict each other, or name an unknown encoding.
-        Ambiguous,
-    };
     using BodySink = std::function<void(const std::string &block)>;
 
-    Framing framing() const;
     // Passes the body to `sink` block by block. Throws as `readBody`.
     void consumeBody(int64_t limit, Clock &clock, Time end, const BodySink &sink);
     void consumeLength(int64_t limit, Clock &clock, Time end, const BodySink &sink);
@@ -163,19 +171,27 @@
     std::string receive(uint64_t size, Clock &clock, Time end);
     // To be called before the header of an answer is sent.
     void closeIfBodyIsUnread();
-    // Returns the header of the answer as it is sent.
-    std::string headerText() const;
-    // Sends the header and `body`. Ends the connection if they can't be written whole, because the next answer would be taken for the rest.
-    void sendAnswer(std::string_view body);
-
-    Poco::Net::HTTPServerRequest &request;
-    Poco::Net::HTTPServerResponse &response;
-    std::ostream *stream = nullptr;
+    // Tells a caller that waits for it to send the body.
+    void sendContinue();
+    // Returns the head of the answer as it is sent. Throws `Failure` (Internal) if a header can't be written.
+    std::string headText(int status, const HeaderList &headers) const;
+    // Writes `bytes` through `writer` if there is one.
+    bool writeBytes(std::string_view bytes);
+    // Sends the head and `body`. Ends the connection if they can't be written whole, because the next answer would be taken for the rest.
+    void sendAnswer(std::string head, std::string_view body);
+    // Sends the head of a streamed answer.
+    void startChunks(int status, HeaderList headers);
+
+    CallerConnection &connection;
+    const RequestHead request;
+    bool keepsAlive;
+    // Headers that `setHeader` has set.
+    HeaderList answerHeaders;
     std::optional<CallerWriter> writer;
-    // A header was written through `writer`.
     bool isHeaderWritten = false;
-    // A streamed answer was started through `writer`, and its last chunk was not written.
+    // A streamed answer was started, and its last chunk was not written.
     bool isChunked = false;
+    bool isContinueSent = false;
     bool isBodyBegun = false;
     bool isBodyRead = false;
 };
@@ -199,18 +215,16 @@
     void stopAccepting();
 
     // Returns the number of handlers that are running.
-    long running() const
-    {
-        return this->active.load();
-    }
+    long running() const;
 
 private:
-    class Factory;
+    // What the threads of the connections share.
+    struct Service;
 
-    std::atomic<long> active{0};
+    std::shared_ptr<Service> service;
     Poco::ThreadPool pool;
     Poco::Net::ServerSocket listener;
-    std::unique_ptr<Poco::Net::HTTPServer> server;
+    std::unique_ptr<Poco::Net::TCPServer> server;
 };
 
 // Returns the JSON body for `error`.
--- a/pimentosail/upstream/upstreamtest.cpp
+++ b/pimentosail/upstream/upstreamtest.cpp
@@ -128,7 +128,7 @@
     const Wait wait{clock, start + TestWait, -1};
     bool anySent = false;
     cr_assert((*connection)->send("GET / HTTP/1.1\r\nHost: x\r\n\r\n", wait, anySent) == SendStatus::Sent);
-    Poco::Net::HTTPResponse header;
+    AnswerHead header;
     result.header = (*connection)->readHeader(header, true, wait);
     result.took = clock.now() - start;
     if (result.header != ReadStatus::Data) {
@@ -244,7 +244,7 @@
     bool anySent = false;
     const SendStatus sent = (*connection)->send("POST / HTTP/1.1\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body, wait, anySent);
     cr_assert(sent == SendStatus::AnsweredEarly);
-    Poco::Net::HTTPResponse header;
+    AnswerHead header;
     cr_assert((*connection)->readHeader(header, true, wait) == ReadStatus::Data);
     std::string answer;
     while ((*connection)->readBody(answer, wait) == ReadStatus::Data) { }
@@ -270,7 +270,7 @@
         Clock().sleepFor(Milliseconds(100));
         ::close(pair[1]);
     });
-    Poco::Net::HTTPResponse header;
+    AnswerHead header;
     const Time before = clock.now();
     cr_assert((*connection)->readHeader(header, true, wait) == ReadStatus::CallerDisconnected);
     cr_assert(clock.now() - before < Milliseconds(500));
@@ -302,7 +302,7 @@
     const Wait wait{clock, clock.now() + TestWait, -1};
     bool anySent = false;
     (*connection)->send("GET / HTTP/1.1\r\n\r\n", wait, anySent);
-    Poco::Net::HTTPResponse header;
+    AnswerHead header;
     std::string body;
     cr_assert((*connection)->readHeader(header, true, wait) == ReadStatus::Data);
     while ((*connection)->readBody(body, wait) == ReadStatus::Data) { }
@@ -328,7 +328,7 @@
     const Wait wait{clock, start + Milliseconds(300), -1};
     bool anySent = false;
     cr_assert((*connection)->send("GET / HTTP/1.1\r\n\r\n", wait, anySent) == SendStatus::Sent);
-    Poco::Net::HTTPResponse header;
+    AnswerHead header;
     cr_assert((*connection)->readHeader(header, true, wait) == ReadStatus::Data);
     ReadStatus status = ReadStatus::Data;
     std::string body;
@@ -427,7 +427,7 @@
         cr_assert(connection);
         bool anySent = false;
         cr_assert((*connection)->send("GET / HTTP/1.1\r\n\r\n", waitFor(TestWait), anySent) == SendStatus::Sent);
-        Poco::Net::HTTPResponse header;
+        AnswerHead header;
         cr_assert((*connection)->readHeader(header, true, waitFor(Milliseconds(50))) == ReadStatus::Timeout);
     }
     Clock clock;
@@ -443,7 +443,7 @@
 {
     bool anySent = false;
     cr_assert(connection.sendNamed("GET / HTTP/1.1\r\n\r\n", id, waitFor(TestWait), anySent) == SendStatus::Sent);
-    Poco::Net::HTTPResponse header;
+    AnswerHead header;
     std::string body;
     cr_assert(connection.readHeader(header, true, waitFor(TestWait)) == ReadStatus::Data);
     while (connection.readBody(body, waitFor(TestWait)) == ReadStatus::Data) { }
