--- a/pimentosail/base/error.cpp
+++ b/pimentosail/base/error.cpp
@@ -17,6 +17,7 @@
     ErrorAnswer{ErrorKind::UnknownService, "unknown_service", 404, true, 0},
     ErrorAnswer{ErrorKind::NotFound, "not_found", 404, true, 0},
     ErrorAnswer{ErrorKind::BodyTooLarge, "body_too_large", 413, true, 0},
+    ErrorAnswer{ErrorKind::HeadTooLarge, "head_too_large", 431, true, 0},
     ErrorAnswer{ErrorKind::RequestTimeout, "request_timeout", 408, true, 0},
     ErrorAnswer{ErrorKind::AllowanceExceeded, "allowance_exceeded", 429, true, 1},
     ErrorAnswer{ErrorKind::Overloaded, "overloaded", 503, true, 1},
--- a/pimentosail/base/error.h
+++ b/pimentosail/base/error.h
@@ -26,6 +26,7 @@
     UnknownService,
     NotFound,
     BodyTooLarge,
+    HeadTooLarge,
     RequestTimeout,
     AllowanceExceeded,
     Overloaded,
--- a/pimentosail/entry/requestrunner.cpp
+++ b/pimentosail/entry/requestrunner.cpp
@@ -73,8 +73,12 @@
 
 void RequestRunner::admit()
 {
-    this->request = this->context.wire.decodeRequest(this->exchange);
     this->serving = this->context.state.serving();
+    const CallerLimits limits = this->serving ? this->serving->all().limits : CallerLimits{};
+    if (this->exchange.headBytes() > static_cast<size_t>(limits.headerBytes)) {
+        throw Failure(ErrorKind::HeadTooLarge, "the head is larger than " + std::to_string(limits.headerBytes) + " bytes");
+    }
+    this->request = this->context.wire.decodeRequest(this->exchange);
     this->readBody();
     if (this->context.state.isClosing.load()) {
         throw Failure(ErrorKind::ShuttingDown, "this host is shutting down");
--- a/pimentosail/net/callerconnection.cpp
+++ b/pimentosail/net/callerconnection.cpp
@@ -66,6 +66,14 @@
     return true;
 }
 
+void CallerConnection::drain(const Clock &clock, Time end)
+{
+    ::shutdown(this->descriptor(), SHUT_WR);
+    while (this->receive(clock, end) == ReceiveStatus::Data && clock.now() < end) {
+        this->input.clear();
+    }
+}
+
 void CallerConnection::shutDown()
 {
     ::shutdown(this->descriptor(), SHUT_RDWR);
--- a/pimentosail/net/callerconnection.h
+++ b/pimentosail/net/callerconnection.h
@@ -54,6 +54,10 @@
     // long.
     bool send(std::string_view bytes);
 
+    // Ends the sending direction and drops what the caller still sends, until it closes the connection or `end`. A connection that is closed with
+    // unread bytes is reset, and the caller may lose the last answer.
+    void drain(const Clock &clock, Time end);
+
     // Ends both directions. The caller sees that an answer is not complete.
     void shutDown();
 
--- a/pimentosail/net/chunkdecoder.h
+++ b/pimentosail/net/chunkdecoder.h
@@ -1,4 +1,4 @@
-// Decodes a body in HTTP/1.1 chunks. Unlike POCO's reader, it tells a complete body from one that was cut or is malformed.
+// Decodes a body in HTTP/1.1 chunks (RFC 9112, 7.1). Unlike POCO's reader, it tells a complete body from one that was cut or is malformed.
 //
 //     ChunkDecoder decoder;
 //     ChunkStatus status = ChunkStatus::NeedsMore;
@@ -41,6 +41,10 @@
         Done,
     };
 
+    // Decode bytes of the present state only. Return Done if they have completed it.
+    ChunkStatus decodeData(std::string &received, std::string &data);
+    ChunkStatus decodeLine(std::string &received);
+
     State state = State::Size;
     // Bytes left of the current chunk.
     uint64_t remaining = 0;
--- a/pimentosail/net/httpserver.cpp
+++ b/pimentosail/net/httpserver.cpp
@@ -30,12 +30,10 @@
 constexpr int MinThreads = 1;
 // Time in which the head of a request must arrive after its first byte.
 constexpr Duration HeadTimeout = std::chrono::seconds(10);
+// How long a caller whose request was refused unread may take to read the answer.
+constexpr Duration DrainTime = Milliseconds(500);
 // How long an idle connection stays open.
 constexpr Duration KeepAliveTime = std::chrono::seconds(30);
-// Larger heads are refused. Above what configurations allow (`CallerLimits::headerBytes`).
-constexpr size_t MaxHeadBytes = 64 * 1024;
-constexpr int StatusBadRequest = 400;
-constexpr int StatusHeadTooLarge = 431;
 // A connection ends if what was sent to its peer stays unacknowledged for this time. Long enough for several losses of a packet in a row.
 constexpr unsigned UserTimeoutMilliseconds = 3000;
 // A connection on which nothing is sent is probed in this interval, and ends after this number of lost probes.
@@ -84,8 +82,8 @@
         if (size != std::string_view::npos) {
             return connection.take(size + HeadEnd.size());
         }
-        if (connection.received().size() > MaxHeadBytes) {
-            return connection.take(MaxHeadBytes + 1);
+        if (connection.received().size() > HttpServer::MaxHeadBytes) {
+            return connection.take(HttpServer::MaxHeadBytes + 1);
         }
         if (connection.receive(clock, end) != ReceiveStatus::Data) {
             return std::nullopt;
@@ -94,10 +92,11 @@
 }
 
 // Answers a request that was not read. Its connection has to end, because nobody knows where the next request begins.
-void refuseHead(CallerConnection &connection, int status, const Error &error)
+void refuseHead(CallerConnection &connection, const Clock &clock, const Error &error)
 {
     HttpExchange exchange(connection, RequestHead{}, false);
-    exchange.sendJson(status, errorBody(error, ""));
+    exchange.sendError(error, "");
+    connection.drain(clock, clock.now() + DrainTime);
 }
 
 } // namespace
@@ -146,13 +145,13 @@
     if (!bytes) {
         return false;
     }
-    if (bytes->size() > MaxHeadBytes) {
-        refuseHead(connection, StatusHeadTooLarge, Error(ErrorKind::BadRequest, "the head of the request is too large"));
+    if (bytes->size() > HttpServer::MaxHeadBytes) {
+        refuseHead(connection, this->clock, Error(ErrorKind::HeadTooLarge, "the head of the request is too large"));
         return false;
     }
     Result<RequestHead> head = parseRequestHead(*bytes);
     if (!head) {
-        refuseHead(connection, StatusBadRequest, head.error());
+        refuseHead(connection, this->clock, head.error());
         return false;
     }
     HttpExchange exchange(connection, std::move(*head), true);
--- a/pimentosail/net/httpserver.h
+++ b/pimentosail/net/httpserver.h
@@ -4,7 +4,8 @@
 //     server.start();
 //
 // The handler runs on a thread of the pool, for several requests at once. Exceptions of a handler end the connection, and so does a handler that
-// sends no answer. A request whose head can't be read without doubt (`parseRequestHead`) gets 400, and its connection ends.
+// sends no answer. A request whose head can't be read without doubt (`parseRequestHead`) gets 400, one with a head of more than
+// `HttpServer::MaxHeadBytes` 431, and its connection ends.
 // An `HttpExchange` belongs to the thread of its handler; `running` may be called by any thread.
 #pragma once
 
@@ -57,6 +58,12 @@
     // Returns a query parameter, or an empty string.
     std::string query(const std::string &name) const;
 
+    // Returns the size of the request's head.
+    size_t headBytes() const
+    {
+        return this->request.bytes;
+    }
+
     // Returns a header, or an empty string.
     std::string header(const std::string &name) const
     {
@@ -202,6 +209,8 @@
 public:
     using Handler = std::function<void(HttpExchange &exchange)>;
 
+    static constexpr size_t MaxHeadBytes = 64 * 1024;
+
     // Binds to `address`; throws `Poco::Exception` if it is taken. Serves nothing before `start`.
     HttpServer(const std::string &address, int64_t maxConnections, Handler requestHandler);
     ~HttpServer();
--- a/pimentosail/net/messagehead.cpp
+++ b/pimentosail/net/messagehead.cpp
@@ -167,6 +167,20 @@
     return {};
 }
 
+bool isToken(std::string_view text)
+{
+    return !text.empty() && std::all_of(text.begin(), text.end(), [](char character) { return http::detail::is_token_char(character); });
+}
+
+// Returns true for all characters that a header value may contain.
+bool isText(char character)
+{
+    constexpr unsigned char FirstPrintable = 0x20;
+    constexpr unsigned char Delete = 0x7f;
+    const auto code = static_cast<unsigned char>(character);
+    return character == '\t' || (code >= FirstPrintable && code != Delete);
+}
+
 bool hasLineBreakOrNul(std::string_view text)
 {
     constexpr std::string_view Forbidden("\r\n\0", 3);
@@ -175,6 +189,12 @@
 
 } // namespace
 
+bool isHeaderField(std::string_view line)
+{
+    const size_t colon = line.find(':');
+    return colon != std::string_view::npos && isToken(line.substr(0, colon)) && std::all_of(line.begin() + static_cast<ptrdiff_t>(colon), line.end(), isText);
+}
+
 bool isSameHeader(std::string_view left, std::string_view right)
 {
     return boost::beast::iequals({left.data(), left.size()}, {right.data(), right.size()});
@@ -200,6 +220,7 @@
         return failed(ErrorKind::BadRequest, hosts > 1 ? "more than one Host" : "no Host");
     }
     parser.head.expectsContinue = parser.version == Http11 && isSameHeader(parser.head.header("Expect"), "100-continue");
+    parser.head.bytes = bytes.size();
     return std::move(parser.head);
 }
 
@@ -228,8 +249,7 @@
 
 void HeadWriter::add(std::string_view name, std::string_view value)
 {
-    const bool isToken = !name.empty() && std::all_of(name.begin(), name.end(), [](char character) { return http::detail::is_token_char(character); });
-    if (!isToken || hasLineBreakOrNul(value)) {
+    if (!isToken(name) || hasLineBreakOrNul(value)) {
         throw Failure(ErrorKind::Internal, "a header field can't be written");
     }
     this->text.append(name).append(": ").append(value).append("\r\n");
--- a/pimentosail/net/messagehead.h
+++ b/pimentosail/net/messagehead.h
@@ -56,6 +56,8 @@
     std::string target;
     // The caller waits for an interim answer before it sends the body.
     bool expectsContinue = false;
+    // Size of the head as sent.
+    size_t bytes = 0;
 };
 
 struct AnswerHead : MessageHead
@@ -69,6 +71,9 @@
 // Reads the head of an answer. Errors: TargetLost, with the reason.
 Result<AnswerHead> parseAnswerHead(std::string_view bytes);
 
+// Returns true if `line`, without its line end, is a header field.
+bool isHeaderField(std::string_view line);
+
 // Returns true if two names of header fields are the same.
 bool isSameHeader(std::string_view left, std::string_view right);
 
--- a/pimentosail/net/messageheadtest.cpp
+++ b/pimentosail/net/messageheadtest.cpp
@@ -81,7 +81,7 @@
 // Guards against an answer whose end is found elsewhere than its sender means, so that a caller gets another body.
 Test(message_head, an_answer_that_can_be_read_in_two_ways_is_lost)
 {
-    for (const std::string line : {"Content-Length : 5\r\n", "X-Folded: a\r\n Content-Length: 5\r\n", "X-Bare: a\nContent-Length: 5\r\n", "X-Bare: a\rb\r\n",
+    for (const char *line : {"Content-Length : 5\r\n", "X-Folded: a\r\n Content-Length: 5\r\n", "X-Bare: a\nContent-Length: 5\r\n", "X-Bare: a\rb\r\n",
              "Content-Length: 5\r\nContent-Length: 6\r\n", "Content-Length: 5, 6\r\n", "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
              "Transfer-Encoding: gzip\r\n", ": a\r\n"}) {
         cr_expect(isLost("HTTP/1.1 200 OK\r\n" + std::string(line) + "\r\n"), "%s", line);
