--- a/pimentosail/entry/attempt.cpp
+++ b/pimentosail/entry/attempt.cpp
@@ -242,6 +242,9 @@
     this->context.metrics.count("pimentosail_expired_cache_plans_total", {{"service", this->plan.target->service}});
     AttemptPlan uncached = this->plan;
     uncached.cache = {};
+    if (this->plan.cache.saves) {
+        this->plan.cache.saves->end();
+    }
     return this->context.wire.encodeAttempt(this->request, uncached);
 }
 
@@ -249,6 +252,9 @@
 {
     bool anySent = false;
     this->sentAt = this->context.clock.now();
+    if (this->plan.cache.saves) {
+        this->plan.cache.saves->recordSent(this->context.clock.nowWithSuspend() + this->plan.timeLeft + CacheStores::MaxTransit);
+    }
     const Wait wait{this->context.clock, limits.deadline, limits.callerSocket, limits.interrupt, limits.callerWriter};
     const SendStatus status = connection.sendNamed(this->encode(result), this->request.id, wait, anySent);
     result.sentAt = anySent ? this->sentAt : Time(0);
@@ -414,7 +420,24 @@
     }
 }
 
+void Attempt::endSaves(const AttemptResult &result) const
+{
+    const bool mayBegin = result.sentAt != Time(0) && result.end != AttemptEnd::Answered && result.end != AttemptEnd::NotRun;
+    if (this->plan.cache.saves && mayBegin) {
+        this->plan.cache.saves->abandon();
+    } else if (this->plan.cache.saves) {
+        this->plan.cache.saves->end();
+    }
+}
+
 AttemptResult Attempt::run(const AttemptLimits &limits, const EventSink &sink)
+{
+    AttemptResult result = this->exchange(limits, sink);
+    this->endSaves(result);
+    return result;
+}
+
+AttemptResult Attempt::exchange(const AttemptLimits &limits, const EventSink &sink)
 {
     AttemptResult result;
     TargetLoadGuard load(*this->plan.target, this->plan.prefillTokens, this->plan.heldTokens, this->plan.isLate);
@@ -443,9 +466,12 @@
     }
     if (result.header.status == 200 && result.header.isEventStream) {
         bool isFirstEvent = true;
-        const EventSink trackingSink = [&load, &isFirstEvent, &sink](const ReplyHeader &header, const std::string &event, const std::string &id) {
+        const EventSink trackingSink = [this, &load, &isFirstEvent, &sink](const ReplyHeader &header, const std::string &event, const std::string &id) {
             if (isFirstEvent) {
                 load.releasePrompt();
+                if (this->plan.cache.saves) {
+                    this->plan.cache.saves->end();
+                }
                 isFirstEvent = false;
             }
             return sink(header, event, id);
--- a/pimentosail/entry/attempt.h
+++ b/pimentosail/entry/attempt.h
@@ -98,6 +98,9 @@
     bool mayShareConnection() const;
     std::unique_ptr<HttpConnection> openConnection(const AttemptLimits &limits, AttemptResult &result);
     std::string encode(AttemptResult &result) const;
+    // Ends the saves of the prompt, or leaves them under way if the prompt may still begin after the attempt.
+    void endSaves(const AttemptResult &result) const;
+    AttemptResult exchange(const AttemptLimits &limits, const EventSink &sink);
     bool sendRequest(HttpConnection &connection, const AttemptLimits &limits, AttemptResult &result);
     bool readMatchingHeader(HttpConnection &connection, const AttemptLimits &limits, AttemptResult &result);
     void readBody(HttpConnection &connection, const AttemptLimits &limits, AttemptResult &result);
--- a/pimentosail/entry/entryprocess.cpp
+++ b/pimentosail/entry/entryprocess.cpp
@@ -334,6 +334,7 @@
         this->metrics.set("pimentosail_cache_store_held_tokens", {{"store", store.name}}, static_cast<double>(this->cacheStores.heldTokens(store.name)));
         this->metrics.set("pimentosail_cache_store_save_delay_seconds", {{"store", store.name}}, toSeconds(this->cacheStores.saveDelay(store.name)));
     }
+    this->metrics.set("pimentosail_saves_under_way", {}, static_cast<double>(this->cacheStores.saves().count()));
     for (const CacheStoreConfirmation &confirmation : this->cacheStores.confirmations()) {
         this->metrics.set("pimentosail_cache_store_confirmation_age_seconds", {{"store", confirmation.store}}, toSeconds(confirmation.age));
     }
--- a/pimentosail/entry/loadduty.cpp
+++ b/pimentosail/entry/loadduty.cpp
@@ -141,17 +141,13 @@
 {
     const std::string datagram = encodeLoadMessage(report, now);
     std::optional<std::string> legacyDatagram;
-    std::optional<std::string> formerDatagram;
     for (const HostEntry &host : hosts) {
-        if (host.loadFormat >= OutcomeLoadFormat || (host.loadFormat >= BinaryLoadFormat && report.outcomes.rows.empty())) {
+        if (host.loadFormat >= LoadFormat) {
             this->sendToHost(datagram, host);
             continue;
         }
         if (host.loadFormat >= BinaryLoadFormat) {
-            if (!formerDatagram) {
-                formerDatagram = encodeLoadMessage(report, now, host.loadFormat);
-            }
-            this->sendToHost(*formerDatagram, host);
+            this->sendToHost(encodeLoadMessage(report, now, host.loadFormat), host);
             continue;
         }
         if (!legacyDatagram) {
@@ -187,12 +183,13 @@
 void LoadDuty::sendGroup(const std::vector<TargetLoad> &own, const std::vector<HostEntry> &relays, Time now)
 {
     LoadMessage group = this->makeMessage(LoadMessageKind::Group, this->context.loads.groupLoad(own, now));
+    group.saves = this->context.cacheStores.saves().changes(SaveScope::Group);
     if (this->context.deliveries.isCounting()) {
         group.outcomes = this->context.deliveries.outcomes.groupReport();
     }
     const std::string datagram = encodeLoadMessage(group, now);
     for (const HostEntry &relay : relays) {
-        if (relay.loadFormat >= OutcomeLoadFormat) {
+        if (relay.loadFormat >= LoadFormat) {
             this->sendToHost(datagram, relay);
         } else if (relay.loadFormat >= BinaryLoadFormat) {
             this->sendToHost(encodeLoadMessage(group, now, relay.loadFormat), relay);
@@ -212,26 +209,23 @@
         return;
     }
     LoadMessage totals = this->makeMessage(LoadMessageKind::Totals, this->context.loads.totalLoad(own, now));
-    std::set<std::string> outcomeReaders;
+    totals.saves = this->context.cacheStores.saves().changes(SaveScope::All);
     if (this->context.deliveries.isCounting()) {
         totals.outcomes.rows = this->context.deliveries.outcomes.totals();
-        for (const HostEntry &host : this->context.state.hosts()) {
-            if (host.loadFormat >= OutcomeLoadFormat) {
-                outcomeReaders.insert(host.name);
-            }
-        }
     }
-    const TotalsEncoder encoder(totals, now);
-    // For followers of the former version.
-    std::optional<TotalsEncoder> formerEncoder;
+    std::map<std::string, int> formats;
+    for (const HostEntry &host : this->context.state.hosts()) {
+        formats[host.name] = std::clamp(host.loadFormat, BinaryLoadFormat, LoadFormat);
+    }
+    // By the format that followers read.
+    std::map<int, TotalsEncoder> encoders;
     std::optional<std::string> legacyDatagram;
     for (const auto &[name, follower] : current) {
         if (follower.loadFormat >= BinaryLoadFormat) {
-            const bool readsOutcomes = totals.outcomes.rows.empty() || outcomeReaders.contains(name);
-            if (!readsOutcomes && !formerEncoder) {
-                formerEncoder.emplace(totals, now, BinaryLoadFormat);
-            }
-            this->sendTo((readsOutcomes ? encoder : *formerEncoder).makeFor(this->context.loads.lastReport(name, now)), follower.address);
+            const auto known = formats.find(name);
+            const int format = known == formats.end() ? BinaryLoadFormat : known->second;
+            const TotalsEncoder &encoder = encoders.try_emplace(format, totals, now, format).first->second;
+            this->sendTo(encoder.makeFor(this->context.loads.lastReport(name, now)), follower.address);
             continue;
         }
         // A follower of an earlier version counts its own load twice until it is restarted.
@@ -293,13 +287,14 @@
         this->context.deliveries.refresh(this->context.mirror.status().lastAnswer);
     }
     LoadMessage report = this->makeMessage(LoadMessageKind::Report, own);
+    report.saves = this->context.cacheStores.saves().changes(SaveScope::Own);
     if (relays.empty()) {
         const bool isCounting = this->context.deliveries.isCounting();
         if (isCounting) {
             report.outcomes = this->context.deliveries.outcomes.ownReport("", this->sequence);
         }
         // While a version is watched, a host that hears nothing takes itself for cut off.
-        const bool isEmpty = own.empty() && report.limits.empty() && report.notices.empty() && !isCounting;
+        const bool isEmpty = own.empty() && report.limits.empty() && report.notices.empty() && report.saves.empty() && !isCounting;
         if (!isEmpty || !this->wasEmpty) {
             this->reportToAll(report, this->context.state.hosts(), now);
         }
@@ -353,6 +348,14 @@
     }
 }
 
+void LoadDuty::recordSaves(const LoadMessage &message)
+{
+    const bool isOfFollower = message.kind == LoadMessageKind::Report && message.relay == this->context.settings.name;
+    for (const SaveNotice &notice : message.saves) {
+        this->context.cacheStores.saves().record(notice, isOfFollower ? SaveScope::Group : SaveScope::All);
+    }
+}
+
 void LoadDuty::handleReport(const LoadMessage &message, const Poco::Net::SocketAddress &from, Time now)
 {
     const bool isNumbered = message.number.process != 0;
@@ -425,6 +428,7 @@
     LoadMessage message = decodeLoadMessage(bytes, now);
     this->context.deliveries.recordOtherHost();
     this->recordStatements(message);
+    this->recordSaves(message);
     if (message.kind == LoadMessageKind::Totals) {
         this->handleTotals(std::move(message), now);
     } else if (message.sender.empty()) {
--- a/pimentosail/entry/loadduty.h
+++ b/pimentosail/entry/loadduty.h
@@ -78,6 +78,7 @@
     void handleReport(const LoadMessage &message, const Poco::Net::SocketAddress &from, Time now);
     void handleTotals(LoadMessage message, Time now);
     void recordStatements(const LoadMessage &message);
+    void recordSaves(const LoadMessage &message);
     void countDropped(const char *reason);
 
     EntryContext &context;
--- a/pimentosail/entry/loadmessages.cpp
+++ b/pimentosail/entry/loadmessages.cpp
@@ -18,6 +18,8 @@
 constexpr uint64_t MaxRows = 8192;
 // A datagram has at most this many notices and limits; the newest are sent.
 constexpr size_t MaxSentNotices = 500;
+// No prompt waits at a target for longer.
+constexpr Duration MaxSaveTime = std::chrono::minutes(10);
 
 uint64_t ageOf(Time at, Time now)
 {
@@ -97,9 +99,23 @@
     }
 }
 
+void writeSaves(MessageWriter &writer, const std::vector<SaveNotice> &saves)
+{
+    writer.number(saves.size());
+    for (const SaveNotice &save : saves) {
+        writer.number(save.key);
+        writer.number(save.process);
+        writer.number(save.number);
+        writer.number(toUnsigned(toMilliseconds(save.remaining)));
+    }
+}
+
 // Returns the format in which `message` is written for a receiver that reads formats up to `receiverFormat`.
 uint8_t formatFor(const LoadMessage &message, int receiverFormat)
 {
+    if (receiverFormat >= SaveLoadFormat && !message.saves.empty()) {
+        return SaveLoadFormat;
+    }
     return static_cast<uint8_t>(receiverFormat >= OutcomeLoadFormat && !message.outcomes.rows.empty() ? OutcomeLoadFormat : BinaryLoadFormat);
 }
 
@@ -116,6 +132,9 @@
     if (format >= OutcomeLoadFormat) {
         writeOutcomes(writer, message.outcomes);
     }
+    if (format >= SaveLoadFormat) {
+        writeSaves(writer, message.saves);
+    }
     return writer.take();
 }
 
@@ -202,6 +221,15 @@
     if (format >= OutcomeLoadFormat) {
         readOutcomes(reader, message.outcomes);
     }
+    if (format >= SaveLoadFormat) {
+        for (uint64_t rows = reader.rows(MaxRows); rows > 0; --rows) {
+            SaveNotice &save = message.saves.emplace_back();
+            save.key = reader.number();
+            save.process = reader.number();
+            save.number = reader.number();
+            save.remaining = std::min<Duration>(reader.age(), MaxSaveTime);
+        }
+    }
     reader.checkEnd();
     return message;
 }
--- a/pimentosail/entry/loadmessages.h
+++ b/pimentosail/entry/loadmessages.h
@@ -7,7 +7,8 @@
 // (`HostEntry::loadFormat`), so that hosts of two versions of this program understand each other while they are restarted in
 // turn. Format 1 is a JSON document, which starts with '{'; format 2 is written with Poco::BinaryWriter: integers and
 // lengths with seven bits in each byte, names as length and bytes, and times as ages in milliseconds. Format 3 is format 2 with
-// the outcomes of services' versions at the end; a message without outcomes is written in format 2.
+// the outcomes of services' versions at the end; a message without outcomes is written in format 2. Format 4 is format 3 with the saves of blocks
+// that are under way at the end; a message without such saves is written in an earlier format.
 //
 // All functions are thread-safe.
 #pragma once
@@ -20,16 +21,19 @@
 #include "pimentosail/directory/loadtable.h"
 #include "pimentosail/directory/ratelimits.h"
 #include "pimentosail/directory/targetnotices.h"
+#include "pimentosail/kvcache/savesunderway.h"
 
 namespace pimentosail
 {
 
 // The newest format of load reports that this program reads and writes.
-constexpr int LoadFormat = 3;
+constexpr int LoadFormat = 4;
 // The first format in which reports are numbered.
 constexpr int BinaryLoadFormat = 2;
 // The first format with outcomes of versions.
 constexpr int OutcomeLoadFormat = 3;
+// The first format with saves of blocks.
+constexpr int SaveLoadFormat = 4;
 
 enum class LoadMessageKind {
     // The load of the sender alone.
@@ -59,9 +63,12 @@
     std::vector<TargetNotice> notices;
     // Outcomes of the versions of services whose delivery is in progress, and the number of their stream (0 in totals).
     OutcomeReport outcomes;
+    // Saves of blocks that have begun to be under way or have ended.
+    std::vector<SaveNotice> saves;
 };
 
-// Return a datagram. `now` is the time from which ages count. Outcomes are left out for a receiver of an earlier format than `OutcomeLoadFormat`.
+// Return a datagram. `now` is the time from which ages count. Outcomes and saves are left out for a receiver of an earlier format than
+// `OutcomeLoadFormat` and `SaveLoadFormat`.
 std::string encodeLoadMessage(const LoadMessage &message, Time now, int receiverFormat = LoadFormat);
 std::string encodeLegacyLoadMessage(const LoadMessage &message, Time now);
 
--- a/pimentosail/entry/loadmessagestest.cpp
+++ b/pimentosail/entry/loadmessagestest.cpp
@@ -118,6 +118,26 @@
 }
 
 // Guards against a load report that was cut, belongs to another program or version, or claims to be huge.
+// Guards against a host of an earlier version that can't read reports because they tell of saves, and against saves that are lost on the way.
+Test(loadmessages, saves_are_sent_only_to_hosts_that_read_them)
+{
+    LoadMessage sent = makeMessage(LoadMessageKind::Report);
+    cr_assert_eq(encodeLoadMessage(sent, Now)[0], BinaryLoadFormat, "a message without saves is one of an earlier format");
+    sent.saves = {{UINT64_MAX, 0xfedcba9876543210, 300, Milliseconds(12500)}, {1, 2, 3, Duration(0)}};
+    const LoadMessage decoded = decodeLoadMessage(encodeLoadMessage(sent, Now), Now);
+    cr_assert_eq(decoded.saves.size(), 2);
+    cr_assert_eq(decoded.saves[0].key, UINT64_MAX);
+    cr_assert_eq(decoded.saves[0].process, 0xfedcba9876543210);
+    cr_assert_eq(decoded.saves[0].number, 300);
+    cr_assert_eq(decoded.saves[0].remaining, Duration(Milliseconds(12500)));
+    cr_assert_not(decoded.saves[1].isUnderWay());
+    for (const int format : {BinaryLoadFormat, OutcomeLoadFormat}) {
+        const LoadMessage former = decodeLoadMessage(encodeLoadMessage(sent, Now, format), Now);
+        cr_assert_eq(former.loads.size(), 2);
+        cr_assert_eq(former.saves.size(), 0);
+    }
+}
+
 Test(loadmessages, an_incomplete_or_foreign_datagram_is_refused)
 {
     const std::string datagram = encodeLoadMessage(makeMessage(LoadMessageKind::Totals), Now);
--- a/pimentosail/entry/requestplanning.cpp
+++ b/pimentosail/entry/requestplanning.cpp
@@ -490,6 +490,9 @@
                 settings->engine->bytesPerToken > 0 ? static_cast<double>(settings->engine->bytesPerToken) : CacheStores::DefaultBytesPerToken);
             plan.cache.fetchEnd = this->fetchEnd(choice, plan.cache);
         }
+        if (plan.cache.withheldTokens > 0) {
+            this->context.metrics.count("pimentosail_withheld_tokens_total", {{"service", this->service}}, static_cast<double>(plan.cache.withheldTokens));
+        }
         this->cacheSource = plan.cache.mainSource;
         this->expectedTransfer = plan.cache.expectedTime;
         this->fetchTokens += plan.cache.fetchTokens;
--- a/pimentosail/kvcache/kvcachetest.cpp
+++ b/pimentosail/kvcache/kvcachetest.cpp
@@ -46,10 +46,13 @@
         }
     }
 
-    // Applies the events of one store, which also confirm its epoch.
+    // Applies the events of one store, which also confirm its epoch, and waits until blocks that they add may be fetched.
     bool apply(const std::string &store, const CacheEvents &events)
     {
         const bool isCleared = this->stores.apply(store, events);
+        if (!events.events.empty()) {
+            this->advance(SavesUnderWay::SettleTime);
+        }
         this->stores.confirm(store, events.epoch, this->clock.nowWithSuspend());
         return isCleared;
     }
@@ -84,6 +87,7 @@
     cr_assert_eq(second.fetchTokens, 0);
     cr_assert_eq(second.saveTokens, 0, "a pending save is not repeated");
     fixture.apply("fast", {1, 1, false, {{"w1", "session", 5000, false}}});
+    first.saves->end();
     const CachePlan third = fixture.stores.plan("w1", SamplePrompt, 2, "z1", AcceptableTransferTime, 0);
     cr_assert_eq(third.fetchFrom[1], "fast:80");
     cr_assert(third.fetchFrom[0].empty());
@@ -295,6 +299,7 @@
     const CacheChange block{"fast", 7, {"w1", "session", 5000, false}};
     fixture.stores.replace({{"fast", 7, true}}, {block});
     cr_assert_not(fixture.stores.plan("w1", SamplePrompt, 2, "z1", AcceptableTransferTime, 0).hasFetch(), "no answer of the store is known");
+    fixture.clock.advance(SavesUnderWay::SettleTime);
     const Time now = fixture.clock.nowWithSuspend();
     fixture.stores.confirm("fast", 7, now - StoreEpoch::Lease + Milliseconds(1));
     cr_assert(fixture.stores.plan("w1", SamplePrompt, 2, "z1", AcceptableTransferTime, 0).hasFetch());
@@ -333,6 +338,7 @@
     const CachePlan plan = fixture.stores.plan("w1", SamplePrompt, 2, "z1", AcceptableTransferTime, UINT64_MAX);
     cr_assert(plan.fetchFrom[1].empty());
     cr_assert_eq(plan.saveTo[1], "slow2:80");
+    plan.saves->end();
     fixture.apply("slow2", {1, 1, false, {{"w1", "session", 5000, false}}});
     cr_assert_eq(fixture.stores.plan("w1", SamplePrompt, 2, "z1", AcceptableTransferTime, UINT64_MAX).fetchFrom[1], "slow2:80");
     fixture.advance(std::chrono::seconds(6));
--- a/pimentosail/kvcache/storecontents.cpp
+++ b/pimentosail/kvcache/storecontents.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 #include "pimentosail/base/hash.h"
 
@@ -86,8 +87,9 @@
     entry.heldTokens = 0;
     entry.unreportedTokens = 0;
     const auto stated = this->statedOpenEpochs.find(entry.store.name);
-    const bool isStatedOpen = stated != this->statedOpenEpochs.end() && stated->second == epoch;
-    if (isStatedOpen || (!hadEpoch && entry.isUnused && now < this->configuredAt + FirstUseTime)) {
+    const bool isStated = stated != this->statedOpenEpochs.end();
+    const bool isFirstUse = !isStated && !hadEpoch && entry.isUnused && now < this->configuredAt + FirstUseTime;
+    if (isFirstUse || (isStated && stated->second == epoch)) {
         entry.epoch.openForSaves();
     }
     return hadEpoch;
@@ -98,8 +100,14 @@
     const std::lock_guard lock(this->mutex);
     this->statedOpenEpochs[store] = epoch;
     const auto found = this->entries.find(store);
-    if (found != this->entries.end() && found->second.epoch.number() == epoch) {
+    if (found == this->entries.end() || found->second.epoch.number() == 0) {
+        return;
+    }
+    if (found->second.epoch.number() == epoch) {
         found->second.epoch.openForSaves();
+    } else if (std::exchange(found->second.isUnused, false)) {
+        // The system has started before, and prompts of a former epoch may wait at targets.
+        found->second.epoch.closeForSaves();
     }
 }
 
@@ -130,11 +138,11 @@
         const BlockKey key{event.salt, event.block};
         const auto known = entry.blocks.find(key);
         if (known != entry.blocks.end()) {
-            entry.heldTokens -= known->second;
+            entry.heldTokens -= known->second.tokens;
             entry.blocks.erase(known);
         }
         if (!event.isRemoval) {
-            entry.blocks[key] = event.tokens;
+            entry.blocks[key] = {event.tokens, this->settledFrom(this->clock.nowWithSuspend())};
             entry.heldTokens += event.tokens;
             this->pendingSaves.erase(key);
         }
@@ -157,8 +165,8 @@
     const std::lock_guard lock(this->mutex);
     std::vector<CacheChange> result;
     for (const auto &[name, entry] : this->entries) {
-        for (const auto &[key, tokens] : entry.blocks) {
-            result.push_back({name, entry.epoch.number(), {key.first, key.second, tokens, false}});
+        for (const auto &[key, block] : entry.blocks) {
+            result.push_back({name, entry.epoch.number(), {key.first, key.second, block.tokens, false}});
         }
     }
     return result;
@@ -167,16 +175,20 @@
 void CacheStores::replace(const std::vector<CacheStoreStatus> &statuses, const std::vector<CacheChange> &contents)
 {
     const std::lock_guard lock(this->mutex);
+    const Time settled = this->settledFrom(this->clock.nowWithSuspend());
+    std::map<std::string, std::map<BlockKey, StoredBlock>> former;
     for (auto &[name, entry] : this->entries) {
-        entry.blocks.clear();
+        if (entry.epoch.number() != 0) {
+            former[name] = std::exchange(entry.blocks, {});
+        }
         entry.heldTokens = 0;
     }
     for (const CacheStoreStatus &status : statuses) {
         const auto found = this->entries.find(status.store);
         if (found != this->entries.end()) {
             // A relay that has not heard of the store yet reports no epoch.
-            if (status.epoch != 0) {
-                this->observeEpoch(found->second, status.epoch);
+            if (status.epoch != 0 && this->observeEpoch(found->second, status.epoch)) {
+                former.erase(status.store);
             }
             found->second.isReachable = status.isReachable;
         }
@@ -184,9 +196,11 @@
     for (const CacheChange &change : contents) {
         const auto found = this->entries.find(change.store);
         if (found != this->entries.end() && found->second.epoch.number() == change.epoch) {
-            found->second.blocks[{change.event.salt, change.event.block}] = change.event.tokens;
+            const BlockKey key{change.event.salt, change.event.block};
+            const auto known = former[change.store].find(key);
+            found->second.blocks[key] = {change.event.tokens, known == former[change.store].end() ? settled : known->second.settledAt};
             found->second.heldTokens += change.event.tokens;
-            this->pendingSaves.erase({change.event.salt, change.event.block});
+            this->pendingSaves.erase(key);
         }
     }
 }
@@ -238,7 +252,7 @@
         BlocksToFree freed{entry.store.address, entry.epoch.number(), salt, {}};
         for (auto block = entry.blocks.lower_bound({salt, ""}); block != entry.blocks.end() && block->first.first == salt;) {
             freed.blocks.push_back(block->first.second);
-            entry.heldTokens -= block->second;
+            entry.heldTokens -= block->second.tokens;
             block = entry.blocks.erase(block);
         }
         if (!freed.blocks.empty() && entry.store.isManaged) {
@@ -283,7 +297,7 @@
     const std::lock_guard lock(this->mutex);
     std::set<std::string> result;
     for (const auto &[name, entry] : this->entries) {
-        for (const auto &[key, tokens] : entry.blocks) {
+        for (const auto &[key, block] : entry.blocks) {
             result.insert(key.first);
         }
     }
@@ -376,7 +390,9 @@
         const auto capacity = static_cast<double>(entry.store.capacityTokens);
         const double freeTokens = MaxFillFraction * capacity - usedTokens(entry);
         const bool acceptsSaves = entry.isUsable(now) && entry.epoch.saveDelay(now, longestFetch) == Duration(0);
-        if (&entry == excluded || !acceptsSaves || freeTokens < static_cast<double>(block.tokens)) {
+        const bool isUnderWay = this->savesOfHosts.youngest(SavesUnderWay::keyOf(name, salt, block.id)).has_value();
+        const bool holds = entry.blocks.contains({salt, block.id});
+        if (&entry == excluded || !acceptsSaves || isUnderWay || holds || freeTokens < static_cast<double>(block.tokens)) {
             continue;
         }
         // A fill difference of two or more tenths of the capacity outweighs the zone, so that cache stores fill evenly.
@@ -391,6 +407,27 @@
     return best;
 }
 
+Time CacheStores::settledFrom(Time now) const
+{
+    // A host that starts hears of saves that are under way only when they are told again.
+    const bool isFromStart = this->isFirstStart || this->configuredAt == Time(0);
+    const Time heardAll = isFromStart ? Time(0) : this->configuredAt + SavesUnderWay::RepeatInterval + SavesUnderWay::SettleTime;
+    return std::max(now + SavesUnderWay::SettleTime, heardAll);
+}
+
+bool CacheStores::isBeingSaved(const BlockKey &key) const
+{
+    return std::any_of(this->entries.begin(), this->entries.end(), [this, &key](const auto &entry) {
+        const std::optional<Duration> age = this->savesOfHosts.youngest(SavesUnderWay::keyOf(entry.first, key.first, key.second));
+        return age && *age < SaveReportTime;
+    });
+}
+
+bool CacheStores::mayFetch(const StoreState &entry, const BlockKey &key, const StoredBlock &block, Time now) const
+{
+    return block.settledAt <= now && !this->savesOfHosts.youngest(SavesUnderWay::keyOf(entry.store.name, key.first, key.second));
+}
+
 std::pair<CacheStores::StoreState *, Duration> CacheStores::findSource(const BlockKey &key, double bytes, int64_t tokens, const std::string &zone, Time now)
 {
     std::pair<StoreState *, Duration> best{nullptr, Duration(0)};
@@ -400,7 +437,7 @@
     }
     for (auto &[name, entry] : this->entries) {
         const auto known = entry.blocks.find(key);
-        if (!entry.isUsable(now) || known == entry.blocks.end() || known->second < tokens) {
+        if (!entry.isUsable(now) || known == entry.blocks.end() || known->second.tokens < tokens || !this->mayFetch(entry, key, known->second, now)) {
             continue;
         }
         const Duration time = transferTime(entry, bytes, zone) + entry.store.firstByteDelay + this->linkWait(entry, now);
@@ -456,8 +493,14 @@
                 continue;
             }
         }
+        const bool isHeld = std::any_of(this->entries.begin(), this->entries.end(),
+            [&key, now](const auto &entry) { return entry.second.isUsable(now) && entry.second.blocks.contains(key); });
+        if (source == nullptr && isHeld) {
+            result.withheldTokens += block.tokens;
+            continue;
+        }
         const auto pending = this->pendingSaves.find(key);
-        if (pending != this->pendingSaves.end() && now < pending->second.at + SaveReportTime) {
+        if ((pending != this->pendingSaves.end() && now < pending->second.at + SaveReportTime) || this->isBeingSaved(key)) {
             continue;
         }
         const StoreState *saveStore = this->chooseSaveStore(salt, block, zone, source, now);
@@ -469,6 +512,10 @@
             }
             result.saveTo[index] = useStore(*saveStore);
             result.saveTokens += block.tokens;
+            if (!result.saves) {
+                result.saves = std::make_shared<SaveTicket>(this->savesOfHosts);
+            }
+            result.saves->add(SavesUnderWay::keyOf(saveStore->store.name, salt, block.id), now + MaxTransit + this->longestTimeout);
         }
     }
     return result;
--- a/pimentosail/kvcache/storecontents.h
+++ b/pimentosail/kvcache/storecontents.h
@@ -1,7 +1,8 @@
 // Tracks the contents of the cache stores from their change events, and plans from which cache store a target fetches the
 // KV-cache blocks of a prompt and to which it saves them.
 //
-// A block is fetched only after its cache store has reported it complete. A lost event can cause a target to recompute a
+// A block is fetched only after its cache store has reported it complete, and only while no save of it to that store is under way
+// (`SavesUnderWay`). A lost event can cause a target to recompute a
 // block that is stored; it never causes a target to fetch an incomplete block. After a restart, a cache store is empty, but requests that
 // were sent before may still wait at targets and fetch its former blocks. `StoreEpoch` says for how long nothing is saved there, and
 // for how long contents may be used of which nothing has been heard since.
@@ -18,6 +19,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <optional>
 #include <set>
@@ -25,6 +27,7 @@
 #include <vector>
 
 #include "pimentosail/base/clock.h"
+#include "pimentosail/kvcache/savesunderway.h"
 #include "pimentosail/kvcache/storeepoch.h"
 #include "pimentosail/kvcache/targetclock.h"
 #include "pimentosail/routing/servingconfiguration.h"
@@ -78,6 +81,10 @@
     std::vector<std::string> saveTo;
     int64_t fetchTokens = 0;
     int64_t saveTokens = 0;
+    // Tokens that a cache store holds and that are not fetched, because a save of their blocks may still begin.
+    int64_t withheldTokens = 0;
+    // The saves, for as long as they are under way; null if there are none.
+    std::shared_ptr<SaveTicket> saves;
     // Name of the cache store that provides the block with the most tokens; empty if nothing is fetched.
     std::string mainSource;
     // Expected transfer time of that block, including the wait for the cache store's link.
@@ -163,6 +170,7 @@
     // `isSystemNew` is true if the whole system starts for the first time, so that no host has used the cache stores before.
     explicit CacheStores(const Clock &runtimeClock, bool isSystemNew = false)
         : clock(runtimeClock)
+        , savesOfHosts(runtimeClock)
         , isFirstStart(isSystemNew)
     {
     }
@@ -224,6 +232,12 @@
         return this->clockOfTargets;
     }
 
+    // The saves that targets may still begin.
+    SavesUnderWay &saves()
+    {
+        return this->savesOfHosts;
+    }
+
     // Counts planned saves that were not reported in time as used space. Called about twice a second.
     void expireSaves();
 
@@ -242,6 +256,12 @@
 
 private:
     using BlockKey = std::pair<std::string, std::string>;
+    struct StoredBlock
+    {
+        int64_t tokens = 0;
+        // When all hosts know of the saves of the block that were chosen before they knew that it is stored.
+        Time settledAt{};
+    };
     struct PendingSave
     {
         Time at{};
@@ -259,7 +279,7 @@
         // Tokens of planned saves that were never reported, because the save was interrupted or its event was lost. Both may
         // take space in the cache store.
         int64_t unreportedTokens = 0;
-        std::map<BlockKey, int64_t> blocks;
+        std::map<BlockKey, StoredBlock> blocks;
         // Moving average of the times to first token, in milliseconds, of prompts that fetched from this cache store, and the
         // time of its last update.
         double firstTokenMs = 0;
@@ -278,6 +298,11 @@
     // Records the epoch that a cache store has reported, and drops the blocks of another one. Returns true if there was another one.
     bool observeEpoch(StoreState &entry, int64_t epoch);
     StoreState *chooseSaveStore(const std::string &salt, const PromptBlock &block, const std::string &zone, const StoreState *excluded, Time now);
+    // Returns when a block may be fetched that the host learns of now.
+    Time settledFrom(Time now) const;
+    // Returns true if a save of the block is under way that was begun a short time before, so that its cache store will have it soon.
+    bool isBeingSaved(const BlockKey &key) const;
+    bool mayFetch(const StoreState &entry, const BlockKey &key, const StoredBlock &block, Time now) const;
     // Returns the cache store with the shortest expected transfer time of a stored block, and that time.
     std::pair<StoreState *, Duration> findSource(const BlockKey &key, double bytes, int64_t tokens, const std::string &zone, Time now);
     // Records the use of a block. Returns true if the block is hot, that is, was used a short time before.
@@ -287,6 +312,7 @@
 
     const Clock &clock;
     TargetClock clockOfTargets;
+    SavesUnderWay savesOfHosts;
     mutable std::mutex mutex;
     const bool isFirstStart;
     // When the first configuration was set; zero before.
--- a/pimentosail/kvcache/storeepoch.h
+++ b/pimentosail/kvcache/storeepoch.h
@@ -41,6 +41,12 @@
         this->isOpen = true;
     }
 
+    // Takes `openForSaves` back: the store was used in a former epoch.
+    void closeForSaves()
+    {
+        this->isOpen = false;
+    }
+
     // 0 if the store has not reported any.
     int64_t number() const
     {
