--- a/pimentosail/entry/entryprocess.cpp
+++ b/pimentosail/entry/entryprocess.cpp
@@ -28,7 +28,14 @@
 
 // File descriptors reserved for files and for connections to targets, stores and other hosts.
 constexpr int64_t ReservedDescriptors = 600;
+constexpr int64_t MinCallerConnections = 64;
+constexpr int64_t MinCallerThreads = 32;
 constexpr int64_t MaxCallerThreads = 2000;
+// The threads of requests may take one part in this of the memory of the process, and a thread takes this much with its request.
+constexpr int64_t HostMemoryPerThreads = 3;
+constexpr int64_t ThreadBytes = 96 * 1024;
+// Requests that have not arrived completely may take one part in this of the memory.
+constexpr int64_t HostMemoryPerPartialRequests = 32;
 // Connections of other hosts. Each follower of a relay keeps two long polls open.
 constexpr int64_t PeerConnections = 160;
 constexpr int64_t ReadyConnections = 16;
@@ -71,9 +78,14 @@
     return value;
 }
 
-int64_t callerConnections(const EntrySettings &settings)
+// Idle connections take little memory, so that their number goes by the descriptors. Requests take threads.
+ConnectionLimits callerLimits(const EntrySettings &settings)
 {
-    return std::clamp<int64_t>(settings.fileDescriptors - ReservedDescriptors, 64, MaxCallerThreads);
+    ConnectionLimits limits;
+    limits.connections = std::max<int64_t>(settings.fileDescriptors - ReservedDescriptors, MinCallerConnections);
+    limits.threads = std::clamp<int64_t>(settings.memoryBytes / HostMemoryPerThreads / ThreadBytes, MinCallerThreads, MaxCallerThreads);
+    limits.partialBytes = settings.memoryBytes / HostMemoryPerPartialRequests;
+    return limits;
 }
 
 } // namespace
@@ -218,7 +230,9 @@
           [this](const HostEntry &relay, const JournalPosition &position, Duration wait) { return this->fetchCacheChanges(relay, position, wait); })
     , loadDuty(context)
     , refreshThread("refresh", [this] { this->runRefresh(); })
-    , callerServer(settings.listen, callerConnections(settings), [this](HttpExchange &exchange) { RequestRunner(this->context, exchange).run(); })
+    , callerServer(
+          settings.listen, callerLimits(settings), [this](HttpExchange &exchange) { RequestRunner(this->context, exchange).run(); },
+          [this](HttpExchange &exchange) { RequestRunner(this->context, exchange).run(); })
     , readyServer(settings.readyListen, ReadyConnections, [this](HttpExchange &exchange) { this->serveReady(exchange); })
     , peerServer(settings.peerListen, PeerConnections, [this](HttpExchange &exchange) { this->servePeer(exchange); })
     , metricsServer(settings.metricsListen, ReadyConnections, [this](HttpExchange &exchange) { this->serveMetrics(exchange); })
@@ -310,6 +324,7 @@
     this->metrics.set("pimentosail_hosts", {}, static_cast<double>(this->state.hostCount()));
     this->metrics.set("pimentosail_idle_connections", {}, static_cast<double>(this->connections.size()));
     this->metrics.set("pimentosail_repeated_ids", {}, static_cast<double>(this->connections.repeatedIds()));
+    this->metrics.set("pimentosail_caller_connections", {}, static_cast<double>(this->callerServer.openConnections()));
     this->metrics.set("pimentosail_slow_reader_bytes", {}, static_cast<double>(this->callerBuffers.bytes()));
     this->metrics.set("pimentosail_slow_readers", {}, static_cast<double>(this->callerBuffers.readers()));
     this->metrics.set("pimentosail_slow_readers_ended", {}, static_cast<double>(this->callerBuffers.ended()));
--- a/pimentosail/entry/requestrunner.cpp
+++ b/pimentosail/entry/requestrunner.cpp
@@ -79,6 +79,10 @@
         throw Failure(ErrorKind::HeadTooLarge, "the head is larger than " + std::to_string(limits.headerBytes) + " bytes");
     }
     this->request = this->context.wire.decodeRequest(this->exchange);
+    if (this->exchange.mustBeRefused()) {
+        this->context.metrics.count("pimentosail_requests_without_thread_total", {});
+        throw Failure(ErrorKind::Overloaded, "all threads of this host are busy");
+    }
     this->readBody();
     if (this->context.state.isClosing.load()) {
         throw Failure(ErrorKind::ShuttingDown, "this host is shutting down");
@@ -382,7 +386,9 @@
     }
     // A request that was refused by its head has a body that is not read yet.
     const CallerLimits limits = this->serving ? this->serving->all().limits : CallerLimits{};
-    this->exchange.skipBody(limits.bodyBytes, this->context.clock, limits.headerTimeout);
+    if (!this->exchange.mustBeRefused()) {
+        this->exchange.skipBody(limits.bodyBytes, this->context.clock, limits.headerTimeout);
+    }
     const ErrorAnswer &answer = answerFor(failure.error.kind);
     HeaderList headers = this->context.wire.ownAnswerHeaders(this->request);
     headers.emplace_back("Content-Type", "application/json");
--- a/pimentosail/net/callerconnection.cpp
+++ b/pimentosail/net/callerconnection.cpp
@@ -4,9 +4,12 @@
 #include <array>
 #include <cerrno>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
 #include <sys/time.h>
+#include <unistd.h>
 
 namespace pimentosail
 {
@@ -19,10 +22,24 @@
 
 } // namespace
 
-CallerConnection::CallerConnection(Poco::Net::StreamSocket connectedSocket)
-    : socket(std::move(connectedSocket))
+CallerConnection::CallerConnection(int descriptor)
+    : socket(descriptor)
 {
-    ::setsockopt(this->descriptor(), SOL_SOCKET, SO_SNDTIMEO, &SendTimeout, sizeof(SendTimeout));
+    ::setsockopt(this->socket, SOL_SOCKET, SO_SNDTIMEO, &SendTimeout, sizeof(SendTimeout));
+    // Small answers are sent at once.
+    const int isSentAtOnce = 1;
+    ::setsockopt(this->socket, IPPROTO_TCP, TCP_NODELAY, &isSentAtOnce, sizeof(isSentAtOnce));
+}
+
+CallerConnection::~CallerConnection()
+{
+    ::close(this->socket);
+}
+
+bool CallerConnection::hasInput() const
+{
+    pollfd entry{this->socket, POLLIN, 0};
+    return ::poll(&entry, 1, 0) > 0;
 }
 
 ReceiveStatus CallerConnection::receive(const Clock &clock, Time end)
@@ -51,6 +68,10 @@
     const size_t count = std::min(size, this->input.size());
     std::string result = this->input.substr(0, count);
     this->input.erase(0, count);
+    if (this->input.empty()) {
+        // An idle connection keeps no buffer.
+        std::string().swap(this->input);
+    }
     return result;
 }
 
--- a/pimentosail/net/callerconnection.h
+++ b/pimentosail/net/callerconnection.h
@@ -1,6 +1,6 @@
 // The connection of a caller: its socket, and the bytes that were received and not used yet.
 //
-//     CallerConnection connection(listener.acceptConnection());
+//     CallerConnection connection(::accept(listener, nullptr, nullptr));
 //     connection.receive(clock.now() + timeout, clock);
 //     std::string block = connection.take(size);
 //
@@ -10,8 +10,6 @@
 #include <string>
 #include <string_view>
 
-#include <Poco/Net/StreamSocket.h>
-
 #include "pimentosail/base/clock.h"
 
 namespace pimentosail
@@ -31,13 +29,20 @@
     // Maximum number of bytes that one call of `receive` reads.
     static constexpr size_t MaxReceiveBytes = 16 * 1024;
 
-    explicit CallerConnection(Poco::Net::StreamSocket connectedSocket);
+    // Takes ownership of the connected socket `descriptor`.
+    explicit CallerConnection(int descriptor);
+    ~CallerConnection();
+    CallerConnection(const CallerConnection &) = delete;
+    CallerConnection &operator=(const CallerConnection &) = delete;
 
     int descriptor() const
     {
-        return this->socket.impl()->sockfd();
+        return this->socket;
     }
 
+    // Returns true if bytes, or the end of the connection, have arrived and were not received yet.
+    bool hasInput() const;
+
     // Returns the bytes that were received and not taken.
     std::string_view received() const
     {
@@ -62,7 +67,7 @@
     void shutDown();
 
 private:
-    Poco::Net::StreamSocket socket;
+    const int socket;
     std::string input;
 };
 
--- a/pimentosail/net/httpanswers.cpp
+++ b/pimentosail/net/httpanswers.cpp
@@ -133,7 +133,8 @@
     if (!this->writer) {
         return true;
     }
-    while (this->writer->hasPending() && !interrupt.isSet()) {
+    const WaitLimit::Place place(this->writer->hasPending() ? this->waits : nullptr);
+    while (this->writer->hasPending() && !interrupt.isSet() && place.isFree() && !this->mustBeRefused()) {
         std::array<pollfd, 2> entries{pollfd{this->callerSocket(), POLLOUT | POLLRDHUP, 0}, pollfd{interrupt.descriptor(), POLLIN, 0}};
         ::poll(entries.data(), entries.size(), FinishPollMilliseconds);
         const bool isOpen = (entries[0].revents & ~POLLOUT) == 0 || !this->isCallerDisconnected();
--- a/pimentosail/net/httpserver.cpp
+++ b/pimentosail/net/httpserver.cpp
@@ -1,8 +1,6 @@
 #include "pimentosail/net/httpserver.h"
 
 #include <algorithm>
-#include <mutex>
-#include <set>
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -11,9 +9,6 @@
 #include <Poco/Exception.h>
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/ServerSocket.h>
-#include <Poco/Net/TCPServerConnection.h>
-#include <Poco/Net/TCPServerConnectionFactory.h>
-#include <Poco/Net/TCPServerParams.h>
 #include <Poco/URI.h>
 
 #include "pimentosail/base/statelog.h"
@@ -26,14 +21,10 @@
 {
 
 constexpr int Backlog = 256;
-// Threads that a server keeps when it has no connections.
-constexpr int MinThreads = 1;
-// Time in which the head of a request must arrive after its first byte.
-constexpr Duration HeadTimeout = std::chrono::seconds(10);
+// One part in this of the threads may wait for callers that send or read slowly.
+constexpr int64_t WaitingPart = 2;
 // How long a caller whose request was refused unread may take to read the answer.
 constexpr Duration DrainTime = Milliseconds(500);
-// How long an idle connection stays open.
-constexpr Duration KeepAliveTime = std::chrono::seconds(30);
 // A connection ends if what was sent to its peer stays unacknowledged for this time. Long enough for several losses of a packet in a row.
 constexpr unsigned UserTimeoutMilliseconds = 3000;
 // A connection on which nothing is sent is probed in this interval, and ends after this number of lost probes.
@@ -57,114 +48,103 @@
 // Where a head ends.
 constexpr std::string_view HeadEnd = "\r\n\r\n";
 
-// Removes empty lines before a request, which some callers send after a body.
-void skipEmptyLines(CallerConnection &connection)
+constexpr std::string_view EmptyLine = "\r\n";
+
+// Returns where the first request begins: some callers send empty lines after a body.
+size_t startOfRequest(std::string_view received)
 {
-    while (connection.received().starts_with("\r\n")) {
-        connection.take(2);
+    size_t start = 0;
+    while (received.substr(start).starts_with(EmptyLine)) {
+        start += EmptyLine.size();
     }
+    return start;
 }
 
-// Waits for the first byte of a request, and then for its head. Returns the head as sent, which may be too large, or nothing if none comes.
-std::optional<std::string> receiveHead(CallerConnection &connection, const Clock &clock)
+// Returns true if a head has arrived, or too many bytes for one.
+bool hasHead(std::string_view received)
 {
-    const Time idleEnd = clock.now() + KeepAliveTime;
-    skipEmptyLines(connection);
-    while (connection.received().empty()) {
-        if (connection.receive(clock, idleEnd) != ReceiveStatus::Data) {
-            return std::nullopt;
-        }
-        skipEmptyLines(connection);
-    }
-    const Time end = clock.now() + HeadTimeout;
-    while (true) {
-        const size_t size = connection.received().find(HeadEnd);
-        if (size != std::string_view::npos) {
-            return connection.take(size + HeadEnd.size());
-        }
-        if (connection.received().size() > HttpServer::MaxHeadBytes) {
-            return connection.take(HttpServer::MaxHeadBytes + 1);
-        }
-        if (connection.receive(clock, end) != ReceiveStatus::Data) {
-            return std::nullopt;
-        }
-    }
+    const std::string_view request = received.substr(startOfRequest(received));
+    return request.find(HeadEnd) != std::string_view::npos || received.size() > HttpServer::MaxHeadBytes;
 }
 
-// Answers a request that was not read. Its connection has to end, because nobody knows where the next request begins.
-void refuseHead(CallerConnection &connection, const Clock &clock, const Error &error)
+// Takes the head that `hasHead` has found, as sent.
+std::string takeHead(CallerConnection &connection)
 {
-    HttpExchange exchange(connection, RequestHead{}, false);
-    exchange.sendError(error, "");
-    connection.drain(clock, clock.now() + DrainTime);
+    connection.take(startOfRequest(connection.received()));
+    const size_t size = connection.received().find(HeadEnd);
+    return connection.take(size == std::string_view::npos ? connection.received().size() : size + HeadEnd.size());
 }
 
 } // namespace
 
-struct HttpServer::Service
+class HttpServer::Service
 {
-    explicit Service(Handler requestHandler)
+public:
+    Service(Poco::Net::ServerSocket listener, const ConnectionLimits &limits, Handler requestHandler, Handler refusalHandler)
         : handler(std::move(requestHandler))
+        , refuse(std::move(refusalHandler))
+        , waits(std::max<int64_t>(1, limits.threads / WaitingPart))
+        , server(std::move(listener), limits, hasHead, [this](CallerConnection &connection, ServeMode mode) { return this->serve(connection, mode); })
     {
     }
 
-    // Serves the requests of a connection until it ends.
-    void serve(CallerConnection &connection);
-    // Returns false if the connection has to end.
-    bool serveRequest(CallerConnection &connection);
+    ConnectionServer &connections()
+    {
+        return this->server;
+    }
+
+private:
+    bool serve(CallerConnection &connection, ServeMode mode);
     void handle(HttpExchange &exchange);
-    // Shuts the open connections down.
-    void stop();
+    // Answers a request that was not read. Its connection has to end, because nobody knows where the next request begins.
+    void refuseHead(CallerConnection &connection, ServeMode mode, const Error &error);
 
     const Handler handler;
+    const Handler refuse;
     Clock clock;
-    std::atomic<long> active{0};
-    std::mutex mutex;
-    // Open connections, and whether new ones are shut down at once.
-    std::set<CallerConnection *> open;
-    bool isStopped = false;
+    WaitLimit waits;
+    ConnectionServer server;
 };
 
-void HttpServer::Service::serve(CallerConnection &connection)
+bool HttpServer::Service::serve(CallerConnection &connection, ServeMode mode)
 {
-    {
-        const std::lock_guard lock(this->mutex);
-        if (this->isStopped) {
-            return;
-        }
-        this->open.insert(&connection);
-    }
-    while (this->serveRequest(connection)) { }
-    const std::lock_guard lock(this->mutex);
-    this->open.erase(&connection);
-}
-
-bool HttpServer::Service::serveRequest(CallerConnection &connection)
-{
-    const std::optional<std::string> bytes = receiveHead(connection, this->clock);
-    if (!bytes) {
-        return false;
-    }
-    if (bytes->size() > HttpServer::MaxHeadBytes) {
-        refuseHead(connection, this->clock, Error(ErrorKind::HeadTooLarge, "the head of the request is too large"));
+    const std::string bytes = takeHead(connection);
+    if (bytes.size() > HttpServer::MaxHeadBytes) {
+        this->refuseHead(connection, mode, Error(ErrorKind::HeadTooLarge, "the head of the request is too large"));
         return false;
     }
-    Result<RequestHead> head = parseRequestHead(*bytes);
+    Result<RequestHead> head = parseRequestHead(bytes);
     if (!head) {
-        refuseHead(connection, this->clock, head.error());
+        this->refuseHead(connection, mode, head.error());
         return false;
     }
-    HttpExchange exchange(connection, std::move(*head), true);
-    this->active.fetch_add(1);
+    HttpExchange exchange(connection, std::move(*head), mode, &this->waits);
+    if (this->server.isCrowded()) {
+        exchange.closeAfterAnswer();
+    }
     this->handle(exchange);
-    this->active.fetch_sub(1);
     return exchange.keepsConnection() && exchange.isHeaderSent();
 }
 
+void HttpServer::Service::refuseHead(CallerConnection &connection, ServeMode mode, const Error &error)
+{
+    HttpExchange exchange(connection, RequestHead{}, ServeMode::Refuse, nullptr);
+    exchange.sendError(error, "");
+    if (mode == ServeMode::Serve) {
+        connection.drain(this->clock, this->clock.now() + DrainTime);
+    }
+}
+
 void HttpServer::Service::handle(HttpExchange &exchange)
 {
     try {
-        this->handler(exchange);
+        if (!exchange.mustBeRefused()) {
+            this->handler(exchange);
+        } else if (this->refuse) {
+            this->refuse(exchange);
+        } else {
+            exchange.sendError(Error(ErrorKind::Overloaded, "all threads of this host are busy"), "");
+        }
         if (exchange.callerWriter() == nullptr) {
             exchange.endStream();
         }
@@ -180,15 +160,6 @@
     }
 }
 
-void HttpServer::Service::stop()
-{
-    const std::lock_guard lock(this->mutex);
-    this->isStopped = true;
-    for (CallerConnection *connection : this->open) {
-        connection->shutDown();
-    }
-}
-
 std::string HttpExchange::path() const
 {
     try {
@@ -212,7 +183,15 @@
 std::string HttpExchange::receive(uint64_t size, Clock &clock, Time end)
 {
     if (this->connection.received().empty()) {
-        switch (this->connection.receive(clock, end)) {
+        ReceiveStatus status = this->connection.receive(clock, Time(0));
+        if (status == ReceiveStatus::Timeout) {
+            const WaitLimit::Place place(this->waits);
+            if (!place.isFree()) {
+                throw Failure(ErrorKind::Overloaded, "too many requests wait for the rest of their bodies");
+            }
+            status = this->connection.receive(clock, end);
+        }
+        switch (status) {
         case ReceiveStatus::Data:
             break;
         case ReceiveStatus::Timeout:
@@ -323,90 +302,43 @@
     }
 }
 
-namespace
-{
-
-// Serves one connection on a thread of the pool.
-template <typename Service>
-class ServedConnection : public Poco::Net::TCPServerConnection
-{
-public:
-    ServedConnection(const Poco::Net::StreamSocket &socket, std::shared_ptr<Service> sharedService)
-        : TCPServerConnection(socket)
-        , service(std::move(sharedService))
-    {
-    }
-
-    void run() override
-    {
-        CallerConnection connection(this->socket());
-        this->service->serve(connection);
-    }
-
-private:
-    std::shared_ptr<Service> service;
-};
-
-template <typename Service>
-class ServedConnectionFactory : public Poco::Net::TCPServerConnectionFactory
+HttpServer::HttpServer(const std::string &address, const ConnectionLimits &limits, Handler requestHandler, Handler refusalHandler)
 {
-public:
-    explicit ServedConnectionFactory(std::shared_ptr<Service> sharedService)
-        : service(std::move(sharedService))
-    {
-    }
-
-    Poco::Net::TCPServerConnection *createConnection(const Poco::Net::StreamSocket &socket) override
-    {
-        // POCO takes ownership.
-        return new ServedConnection<Service>(socket, this->service);
-    }
-
-private:
-    std::shared_ptr<Service> service;
-};
-
-} // namespace
+    Poco::Net::ServerSocket listener(Poco::Net::SocketAddress(address), Backlog);
+    limitConnections(listener);
+    this->service = std::make_unique<Service>(listener, limits, std::move(requestHandler), std::move(refusalHandler));
+}
 
 HttpServer::HttpServer(const std::string &address, int64_t maxConnections, Handler requestHandler)
-    : service(std::make_shared<Service>(std::move(requestHandler)))
-    , pool(MinThreads, static_cast<int>(maxConnections) + MinThreads)
-    , listener(Poco::Net::SocketAddress(address), Backlog)
+    : HttpServer(address, ConnectionLimits{.connections = maxConnections, .threads = maxConnections}, std::move(requestHandler))
 {
-    limitConnections(this->listener);
-    auto *params = new Poco::Net::TCPServerParams();
-    params->setMaxThreads(static_cast<int>(maxConnections));
-    params->setMaxQueued(static_cast<int>(maxConnections));
-    this->server = std::make_unique<Poco::Net::TCPServer>(new ServedConnectionFactory<Service>(this->service), this->pool, this->listener, params);
 }
 
-HttpServer::~HttpServer()
-{
-    this->stop();
-}
+HttpServer::~HttpServer() = default;
 
 void HttpServer::start()
 {
-    this->server->start();
+    this->service->connections().start();
 }
 
 long HttpServer::running() const
 {
-    return this->service->active.load();
+    return this->service->connections().running();
+}
+
+int64_t HttpServer::openConnections() const
+{
+    return this->service->connections().openConnections();
 }
 
 void HttpServer::stopAccepting()
 {
-    this->server->stop();
-    // POCO only stops calling `accept`; the kernel would still accept connections into the queue of the listening
-    // socket.
-    this->listener.close();
+    this->service->connections().stopAccepting();
 }
 
 void HttpServer::stop()
 {
-    this->service->stop();
-    this->server->stop();
+    this->service->connections().stop();
 }
 
 } // namespace pimentosail
--- a/pimentosail/net/httpserver.h
+++ b/pimentosail/net/httpserver.h
@@ -1,12 +1,12 @@
-// An HTTP server with a thread pool of its own and a limit of connections. It calls one function for each request.
+// An HTTP server with a limit of connections and of threads (`ConnectionServer`). It calls one function for each request.
 //
 //     HttpServer server("127.0.0.1:8080", 600, [](HttpExchange &exchange) { exchange.sendJson(200, value); });
 //     server.start();
 //
 // The handler runs on a thread of the pool, for several requests at once. Exceptions of a handler end the connection, and so does a handler that
-// sends no answer. A request whose head can't be read without doubt (`parseRequestHead`) gets 400, one with a head of more than
-// `HttpServer::MaxHeadBytes` 431, and its connection ends.
-// An `HttpExchange` belongs to the thread of its handler; `running` may be called by any thread.
+// sends no answer. While all threads are busy, requests are refused. A request whose head can't be read without doubt (`parseRequestHead`) gets 400, one with a
+// head of more than `HttpServer::MaxHeadBytes` 431, and its connection ends. An `HttpExchange` belongs to the thread of its handler; `running` may be called by
+// any thread.
 #pragma once
 
 #include <atomic>
@@ -18,9 +18,6 @@
 #include <utility>
 #include <vector>
 
-#include <Poco/Net/ServerSocket.h>
-#include <Poco/Net/TCPServer.h>
-#include <Poco/ThreadPool.h>
 #include <json/value.h>
 
 #include "pimentosail/base/clock.h"
@@ -28,25 +25,77 @@
 #include "pimentosail/base/interrupt.h"
 #include "pimentosail/net/callerbuffers.h"
 #include "pimentosail/net/callerconnection.h"
+#include "pimentosail/net/connectionserver.h"
 #include "pimentosail/net/messagehead.h"
 
 namespace pimentosail
 {
 
+// Limits how many threads wait at the same time for callers that send or read slowly.
+class WaitLimit
+{
+public:
+    explicit WaitLimit(int64_t maxWaits)
+        : limit(maxWaits)
+    {
+    }
+
+    // A wait, for the lifetime of the object.
+    class Place
+    {
+    public:
+        // Without a limit, each place is free.
+        explicit Place(WaitLimit *waitLimit)
+            : waits(waitLimit)
+            , hasRoom(waitLimit == nullptr || waitLimit->used.fetch_add(1) < waitLimit->limit)
+        {
+        }
+        ~Place()
+        {
+            if (this->waits != nullptr) {
+                this->waits->used.fetch_sub(1);
+            }
+        }
+        Place(const Place &) = delete;
+        Place &operator=(const Place &) = delete;
+
+        bool isFree() const
+        {
+            return this->hasRoom;
+        }
+
+    private:
+        WaitLimit *const waits;
+        const bool hasRoom;
+    };
+
+private:
+    const int64_t limit;
+    std::atomic<int64_t> used{0};
+};
+
 // One request and its answer. Valid until the handler returns.
 class HttpExchange
 {
 public:
     using BodyReserve = std::function<void(size_t bytes)>;
 
-    // `mayKeepOpen` is false if the connection has to end after the answer.
-    HttpExchange(CallerConnection &callerConnection, RequestHead requestHead, bool mayKeepOpen)
+    // A connection whose request is refused ends with the answer. `waitLimit` counts the waits for the caller; null for no limit.
+    HttpExchange(CallerConnection &callerConnection, RequestHead requestHead, ServeMode serveMode, WaitLimit *waitLimit)
         : connection(callerConnection)
         , request(std::move(requestHead))
-        , keepsAlive(mayKeepOpen && this->request.keepsAlive)
+        , mode(serveMode)
+        , waits(waitLimit)
+        , keepsAlive(serveMode == ServeMode::Serve && this->request.keepsAlive)
     {
     }
 
+    // Returns true if the request has to be refused at once, because all threads are busy. Nothing waits for the caller then.
+    bool mustBeRefused() const
+    {
+        return this->mode == ServeMode::Refuse;
+    }
+
     const std::string &method() const
     {
         return this->request.method;
@@ -191,6 +240,8 @@
 
     CallerConnection &connection;
     const RequestHead request;
+    const ServeMode mode;
+    WaitLimit *const waits;
     bool keepsAlive;
     // Headers that `setHeader` has set.
     HeaderList answerHeaders;
@@ -212,6 +263,10 @@
     static constexpr size_t MaxHeadBytes = 64 * 1024;
 
     // Binds to `address`; throws `Poco::Exception` if it is taken. Serves nothing before `start`.
+    // `refusalHandler` is called in place of `requestHandler` for requests that it must refuse without a wait; null refuses them as `Overloaded`.
+    HttpServer(const std::string &address, const ConnectionLimits &limits, Handler requestHandler, Handler refusalHandler = nullptr);
+
+    // The same for a server that may serve a request on each of its connections at once.
     HttpServer(const std::string &address, int64_t maxConnections, Handler requestHandler);
     ~HttpServer();
 
@@ -226,14 +281,12 @@
     // Returns the number of handlers that are running.
     long running() const;
 
+    int64_t openConnections() const;
+
 private:
-    // What the threads of the connections share.
-    struct Service;
+    class Service;
 
-    std::shared_ptr<Service> service;
-    Poco::ThreadPool pool;
-    Poco::Net::ServerSocket listener;
-    std::unique_ptr<Poco::Net::TCPServer> server;
+    std::unique_ptr<Service> service;
 };
 
 // Returns the JSON body for `error`.
