A block may be fetched from 0.4 s after the first save that is known, not after its storing

Change: the pause counts from the first save of the block that the host knows of. Hosts that know of it begin no other one, and what others chose at the same moment is known by then. Without a known save it counts from when the host learns that the block is stored.

Test: saves_under_way/a_block_whose_save_has_been_known_for_long_*.

--- a/pimentosail/kvcache/savesunderway.cpp
+++ b/pimentosail/kvcache/savesunderway.cpp
@@ -116,6 +116,16 @@
     return result;
 }
 
+std::optional<Time> SavesUnderWay::firstSave(uint64_t key) const
+{
+    const std::lock_guard lock(this->mutex);
+    const auto known = this->saves.find(key);
+    if (known == this->saves.end() || known->second.empty()) {
+        return std::nullopt;
+    }
+    return std::min_element(known->second.begin(), known->second.end(), [](const Save &left, const Save &right) { return left.since < right.since; })->since;
+}
+
 std::vector<SaveNotice> SavesUnderWay::changes(SaveScope scope)
 {
     const std::lock_guard lock(this->mutex);
--- a/pimentosail/kvcache/savesunderway.h
+++ b/pimentosail/kvcache/savesunderway.h
@@ -6,8 +6,8 @@
 // prompt until the prompt has begun, was certainly not run, or could no longer begin.
 //
 // Hosts tell each other of their saves in load reports. A save is known elsewhere only some time after its prompt was sent, so that two hosts
-// may choose the same block at the same moment. `CacheStores` fetches a block no earlier than `SettleTime` after the host has learnt of it; by then
-// both saves are known.
+// may choose the same block at the same moment. `CacheStores` fetches a block no earlier than `SettleTime` after the first save that the host knows of,
+// or, if it knows of none, after it has learnt that the block is stored; by then both saves are known.
 //
 //     SavesUnderWay saves(clock);
 //     auto ticket = std::make_shared<SaveTicket>(saves);
@@ -63,7 +63,7 @@
 class SavesUnderWay
 {
 public:
-    // The longest time that a notice takes to reach all hosts, over two relays and after the loss of one datagram.
+    // The longest time that a notice takes to reach all hosts and theirs of the same moment take to come back, over two relays each.
     static constexpr Duration SettleTime = Milliseconds(400);
     // Saves that are under way for longer are told again in this interval, for hosts that have started since.
     static constexpr Duration RepeatInterval = std::chrono::seconds(1);
@@ -87,6 +87,9 @@
     // Returns the time since the youngest save under `key` that is under way was begun or first heard of; nothing if there is none.
     std::optional<Duration> youngest(uint64_t key) const;
 
+    // Returns when the first of the saves under `key` that are still remembered was begun or first heard of; nothing if none is.
+    std::optional<Time> firstSave(uint64_t key) const;
+
     // Returns what has changed shortly before, each change for several reports in case some are lost, and from time to time all saves that have
     // been under way for long, also those of processes that have ended since. Called by the sender of reports in each interval.
     std::vector<SaveNotice> changes(SaveScope scope);
--- a/pimentosail/kvcache/savesunderwaytest.cpp
+++ b/pimentosail/kvcache/savesunderwaytest.cpp
@@ -128,6 +128,23 @@
     cr_assert(first.plan().hasFetch());
 }
 
+// Guards against a wait that has prompts read again: once a save has been known for the time of the notices, all others are known too.
+Test(saves_under_way, a_block_whose_save_has_been_known_for_long_is_fetched_at_once)
+{
+    Fixture fixture;
+    HostKnowledge saver(fixture.clock);
+    HostKnowledge reader(fixture.clock);
+    const CachePlan plan = saver.plan();
+    saver.reportTo(reader);
+    fixture.clock.advance(SavesUnderWay::SettleTime);
+    plan.saves->end();
+    saver.reportTo(reader);
+    for (HostKnowledge *host : {&saver, &reader}) {
+        host->learnThatBlockIsStored();
+        cr_assert(host->plan().hasFetch());
+    }
+}
+
 // Guards against a save that is forgotten because its host has ended or has closed the connection: the prompt may begin until its deadline. A host that
 // starts hears of it from the others, and fetches nothing before.
 Test(saves_under_way, a_save_of_a_host_that_has_ended_is_under_way_until_its_prompt_can_no_longer_begin)
--- a/pimentosail/kvcache/storecontents.cpp
+++ b/pimentosail/kvcache/storecontents.cpp
@@ -142,7 +142,7 @@
             entry.blocks.erase(known);
         }
         if (!event.isRemoval) {
-            entry.blocks[key] = {event.tokens, this->settledFrom(this->clock.nowWithSuspend())};
+            entry.blocks[key] = {event.tokens, this->settledAt(store, key, this->clock.nowWithSuspend())};
             entry.heldTokens += event.tokens;
             this->pendingSaves.erase(key);
         }
@@ -175,7 +175,7 @@
 void CacheStores::replace(const std::vector<CacheStoreStatus> &statuses, const std::vector<CacheChange> &contents)
 {
     const std::lock_guard lock(this->mutex);
-    const Time settled = this->settledFrom(this->clock.nowWithSuspend());
+    const Time now = this->clock.nowWithSuspend();
     std::map<std::string, std::map<BlockKey, StoredBlock>> former;
     for (auto &[name, entry] : this->entries) {
         if (entry.epoch.number() != 0) {
@@ -198,7 +198,8 @@
         if (found != this->entries.end() && found->second.epoch.number() == change.epoch) {
             const BlockKey key{change.event.salt, change.event.block};
             const auto known = former[change.store].find(key);
-            found->second.blocks[key] = {change.event.tokens, known == former[change.store].end() ? settled : known->second.settledAt};
+            found->second.blocks[key]
+                = {change.event.tokens, known == former[change.store].end() ? this->settledAt(change.store, key, now) : known->second.settledAt};
             found->second.heldTokens += change.event.tokens;
             this->pendingSaves.erase(key);
         }
@@ -407,12 +408,13 @@
     return best;
 }
 
-Time CacheStores::settledFrom(Time now) const
+Time CacheStores::settledAt(const std::string &store, const BlockKey &key, Time now) const
 {
+    const Time firstSave = this->savesOfHosts.firstSave(SavesUnderWay::keyOf(store, key.first, key.second)).value_or(now);
     // A host that starts hears of saves that are under way only when they are told again.
     const bool isFromStart = this->isFirstStart || this->configuredAt == Time(0);
     const Time heardAll = isFromStart ? Time(0) : this->configuredAt + SavesUnderWay::RepeatInterval + SavesUnderWay::SettleTime;
-    return std::max(now + SavesUnderWay::SettleTime, heardAll);
+    return std::max(firstSave + SavesUnderWay::SettleTime, heardAll);
 }
 
 bool CacheStores::isBeingSaved(const BlockKey &key) const
--- a/pimentosail/kvcache/storecontents.h
+++ b/pimentosail/kvcache/storecontents.h
@@ -298,8 +298,8 @@
     // Records the epoch that a cache store has reported, and drops the blocks of another one. Returns true if there was another one.
     bool observeEpoch(StoreState &entry, int64_t epoch);
     StoreState *chooseSaveStore(const std::string &salt, const PromptBlock &block, const std::string &zone, const StoreState *excluded, Time now);
-    // Returns when a block may be fetched that the host learns of now.
-    Time settledFrom(Time now) const;
+    // Returns when a block may be fetched from a cache store that is reported to have it now.
+    Time settledAt(const std::string &store, const BlockKey &key, Time now) const;
     // Returns true if a save of the block is under way that was begun a short time before, so that its cache store will have it soon.
     bool isBeingSaved(const BlockKey &key) const;
     bool mayFetch(const StoreState &entry, const BlockKey &key, const StoredBlock &block, Time now) const;
