Limits of callers in a file of their own, with a test that they fit the memory together

Cause: callerLimits stood among the constants of entryprocess.cpp, and nothing checked that threads, connections, partial requests, bodies, answers and slow readers together stay below the memory. With a third of it for threads they did not on a host of 88 MB (by the sum in the test). Change: entry/callerlimits; a quarter of the memory for threads, which are 234 on such a host. Test: caller_limits/*.

--- a/pimentosail/entry/entryprocess.cpp
+++ b/pimentosail/entry/entryprocess.cpp
@@ -10,6 +10,7 @@
 #include <Poco/NumberParser.h>
 
 #include "pimentosail/base/json.h"
+#include "pimentosail/entry/callerlimits.h"
 #include "pimentosail/entry/deliveryduty.h"
 #include "pimentosail/entry/loadduty.h"
 #include "pimentosail/entry/peermessages.h"
@@ -26,16 +27,6 @@
 namespace
 {
 
-// File descriptors reserved for files and for connections to targets, stores and other hosts.
-constexpr int64_t ReservedDescriptors = 600;
-constexpr int64_t MinCallerConnections = 64;
-constexpr int64_t MinCallerThreads = 32;
-constexpr int64_t MaxCallerThreads = 2000;
-// The threads of requests may take one part in this of the memory of the process, and a thread takes this much with its request.
-constexpr int64_t HostMemoryPerThreads = 3;
-constexpr int64_t ThreadBytes = 96 * 1024;
-// Requests that have not arrived completely may take one part in this of the memory.
-constexpr int64_t HostMemoryPerPartialRequests = 32;
 // Connections of other hosts. Each follower of a relay keeps two long polls open.
 constexpr int64_t PeerConnections = 160;
 constexpr int64_t ReadyConnections = 16;
@@ -78,16 +69,6 @@
     return value;
 }
 
-// Idle connections take little memory, so that their number goes by the descriptors. Requests take threads.
-ConnectionLimits callerLimits(const EntrySettings &settings)
-{
-    ConnectionLimits limits;
-    limits.connections = std::max<int64_t>(settings.fileDescriptors - ReservedDescriptors, MinCallerConnections);
-    limits.threads = std::clamp<int64_t>(settings.memoryBytes / HostMemoryPerThreads / ThreadBytes, MinCallerThreads, MaxCallerThreads);
-    limits.partialBytes = settings.memoryBytes / HostMemoryPerPartialRequests;
-    return limits;
-}
-
 } // namespace
 
 class EntryProcess::Impl
