A host that has no configuration yet says so, and not that the model is unknown

Cause, by reading: Runner answered UnknownModel where a host that had just started had no configuration; the entry host passed that on, and callers don't repeat a 404. Ruled out: the list of models of the fixture, which never changes; the host's own callers get NotReady there. Change: NotReady (503, not run).

--- a/pimentosail/serve/runner.cpp
+++ b/pimentosail/serve/runner.cpp
@@ -52,6 +52,19 @@
     }
 }
 
+// Returns the model. Throws `Failure`: NotReady on a host that has just started and has no configuration yet, else UnknownModel.
+const Model *requireModel(const ConfigurationPointer &configuration, const std::string &name)
+{
+    if (!configuration) {
+        throw Failure(ErrorKind::NotReady, "no configuration is in force yet");
+    }
+    const Model *model = configuration->lists.model(name);
+    if (model == nullptr) {
+        throw Failure(ErrorKind::UnknownModel, "model '" + name + "' is not configured");
+    }
+    return model;
+}
+
 } // namespace
 
 struct Runner::Progress
@@ -64,10 +77,7 @@
 RequestInfo Runner::requestInfoOf(const RunSpec &spec, RequestId id) const
 {
     const ConfigurationPointer configuration = this->context.configuration.current();
-    const Model *model = configuration ? configuration->lists.model(spec.model) : nullptr;
-    if (model == nullptr) {
-        throw Failure(ErrorKind::UnknownModel, "model '" + spec.model + "' is not configured");
-    }
+    const Model *model = requireModel(configuration, spec.model);
     RequestInfo info;
     info.id = id;
     info.team = spec.team;
@@ -425,10 +435,7 @@
 std::string Runner::choosePromptOwner(const RunSpec &spec, const std::vector<std::string> &excludedHosts, std::string &owner)
 {
     const ConfigurationPointer configuration = this->context.configuration.current();
-    const Model *model = configuration ? configuration->lists.model(spec.model) : nullptr;
-    if (model == nullptr) {
-        throw Failure(ErrorKind::UnknownModel, "model '" + spec.model + "' is not configured");
-    }
+    const Model *model = requireModel(configuration, spec.model);
     const std::vector<uint64_t> blocks = promptBlocks(
         spec.prompt.substr(0, static_cast<size_t>(model->blockTokens * BytesPerToken)), model->blockTokens, cacheSalt(spec.team, spec.model, model->version));
     const uint64_t key = blocks.empty() ? fingerprintOf(spec) : blocks.front();
