Notices of saves take less than half of the bytes

Cause: each notice was part of four to five reports to each host, with 25 bytes each, and the slowest hosts have links of 10 Mbit/s.

Change: a change is told in two intervals, whatever their length, and a row has about ten bytes: keys of 32 bits, processes by their place in a list, times in tenths of a second.

Tests: loadmessages/saves_are_sent_only_*, saves_under_way/each_change_* follow the format and the intervals.

--- a/pimentosail/entry/loadduty.cpp
+++ b/pimentosail/entry/loadduty.cpp
@@ -277,6 +277,7 @@
     this->checkRelay(now);
     const std::vector<TargetLoad> own = this->ownLoads();
     ++this->sequence;
+    this->context.cacheStores.saves().beginInterval();
     const uint64_t changes = this->context.notices.changeCount() + this->context.rateLimits.changeCount();
     this->hasStatements = changes != this->statementChangesSent || now >= this->statementsSentAt + StatementInterval;
     if (this->hasStatements) {
--- a/pimentosail/entry/loadmessages.cpp
+++ b/pimentosail/entry/loadmessages.cpp
@@ -1,6 +1,7 @@
 #include "pimentosail/entry/loadmessages.h"
 
 #include <algorithm>
+#include <map>
 #include <optional>
 
 #include "pimentosail/base/error.h"
@@ -20,6 +21,8 @@
 constexpr size_t MaxSentNotices = 500;
 // No prompt waits at a target for longer.
 constexpr Duration MaxSaveTime = std::chrono::minutes(10);
+// Times of saves are sent in this unit, rounded up.
+constexpr Duration SaveTimeUnit = Milliseconds(100);
 
 uint64_t ageOf(Time at, Time now)
 {
@@ -101,12 +104,24 @@
 
 void writeSaves(MessageWriter &writer, const std::vector<SaveNotice> &saves)
 {
+    // Rows name their process by its place in a list.
+    std::map<uint64_t, uint64_t> places;
+    std::vector<uint64_t> processes;
+    for (const SaveNotice &save : saves) {
+        if (places.emplace(save.process, processes.size()).second) {
+            processes.push_back(save.process);
+        }
+    }
+    writer.number(processes.size());
+    for (const uint64_t process : processes) {
+        writer.number(process);
+    }
     writer.number(saves.size());
     for (const SaveNotice &save : saves) {
         writer.number(save.key);
-        writer.number(save.process);
+        writer.number(places[save.process]);
         writer.number(save.number);
-        writer.number(toUnsigned(toMilliseconds(save.remaining)));
+        writer.number(toUnsigned((save.remaining + SaveTimeUnit - Duration(1)) / SaveTimeUnit));
     }
 }
 
@@ -173,6 +188,25 @@
     }
 }
 
+void readSaves(MessageReader &reader, std::vector<SaveNotice> &saves)
+{
+    std::vector<uint64_t> processes;
+    for (uint64_t rows = reader.rows(MaxRows); rows > 0; --rows) {
+        processes.push_back(reader.number());
+    }
+    for (uint64_t rows = reader.rows(MaxRows); rows > 0; --rows) {
+        SaveNotice &save = saves.emplace_back();
+        save.key = reader.number();
+        const uint64_t place = reader.number();
+        if (place >= processes.size()) {
+            throw Failure(ErrorKind::BadRequest, "a save in a load report names no process");
+        }
+        save.process = processes[place];
+        save.number = reader.number();
+        save.remaining = std::min<int64_t>(reader.signedNumber(), MaxSaveTime / SaveTimeUnit) * SaveTimeUnit;
+    }
+}
+
 LoadMessage readMessage(std::string_view bytes, Time now)
 {
     MessageReader reader(bytes);
@@ -222,13 +256,7 @@
         readOutcomes(reader, message.outcomes);
     }
     if (format >= SaveLoadFormat) {
-        for (uint64_t rows = reader.rows(MaxRows); rows > 0; --rows) {
-            SaveNotice &save = message.saves.emplace_back();
-            save.key = reader.number();
-            save.process = reader.number();
-            save.number = reader.number();
-            save.remaining = std::min<Duration>(reader.age(), MaxSaveTime);
-        }
+        readSaves(reader, message.saves);
     }
     reader.checkEnd();
     return message;
--- a/pimentosail/entry/loadmessagestest.cpp
+++ b/pimentosail/entry/loadmessagestest.cpp
@@ -123,14 +123,16 @@
 {
     LoadMessage sent = makeMessage(LoadMessageKind::Report);
     cr_assert_eq(encodeLoadMessage(sent, Now)[0], BinaryLoadFormat, "a message without saves is one of an earlier format");
-    sent.saves = {{UINT64_MAX, 0xfedcba9876543210, 300, Milliseconds(12500)}, {1, 2, 3, Duration(0)}};
+    sent.saves = {{UINT32_MAX, 0xfedcba9876543210, 300, Milliseconds(12450)}, {1, 2, 3, Duration(0)}, {4, 0xfedcba9876543210, 301, Duration(1)}};
     const LoadMessage decoded = decodeLoadMessage(encodeLoadMessage(sent, Now), Now);
-    cr_assert_eq(decoded.saves.size(), 2);
-    cr_assert_eq(decoded.saves[0].key, UINT64_MAX);
+    cr_assert_eq(decoded.saves.size(), 3);
+    cr_assert_eq(decoded.saves[0].key, UINT32_MAX);
     cr_assert_eq(decoded.saves[0].process, 0xfedcba9876543210);
     cr_assert_eq(decoded.saves[0].number, 300);
     cr_assert_eq(decoded.saves[0].remaining, Duration(Milliseconds(12500)));
     cr_assert_not(decoded.saves[1].isUnderWay());
+    cr_assert_eq(decoded.saves[2].process, 0xfedcba9876543210);
+    cr_assert(decoded.saves[2].isUnderWay(), "a short time does not become none");
     for (const int format : {BinaryLoadFormat, OutcomeLoadFormat}) {
         const LoadMessage former = decodeLoadMessage(encodeLoadMessage(sent, Now, format), Now);
         cr_assert_eq(former.loads.size(), 2);
--- a/pimentosail/kvcache/savesunderway.cpp
+++ b/pimentosail/kvcache/savesunderway.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <random>
+#include <utility>
 
 #include "pimentosail/base/hash.h"
 
@@ -11,8 +12,9 @@
 namespace
 {
 
-// A change is part of all reports in this time: of two at least.
-constexpr Duration TellTime = Milliseconds(220);
+// A change is told in this number of intervals.
+constexpr uint64_t ToldIntervals = 2;
+constexpr uint64_t KeyMask = 0xffffffff;
 // How long an ended save is remembered, so that a late notice does not begin it again.
 constexpr Duration EndedMemory = std::chrono::seconds(5);
 constexpr Duration DropInterval = std::chrono::seconds(1);
@@ -35,10 +37,15 @@
 
 uint64_t SavesUnderWay::keyOf(const std::string &store, const std::string &salt, const std::string &block)
 {
-    return combineHashes(stableHash(store), combineHashes(stableHash(salt), stableHash(block)));
+    return combineHashes(stableHash(store), combineHashes(stableHash(salt), stableHash(block))) & KeyMask;
 }
 
 SavesUnderWay::Save *SavesUnderWay::find(uint64_t key, uint64_t saveProcess, uint64_t number)
+{
+    return const_cast<Save *>(std::as_const(*this).find(key, saveProcess, number));
+}
+
+const SavesUnderWay::Save *SavesUnderWay::find(uint64_t key, uint64_t saveProcess, uint64_t number) const
 {
     const auto known = this->saves.find(key);
     if (known == this->saves.end()) {
@@ -53,7 +60,7 @@
 {
     save.end = end;
     save.toldAt = now;
-    this->recent.push_back({now, key, save.process, save.number, isRepeated});
+    this->recent.push_back({this->interval, key, save.process, save.number, isRepeated});
 }
 
 uint64_t SavesUnderWay::begin(uint64_t key, Time end)
@@ -126,11 +133,20 @@
     return std::min_element(known->second.begin(), known->second.end(), [](const Save &left, const Save &right) { return left.since < right.since; })->since;
 }
 
-std::vector<SaveNotice> SavesUnderWay::changes(SaveScope scope)
+void SavesUnderWay::beginInterval()
+{
+    const std::lock_guard lock(this->mutex);
+    ++this->interval;
+    while (!this->recent.empty() && this->recent.front().interval + ToldIntervals < this->interval) {
+        this->recent.pop_front();
+    }
+    this->dropOld(this->clock.nowWithSuspend());
+}
+
+std::vector<SaveNotice> SavesUnderWay::changes(SaveScope scope) const
 {
     const std::lock_guard lock(this->mutex);
     const Time now = this->clock.nowWithSuspend();
-    this->dropOld(now);
     std::vector<SaveNotice> result;
     for (auto change = this->recent.rbegin(); change != this->recent.rend() && result.size() < MaxNotices; ++change) {
         const Save *save = this->find(change->key, change->process, change->number);
@@ -143,9 +159,6 @@
 
 void SavesUnderWay::dropOld(Time now)
 {
-    while (!this->recent.empty() && this->recent.front().at + TellTime < now) {
-        this->recent.pop_front();
-    }
     if (now < this->droppedAt + DropInterval) {
         return;
     }
--- a/pimentosail/kvcache/savesunderway.h
+++ b/pimentosail/kvcache/savesunderway.h
@@ -14,6 +14,7 @@
 //     ticket->add(SavesUnderWay::keyOf("jar-1", salt, block));
 //     ticket->recordSent(clock.nowWithSuspend() + timeLeft);
 //     ticket->end();                                       // the first token has arrived
+//     saves.beginInterval();
 //     report.saves = saves.changes(SaveScope::Own);
 //     saves.record(notice, SaveScope::Group);              // on another host
 //
@@ -37,7 +38,7 @@
 // A save as its host tells the others of it.
 struct SaveNotice
 {
-    // Hash of store, salt and block.
+    // Hash of store, salt and block, in 32 bits to keep messages short.
     uint64_t key = 0;
     // The process that sent the prompt, and the number of the save among those of this process.
     uint64_t process = 0;
@@ -90,9 +91,12 @@
     // Returns when the first of the saves under `key` that are still remembered was begun or first heard of; nothing if none is.
     std::optional<Time> firstSave(uint64_t key) const;
 
-    // Returns what has changed shortly before, each change for several reports in case some are lost, and from time to time all saves that have
-    // been under way for long, also those of processes that have ended since. Called by the sender of reports in each interval.
-    std::vector<SaveNotice> changes(SaveScope scope);
+    // Called by the sender of reports at the beginning of each interval.
+    void beginInterval();
+
+    // Returns what the reports of this interval tell: each change in two intervals, in case a report is lost, and from time to time all saves that
+    // have been under way for long, also those of processes that have ended since.
+    std::vector<SaveNotice> changes(SaveScope scope) const;
 
     // Returns the number of saves that are known to be under way.
     size_t count() const;
@@ -110,7 +114,7 @@
     };
     struct Change
     {
-        Time at{};
+        uint64_t interval = 0;
         uint64_t key = 0;
         uint64_t process = 0;
         uint64_t number = 0;
@@ -119,6 +123,7 @@
     };
 
     Save *find(uint64_t key, uint64_t process, uint64_t number);
+    const Save *find(uint64_t key, uint64_t process, uint64_t number) const;
     void change(uint64_t key, Save &save, Time end, Time now, bool isRepeated = false);
     void dropOld(Time now);
 
@@ -126,6 +131,7 @@
     const uint64_t process;
     mutable std::mutex mutex;
     uint64_t lastNumber = 0;
+    uint64_t interval = 0;
     std::unordered_map<uint64_t, std::vector<Save>> saves;
     // Changes that are being told, the oldest first.
     std::deque<Change> recent;
--- a/pimentosail/kvcache/savesunderwaytest.cpp
+++ b/pimentosail/kvcache/savesunderwaytest.cpp
@@ -57,6 +57,7 @@
     // Sends a report to `other`.
     void reportTo(HostKnowledge &other)
     {
+        this->stores.saves().beginInterval();
         for (const SaveNotice &notice : this->stores.saves().changes(SaveScope::Own)) {
             other.stores.saves().record(notice, SaveScope::All);
         }
@@ -177,12 +178,15 @@
     SavesUnderWay receiver(fixture.clock);
     const uint64_t key = SavesUnderWay::keyOf("jar", "w1", "shared");
     const uint64_t number = sender.begin(key, fixture.clock.nowWithSuspend() + LongestRequest);
+    sender.beginInterval();
     const std::vector<SaveNotice> begun = sender.changes(SaveScope::Own);
-    fixture.clock.advance(Milliseconds(100));
+    cr_assert_eq(begun.size(), 1);
+    sender.beginInterval();
     cr_assert_eq(sender.changes(SaveScope::Own).size(), 1, "the first datagram may be lost");
-    fixture.clock.advance(Milliseconds(200));
+    sender.beginInterval();
     cr_assert_eq(sender.changes(SaveScope::Own).size(), 0);
     sender.end(key, number);
+    sender.beginInterval();
     receiver.record(sender.changes(SaveScope::Own).at(0), SaveScope::All);
     receiver.record(begun.at(0), SaveScope::All);
     cr_assert_not(receiver.youngest(key).has_value(), "the notice of its beginning came late");
